--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+BIN := bin
+
+.PHONY: build test lint demo clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	./scripts/test.sh
+
+lint:
+	./.ci/run
+
+clean:
+	rm -rf $(BIN)
