Add the record codec and the reducer over the log

Cause: every node must reach the same state from the same log, although appends are repeated, operators race and claim holders pause.

--- /dev/null
+++ b/pkg/mesh/mesh.go
@@ -0,0 +1,100 @@
+// Package mesh holds the vocabulary that the other packages share: nodes,
+// availability zones, targets and endpoints.
+package mesh
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// NodeID names a node. It stays the same across restarts of the process.
+type NodeID string
+
+// AvailabilityZone names a failure domain within a region.
+type AvailabilityZone string
+
+// Region names a group of availability zones.
+type Region string
+
+// SessionID identifies one run of a node's process.
+type SessionID string
+
+// NodeInfo is how a node is reached.
+type NodeInfo struct {
+	ID      NodeID           `json:"id"`
+	Session SessionID        `json:"session"`
+	Zone    AvailabilityZone `json:"zone"`
+	Region  Region           `json:"region"`
+	// RPC is the jsonrpc2 listener for other nodes.
+	RPC netip.AddrPort `json:"rpc"`
+	// Call is the HTTP listener for calls.
+	Call netip.AddrPort `json:"call"`
+}
+
+// TargetState is whether a target takes new work.
+type TargetState string
+
+// The states of a target. A target that is absent has no state.
+const (
+	TargetServing TargetState = "serving"
+	TargetLeaving TargetState = "leaving"
+)
+
+// Target is what a target announces to the node beside it.
+type Target struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// Address is the target's HTTP listener.
+	Address netip.AddrPort `json:"address"`
+	// Slots is how many requests the target runs at once.
+	Slots int `json:"slots"`
+	// Connections is how many connections the target accepts.
+	Connections int         `json:"connections"`
+	State       TargetState `json:"state"`
+}
+
+// Endpoint is a target as seen by other nodes: it is reached through its node.
+type Endpoint struct {
+	Node    NodeID           `json:"node"`
+	Session SessionID        `json:"session"`
+	Zone    AvailabilityZone `json:"zone"`
+	Call    netip.AddrPort   `json:"call"`
+	Service string           `json:"service"`
+	Version string           `json:"version"`
+	Slots   int              `json:"slots"`
+}
+
+// RankNodes orders candidates by rendezvous hash for a key, best first. Nodes
+// that know the same candidates agree on the order without talking, and the
+// loss of one candidate moves only the keys that it ranked first for.
+func RankNodes(key string, candidates []NodeID) []NodeID {
+	type ranked struct {
+		id    NodeID
+		score uint64
+	}
+	scores := make([]ranked, 0, len(candidates))
+	for _, id := range candidates {
+		scores = append(scores, ranked{id, xxhash.Sum64String(key + "\x00" + string(id))})
+	}
+	slices.SortFunc(scores, func(a, b ranked) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		case a.id < b.id:
+			return -1
+		case a.id > b.id:
+			return 1
+		default:
+			return 0
+		}
+	})
+	order := make([]NodeID, len(scores))
+	for i, s := range scores {
+		order[i] = s.id
+	}
+	return order
+}
--- /dev/null
+++ b/pkg/record/codec.go
@@ -0,0 +1,171 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMalformed marks bytes that are no record. All nodes see the same bytes, so
+// all of them pass over the same offsets.
+var ErrMalformed = errors.New("malformed record")
+
+// ErrUnsupported marks a record written by a newer binary. A node must not pass
+// over it, since newer nodes apply it.
+var ErrUnsupported = errors.New("unsupported record")
+
+// ErrTooLarge marks a record over MaxSize.
+var ErrTooLarge = errors.New("record is larger than the limit")
+
+// envelope is the JSON form of a record.
+type envelope struct {
+	Schema   int             `json:"schema"`
+	ID       string          `json:"id"`
+	Kind     Kind            `json:"kind"`
+	Author   string          `json:"author"`
+	Base     Revision        `json:"base"`
+	Presumes Revision        `json:"presumes,omitempty"`
+	Epoch    Epoch           `json:"epoch,omitempty"`
+	Body     json.RawMessage `json:"body"`
+}
+
+type batchItem struct {
+	Kind     Kind            `json:"kind"`
+	Presumes Revision        `json:"presumes,omitempty"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// Encode returns the bytes of a record for the log.
+func Encode(r Record) ([]byte, error) {
+	if r.Body == nil {
+		return nil, errors.Wrap(ErrMalformed, "record has no body")
+	}
+	body, err := encodeBody(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(envelope{
+		Schema: Schema, ID: r.ID, Kind: r.Body.Kind(), Author: r.Author,
+		Base: r.Base, Presumes: r.Presumes, Epoch: r.Epoch, Body: body,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode record")
+	}
+	if len(data) > MaxSize {
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", len(data), MaxSize)
+	}
+	return data, nil
+}
+
+func encodeBody(b Body) (json.RawMessage, error) {
+	batch, ok := b.(Batch)
+	if !ok {
+		data, err := json.Marshal(b)
+		return data, errors.Wrapf(err, "encode %s", b.Kind())
+	}
+	items := make([]batchItem, 0, len(batch.Items))
+	for _, item := range batch.Items {
+		data, err := json.Marshal(item.Body)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode %s", item.Body.Kind())
+		}
+		items = append(items, batchItem{Kind: item.Body.Kind(), Presumes: item.Presumes, Body: data})
+	}
+	data, err := json.Marshal(items)
+	return data, errors.Wrap(err, "encode batch")
+}
+
+// Decode parses the bytes of a log entry. The error is ErrMalformed for bytes
+// that are no record, and ErrUnsupported for a record of a newer schema.
+func Decode(data []byte) (Record, error) {
+	if len(data) > MaxSize {
+		return Record{}, errors.Wrapf(ErrMalformed, "%d bytes, limit %d", len(data), MaxSize)
+	}
+	var e envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return Record{}, errors.Wrapf(ErrMalformed, "envelope: %v", err)
+	}
+	if e.Schema > Schema {
+		return Record{}, errors.Wrapf(ErrUnsupported, "schema %d, newest known %d", e.Schema, Schema)
+	}
+	if e.Schema < 1 || e.ID == "" || e.Kind == "" {
+		return Record{}, errors.Wrap(ErrMalformed, "schema, id or kind is missing")
+	}
+	body, err := decodeBody(e.Kind, e.Body)
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{ID: e.ID, Author: e.Author, Base: e.Base, Presumes: e.Presumes, Epoch: e.Epoch, Body: body}, nil
+}
+
+func decodeBody(kind Kind, data json.RawMessage) (Body, error) {
+	if kind == KindBatch {
+		return decodeBatch(data)
+	}
+	decode, ok := decoders[kind]
+	if !ok {
+		return nil, errors.Wrapf(ErrUnsupported, "kind %q", string(kind))
+	}
+	body, err := decode(data)
+	if err != nil {
+		return nil, errors.Wrapf(ErrMalformed, "%s: %v", kind, err)
+	}
+	return body, nil
+}
+
+func decodeBatch(data json.RawMessage) (Body, error) {
+	var items []batchItem
+	if err := json.Unmarshal(data, &items); err != nil {
+		return nil, errors.Wrapf(ErrMalformed, "batch: %v", err)
+	}
+	if len(items) == 0 {
+		return nil, errors.Wrap(ErrMalformed, "batch is empty")
+	}
+	batch := Batch{Items: make([]BatchItem, 0, len(items))}
+	for _, item := range items {
+		if item.Kind == KindBatch {
+			return nil, errors.Wrap(ErrMalformed, "batch inside a batch")
+		}
+		body, err := decodeBody(item.Kind, item.Body)
+		if err != nil {
+			return nil, err
+		}
+		batch.Items = append(batch.Items, BatchItem{Presumes: item.Presumes, Body: body})
+	}
+	return batch, nil
+}
+
+// decoders holds a parser for each kind but batch.
+var decoders = map[Kind]func(json.RawMessage) (Body, error){
+	KindPutService:      decoderOf[PutService],
+	KindDeleteService:   decoderOf[DeleteService],
+	KindPutVersion:      decoderOf[PutVersion],
+	KindDeleteVersion:   decoderOf[DeleteVersion],
+	KindPutRoute:        decoderOf[PutRoute],
+	KindDeleteRoute:     decoderOf[DeleteRoute],
+	KindStartRollout:    decoderOf[StartRollout],
+	KindPauseRollout:    decoderOf[PauseRollout],
+	KindResumeRollout:   decoderOf[ResumeRollout],
+	KindRollBackRollout: decoderOf[RollBackRollout],
+	KindClaimRollout:    decoderOf[ClaimRollout],
+	KindStepRollout:     decoderOf[StepRollout],
+	KindRolloutVerdict:  decoderOf[RolloutVerdict],
+	KindCompleteRollout: decoderOf[CompleteRollout],
+	KindClaimKeySlot:    decoderOf[ClaimKeySlot],
+	KindRenewKeySlots:   decoderOf[RenewKeySlots],
+	KindReleaseKeySlots: decoderOf[ReleaseKeySlots],
+	KindNodeAnnounced:   decoderOf[NodeAnnounced],
+}
+
+func decoderOf[T Body](data json.RawMessage) (Body, error) {
+	var body T
+	// A field that this binary does not know would be dropped silently and make
+	// its state differ from that of newer nodes.
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&body); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
--- /dev/null
+++ b/pkg/state/keyslot.go
@@ -0,0 +1,70 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+func hashKey(key string) uint64 { return xxhash.Sum64String(key) }
+
+// claimKeySlot grants a slot if nothing happened to it since the claimant last
+// saw it. A renewal by the present owner that lands first makes the claim lose.
+func (s *State) claimKeySlot(rec record.Record, b record.ClaimKeySlot) Outcome {
+	if b.Slot < 0 || b.Slot >= KeySlotCount || b.Node == "" || b.Session == "" {
+		return rejected(fmt.Sprintf("key slot %d, node %q, session %q", b.Slot, b.Node, b.Session))
+	}
+	slot := s.KeySlots[b.Slot]
+	if rec.Presumes != slot.Renewal {
+		return conflict(fmt.Sprintf("key slot %d is owned by %q", b.Slot, slot.Owner), slot.Renewal)
+	}
+	s.KeySlots[b.Slot] = KeySlot{
+		Owner: b.Node, Session: b.Session,
+		Epoch: record.Epoch(s.Revision), Renewal: s.Revision,
+	}
+	return accepted()
+}
+
+func (s *State) renewKeySlots(b record.RenewKeySlots) Outcome {
+	renewed := false
+	for i, slot := range s.KeySlots {
+		if !slot.ownedBy(b.Node, b.Session) {
+			continue
+		}
+		slot.Renewal = s.Revision
+		slot.RenewalNonce = b.Nonce
+		s.KeySlots[i] = slot
+		renewed = true
+	}
+	if !renewed {
+		return rejected(fmt.Sprintf("node %q session %q owns no key slot", b.Node, b.Session))
+	}
+	return accepted()
+}
+
+func (s *State) releaseKeySlots(b record.ReleaseKeySlots) Outcome {
+	for i, slot := range s.KeySlots {
+		if !slot.ownedBy(b.Node, b.Session) {
+			continue
+		}
+		slot.Renewal = s.Revision
+		slot.Released = true
+		slot.Successor = b.Successor
+		s.KeySlots[i] = slot
+	}
+	return accepted()
+}
+
+func (k KeySlot) ownedBy(node, session string) bool {
+	return k.Epoch != 0 && !k.Released && k.Owner == node && k.Session == session
+}
+
+func (s *State) announceNode(b record.NodeAnnounced) Outcome {
+	if !ValidName(b.Node) || b.Session == "" || b.RPCAddress == "" {
+		return rejected(fmt.Sprintf("announcement of node %q lacks a name, session or address", b.Node))
+	}
+	s.Nodes[b.Node] = Node{NodeAnnounced: b, Revision: s.Revision}
+	return accepted()
+}
