Add the daemon runner and the settings reader

Cause: every binary needs the same start, stop, logs and checked settings. Change: internal/app (kratos life cycle, HTTP/1.1 and cleartext HTTP/2 without the router, slog JSON lines), internal/settings (strict TOML, errors with file, line and key). Conclusion: the router of the transport is bypassed by a filter, since it cleans paths.

--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,120 @@
+// Package app runs the daemons: structured logs, HTTP servers and graceful stop.
+package app
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// readHeaderTimeout bounds how long a connection may take to send its header.
+const readHeaderTimeout = 10 * time.Second
+
+// maxHeaderBytes bounds a request's header; a larger one is refused with status 431.
+const maxHeaderBytes = 32 << 10
+
+// NewLogger returns a logger that writes JSON lines with the process name.
+func NewLogger(w io.Writer, process string, level slog.Level) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})).With("process", process)
+}
+
+// HTTPServer returns a kratos HTTP server for HTTP/1.1 and cleartext HTTP/2. All
+// requests go to the handler: the router would clean paths, and a proxied
+// path must stay as the caller sent it. The server has no timeout for a whole
+// request, since uploads may last.
+func HTTPServer(listener net.Listener, handler http.Handler) *khttp.Server {
+	srv := khttp.NewServer(
+		khttp.Listener(listener),
+		khttp.Timeout(0),
+		khttp.Filter(func(http.Handler) http.Handler { return handler }),
+	)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	srv.Protocols = protocols
+	srv.ReadHeaderTimeout = readHeaderTimeout
+	srv.MaxHeaderBytes = maxHeaderBytes
+	return srv
+}
+
+// Options are the parts of a daemon.
+type Options struct {
+	Name    string
+	Logger  *slog.Logger
+	Servers []transport.Server
+	// StopTimeout bounds the graceful stop of the servers.
+	StopTimeout time.Duration
+	// BeforeStop runs after the stop signal and before the servers stop, for
+	// instance to drain. It must return by itself.
+	BeforeStop func(context.Context) error
+}
+
+// Run runs a daemon until SIGTERM, SIGINT or the end of ctx, and stops it gracefully.
+func Run(ctx context.Context, o Options) error {
+	klog.SetLogger(slogAdapter{o.Logger})
+	opts := []kratos.Option{
+		kratos.Context(ctx),
+		kratos.Name(o.Name),
+		kratos.Server(o.Servers...),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(o.StopTimeout),
+	}
+	if o.BeforeStop != nil {
+		opts = append(opts, kratos.BeforeStop(o.BeforeStop))
+	}
+	return errors.Wrapf(kratos.New(opts...).Run(), "run %s", o.Name)
+}
+
+// Exit codes of the daemons.
+const (
+	ExitFailure     = 1
+	ExitBadSettings = 2
+)
+
+// Fail writes an error to standard error and ends the process.
+func Fail(code int, err error) {
+	_, _ = os.Stderr.WriteString(err.Error() + "\n")
+	os.Exit(code)
+}
+
+// slogAdapter passes the messages of kratos to slog.
+type slogAdapter struct{ logger *slog.Logger }
+
+// Log implements the logger of kratos.
+func (a slogAdapter) Log(level klog.Level, keyvals ...any) error {
+	message := ""
+	attrs := make([]any, 0, len(keyvals))
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if keyvals[i] == klog.DefaultMessageKey {
+			message, _ = keyvals[i+1].(string)
+			continue
+		}
+		attrs = append(attrs, keyvals[i], keyvals[i+1])
+	}
+	a.logger.Log(context.Background(), slogLevel(level), message, attrs...)
+	return nil
+}
+
+func slogLevel(level klog.Level) slog.Level {
+	switch level {
+	case klog.LevelDebug:
+		return slog.LevelDebug
+	case klog.LevelWarn:
+		return slog.LevelWarn
+	case klog.LevelError, klog.LevelFatal:
+		return slog.LevelError
+	default:
+		return slog.LevelInfo
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,75 @@
+// Package settings reads the TOML settings of the binaries. Every key is
+// checked at start; an error names the file, the line and the key.
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Validator checks the values of settings against each other. Its error names the key.
+type Validator interface {
+	Validate() error
+}
+
+// Duration is a time span written as a string with a unit, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Newf("%q is no duration; write a number with a unit, such as \"250ms\" or \"5s\"", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Std returns the duration as time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Load reads a TOML file into target, which holds the defaults, and validates it.
+func Load(path string, target Validator) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data, target)
+}
+
+// Parse is Load for bytes; name stands for the file in errors.
+func Parse(name string, data []byte, target Validator) error {
+	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := dec.Decode(target); err != nil {
+		return describe(name, err)
+	}
+	if err := target.Validate(); err != nil {
+		return errors.Newf("%s: %v", name, err)
+	}
+	return nil
+}
+
+func describe(name string, err error) error {
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) && len(missing.Errors) > 0 {
+		first := missing.Errors[0]
+		row, column := first.Position()
+		return errors.Newf("%s:%d:%d: unknown key %q", name, row, column, strings.Join(first.Key(), "."))
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, column := decode.Position()
+		key := ""
+		if len(decode.Key()) > 0 {
+			key = fmt.Sprintf("key %q: ", strings.Join(decode.Key(), "."))
+		}
+		return errors.Newf("%s:%d:%d: %s%s", name, row, column, key, strings.TrimPrefix(decode.Error(), "toml: "))
+	}
+	return errors.Newf("%s: %v", name, err)
+}
