Add jsonrpc2 between nodes with bounded messages and waits

Cause: nodes need calls to peers that can't be held by a silent connection and can't make a node allocate without limit; control bytes must be counted at the socket.

--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,128 @@
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	stdlog "log"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	// serverIdleTimeout is longer than the client's, so that the client closes first
+	// and no call meets a connection that the server has just closed.
+	serverIdleTimeout = 90 * time.Second
+	// maxConnections bounds the memory that peers can make a node spend. A member of a
+	// zone with 167 nodes probes one peer a second and keeps connections for 30 s.
+	maxConnections = 512
+)
+
+// Handler answers the calls of peers. A returned error reaches the peer as text.
+type Handler interface {
+	HandleRPC(ctx context.Context, method string, params json.RawMessage) (any, error)
+}
+
+// ErrUnknownMethod is returned by a Handler for a method that it does not have.
+var ErrUnknownMethod = errors.New("unknown method")
+
+// ErrBadParams is returned by a Handler for parameters that it cannot decode.
+var ErrBadParams = errors.New("malformed parameters")
+
+// Server accepts connections from peers. It implements transport.Server of kratos.
+type Server struct {
+	listener net.Listener
+	handler  Handler
+	counters *Counters
+
+	mu     sync.Mutex
+	conns  map[*jsonrpc2.Conn]struct{}
+	closed bool
+}
+
+// NewServer returns a server for a listener.
+func NewServer(listener net.Listener, handler Handler, counters *Counters) *Server {
+	return &Server{listener: listener, handler: handler, counters: counters, conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Start serves until Stop.
+func (s *Server) Start(ctx context.Context) error {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept peer")
+		}
+		s.serve(ctx, conn)
+	}
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConnections {
+		s.counters.Refused.Add(1)
+		_ = conn.Close()
+		return
+	}
+	metered := &meteredConn{Conn: conn, counters: s.counters, idleTimeout: serverIdleTimeout}
+	peer := newConn(ctx, metered, s.counters, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
+	s.conns[peer] = struct{}{}
+	go func() {
+		<-peer.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.conns, peer)
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := s.handler.HandleRPC(ctx, req.Method, params)
+	if err == nil {
+		return result, nil
+	}
+	return nil, &jsonrpc2.Error{Code: errorCode(err), Message: err.Error()}
+}
+
+func errorCode(err error) int64 {
+	switch {
+	case errors.Is(err, ErrUnknownMethod):
+		return jsonrpc2.CodeMethodNotFound
+	case errors.Is(err, ErrBadParams):
+		return jsonrpc2.CodeInvalidParams
+	default:
+		return jsonrpc2.CodeInternalError
+	}
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop(context.Context) error {
+	err := s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	conns := make([]*jsonrpc2.Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	return errors.Wrap(err, "close peer listener")
+}
+
+func newConn(ctx context.Context, conn net.Conn, counters *Counters, h jsonrpc2.Handler) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(conn, limitedCodec{counters: counters})
+	// Malformed messages are counted by the codec; the library's own log lines are no JSON.
+	return jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(stdlog.New(io.Discard, "", 0)))
+}
