Add the stand-ins of the platform log and of targets, and the log client

Nodes need a log service and targets to run against. The log client tells appends that had no effect from those that may have.

--- /dev/null
+++ b/cmd/heathercroft-platform/main.go
@@ -0,0 +1,37 @@
+// Command heathercroft-platform is a stand-in for the platform's log service.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/platform"
+	"heathercroft.example/heathercroft/internal/settings"
+)
+
+func main() {
+	cli := kingpin.New("heathercroft-platform", "Stand-in for the platform's append-only log service.")
+	path := cli.Flag("settings", "TOML settings file; defaults hold without it.").String()
+	check := cli.Flag("check-settings", "Check the settings and exit.").Bool()
+	kingpin.MustParse(cli.Parse(os.Args[1:]))
+
+	s := platform.DefaultSettings()
+	if *path != "" {
+		if err := settings.Load(*path, s); err != nil {
+			app.Fail(app.ExitBadSettings, err)
+		}
+	}
+	if *check {
+		fmt.Println("settings are valid")
+		return
+	}
+	logger := app.NewLogger(os.Stdout, "heathercroft-platform", slog.LevelInfo)
+	if err := platform.Run(context.Background(), s, logger); err != nil {
+		app.Fail(app.ExitFailure, err)
+	}
+}
--- /dev/null
+++ b/cmd/heathercroft-target/main.go
@@ -0,0 +1,35 @@
+// Command heathercroft-target is a stand-in for a target of the mesh.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/settings"
+	"heathercroft.example/heathercroft/internal/target"
+)
+
+func main() {
+	cli := kingpin.New("heathercroft-target", "Stand-in for a target of the mesh.")
+	path := cli.Flag("settings", "TOML settings file.").Required().String()
+	check := cli.Flag("check-settings", "Check the settings and exit.").Bool()
+	kingpin.MustParse(cli.Parse(os.Args[1:]))
+
+	s := target.DefaultSettings()
+	if err := settings.Load(*path, s); err != nil {
+		app.Fail(app.ExitBadSettings, err)
+	}
+	if *check {
+		fmt.Println("settings are valid")
+		return
+	}
+	logger := app.NewLogger(os.Stdout, "heathercroft-target", slog.LevelInfo)
+	if err := target.Run(context.Background(), s, logger); err != nil {
+		app.Fail(app.ExitFailure, err)
+	}
+}
--- /dev/null
+++ b/internal/content/content.go
@@ -0,0 +1,69 @@
+// Package content derives bodies from a seed, so that the receiver can check
+// every byte without keeping a copy.
+package content
+
+import (
+	"encoding/binary"
+	"io"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMismatch marks a body with a byte that differs from the derived one.
+var ErrMismatch = errors.New("body differs from the derived content")
+
+// NewReader returns a reader of the first size bytes derived from a seed. Seeds
+// that differ give unrelated bytes.
+func NewReader(seed string, size int64) io.Reader {
+	return io.LimitReader(stream(seed), size)
+}
+
+// stream is a generator rather than a repeated pattern: blocks in the wrong order or
+// from another body must not compare equal.
+func stream(seed string) io.Reader {
+	var key [32]byte
+	for i := range 4 {
+		binary.LittleEndian.PutUint64(key[8*i:], xxhash.Sum64String(string(rune('0'+i))+seed))
+	}
+	return rand.NewChaCha8(key)
+}
+
+// Hash returns the xxhash64 of the first size bytes derived from a seed.
+func Hash(seed string, size int64) uint64 {
+	digest := xxhash.New()
+	_, _ = io.Copy(digest, NewReader(seed, size))
+	return digest.Sum64()
+}
+
+// Verifier is a writer that compares what it gets with the derived content.
+type Verifier struct {
+	expected io.Reader
+	buffer   []byte
+	// Count is how many bytes matched.
+	Count int64
+}
+
+// NewVerifier returns a verifier of the content derived from a seed.
+func NewVerifier(seed string) *Verifier {
+	return &Verifier{expected: stream(seed)}
+}
+
+// Write implements io.Writer. Its error is ErrMismatch at the first byte that differs.
+func (v *Verifier) Write(p []byte) (int, error) {
+	if len(v.buffer) < len(p) {
+		v.buffer = make([]byte, len(p))
+	}
+	expected := v.buffer[:len(p)]
+	if _, err := io.ReadFull(v.expected, expected); err != nil {
+		return 0, errors.Wrap(err, "derive content")
+	}
+	for i := range p {
+		if p[i] != expected[i] {
+			return i, errors.Wrapf(ErrMismatch, "at byte %d", v.Count+int64(i))
+		}
+	}
+	v.Count += int64(len(p))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/logclient/client.go
@@ -0,0 +1,132 @@
+// Package logclient is a client of the platform's append-only log over HTTP and JSON.
+package logclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// OutcomeHeader on a status 503 or 429 says whether the append took effect.
+const OutcomeHeader = "Heathercroft-Outcome"
+
+// OutcomeNotRun is the value of OutcomeHeader for a call without effect.
+const OutcomeNotRun = "not-run"
+
+// maxAnswer bounds an answer in bytes. The platform ends a page at 4 MiB of
+// records, which base64 and the JSON around it make at most 6 MiB.
+const maxAnswer = 8 << 20
+
+// Client talks to one platform log. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+	// Traffic counts the bytes of the client's connections.
+	Traffic *Traffic
+}
+
+// New returns a client for the log at a base URL. It counts the bytes on its own
+// connections, so it uses a copy of httpClient's transport.
+func New(base string, httpClient *http.Client) *Client {
+	traffic := new(Traffic)
+	return &Client{base: strings.TrimRight(base, "/"), http: withTraffic(httpClient, traffic), Traffic: traffic}
+}
+
+// Append adds a record to a stream and returns its offset. The error is marked
+// ErrUnavailable or ErrRejected if nothing was appended, and ErrUnknown otherwise.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (record.Revision, error) {
+	// Without a connection, no byte of the request left this process.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	status, header, body, err := c.do(ctx, http.MethodPost, c.url(stream), data)
+	switch {
+	case err != nil && !connected.Load():
+		return 0, errors.Mark(errors.Wrap(err, "append"), ErrUnavailable)
+	case err != nil:
+		return 0, errors.Mark(errors.Wrap(err, "append"), ErrUnknown)
+	case status == http.StatusOK:
+		offset, err := decodeAppended(body)
+		return offset, errors.Wrap(err, "append")
+	default:
+		return 0, errors.Wrap(refusal(status, header, body, ErrUnknown), "append")
+	}
+}
+
+// Read returns up to max entries from an offset onward. If there are none, it
+// waits for the first one for up to wait, and returns an empty page after that.
+// The error is an *OutOfRangeError if the log does not hold the offset, and is
+// marked ErrUnavailable or ErrRejected otherwise.
+func (c *Client) Read(ctx context.Context, stream string, from record.Revision, max int, wait time.Duration) (Page, error) {
+	query := url.Values{
+		"from":    {strconv.FormatUint(uint64(from), 10)},
+		"max":     {strconv.Itoa(max)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	status, header, body, err := c.do(ctx, http.MethodGet, c.url(stream)+"?"+query.Encode(), nil)
+	switch {
+	case err != nil:
+		return Page{}, errors.Mark(errors.Wrap(err, "read"), ErrUnavailable)
+	case status == http.StatusOK:
+		page, err := decodePage(body, from, max)
+		return page, errors.Wrap(err, "read")
+	case status == http.StatusGone:
+		return Page{}, errors.Wrap(decodeOutOfRange(body), "read")
+	default:
+		return Page{}, errors.Wrap(refusal(status, header, body, ErrUnavailable), "read")
+	}
+}
+
+func (c *Client) url(stream string) string {
+	return c.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
+}
+
+// do sends one request and reads its whole answer.
+func (c *Client) do(ctx context.Context, method, target string, data []byte) (int, http.Header, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(data))
+	if err != nil {
+		return 0, nil, nil, errors.Wrap(err, "build request")
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
+	if err != nil {
+		return 0, nil, nil, errors.Wrap(err, "read answer")
+	}
+	if len(body) > maxAnswer {
+		return 0, nil, nil, errors.Mark(errors.Newf("answer is over %d bytes", maxAnswer), ErrMalformed)
+	}
+	return res.StatusCode, res.Header, body, nil
+}
+
+// refusal turns a status other than 200 into an error. unsure is the mark for a
+// status that does not say whether the call took effect.
+func refusal(status int, header http.Header, body []byte, unsure error) error {
+	const shown = 200
+	err := errors.Newf("status %d: %s", status, bytes.TrimSpace(body[:min(len(body), shown)]))
+	busy := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	switch {
+	case busy && header.Get(OutcomeHeader) == OutcomeNotRun:
+		return errors.Mark(err, ErrUnavailable)
+	case status == http.StatusBadRequest, status == http.StatusNotFound,
+		status == http.StatusMethodNotAllowed, status == http.StatusRequestEntityTooLarge:
+		return errors.Mark(err, ErrRejected)
+	default:
+		return errors.Mark(err, unsure)
+	}
+}
