Refine the faults of the stand-ins

- A held append either has no effect (hang) or takes effect when the outage ends, even if its client has left (stall); both happen to a real log.
- A draining target tells its node before it waits, so that the node sends nothing to a listener that is about to close.
- Calls bypass the mux, which would redirect paths that are not clean.
- The health and load reports are also set in the settings.

--- a/internal/platform/control.go
+++ b/internal/platform/control.go
@@ -12,15 +12,18 @@
 // OutageMode is how the log fails while it is out.
 type OutageMode string
 
-// The outage modes. In each of them nothing is appended.
+// The outage modes.
 const (
 	// OutageNone: the log works.
 	OutageNone OutageMode = "none"
 	// OutageUnavailable: every call is refused with status 503 and says that it had no effect.
 	OutageUnavailable OutageMode = "unavailable"
-	// OutageHang: every call is held until the outage ends or its client leaves.
+	// OutageHang: every call is held until the outage ends or its client leaves, and has no effect.
 	OutageHang OutageMode = "hang"
-	// OutageReset: the connection of every call is closed without an answer.
+	// OutageStall: every call is held and goes on when the outage ends. Appends take
+	// effect then, including those whose client has left.
+	OutageStall OutageMode = "stall"
+	// OutageReset: the connection of every call is closed without an answer, and the call has no effect.
 	OutageReset OutageMode = "reset"
 )
 
@@ -45,9 +48,9 @@
 // Validate checks the values; the error names the key.
 func (c Control) Validate() error {
 	switch c.Outage {
-	case OutageNone, OutageUnavailable, OutageHang, OutageReset:
+	case OutageNone, OutageUnavailable, OutageHang, OutageStall, OutageReset:
 	default:
-		return errors.Newf("outage %q is none of none, unavailable, hang, reset", c.Outage)
+		return errors.Newf("outage %q is none of none, unavailable, hang, stall, reset", c.Outage)
 	}
 	switch {
 	case c.DelayMS < 0 || c.DelayMS > maxDelayMS:
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heathercroft.example/heathercroft/internal/httpjson"
 	"heathercroft.example/heathercroft/internal/logclient"
 	"heathercroft.example/heathercroft/pkg/record"
@@ -85,12 +87,10 @@
 }
 
 func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request) {
-	if !s.admit(w, r) {
-		return
-	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, record.MaxSize))
+	var tooLarge *http.MaxBytesError
 	switch {
-	case err != nil && len(data) >= record.MaxSize:
+	case errors.As(err, &tooLarge):
 		httpjson.Fail(w, http.StatusRequestEntityTooLarge, "record is over "+strconv.Itoa(record.MaxSize)+" bytes")
 		return
 	case err != nil:
@@ -100,6 +100,9 @@
 		httpjson.Fail(w, http.StatusBadRequest, "record is empty")
 		return
 	}
+	if !s.admit(w, r) {
+		return
+	}
 	target, ok := s.stream(r.PathValue("stream"))
 	if !ok {
 		httpjson.Fail(w, http.StatusNotFound, "too many streams")
@@ -206,11 +209,12 @@
 			s.counters.outage.Add(1)
 			panic(http.ErrAbortHandler)
 		case OutageHang:
-			select {
-			case <-changed:
+			s.hold(r.Context(), changed)
+		case OutageStall:
+			// An append that is held goes on even when its client has left.
+			s.hold(context.WithoutCancel(r.Context()), changed)
+			if !s.stopped() {
 				continue
-			case <-s.stopping:
-			case <-r.Context().Done():
 			}
 		}
 		s.counters.outage.Add(1)
@@ -219,6 +223,24 @@
 	}
 }
 
+// hold waits for a change of the control, the stop, or the end of ctx.
+func (s *Server) hold(ctx context.Context, changed <-chan struct{}) {
+	select {
+	case <-changed:
+	case <-s.stopping:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) stopped() bool {
+	select {
+	case <-s.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 func notRun(w http.ResponseWriter, status int, message string) {
 	w.Header().Set(logclient.OutcomeHeader, logclient.OutcomeNotRun)
 	httpjson.Fail(w, status, message)
--- a/internal/target/announce.go
+++ b/internal/target/announce.go
@@ -20,8 +20,7 @@
 // announcePath is where a node takes announcements.
 const announcePath = "/heathercroft/v1/announce"
 
-// Announce sends the target's state to its node until ctx ends, every
-// announceInterval and at once when the state changes.
+// Announce sends the target's state to its node every announceInterval until ctx ends.
 func (s *Server) Announce(ctx context.Context) {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
@@ -40,7 +39,6 @@
 		failing = err != nil
 		select {
 		case <-ticker.C:
-		case <-s.announceNow:
 		case <-ctx.Done():
 			return
 		}
@@ -55,7 +53,11 @@
 	}
 }
 
+// announceOnce sends one announcement at a time, so that an older state cannot
+// arrive after a newer one.
 func (s *Server) announceOnce(ctx context.Context) error {
+	s.announcing.Lock()
+	defer s.announcing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, announceInterval)
 	defer cancel()
 	body, err := json.Marshal(s.Announcement())
--- a/internal/target/call.go
+++ b/internal/target/call.go
@@ -141,7 +141,7 @@
 		return
 	}
 	digest := xxhash.New()
-	received, err := io.Copy(digest, r.Body)
+	received, err := receive(ctx, w, r, digest)
 	if err != nil {
 		httpjson.Fail(w, http.StatusBadRequest, "read body: "+err.Error())
 		return
@@ -183,6 +183,19 @@
 	s.answer(w, answer, faults.truncate)
 }
 
+// receive reads the body of a request until its deadline.
+func receive(ctx context.Context, w http.ResponseWriter, r *http.Request, into io.Writer) (int64, error) {
+	if until, ok := ctx.Deadline(); ok {
+		control := http.NewResponseController(w)
+		if err := control.SetReadDeadline(until); err != nil {
+			return 0, errors.Wrap(err, "set read deadline")
+		}
+		// The deadline must not reach the next request of the connection.
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
+	return io.Copy(into, r.Body)
+}
+
 // stall holds a request without an answer until its caller leaves, and breaks the connection then.
 func (s *Server) stall(r *http.Request) {
 	select {
--- a/internal/target/faults.go
+++ b/internal/target/faults.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -141,32 +140,3 @@
 }
 
 func drawn(share float64) bool { return share > 0 && rand.Float64() < share }
-
-// switchboard holds the current control and the time of its switch.
-type switchboard struct {
-	mu       sync.Mutex
-	control  Control
-	switched time.Time
-}
-
-func newSwitchboard() *switchboard {
-	return &switchboard{control: Control{Health: HealthTruth, LoadFactor: 1, Faults: []Fault{}}, switched: time.Now()}
-}
-
-func (s *switchboard) get() (Control, time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.control, time.Since(s.switched)
-}
-
-// set replaces the control by what change returns for the current one.
-func (s *switchboard) set(change func(Control) (Control, error)) (Control, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next, err := change(s.control)
-	if err != nil {
-		return s.control, err
-	}
-	s.control, s.switched = next, time.Now()
-	return next, nil
-}
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heathercroft.example/heathercroft/internal/httpjson"
 )
 
@@ -34,8 +36,8 @@
 	open     atomic.Int64
 	history  *history
 	// crash ends the process; tests replace it.
-	crash       func(code int)
-	announceNow chan struct{}
+	crash      func(code int)
+	announcing sync.Mutex
 	// stopping is closed by Close and ends the silent requests.
 	stopping  chan struct{}
 	closeOnce sync.Once
@@ -44,19 +46,18 @@
 // New returns a target that is reached at an address.
 func New(s *Settings, address netip.AddrPort, logger *slog.Logger) *Server {
 	server := &Server{
-		settings:    s,
-		address:     address,
-		logger:      logger,
-		client:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Slots}},
-		gate:        newGate(s.Slots),
-		ledger:      newLedger(),
-		switches:    newSwitchboard(),
-		mux:         http.NewServeMux(),
-		started:     time.Now(),
-		history:     new(history),
-		crash:       os.Exit,
-		announceNow: make(chan struct{}, 1),
-		stopping:    make(chan struct{}),
+		settings: s,
+		address:  address,
+		logger:   logger,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Slots}},
+		gate:     newGate(s.Slots),
+		ledger:   newLedger(),
+		switches: newSwitchboard(s.Report),
+		mux:      http.NewServeMux(),
+		started:  time.Now(),
+		history:  new(history),
+		crash:    os.Exit,
+		stopping: make(chan struct{}),
 	}
 	server.mux.HandleFunc("GET /healthz", server.serveHealth)
 	server.mux.HandleFunc("GET /load", server.serveLoad)
@@ -64,27 +65,34 @@
 	server.mux.HandleFunc("POST /control", server.serveControl)
 	server.mux.HandleFunc("GET /control/executions", server.serveExecutions)
 	server.mux.Handle("GET /debug/vars", expvar.Handler())
-	server.mux.HandleFunc("/", server.serveCall)
 	return server
 }
 
-// ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+// ServeHTTP implements http.Handler. Calls do not pass the mux, which would redirect
+// paths that are not clean.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/healthz", "/load", "/control", "/control/executions", "/debug/vars":
+		s.mux.ServeHTTP(w, r)
+	default:
+		s.serveCall(w, r)
+	}
+}
 
-// Drain announces the target as leaving, refuses new work and waits for the work
-// in flight up to the drain limit.
+// Drain refuses new work, tells the node, and waits for the work in flight up to
+// the drain limit. The node is told first, so that it sends nothing to a listener
+// that is about to close.
 func (s *Server) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.settings.DrainLimit.Std())
 	defer cancel()
 	s.gate.leave()
-	select {
-	case s.announceNow <- struct{}{}:
-	default:
-	}
 	s.logger.Info("draining", "event", "target_draining", "in_flight", s.gate.load())
+	if err := s.announceOnce(ctx); err != nil {
+		s.logger.Warn("node was not told", "event", "announce_failed", "error", err.Error())
+	}
 	err := s.gate.wait(ctx)
 	s.logger.Info("drained", "event", "target_drained", "in_flight", s.gate.load())
-	return err
+	return errors.Wrap(err, "drain")
 }
 
 // Close ends the requests that a fault made silent.
--- a/internal/target/settings.go
+++ b/internal/target/settings.go
@@ -35,6 +35,16 @@
 	// ProbeCost is the work for a request to /healthz or /load.
 	ProbeCost  settings.Duration `toml:"probe_cost"`
 	DrainLimit settings.Duration `toml:"drain_limit"`
+	Report     Report            `toml:"report"`
+}
+
+// Report is what the health and load endpoints show at first; POST /control changes it.
+type Report struct {
+	Health HealthMode `toml:"health"`
+	// Lag is the age of the health and load reports.
+	Lag settings.Duration `toml:"lag"`
+	// LoadFactor multiplies the load that is reported.
+	LoadFactor float64 `toml:"load_factor"`
 }
 
 // ServiceTime is how long a request takes: Base plus a uniform part of Jitter.
@@ -60,6 +70,7 @@
 		ConnectionCost: settings.Duration(time.Millisecond),
 		ProbeCost:      settings.Duration(5 * time.Millisecond),
 		DrainLimit:     settings.Duration(5 * time.Minute),
+		Report:         Report{Health: HealthTruth, LoadFactor: 1},
 	}
 }
 
@@ -103,7 +114,8 @@
 	case s.DrainLimit <= 0:
 		return errors.New("drain_limit is not positive")
 	}
-	return nil
+	control, _ := newSwitchboard(s.Report).get()
+	return errors.Wrap(control.Validate(), "report")
 }
 
 func checkURL(key, text string) error {
--- a/internal/target/status.go
+++ b/internal/target/status.go
@@ -34,21 +34,8 @@
 	httpjson.Write(w, http.StatusOK, s.Status())
 }
 
-// serveControl changes the keys that the body holds and keeps the others. A list
-// of faults replaces the whole previous list.
 func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
-	control, err := s.switches.set(func(c Control) (Control, error) {
-		// Decoding into the old list would write into the array that requests in flight read.
-		old := c.Faults
-		c.Faults = nil
-		if err := httpjson.ReadStrict(r.Body, &c); err != nil {
-			return c, err
-		}
-		if c.Faults == nil {
-			c.Faults = old
-		}
-		return c, c.Validate()
-	})
+	control, err := s.switches.merge(r.Body)
 	if err != nil {
 		httpjson.Fail(w, http.StatusBadRequest, err.Error())
 		return
