--- /dev/null
+++ b/pkg/distribution/config.go
@@ -0,0 +1,59 @@
+// Package distribution decides which nodes read the platform log, how its
+// entries reach the other nodes, and when a node may serve.
+//
+// Machine is a pure state machine: it has no I/O, clock or goroutine. Step takes
+// one event and returns the effects that the adapter has to carry out. Messages
+// are one-way and may be lost, repeated, delayed or reordered.
+package distribution
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// Protocol timing and limits.
+const (
+	// ReadersPerZone is how many members of a zone read the platform log.
+	ReadersPerZone = 2
+	// ReadWait is the long poll of the log.
+	ReadWait = 10 * time.Second
+	// ReadMax is how many entries one read asks for.
+	ReadMax = 512
+	// ReadTimeout is when an unanswered read counts as failed.
+	ReadTimeout = ReadWait + 5*time.Second
+	// BackoffMin and BackoffMax bound the delay after an error, full jitter.
+	BackoffMin = 100 * time.Millisecond
+	// BackoffMax is the upper bound of the delay.
+	BackoffMax = 10 * time.Second
+	// OutageAfter is how long the platform must have failed before it counts
+	// as out. It exceeds one slow response, and is below the 9 s bound.
+	OutageAfter = 3 * time.Second
+	// FanOut is the number of children in the push tree.
+	FanOut = 4
+	// PullInterval is the time between two pulls, with a jitter of ±25 %.
+	PullInterval = 2 * time.Second
+	// ResponseBytes bounds the entries of one response or push.
+	ResponseBytes = 256 << 10
+	// BufferEntries and BufferBytes bound the recent entries that are kept.
+	BufferEntries = 4096
+	// BufferBytes is the bound of the buffer in bytes of data.
+	BufferBytes = 4 << 20
+	// HeldEntries bounds the entries held back after a gap.
+	HeldEntries = 1024
+	// TransferAdmission is how many snapshot transfers run at once.
+	TransferAdmission = 8
+	// TransferTimeout frees the place of a transfer that was never reported done.
+	TransferTimeout = 10 * time.Second
+	// GapRetry is the time between two requests for the same gap.
+	GapRetry = 250 * time.Millisecond
+)
+
+// Config is what a machine needs at its start.
+type Config struct {
+	Self mesh.NodeID
+	Zone mesh.AvailabilityZone
+	// Source drives all random choices.
+	Source rand.Source
+}
--- /dev/null
+++ b/pkg/distribution/effect.go
@@ -0,0 +1,88 @@
+package distribution
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// Effect is an output of the machine.
+type Effect interface{ effect() }
+
+// ReadLog asks for entries of the log from an offset on. The adapter answers
+// with LogPage, LogError or LogOutOfRange. At most one read is open; a new one
+// replaces an unanswered one.
+type ReadLog struct {
+	// Read numbers the requests.
+	Read uint64
+	From record.Revision
+	// Max is the largest number of entries.
+	Max int
+	// Wait is how long the platform may wait for a first entry.
+	Wait time.Duration
+}
+
+// ReadSnapshotStream asks for the newest whole snapshot of the platform. The
+// adapter answers with SnapshotRead or LogError.
+type ReadSnapshotStream struct{ Read uint64 }
+
+// SendPush asks for a push to a child in the tree.
+type SendPush struct {
+	To   mesh.NodeID
+	Push Push
+}
+
+// SendPull asks for a pull request to a peer. The response comes back as
+// PullAnswered; an error is not reported back.
+type SendPull struct {
+	To      mesh.NodeID
+	Request PullRequest
+}
+
+// SendResponse answers a pull request.
+type SendResponse struct {
+	To       mesh.NodeID
+	Response PullResponse
+}
+
+// SendSnapshot answers a pull request with the local state, which the adapter
+// encodes and sends as Response.Snapshot. Its revision is at least Revision.
+// TransferDone reports the end of the transfer.
+type SendSnapshot struct {
+	To       mesh.NodeID
+	Revision record.Revision
+	Response PullResponse
+}
+
+// ApplyEntries asks for the entries to be applied in order. The adapter
+// answers with Applied. The first offset follows the applied revision.
+type ApplyEntries struct{ Entries []Entry }
+
+// InstallSnapshot asks for the state to be replaced by a newer one. The
+// adapter answers with Applied, which holds the old revision if the snapshot
+// could not be decoded.
+type InstallSnapshot struct{ Snapshot Snapshot }
+
+// SetReady says whether the node may serve calls, and why not.
+type SetReady struct {
+	Ready  bool
+	Reason string
+}
+
+// RangeLost reports that retention has passed the local node.
+type RangeLost struct {
+	// Wanted is the offset that was asked for, First the oldest one kept.
+	Wanted, First record.Revision
+}
+
+func (ReadLog) effect()            {}
+func (ReadSnapshotStream) effect() {}
+func (SendPush) effect()           {}
+func (SendPull) effect()           {}
+func (SendResponse) effect()       {}
+func (SendSnapshot) effect()       {}
+func (ApplyEntries) effect()       {}
+func (InstallSnapshot) effect()    {}
+func (SetReady) effect()           {}
+func (RangeLost) effect()          {}
--- /dev/null
+++ b/pkg/distribution/message.go
@@ -0,0 +1,57 @@
+package distribution
+
+import (
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// Entry is one entry of the log as raw bytes, so that a node relays records
+// that it cannot decode.
+type Entry struct {
+	Offset record.Revision `json:"offset"`
+	Data   []byte          `json:"data"`
+}
+
+// Snapshot is an encoded state, compressed as pkg/snapshot does.
+type Snapshot struct {
+	Revision record.Revision `json:"revision"`
+	Data     []byte          `json:"data"`
+}
+
+// Push carries new entries down the tree.
+type Push struct {
+	From mesh.NodeID `json:"from"`
+	// Root is the reader at which the tree is rooted.
+	Root    mesh.NodeID `json:"root"`
+	Entries []Entry     `json:"entries"`
+}
+
+// PullRequest asks for the entries after Have.
+type PullRequest struct {
+	From    mesh.NodeID    `json:"from"`
+	Session mesh.SessionID `json:"session"`
+	// ID is repeated in the response.
+	ID uint64 `json:"id"`
+	// Have is the newest offset up to which the sender has all entries.
+	Have record.Revision `json:"have"`
+	// Applied and NACK acknowledge what is in force at the sender.
+	Applied record.Revision `json:"applied"`
+	NACK    string          `json:"nack,omitempty"`
+	// Limit is the offset after the last one wanted, 0 for all.
+	Limit record.Revision `json:"limit,omitempty"`
+}
+
+// PullResponse answers a pull request with entries, a snapshot, or neither.
+type PullResponse struct {
+	From mesh.NodeID `json:"from"`
+	ID   uint64      `json:"id"`
+	// Have and Applied are those of the answering node.
+	Have    record.Revision `json:"have"`
+	Applied record.Revision `json:"applied"`
+	// NACK is why the answering node cannot apply the record after Applied.
+	NACK     string    `json:"nack,omitempty"`
+	Entries  []Entry   `json:"entries,omitempty"`
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	// BusyMS, if not 0, declines a snapshot for so many milliseconds.
+	BusyMS int64 `json:"busy_ms,omitempty"`
+}
--- /dev/null
+++ b/pkg/membership/config.go
@@ -0,0 +1,78 @@
+// Package membership detects failed nodes inside an availability zone, spreads
+// what each node says about itself, and exchanges both with other zones.
+//
+// Machine is a pure state machine: it has no I/O, clock or goroutine. Step takes
+// one event and returns the effects that the adapter has to carry out. Messages
+// are one-way and may be lost, repeated, delayed or reordered.
+package membership
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// Protocol timing and limits.
+const (
+	// ProbeInterval is the time between two probes by one node.
+	ProbeInterval = time.Second
+	// ProbeTimeout is the wait for a direct answer before indirect probes, and
+	// for their answer before suspicion.
+	ProbeTimeout = 500 * time.Millisecond
+	// IndirectProbes is how many members are asked to probe in a node's place.
+	IndirectProbes = 2
+	// SuspicionTimeout is how long a suspect may refute before it is dead.
+	SuspicionTimeout = 3 * time.Second
+	// ExchangeInterval is the time between two full exchanges inside a zone.
+	ExchangeInterval = 30 * time.Second
+	// ZoneExchangeInterval is the time between two exchanges of a reader with
+	// another zone.
+	ZoneExchangeInterval = 2 * time.Second
+	// ZoneAttempts is how many exchanges with a zone go unanswered in a row
+	// before it counts as unreachable.
+	ZoneAttempts = 3
+	// TargetTimeout is how long a target may stay silent before it is gone.
+	TargetTimeout = 3 * time.Second
+	// UpdateBytes bounds the encoded updates in a probe or answer, so that a
+	// message fits into one packet of an ordinary network.
+	UpdateBytes = 1200
+	// LeavingFanout is how many members hear of a leaving target directly.
+	LeavingFanout = 4
+	// ReadersPerZone is how many members of a zone read the platform log.
+	ReadersPerZone = 2
+	// ExchangeAdmission is how many joining nodes are served at once.
+	ExchangeAdmission = 8
+	// JoinDelayMin and JoinDelayMax bound the jittered delay between joins.
+	JoinDelayMin = 100 * time.Millisecond
+	// JoinDelayMax is the upper bound of the jittered delay.
+	JoinDelayMax = 10 * time.Second
+	// FlapChanges within FlapWindow are allowed before an endpoint is damped.
+	FlapChanges = 3
+	// FlapWindow is the period over which state changes are counted.
+	FlapWindow = 60 * time.Second
+	// DampTime is how long a flapping endpoint stays damped.
+	DampTime = 30 * time.Second
+	// DeadRetention is how long a dead member is remembered. It must exceed the
+	// time in which every node of a zone exchanges with another one, so that
+	// a stale alive update does not bring the member back.
+	DeadRetention = 10 * time.Minute
+	// ReportInterval bounds how often a node reports its revision to the
+	// readers of its zone.
+	ReportInterval = time.Second
+)
+
+// Config is what a machine needs at its start.
+type Config struct {
+	// Self is the local node. Its session must differ from earlier ones.
+	Self mesh.NodeInfo
+	// Incarnation is the first incarnation of the session. Any value is
+	// correct, since a node that hears of a former session exceeds its
+	// incarnation; the start time in milliseconds saves that round trip.
+	Incarnation uint64
+	// Seeds are RPC addresses of nodes to join through.
+	Seeds []netip.AddrPort
+	// Source drives all random choices.
+	Source rand.Source
+}
--- /dev/null
+++ b/pkg/membership/event.go
@@ -0,0 +1,58 @@
+package membership
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// Event is an input of the machine. Now is the time since the start of the
+// process on a monotonic clock, and never decreases from one event to the next.
+type Event interface{ now() time.Duration }
+
+// Tick lets timers run. The adapter sends one every 100 ms; a longer gap
+// between two ticks is treated as a pause of the local process.
+type Tick struct{ Now time.Duration }
+
+// Received is a message from another node.
+type Received struct {
+	Now     time.Duration
+	Message Message
+}
+
+// TargetAnnounced is an announcement by the local target. A target in the
+// state leaving is spread at once.
+type TargetAnnounced struct {
+	Now    time.Duration
+	Target mesh.Target
+}
+
+// Leave says that the local node was told to stop.
+type Leave struct{ Now time.Duration }
+
+// Applied reports the local node's revision and, if it cannot apply the next
+// record, the reason.
+type Applied struct {
+	Now      time.Duration
+	Revision record.Revision
+	NACK     string
+}
+
+// NodeAnnounced is a node that the log names. It is a candidate for joining.
+type NodeAnnounced struct {
+	Now  time.Duration
+	Node mesh.NodeInfo
+}
+
+// RefreshZones asks a reader of the zone for the newest zone summaries. The
+// answer arrives as a message, normally within one round trip.
+type RefreshZones struct{ Now time.Duration }
+
+func (e Tick) now() time.Duration            { return e.Now }
+func (e Received) now() time.Duration        { return e.Now }
+func (e TargetAnnounced) now() time.Duration { return e.Now }
+func (e Leave) now() time.Duration           { return e.Now }
+func (e Applied) now() time.Duration         { return e.Now }
+func (e NodeAnnounced) now() time.Duration   { return e.Now }
+func (e RefreshZones) now() time.Duration    { return e.Now }
--- /dev/null
+++ b/pkg/membership/message.go
@@ -0,0 +1,197 @@
+package membership
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// State is what is known of a member.
+type State string
+
+// The states of a member, in ascending precedence at the same incarnation.
+// A member is alive or leaving by its own word, and suspect or dead by the
+// word of others.
+const (
+	Alive   State = "alive"
+	Leaving State = "leaving"
+	Suspect State = "suspect"
+	Dead    State = "dead"
+)
+
+// Detail is what a member says about itself.
+type Detail struct {
+	Info mesh.NodeInfo `json:"info"`
+	// Target is nil if the node has none.
+	Target   *mesh.Target    `json:"target,omitempty"`
+	Revision record.Revision `json:"revision"`
+	// NACK is why the node cannot apply the record after Revision.
+	NACK string `json:"nack,omitempty"`
+}
+
+// Update is one statement about a member. Of two statements the one with the
+// higher incarnation holds, then the one with the greater session, then the
+// one whose state takes precedence.
+type Update struct {
+	Node        mesh.NodeID    `json:"node"`
+	Session     mesh.SessionID `json:"session"`
+	Incarnation uint64         `json:"incarnation"`
+	State       State          `json:"state"`
+	// Detail is present if State is alive or leaving.
+	Detail *Detail `json:"detail,omitempty"`
+}
+
+// ZoneLink says whether the readers of a zone reach another zone. Of two
+// statements about the same zone the higher version holds.
+type ZoneLink struct {
+	Zone      mesh.AvailabilityZone `json:"zone"`
+	Reachable bool                  `json:"reachable"`
+	Version   uint64                `json:"version"`
+}
+
+// Header identifies the sender of a message and reports its revision.
+type Header struct {
+	Info        mesh.NodeInfo   `json:"info"`
+	Incarnation uint64          `json:"incarnation"`
+	Revision    record.Revision `json:"revision"`
+	NACK        string          `json:"nack,omitempty"`
+}
+
+// Message travels between nodes. At most one of the pointer fields is set; a
+// message without any reports the sender's revision.
+type Message struct {
+	From    Header     `json:"from"`
+	Updates []Update   `json:"updates,omitempty"`
+	Links   []ZoneLink `json:"links,omitempty"`
+
+	Probe    *Probe         `json:"probe,omitempty"`
+	Answer   *ProbeAnswer   `json:"answer,omitempty"`
+	Indirect *IndirectProbe `json:"indirect,omitempty"`
+	Digest   *Digest        `json:"digest,omitempty"`
+	Entries  *Entries       `json:"entries,omitempty"`
+	Want     *Want          `json:"want,omitempty"`
+	Busy     *Busy          `json:"busy,omitempty"`
+}
+
+// Probe asks for an answer with the same sequence number.
+type Probe struct {
+	Sequence uint64 `json:"sequence"`
+}
+
+// ProbeAnswer answers a probe.
+type ProbeAnswer struct {
+	Sequence uint64 `json:"sequence"`
+}
+
+// IndirectProbe asks the receiver to probe a member and to pass on the answer.
+type IndirectProbe struct {
+	Sequence uint64      `json:"sequence"`
+	Node     mesh.NodeID `json:"node"`
+}
+
+// Digest opens an exchange: it sums up what the sender knows of each zone.
+type Digest struct {
+	Zones []ZoneDigest `json:"zones"`
+	// Join is set by a node without live peers.
+	Join bool `json:"join,omitempty"`
+}
+
+// ZoneDigest sums up the live members of a zone.
+type ZoneDigest struct {
+	Zone  mesh.AvailabilityZone `json:"zone"`
+	Count int                   `json:"count"`
+	// Hash is a hash over the live members' statements, independent of order.
+	Hash    uint64       `json:"hash,string"`
+	Summary *ZoneSummary `json:"summary,omitempty"`
+}
+
+// Entries answers a digest with the versions of the members of the zones that
+// differ. Its digests cover all zones.
+type Entries struct {
+	Zones   []ZoneDigest `json:"zones"`
+	Entries []Entry      `json:"entries,omitempty"`
+}
+
+// Entry is the version of one member's statement.
+type Entry struct {
+	Zone mesh.AvailabilityZone `json:"zone"`
+	Node mesh.NodeID           `json:"node"`
+	// Incarnation and Hash identify the statement.
+	Incarnation uint64 `json:"incarnation"`
+	Hash        uint64 `json:"hash,string"`
+}
+
+// Want asks for the statements about members.
+type Want struct {
+	Nodes []mesh.NodeID `json:"nodes"`
+}
+
+// Busy declines a join; the sender asks for another attempt after RetryMS
+// milliseconds.
+type Busy struct {
+	RetryMS int64 `json:"retry_ms"`
+}
+
+// NACK is a member that cannot apply a record.
+type NACK struct {
+	Node     mesh.NodeID     `json:"node"`
+	Revision record.Revision `json:"revision"`
+	Reason   string          `json:"reason"`
+}
+
+// ZoneSummary is what a reader of a zone knows about what is in force there.
+type ZoneSummary struct {
+	Zone   mesh.AvailabilityZone `json:"zone"`
+	Author mesh.NodeID           `json:"author"`
+	// Version orders the summaries of one zone; an author exceeds those it saw.
+	Version uint64 `json:"version"`
+	// Members counts the live members, Leaving and Suspect those among them.
+	Members int `json:"members"`
+	Leaving int `json:"leaving,omitempty"`
+	Suspect int `json:"suspect,omitempty"`
+	// MinRevision and MaxRevision bound the revisions that members reported.
+	MinRevision record.Revision `json:"min_revision"`
+	MaxRevision record.Revision `json:"max_revision"`
+	// NACKCount counts the members with a NACK; NACKs holds the first few.
+	NACKCount int    `json:"nack_count,omitempty"`
+	NACKs     []NACK `json:"nacks,omitempty"`
+}
+
+// Member is the local view of one node.
+type Member struct {
+	Detail
+	Incarnation uint64
+	State       State
+	// Since is the local time at which the state was entered.
+	Since time.Duration
+	// Damped is set while the member changes state too often.
+	Damped bool
+}
+
+// Endpoint is a target together with what limits its use.
+type Endpoint struct {
+	mesh.Endpoint
+	// Leaving: takes no new work.
+	Leaving bool
+	// Suspect: missed a probe and may be dead.
+	Suspect bool
+	// Damped: changed state too often; use it only if it is the last one.
+	Damped bool
+	// Unreachable: its zone gives no answer.
+	Unreachable bool
+}
+
+// ZoneStatus is the local view of a zone.
+type ZoneStatus struct {
+	Zone      mesh.AvailabilityZone
+	Reachable bool
+	// LastContact is the local time of the last message from the zone, seen by
+	// this node, or of the last summary from there. Known is false if there was
+	// none.
+	LastContact time.Duration
+	Known       bool
+	// Summary is the newest report from the zone. Its Version is 0 if there is
+	// none; the counts then come from the local member list.
+	Summary ZoneSummary
+}
