--- a/pkg/distribution/config.go
+++ b/pkg/distribution/config.go
@@ -17,16 +17,25 @@
 const (
 	// ReadersPerZone is how many members of a zone read the platform log.
 	ReadersPerZone = 2
-	// ReadWait is the long poll of the log.
+	// ReadWait is the long poll of the log by the first reader of a zone.
 	ReadWait = 10 * time.Second
+	// SecondReadWait is that of the others. If a platform outage swallows the
+	// open polls of all readers, a poll of 10 s would be noticed as lost only
+	// after the 9 s bound on convergence.
+	SecondReadWait = 4 * time.Second
 	// ReadMax is how many entries one read asks for.
 	ReadMax = 512
-	// ReadTimeout is when an unanswered read counts as failed.
-	ReadTimeout = ReadWait + 5*time.Second
+	// ReadSlack is how long after its wait an unanswered read counts as failed.
+	ReadSlack = 2 * time.Second
+	// EmptyReadInterval is the least time between two reads after an empty page.
+	EmptyReadInterval = time.Second
 	// BackoffMin and BackoffMax bound the delay after an error, full jitter.
 	BackoffMin = 100 * time.Millisecond
 	// BackoffMax is the upper bound of the delay.
 	BackoffMax = 10 * time.Second
+	// ReaderBackoffMax is the upper bound for readers. There are two per zone,
+	// and the first read after an outage has to fit into the 9 s bound.
+	ReaderBackoffMax = 4 * time.Second
 	// OutageAfter is how long the platform must have failed before it counts
 	// as out. It exceeds one slow response, and is below the 9 s bound.
 	OutageAfter = 3 * time.Second
@@ -46,6 +55,11 @@
 	TransferAdmission = 8
 	// TransferTimeout frees the place of a transfer that was never reported done.
 	TransferTimeout = 10 * time.Second
+	// StatusInterval is the time between two status requests of a node that is
+	// not ready to the members of its zone.
+	StatusInterval = time.Second
+	// ApplyMax is how many entries are applied at once.
+	ApplyMax = 512
 	// GapRetry is the time between two requests for the same gap.
 	GapRetry = 250 * time.Millisecond
 )
--- a/pkg/distribution/machine.go
+++ b/pkg/distribution/machine.go
@@ -1,10 +1,33 @@
 package distribution
 
-import "heathercroft.example/heathercroft/pkg/record"
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
 
 // Machine is the distribution logic of one node. It is owned by one goroutine.
 type Machine struct {
 	cfg Config
+	rng *rand.Rand
+	now time.Duration
+	out []Effect
+
+	applied record.Revision
+	nack    string
+	// applying is set until the adapter answers ApplyEntries or InstallSnapshot.
+	applying bool
+	buffer   buffer
+
+	peers  peers
+	log    logReader
+	pulls  pulls
+	serves transfers
+	ready  readiness
 }
 
 // Status is what the machine knows about itself.
@@ -16,20 +39,151 @@
 	Ready         bool
 	Reason        string
 	Reader        bool
-	// PlatformOut is set while reads fail or, on a node that does not read,
-	// while it cannot know.
+	// PlatformOut is set while the reads of this node have failed for
+	// OutageAfter. A ready node that is no reader does not read.
 	PlatformOut bool
 }
 
-// New returns a machine at revision 0.
-func New(cfg Config) *Machine { return &Machine{cfg: cfg} }
+// New returns a machine at revision 0 that is not ready.
+func New(cfg Config) *Machine {
+	m := &Machine{cfg: cfg, rng: rand.New(cfg.Source), buffer: newBuffer(), serves: newTransfers(), ready: newReadiness()}
+	// Numbers start at random, so that a late answer to a former session does
+	// not match a request of this one.
+	m.log.number = m.rng.Uint64N(math.MaxUint32)
+	m.pulls = newPulls(m.rng.Uint64N(math.MaxUint32))
+	m.setPeers(nil)
+	return m
+}
 
 // Step handles one event and returns the effects in the order in which they
 // have to be carried out.
 func (m *Machine) Step(event Event) []Effect {
-	_ = event.now()
-	return nil
+	m.now = max(m.now, event.now())
+	switch e := event.(type) {
+	case Tick:
+	case LogPage:
+		m.logPage(e)
+	case LogError:
+		m.logError(e.Read)
+	case LogOutOfRange:
+		m.logOutOfRange(e)
+	case SnapshotRead:
+		m.snapshotRead(e)
+	case PushReceived:
+		m.pushReceived(e.Push)
+	case PullReceived:
+		m.pullReceived(e.Request)
+	case PullAnswered:
+		m.pullAnswered(e.Response)
+	case MembersChanged:
+		m.setPeers(e.Peers)
+	case Applied:
+		m.stateApplied(e)
+	case TransferDone:
+		m.serves.done(e.To)
+	}
+	m.runReads()
+	m.runPulls()
+	m.apply()
+	m.updateReadiness()
+	out := m.out
+	m.out = nil
+	return out
 }
 
 // Status returns the current status.
-func (m *Machine) Status() Status { return Status{} }
+func (m *Machine) Status() Status {
+	return Status{
+		Applied: m.applied, Have: m.buffer.have, NACK: m.nack, Ready: m.ready.ready, Reason: m.ready.reason,
+		Reader: m.peers.reader, PlatformOut: m.log.out(m.now),
+	}
+}
+
+// ingest takes over entries, asks for a gap before them, and returns the new ones.
+func (m *Machine) ingest(entries []Entry) []Entry {
+	applied := m.applied
+	if m.nack != "" {
+		// A node that cannot apply still relays, so its buffer moves on.
+		applied = m.buffer.have
+	}
+	return m.buffer.add(entries, applied)
+}
+
+// apply hands the entries after the applied revision to the adapter.
+func (m *Machine) apply() {
+	if m.applying || m.nack != "" {
+		return
+	}
+	if entries := m.buffer.after(m.applied, 0, ApplyMax); len(entries) > 0 {
+		m.applying = true
+		m.emit(ApplyEntries{Entries: entries})
+	}
+}
+
+// install hands a snapshot to the adapter if it is newer than all entries. A
+// node that cannot apply a record does not pass over it by a snapshot.
+func (m *Machine) install(s Snapshot) {
+	if m.applying || m.nack != "" || s.Revision <= m.buffer.have {
+		return
+	}
+	m.applying = true
+	m.emit(InstallSnapshot{Snapshot: s})
+}
+
+func (m *Machine) stateApplied(e Applied) {
+	m.applying = false
+	if e.Revision < m.applied {
+		return
+	}
+	m.applied, m.nack = e.Revision, e.NACK
+	m.buffer.rebase(m.applied)
+	m.buffer.trim(m.applied)
+}
+
+// pushReceived relays what is new, entries after a gap included, so that a gap
+// does not delay the nodes below.
+func (m *Machine) pushReceived(p Push) {
+	m.relay(p.Root, m.ingest(p.Entries))
+	if _, gap := m.buffer.gapEnd(); gap {
+		m.pullFrom(p.From)
+	}
+}
+
+// relay sends entries to the children in the tree of a root.
+func (m *Machine) relay(root mesh.NodeID, entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	children := m.peers.children(root, m.cfg.Self)
+	for chunk := range chunks(entries) {
+		for _, id := range children {
+			m.emit(SendPush{To: id, Push: Push{From: m.cfg.Self, Root: root, Entries: chunk}})
+		}
+	}
+}
+
+// chunks cuts entries into pushes of at most ResponseBytes, or one entry.
+func chunks(entries []Entry) func(yield func([]Entry) bool) {
+	return func(yield func([]Entry) bool) {
+		for start := 0; start < len(entries); {
+			end, bytes := start+1, len(entries[start].Data)
+			for end < len(entries) && bytes+len(entries[end].Data) <= ResponseBytes {
+				bytes += len(entries[end].Data)
+				end++
+			}
+			if !yield(slices.Clone(entries[start:end])) {
+				return
+			}
+			start = end
+		}
+	}
+}
+
+func (m *Machine) emit(e Effect) { m.out = append(m.out, e) }
+
+// backoff returns a delay with full jitter and a bound that doubles with the
+// attempts.
+func (m *Machine) backoff(attempts int, limit time.Duration) time.Duration {
+	bound := min(limit, 2*BackoffMin<<min(attempts, 10))
+	return BackoffMin + time.Duration(m.rng.Int64N(int64(bound-BackoffMin)))
+}
--- a/pkg/distribution/message.go
+++ b/pkg/distribution/message.go
@@ -39,6 +39,9 @@
 	NACK    string          `json:"nack,omitempty"`
 	// Limit is the offset after the last one wanted, 0 for all.
 	Limit record.Revision `json:"limit,omitempty"`
+	// StatusOnly asks for the answering node's status and zone members, without
+	// entries. A node that is not ready sends it to all members of its zone.
+	StatusOnly bool `json:"status_only,omitempty"`
 }
 
 // PullResponse answers a pull request with entries, a snapshot, or neither.
@@ -49,9 +52,15 @@
 	Have    record.Revision `json:"have"`
 	Applied record.Revision `json:"applied"`
 	// NACK is why the answering node cannot apply the record after Applied.
-	NACK     string    `json:"nack,omitempty"`
-	Entries  []Entry   `json:"entries,omitempty"`
-	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	NACK string `json:"nack,omitempty"`
+	// Ready says whether the answering node serves. One that does not may know
+	// less than was in force.
+	Ready bool `json:"ready"`
+	// Members are the live members of the zone as the answering node knows
+	// them, itself included. Present if the request was for the status only.
+	Members  []mesh.NodeID `json:"members,omitempty"`
+	Entries  []Entry       `json:"entries,omitempty"`
+	Snapshot *Snapshot     `json:"snapshot,omitempty"`
 	// BusyMS, if not 0, declines a snapshot for so many milliseconds.
 	BusyMS int64 `json:"busy_ms,omitempty"`
 }
--- /dev/null
+++ b/pkg/distribution/peers.go
@@ -0,0 +1,78 @@
+package distribution
+
+import (
+	"slices"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// peers is what the machine knows about the members of all zones.
+type peers struct {
+	// live are the other members of the zone, suspects those among the rest
+	// that are not dead.
+	live, suspects []mesh.NodeID
+	// readers are the readers of each other zone, in order of the zones.
+	readers [][]mesh.NodeID
+	reader  bool
+	// first is set on the reader that ranks first.
+	first bool
+}
+
+func (m *Machine) setPeers(list []Peer) {
+	p := peers{}
+	zones := make(map[mesh.AvailabilityZone][]mesh.NodeID)
+	for _, peer := range list {
+		switch {
+		case peer.ID == m.cfg.Self:
+		case peer.Zone != m.cfg.Zone:
+			if !peer.Suspect {
+				zones[peer.Zone] = append(zones[peer.Zone], peer.ID)
+			}
+		case peer.Suspect:
+			p.suspects = append(p.suspects, peer.ID)
+		default:
+			p.live = append(p.live, peer.ID)
+		}
+	}
+	slices.Sort(p.live)
+	slices.Sort(p.suspects)
+	names := make([]mesh.AvailabilityZone, 0, len(zones))
+	for name := range zones {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		p.readers = append(p.readers, firstRanked(string(name), zones[name]))
+	}
+	readers := firstRanked(string(m.cfg.Zone), append(slices.Clone(p.live), m.cfg.Self))
+	p.reader = slices.Contains(readers, m.cfg.Self)
+	p.first = readers[0] == m.cfg.Self
+	if p.reader && !m.peers.reader {
+		m.log.promoted(m.now)
+	}
+	m.peers = p
+}
+
+func firstRanked(key string, ids []mesh.NodeID) []mesh.NodeID {
+	ranked := mesh.RankNodes(key, ids)
+	return ranked[:min(len(ranked), ReadersPerZone)]
+}
+
+// children returns the nodes below self in the tree of a root: the members of
+// the zone in rendezvous order for the root, suspects last, where they relay
+// to nobody.
+func (p *peers) children(root, self mesh.NodeID) []mesh.NodeID {
+	order := []mesh.NodeID{root}
+	add := func(ids []mesh.NodeID) {
+		for _, id := range mesh.RankNodes(string(root), ids) {
+			if id != root {
+				order = append(order, id)
+			}
+		}
+	}
+	add(append(slices.Clone(p.live), self))
+	add(p.suspects)
+	at := slices.Index(order, self)
+	from := min(FanOut*at+1, len(order))
+	return order[from:min(from+FanOut, len(order))]
+}
--- /dev/null
+++ b/pkg/distribution/pull.go
@@ -0,0 +1,170 @@
+package distribution
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// pulls is the state of the requests to peers.
+type pulls struct {
+	number uint64
+	// open holds the receivers of the newest requests by their numbers.
+	open  map[uint64]mesh.NodeID
+	order []uint64
+
+	next     time.Duration
+	nextZone time.Duration
+	nextGap  time.Duration
+}
+
+// maxOpenPulls bounds the requests whose answers are still recognized.
+const maxOpenPulls = 1024
+
+func newPulls(number uint64) pulls {
+	return pulls{number: number, open: make(map[uint64]mesh.NodeID)}
+}
+
+// runPulls asks one random peer of the zone and, on a reader, one reader of
+// another zone for what is missing. The exchange between zones also runs while
+// the platform answers, since a zone may have lost it alone.
+func (m *Machine) runPulls() {
+	p := &m.pulls
+	if m.now >= p.next {
+		p.next = m.now + m.pullDelay()
+		if live := m.peers.live; len(live) > 0 {
+			m.pull(live[m.rng.IntN(len(live))], PullRequest{})
+		}
+	}
+	if m.peers.reader && m.now >= p.nextZone {
+		p.nextZone = m.now + m.pullDelay()
+		if zones := m.peers.readers; len(zones) > 0 {
+			readers := zones[m.rng.IntN(len(zones))]
+			m.pull(readers[m.rng.IntN(len(readers))], PullRequest{})
+		}
+	}
+	if end, gap := m.buffer.gapEnd(); gap && m.now >= p.nextGap {
+		p.nextGap = m.now + GapRetry
+		if live := m.peers.live; len(live) > 0 {
+			m.pull(live[m.rng.IntN(len(live))], PullRequest{Limit: end})
+		}
+	}
+}
+
+func (m *Machine) pullDelay() time.Duration {
+	return PullInterval*3/4 + time.Duration(m.rng.Int64N(int64(PullInterval/2)))
+}
+
+// pullFrom asks a peer that is known to have more, at most once per GapRetry.
+func (m *Machine) pullFrom(id mesh.NodeID) {
+	if m.now < m.pulls.nextGap {
+		return
+	}
+	m.pulls.nextGap = m.now + GapRetry
+	end, _ := m.buffer.gapEnd()
+	m.pull(id, PullRequest{Limit: end})
+}
+
+func (m *Machine) pull(to mesh.NodeID, r PullRequest) {
+	p := &m.pulls
+	p.number++
+	r.From, r.ID, r.Have, r.Applied, r.NACK = m.cfg.Self, p.number, m.buffer.have, m.applied, m.nack
+	p.open[r.ID] = to
+	p.order = append(p.order, r.ID)
+	if len(p.order) > maxOpenPulls {
+		delete(p.open, p.order[0])
+		p.order = p.order[1:]
+	}
+	m.emit(SendPull{To: to, Request: r})
+}
+
+// pullReceived answers with the entries that the sender is missing or, if they
+// are trimmed, with a snapshot.
+func (m *Machine) pullReceived(r PullRequest) {
+	response := PullResponse{
+		From: m.cfg.Self, ID: r.ID, Have: m.buffer.have, Applied: m.applied, NACK: m.nack, Ready: m.ready.ready,
+	}
+	if r.Have > m.buffer.have {
+		m.pullFrom(r.From)
+	}
+	if r.StatusOnly {
+		response.Members = append(append([]mesh.NodeID{m.cfg.Self}, m.peers.live...), m.peers.suspects...)
+		m.emit(SendResponse{To: r.From, Response: response})
+		return
+	}
+	response.Entries = m.buffer.after(r.Have, r.Limit, BufferEntries)
+	if len(response.Entries) > 0 || m.applied <= r.Have {
+		m.emit(SendResponse{To: r.From, Response: response})
+		return
+	}
+	if retry, ok := m.serves.admit(r.From, m.now); !ok {
+		response.BusyMS = (retry/2 + time.Duration(m.rng.Int64N(int64(retry)))).Milliseconds()
+		m.emit(SendResponse{To: r.From, Response: response})
+		return
+	}
+	m.emit(SendSnapshot{To: r.From, Revision: m.applied, Response: response})
+}
+
+func (m *Machine) pullAnswered(r PullResponse) {
+	p := &m.pulls
+	to, known := p.open[r.ID]
+	if !known || to != r.From {
+		return
+	}
+	delete(p.open, r.ID)
+	m.ready.answered(r)
+	before := m.buffer.have
+	fresh := m.ingest(r.Entries)
+	if r.Snapshot != nil {
+		m.install(*r.Snapshot)
+	}
+	if m.fromOtherZone(r.From) {
+		m.relay(m.cfg.Self, fresh)
+	}
+	switch {
+	case r.BusyMS > 0:
+		p.next = max(p.next, m.now+time.Duration(r.BusyMS)*time.Millisecond)
+	case m.buffer.have > before && r.Have > m.buffer.have:
+		// The response was cut at its limit.
+		m.pull(r.From, PullRequest{})
+	}
+}
+
+func (m *Machine) fromOtherZone(id mesh.NodeID) bool {
+	for _, readers := range m.peers.readers {
+		for _, reader := range readers {
+			if reader == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// transfers is the admission of snapshot transfers.
+type transfers struct {
+	// until holds the end of the place of each receiver.
+	until map[mesh.NodeID]time.Duration
+}
+
+func newTransfers() transfers { return transfers{until: make(map[mesh.NodeID]time.Duration)} }
+
+// admit gives a receiver a place. If there is none it returns the time until
+// the next one is free, at least BackoffMin.
+func (t *transfers) admit(to mesh.NodeID, now time.Duration) (time.Duration, bool) {
+	soonest := TransferTimeout
+	for id, until := range t.until {
+		if now >= until {
+			delete(t.until, id)
+			continue
+		}
+		soonest = min(soonest, until-now)
+	}
+	if _, again := t.until[to]; !again && len(t.until) >= TransferAdmission {
+		return max(soonest, BackoffMin), false
+	}
+	t.until[to] = now + TransferTimeout
+	return 0, true
+}
+
+func (t *transfers) done(to mesh.NodeID) { delete(t.until, to) }
--- /dev/null
+++ b/pkg/distribution/ready.go
@@ -0,0 +1,128 @@
+package distribution
+
+import (
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// Reasons for which a node is not ready.
+const (
+	ReasonPlatformUnread = "platform head not read since start"
+	ReasonBehindPlatform = "revision is behind the platform head"
+	ReasonNoPeer         = "platform is out and no zone peer answered"
+	ReasonPeersMissing   = "platform is out and not all zone peers answered"
+	ReasonNoReadyPeer    = "platform is out and no ready node answered"
+	ReasonBehindPeers    = "revision is behind that of zone peers"
+)
+
+// answer is the last status of a peer since the start of this node.
+type answer struct {
+	members []mesh.NodeID
+	status  bool
+}
+
+// readiness decides whether the local revision is known to be no older than
+// what the zone had in force. Once ready, a node stays ready, since revisions
+// never decrease.
+type readiness struct {
+	ready    bool
+	reason   string
+	reported bool
+	answers  map[mesh.NodeID]answer
+	// known is the highest revision in force at any node that answered.
+	known record.Revision
+	// readyPeer is set once a ready node answered.
+	readyPeer bool
+	nextAsk   time.Duration
+}
+
+func newReadiness() readiness { return readiness{answers: make(map[mesh.NodeID]answer)} }
+
+func (r *readiness) answered(p PullResponse) {
+	if r.ready {
+		return
+	}
+	a := r.answers[p.From]
+	if p.Members != nil {
+		a = answer{members: p.Members, status: true}
+	}
+	r.answers[p.From] = a
+	r.known = max(r.known, p.Applied)
+	r.readyPeer = r.readyPeer || p.Ready
+}
+
+func (m *Machine) updateReadiness() {
+	r := &m.ready
+	if r.ready {
+		return
+	}
+	m.askStatus()
+	reason := m.notReadyReason()
+	r.ready = reason == ""
+	if r.ready {
+		r.answers = nil
+	}
+	if !r.reported || reason != r.reason {
+		r.reason, r.reported = reason, true
+		m.emit(SetReady{Ready: r.ready, Reason: reason})
+	}
+}
+
+// notReadyReason applies the rule: the platform's head was read after the start
+// and is applied or, with the platform out, all zone members known to be alive
+// answered, at least one, and the highest revision among them is applied. Nodes
+// that are not ready themselves may have lost what was in force; a zone in
+// which none is ready waits for a ready node of another zone.
+func (m *Machine) notReadyReason() string {
+	l := &m.log
+	switch {
+	case l.headKnown && m.applied >= l.head:
+		return ""
+	case l.headKnown && !l.out(m.now):
+		return ReasonBehindPlatform
+	case !l.out(m.now):
+		return ReasonPlatformUnread
+	}
+	required := m.requiredPeers()
+	r := &m.ready
+	switch {
+	case len(required) == 0:
+		return ReasonNoPeer
+	case slices.ContainsFunc(required, func(id mesh.NodeID) bool { return !r.answers[id].status }):
+		return ReasonPeersMissing
+	case !r.readyPeer:
+		return ReasonNoReadyPeer
+	case m.applied < r.known:
+		return ReasonBehindPeers
+	default:
+		return ""
+	}
+}
+
+// requiredPeers returns the zone members that this node, or a zone member that
+// answered, knows to be alive. The own list alone may be incomplete soon after
+// a start.
+func (m *Machine) requiredPeers() []mesh.NodeID {
+	ids := append(slices.Clone(m.peers.live), m.peers.suspects...)
+	for _, id := range slices.Clone(ids) {
+		ids = append(ids, m.ready.answers[id].members...)
+	}
+	slices.Sort(ids)
+	return slices.DeleteFunc(slices.Compact(ids), func(id mesh.NodeID) bool { return id == m.cfg.Self })
+}
+
+// askStatus asks all zone members for their revision while the platform fails.
+// The requests repeat until the node is ready, since members' lists change.
+func (m *Machine) askStatus() {
+	r := &m.ready
+	if !m.log.failing || m.now < r.nextAsk {
+		return
+	}
+	r.nextAsk = m.now + StatusInterval
+	for _, id := range m.requiredPeers() {
+		m.pull(id, PullRequest{StatusOnly: true})
+	}
+}
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -58,9 +58,33 @@
 	// time in which every node of a zone exchanges with another one, so that
 	// a stale alive update does not bring the member back.
 	DeadRetention = 10 * time.Minute
-	// ReportInterval bounds how often a node reports its revision to the
-	// readers of its zone.
+	// ReportInterval is the least time between two reports of a node's revision
+	// to the readers of its zone. In a zone of more than ReportsPerSecond
+	// members it is longer, so that the load of a reader stays bounded.
 	ReportInterval = time.Second
+	// ReportsPerSecond bounds the reports that a reader gets: at 150 bytes each
+	// they are 6 KB/s.
+	ReportsPerSecond = 40
+	// ReportRepeat is the time after which an unchanged revision is reported
+	// again, since a report may be lost.
+	ReportRepeat = 30 * time.Second
+	// ContactInterval is the mean time between two attempts to reach a node
+	// that is known by address but not alive. They heal a partition of a zone.
+	ContactInterval = 10 * time.Second
+	// BusyRumors is the number of waiting updates beyond which piggybacking is
+	// too slow, and exchanges follow each other at BusyExchangeInterval.
+	BusyRumors = 16
+	// BusyExchangeInterval is the time between exchanges while nodes differ.
+	BusyExchangeInterval = 2 * time.Second
+	// MaxRumors bounds the waiting updates; exchanges deliver the rest.
+	MaxRumors = 512
+	// PauseGap is the gap between two ticks that counts as a pause of the local
+	// process. Time limits on others are extended by it.
+	PauseGap = time.Second
+	// NACKBytes bounds the reason of a NACK on the wire.
+	NACKBytes = 200
+	// SummaryNACKs bounds the NACKs listed in a zone summary.
+	SummaryNACKs = 4
 )
 
 // Config is what a machine needs at its start.
--- a/pkg/membership/effect.go
+++ b/pkg/membership/effect.go
@@ -37,8 +37,15 @@
 // TargetGone reports that the local target stopped announcing itself.
 type TargetGone struct{ Target mesh.Target }
 
-func (Send) effect()         {}
-func (Changed) effect()      {}
-func (StateChanged) effect() {}
-func (ZoneChanged) effect()  {}
-func (TargetGone) effect()   {}
+// TargetRejected reports an announcement that is too large to be spread.
+type TargetRejected struct {
+	Target mesh.Target
+	Bytes  int
+}
+
+func (Send) effect()           {}
+func (Changed) effect()        {}
+func (StateChanged) effect()   {}
+func (ZoneChanged) effect()    {}
+func (TargetGone) effect()     {}
+func (TargetRejected) effect() {}
--- /dev/null
+++ b/pkg/membership/exchange.go
@@ -0,0 +1,217 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// wantNodes is how many statements one message asks for: about 50 KB.
+const wantNodes = 128
+
+// exchange is the timing of the exchanges inside the zone and the admission of
+// joining nodes.
+type exchange struct {
+	next time.Duration
+	// hurried is set while the last exchange found differences.
+	hurried bool
+	// admitted holds the times of the joins that are being served.
+	admitted []time.Duration
+}
+
+// joinTime is how long an admitted join holds its place.
+const joinTime = time.Second
+
+// runExchange opens a full exchange with one random peer of the zone.
+func (m *Machine) runExchange() {
+	e := &m.exchange
+	busy := e.hurried || len(m.rumors.waiting) > BusyRumors
+	if busy && e.next > m.now+BusyExchangeInterval {
+		e.next = m.now + m.jitter(BusyExchangeInterval/2, BusyExchangeInterval)
+	}
+	if m.now < e.next {
+		return
+	}
+	e.next = m.now + m.jitter(ExchangeInterval*3/4, ExchangeInterval*5/4)
+	e.hurried = false
+	for _, id := range m.pick(m.peers(), 1) {
+		m.send(m.table.members[id].detail.Info.RPC, Message{Digest: &Digest{Zones: m.digests(m.cfg.Self.Zone, nil)}})
+	}
+}
+
+// digests sums up all zones for a receiver in a zone. Nodes of the same zone
+// get all summaries. Nodes of another zone get that of the local zone, and that
+// of their own zone if theirs has an older version, so that the readers of a
+// zone that restarted as a whole exceed it.
+func (m *Machine) digests(receiver mesh.AvailabilityZone, theirs []ZoneDigest) []ZoneDigest {
+	own := m.cfg.Self.Zone
+	m.summarize()
+	byZone := make(map[mesh.AvailabilityZone]*ZoneDigest)
+	digest := func(zone mesh.AvailabilityZone) *ZoneDigest {
+		if byZone[zone] == nil {
+			byZone[zone] = &ZoneDigest{Zone: zone}
+		}
+		return byZone[zone]
+	}
+	add := func(zone mesh.AvailabilityZone, u Update) {
+		d := digest(zone)
+		d.Count++
+		d.Hash ^= u.hash()
+	}
+	add(own, m.statement())
+	for _, id := range m.table.ids {
+		if k := m.table.members[id]; k.state != Dead {
+			add(k.detail.Info.Zone, k.statement())
+		}
+	}
+	for _, zone := range m.knownZones() {
+		d := digest(zone)
+		z := m.zones.get(zone)
+		d.ContactAgeMS = m.contactAge(zone)
+		outdated := slices.ContainsFunc(theirs, func(t ZoneDigest) bool {
+			return t.Zone == zone && (t.Summary == nil || t.Summary.Version < z.summary.Version)
+		})
+		if z.summary.Version > 0 && (receiver == own || zone == own || (zone == receiver && outdated)) {
+			summary := z.summary
+			d.Summary = &summary
+		}
+	}
+	result := make([]ZoneDigest, 0, len(byZone))
+	for _, zone := range m.knownZones() {
+		result = append(result, *byZone[zone])
+	}
+	return result
+}
+
+func (m *Machine) answerDigest(from Header, d Digest) {
+	if d.Join && !m.admitJoin() {
+		retry := m.jitter(JoinDelayMin, JoinDelayMax)
+		m.send(from.RPC, Message{Busy: &Busy{RetryMS: retry.Milliseconds()}})
+		return
+	}
+	m.acceptDigests(from.Zone, d.Zones)
+	mine := m.digests(from.Zone, d.Zones)
+	answer := &Entries{Zones: mine}
+	for _, zone := range differing(mine, d.Zones) {
+		answer.Entries = append(answer.Entries, m.entries(zone)...)
+	}
+	m.send(from.RPC, Message{Entries: answer, Links: m.zones.allLinks(from.Zone == m.cfg.Self.Zone)})
+	if d.Refresh && from.Zone == m.cfg.Self.Zone {
+		m.contactAllZones()
+	}
+}
+
+// admitJoin bounds the joins that are served at once.
+func (m *Machine) admitJoin() bool {
+	e := &m.exchange
+	e.admitted = slices.DeleteFunc(e.admitted, func(t time.Duration) bool { return m.now-t >= joinTime })
+	if len(e.admitted) >= ExchangeAdmission {
+		return false
+	}
+	e.admitted = append(e.admitted, m.now)
+	return true
+}
+
+// differing returns the zones whose members differ between two sets of digests.
+func differing(mine, theirs []ZoneDigest) []mesh.AvailabilityZone {
+	type sum struct {
+		count int
+		hash  uint64
+	}
+	sums := make(map[mesh.AvailabilityZone]sum)
+	for _, d := range theirs {
+		sums[d.Zone] = sum{d.Count, d.Hash}
+	}
+	var zones []mesh.AvailabilityZone
+	for _, d := range mine {
+		if sums[d.Zone] != (sum{d.Count, d.Hash}) {
+			zones = append(zones, d.Zone)
+		}
+		delete(sums, d.Zone)
+	}
+	for _, d := range theirs {
+		if s, left := sums[d.Zone]; left && s.count > 0 {
+			zones = append(zones, d.Zone)
+		}
+	}
+	return zones
+}
+
+// entries lists the statements about the members of a zone that are not dead.
+func (m *Machine) entries(zone mesh.AvailabilityZone) []Entry {
+	var entries []Entry
+	add := func(u Update) {
+		entries = append(entries, Entry{Zone: zone, Node: u.Node, Incarnation: u.Incarnation, Hash: u.hash()})
+	}
+	if zone == m.cfg.Self.Zone {
+		add(m.statement())
+	}
+	for _, id := range m.table.list(zone, notDead) {
+		add(m.table.members[id].statement())
+	}
+	return entries
+}
+
+// compareEntries asks for what is newer at the sender, and sends what is newer
+// here.
+func (m *Machine) compareEntries(from Header, e Entries) {
+	m.acceptDigests(from.Zone, e.Zones)
+	m.zoneAnswered(from.Zone)
+	m.joiner.joined = true
+	var want []mesh.NodeID
+	var newer []Update
+	listed := make(map[mesh.NodeID]bool, len(e.Entries))
+	for _, entry := range e.Entries {
+		listed[entry.Node] = true
+		mine, ok := m.known(entry.Node)
+		switch {
+		case !ok || entry.Incarnation > mine.Incarnation:
+			want = append(want, entry.Node)
+		case entry.Incarnation < mine.Incarnation || mine.State == Dead:
+			newer = append(newer, mine)
+		case entry.Hash != mine.hash():
+			want = append(want, entry.Node)
+		}
+	}
+	for _, zone := range differing(m.digests(from.Zone, nil), e.Zones) {
+		for _, entry := range m.entries(zone) {
+			if u, ok := m.known(entry.Node); ok && !listed[entry.Node] {
+				newer = append(newer, u)
+			}
+		}
+	}
+	m.exchange.hurried = m.exchange.hurried || len(want) > 0 || len(newer) > 0
+	for chunk := range slices.Chunk(want, wantNodes) {
+		m.send(from.RPC, Message{Want: &Want{Nodes: chunk}})
+	}
+	m.sendUpdates(from.RPC, newer)
+}
+
+func (m *Machine) known(id mesh.NodeID) (Update, bool) {
+	if id == m.cfg.Self.ID {
+		return m.statement(), true
+	}
+	if k := m.table.members[id]; k != nil {
+		return k.statement(), true
+	}
+	return Update{}, false
+}
+
+func (m *Machine) answerWant(from Header, w Want) {
+	var updates []Update
+	for _, id := range w.Nodes[:min(len(w.Nodes), wantNodes)] {
+		if u, ok := m.known(id); ok {
+			updates = append(updates, u)
+		}
+	}
+	m.sendUpdates(from.RPC, updates)
+}
+
+// sendUpdates sends statements as part of an exchange.
+func (m *Machine) sendUpdates(to netip.AddrPort, updates []Update) {
+	for chunk := range slices.Chunk(updates, wantNodes) {
+		m.send(to, Message{Updates: chunk, Exchange: true})
+	}
+}
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -1,33 +1,220 @@
 package membership
 
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
 // Machine is the membership view of one node. It is owned by one goroutine.
 type Machine struct {
-	cfg Config
+	cfg  Config
+	rng  *rand.Rand
+	now  time.Duration
+	out  []Effect
+	tick time.Duration
+
+	incarnation uint64
+	detail      Detail
+	targetSeen  time.Duration
+
+	table    table
+	rumors   rumors
+	prober   prober
+	exchange exchange
+	joiner   joiner
+	zones    zones
+	reports  reports
+
+	malformed  uint64
+	generation uint64
+	announced  uint64
+	endpoints  cachedEndpoints
 }
 
 // New returns a machine that knows only the local node.
 func New(cfg Config) *Machine {
-	return &Machine{cfg: cfg}
+	m := &Machine{
+		cfg:         cfg,
+		rng:         rand.New(cfg.Source),
+		incarnation: cfg.Incarnation,
+		detail:      Detail{Info: cfg.Self},
+		table:       newTable(),
+		rumors:      newRumors(),
+		zones:       newZones(),
+		joiner:      newJoiner(),
+		generation:  1,
+	}
+	m.prober = newProber(m.jitter(0, ProbeInterval))
+	m.exchange.next = m.jitter(0, ExchangeInterval)
+	m.joiner.next = m.jitter(0, JoinDelayMin)
+	m.zones.next = m.jitter(0, ZoneExchangeInterval)
+	m.spreadSelf()
+	return m
 }
 
 // Step handles one event and returns the effects in the order in which they
 // have to be carried out.
 func (m *Machine) Step(event Event) []Effect {
-	_ = event.now()
-	return nil
+	m.now = max(m.now, event.now())
+	switch e := event.(type) {
+	case Tick:
+		m.runTimers()
+	case Received:
+		m.receive(e.Message)
+	case TargetAnnounced:
+		m.targetAnnounced(e.Target)
+	case Leave:
+		m.leave()
+	case Applied:
+		m.applied(e.Revision, e.NACK)
+	case NodeAnnounced:
+		m.joiner.announce(e.Node, m.cfg.Self.ID)
+	case RefreshZones:
+		m.refreshZones()
+	}
+	if m.announced != m.generation {
+		m.announced = m.generation
+		m.emit(Changed{Generation: m.generation})
+	}
+	out := m.out
+	m.out = nil
+	return out
 }
 
 // Generation grows whenever Endpoints, Members or Zones change in anything but
-// a revision or a time of contact.
-func (m *Machine) Generation() uint64 { return 0 }
+// a revision, a NACK, a summary or a time of contact.
+func (m *Machine) Generation() uint64 { return m.generation }
 
-// Endpoints returns the targets of all members that are not dead, the local
-// one included, ordered by node.
-func (m *Machine) Endpoints() []Endpoint { return nil }
+// Malformed returns how many received messages or updates were dropped because
+// they broke a rule of the protocol.
+func (m *Machine) Malformed() uint64 { return m.malformed }
 
-// Members returns all known members, the local one and dead ones included,
-// ordered by zone and node.
-func (m *Machine) Members() []Member { return nil }
+func (m *Machine) runTimers() {
+	m.absorbPause()
+	m.expireTarget()
+	m.expireSuspects()
+	m.runProbes()
+	m.runJoin()
+	m.runExchange()
+	m.runZones()
+	m.runReport()
+	m.forwardToZones()
+	m.expireMembers()
+}
 
-// Zones returns the known zones in order of their names.
-func (m *Machine) Zones() []ZoneStatus { return nil }
+// absorbPause extends time limits on others after a pause of the local process,
+// during which their messages could not be read.
+func (m *Machine) absorbPause() {
+	gap := m.now - m.tick
+	m.tick = m.now
+	if gap <= PauseGap {
+		return
+	}
+	m.prober.forget()
+	m.targetSeen += gap
+	for _, id := range m.table.suspects() {
+		m.table.members[id].deadline += gap
+	}
+	m.zones.forgetAttempt()
+}
+
+func (m *Machine) receive(msg Message) {
+	if !msg.valid() {
+		m.malformed++
+		return
+	}
+	if msg.From.Node == m.cfg.Self.ID {
+		return
+	}
+	m.zones.heard(msg.From.Zone, m.now)
+	corrections := m.acceptUpdates(msg)
+	corrections = append(corrections, m.acceptHeader(msg.From)...)
+	if msg.From.Zone == m.cfg.Self.Zone {
+		m.acceptLinks(msg.Links)
+	}
+	if len(corrections) > 0 {
+		m.sendUpdates(msg.From.RPC, corrections)
+	}
+	switch {
+	case msg.Probe != nil:
+		m.answerProbe(msg.From, *msg.Probe)
+	case msg.Answer != nil:
+		m.probeAnswered(*msg.Answer)
+	case msg.Indirect != nil:
+		m.probeFor(msg.From, *msg.Indirect)
+	case msg.Digest != nil:
+		m.answerDigest(msg.From, *msg.Digest)
+	case msg.Entries != nil:
+		m.compareEntries(msg.From, *msg.Entries)
+	case msg.Want != nil:
+		m.answerWant(msg.From, *msg.Want)
+	case msg.Busy != nil:
+		m.joinDeclined(*msg.Busy)
+	}
+}
+
+// acceptHeader learns the sender's revision and returns what the sender has to
+// refute. A sender that is newer than known is asked for its statement.
+func (m *Machine) acceptHeader(h Header) []Update {
+	known := m.table.members[h.Node]
+	order := 1
+	if known != nil {
+		order = compareIncarnation(h.Incarnation, h.Session, known.incarnation, known.detail.Info.Session)
+	}
+	switch {
+	case order > 0:
+		m.send(h.RPC, Message{Want: &Want{Nodes: []mesh.NodeID{h.Node}}})
+		return nil
+	case order < 0:
+		return []Update{known.statement()}
+	}
+	known.report(h.Revision, h.NACK)
+	if known.state == Suspect || known.state == Dead {
+		return []Update{known.statement()}
+	}
+	return nil
+}
+
+func (k *member) report(revision record.Revision, nack string) {
+	if revision >= k.detail.Revision {
+		k.detail.Revision, k.detail.NACK = revision, nack
+	}
+}
+
+func (m *Machine) header() Header {
+	self := m.cfg.Self
+	return Header{
+		Node: self.ID, Session: self.Session, Zone: self.Zone, RPC: self.RPC,
+		Incarnation: m.incarnation, Revision: m.detail.Revision, NACK: m.detail.NACK,
+	}
+}
+
+func (m *Machine) send(to netip.AddrPort, msg Message) {
+	msg.From = m.header()
+	m.emit(Send{To: to, Message: msg})
+}
+
+// sendGossip sends a message with as many waiting updates as fit.
+func (m *Machine) sendGossip(to netip.AddrPort, receiver mesh.NodeID, msg Message) {
+	var first []Update
+	if k := m.table.members[receiver]; k != nil && (k.state == Suspect || k.state == Dead) {
+		first = []Update{k.statement()}
+	}
+	limit := m.forwardLimit()
+	msg.Updates = m.rumors.take(first, receiver, limit)
+	msg.Links = m.zones.takeLinks(limit)
+	m.send(to, msg)
+}
+
+func (m *Machine) emit(e Effect) { m.out = append(m.out, e) }
+
+func (m *Machine) changed() { m.generation++ }
+
+// jitter returns a random time in [low, high).
+func (m *Machine) jitter(low, high time.Duration) time.Duration {
+	return low + time.Duration(m.rng.Int64N(int64(high-low)))
+}
--- /dev/null
+++ b/pkg/membership/member.go
@@ -0,0 +1,276 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// member is what the machine holds about another node.
+type member struct {
+	detail      Detail
+	incarnation uint64
+	state       State
+	since       time.Duration
+	// deadline is when a suspect is dead.
+	deadline time.Duration
+	// changes holds the times of the last state changes of the endpoint.
+	changes     []time.Duration
+	dampedUntil time.Duration
+}
+
+func (k *member) statement() Update {
+	u := Update{
+		Node: k.detail.Info.ID, Session: k.detail.Info.Session,
+		Incarnation: k.incarnation, State: k.state,
+	}
+	if k.state != Dead {
+		detail := k.detail
+		u.Detail = &detail
+	}
+	return u
+}
+
+// endpointState is what a caller can observe of the member's target.
+func (k *member) endpointState() string {
+	switch {
+	case k.state == Dead || k.detail.Target == nil:
+		return "absent"
+	case k.state == Suspect:
+		return "suspect"
+	case k.detail.Leaving || k.detail.Target.State == mesh.TargetLeaving:
+		return "leaving"
+	default:
+		return "serving"
+	}
+}
+
+// noteChange records a state change at a time and damps the member if there
+// were more than FlapChanges in the window.
+func (k *member) noteChange(now time.Duration) {
+	k.changes = slices.DeleteFunc(k.changes, func(t time.Duration) bool { return now-t > FlapWindow })
+	k.changes = append(k.changes, now)
+	if len(k.changes) > FlapChanges {
+		k.dampedUntil = now + DampTime
+		k.changes = k.changes[1:]
+	}
+}
+
+// compareIncarnation orders the runs and incarnations of one node.
+func compareIncarnation(inc uint64, session mesh.SessionID, otherInc uint64, other mesh.SessionID) int {
+	return cmp.Or(cmp.Compare(inc, otherInc), strings.Compare(string(session), string(other)))
+}
+
+var precedence = map[State]int{Alive: 1, Leaving: 2, Suspect: 3, Dead: 4}
+
+// compare orders statements about one node, the one that holds last.
+func (u Update) compare(o Update) int {
+	return cmp.Or(
+		compareIncarnation(u.Incarnation, u.Session, o.Incarnation, o.Session),
+		cmp.Compare(precedence[u.State], precedence[o.State]),
+	)
+}
+
+// hash identifies what a node says about itself. Suspicion is left out: it is
+// refuted or confirmed before an exchange could matter.
+func (u Update) hash() uint64 {
+	var inc [8]byte
+	binary.LittleEndian.PutUint64(inc[:], u.Incarnation)
+	d := xxhash.New()
+	_, _ = d.WriteString(string(u.Node))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(u.Session))
+	_, _ = d.Write(inc[:])
+	return d.Sum64()
+}
+
+// table holds the other nodes. ids is sorted, so that iteration is
+// deterministic.
+type table struct {
+	members map[mesh.NodeID]*member
+	ids     []mesh.NodeID
+	// suspected holds the members whose suspicion runs here.
+	suspected []mesh.NodeID
+	// version grows when the set of members of any zone that are neither
+	// suspect nor dead changes.
+	version uint64
+	// expiry is when expired members are looked for again.
+	expiry time.Duration
+}
+
+const housekeepingInterval = time.Second
+
+func newTable() table { return table{members: make(map[mesh.NodeID]*member), version: 1} }
+
+func (t *table) add(id mesh.NodeID, k *member) {
+	t.members[id] = k
+	if i, found := slices.BinarySearch(t.ids, id); !found {
+		t.ids = slices.Insert(t.ids, i, id)
+	}
+}
+
+func (t *table) remove(id mesh.NodeID) {
+	delete(t.members, id)
+	if i, found := slices.BinarySearch(t.ids, id); found {
+		t.ids = slices.Delete(t.ids, i, i+1)
+	}
+}
+
+func (t *table) suspects() []mesh.NodeID { return t.suspected }
+
+// select returns the members of a zone for which keep holds, sorted.
+func (t *table) list(zone mesh.AvailabilityZone, keep func(*member) bool) []mesh.NodeID {
+	var ids []mesh.NodeID
+	for _, id := range t.ids {
+		if k := t.members[id]; k.detail.Info.Zone == zone && keep(k) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func notDead(k *member) bool { return k.state != Dead }
+
+func healthy(k *member) bool { return k.state != Dead && k.state != Suspect }
+
+// acceptUpdates takes over the updates of a message, and returns corrections of
+// those that are older than what is known.
+func (m *Machine) acceptUpdates(msg Message) []Update {
+	foreign := msg.From.Zone != m.cfg.Self.Zone
+	spread := !msg.Exchange || foreign || len(msg.Updates) <= bulkUpdates
+	var corrections []Update
+	for _, u := range msg.Updates {
+		if !u.valid() {
+			m.malformed++
+			continue
+		}
+		if u.Node == m.cfg.Self.ID {
+			m.refute(u)
+			continue
+		}
+		if m.accept(u) {
+			if spread {
+				m.rumors.add(m.table.members[u.Node].statement())
+			}
+			if spread && urgent(u) {
+				m.forwardUrgent(u)
+			}
+		} else if k := m.table.members[u.Node]; k != nil && msg.Exchange && k.statement().compare(u) > 0 {
+			corrections = append(corrections, k.statement())
+		}
+	}
+	return corrections
+}
+
+// bulkUpdates is the number of updates of one exchange message up to which they
+// are news for the zone rather than the backlog of the receiver.
+const bulkUpdates = 8
+
+// accept takes over a statement about another node if it holds over what is
+// known, and reports whether it did.
+func (m *Machine) accept(u Update) bool {
+	k := m.table.members[u.Node]
+	before, state, home := "absent", Dead, mesh.AvailabilityZone("")
+	if k == nil {
+		if u.Detail == nil {
+			return false
+		}
+		k = &member{}
+		m.table.add(u.Node, k)
+	} else {
+		if u.compare(k.statement()) <= 0 {
+			return false
+		}
+		before, state, home = k.endpointState(), k.state, k.detail.Info.Zone
+	}
+	first := k.detail.Info.ID == ""
+	m.overwrite(k, u)
+	if after := k.endpointState(); !first && before != after {
+		k.noteChange(m.now)
+	}
+	if first || state != k.state {
+		k.since = m.now
+		m.emit(StateChanged{Node: u.Node, Session: u.Session, State: u.State})
+	}
+	if state != k.state || home != k.detail.Info.Zone {
+		m.table.version++
+	}
+	m.trackSuspicion(u.Node, k)
+	m.zones.enqueue(u.Node, k.detail.Info.Zone == m.cfg.Self.Zone)
+	m.changed()
+	return true
+}
+
+func (m *Machine) overwrite(k *member, u Update) {
+	revision, nack, session := k.detail.Revision, k.detail.NACK, k.detail.Info.Session
+	if u.Detail != nil {
+		k.detail = *u.Detail
+	}
+	if session == u.Session && revision > k.detail.Revision {
+		k.detail.Revision, k.detail.NACK = revision, nack
+	}
+	k.detail.Info.Session = u.Session
+	k.incarnation, k.state = u.Incarnation, u.State
+}
+
+// trackSuspicion starts or ends the time limit of a suspect. Only the members
+// of a zone declare one of them dead.
+func (m *Machine) trackSuspicion(id mesh.NodeID, k *member) {
+	i := slices.Index(m.table.suspected, id)
+	switch {
+	case k.state == Suspect && k.detail.Info.Zone == m.cfg.Self.Zone:
+		k.deadline = m.now + SuspicionTimeout
+		if i < 0 {
+			m.table.suspected = append(m.table.suspected, id)
+		}
+	case i >= 0:
+		m.table.suspected = slices.Delete(m.table.suspected, i, i+1)
+	}
+}
+
+func (m *Machine) expireSuspects() {
+	for _, id := range slices.Clone(m.table.suspected) {
+		if k := m.table.members[id]; m.now >= k.deadline {
+			m.declare(id, Dead)
+		}
+	}
+}
+
+// declare states that a member is suspect or dead.
+func (m *Machine) declare(id mesh.NodeID, state State) {
+	u := m.table.members[id].statement()
+	u.State = state
+	if state == Dead {
+		u.Detail = nil
+	}
+	if m.accept(u) {
+		m.rumors.add(u)
+	}
+}
+
+// expireMembers forgets members that are dead for long, and ends damping. It
+// looks at all members, and so only every housekeepingInterval.
+func (m *Machine) expireMembers() {
+	if m.now < m.table.expiry {
+		return
+	}
+	m.table.expiry = m.now + housekeepingInterval
+	for _, id := range slices.Clone(m.table.ids) {
+		k := m.table.members[id]
+		if k.state == Dead && m.now-k.since >= DeadRetention {
+			m.table.remove(id)
+			m.changed()
+			continue
+		}
+		if k.dampedUntil > 0 && m.now >= k.dampedUntil {
+			k.dampedUntil = 0
+			m.changed()
+		}
+	}
+}
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"net/netip"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/mesh"
@@ -23,6 +24,8 @@
 // Detail is what a member says about itself.
 type Detail struct {
 	Info mesh.NodeInfo `json:"info"`
+	// Leaving is set once the node was told to stop.
+	Leaving bool `json:"leaving,omitempty"`
 	// Target is nil if the node has none.
 	Target   *mesh.Target    `json:"target,omitempty"`
 	Revision record.Revision `json:"revision"`
@@ -38,7 +41,7 @@
 	Session     mesh.SessionID `json:"session"`
 	Incarnation uint64         `json:"incarnation"`
 	State       State          `json:"state"`
-	// Detail is present if State is alive or leaving.
+	// Detail is absent if State is dead.
 	Detail *Detail `json:"detail,omitempty"`
 }
 
@@ -52,7 +55,11 @@
 
 // Header identifies the sender of a message and reports its revision.
 type Header struct {
-	Info        mesh.NodeInfo   `json:"info"`
+	Node    mesh.NodeID           `json:"node"`
+	Session mesh.SessionID        `json:"session"`
+	Zone    mesh.AvailabilityZone `json:"zone"`
+	// RPC is where the sender receives messages.
+	RPC         netip.AddrPort  `json:"rpc"`
 	Incarnation uint64          `json:"incarnation"`
 	Revision    record.Revision `json:"revision"`
 	NACK        string          `json:"nack,omitempty"`
@@ -64,6 +71,9 @@
 	From    Header     `json:"from"`
 	Updates []Update   `json:"updates,omitempty"`
 	Links   []ZoneLink `json:"links,omitempty"`
+	// Exchange is set on the updates of an exchange, which the receiver does
+	// not spread if they are many and come from its own zone.
+	Exchange bool `json:"exchange,omitempty"`
 
 	Probe    *Probe         `json:"probe,omitempty"`
 	Answer   *ProbeAnswer   `json:"answer,omitempty"`
@@ -95,6 +105,8 @@
 	Zones []ZoneDigest `json:"zones"`
 	// Join is set by a node without live peers.
 	Join bool `json:"join,omitempty"`
+	// Refresh asks a reader of the same zone to contact all other zones now.
+	Refresh bool `json:"refresh,omitempty"`
 }
 
 // ZoneDigest sums up the live members of a zone.
@@ -104,6 +116,9 @@
 	// Hash is a hash over the live members' statements, independent of order.
 	Hash    uint64       `json:"hash,string"`
 	Summary *ZoneSummary `json:"summary,omitempty"`
+	// ContactAgeMS is the time in milliseconds since the sender or its source
+	// heard from the zone, -1 if it never did.
+	ContactAgeMS int64 `json:"contact_age_ms"`
 }
 
 // Entries answers a digest with the versions of the members of the zones that
@@ -165,6 +180,9 @@
 	State       State
 	// Since is the local time at which the state was entered.
 	Since time.Duration
+	// Revision and NACK of Detail are the last ones heard from the member. They
+	// are fresh on the readers of its zone, see ReportInterval.
+
 	// Damped is set while the member changes state too often.
 	Damped bool
 }
@@ -186,9 +204,8 @@
 type ZoneStatus struct {
 	Zone      mesh.AvailabilityZone
 	Reachable bool
-	// LastContact is the local time of the last message from the zone, seen by
-	// this node, or of the last summary from there. Known is false if there was
-	// none.
+	// LastContact is the local time at which this node, or the node that told
+	// it, last heard from the zone. Known is false if neither did.
 	LastContact time.Duration
 	Known       bool
 	// Summary is the newest report from the zone. Its Version is 0 if there is
--- /dev/null
+++ b/pkg/membership/rumor.go
@@ -0,0 +1,82 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/json"
+	"math/bits"
+	"slices"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// rumor is an update that still has to be forwarded.
+type rumor struct {
+	update Update
+	bytes  int
+	sent   int
+	// order grows with each rumor, so that of equal ones the newest goes first.
+	order uint64
+}
+
+// rumors holds at most one update per node.
+type rumors struct {
+	waiting map[mesh.NodeID]*rumor
+	order   uint64
+}
+
+func newRumors() rumors { return rumors{waiting: make(map[mesh.NodeID]*rumor)} }
+
+// size returns the encoded size of an update in bytes.
+func size(u Update) int {
+	data, err := json.Marshal(u)
+	if err != nil {
+		return UpdateBytes + 1
+	}
+	return len(data) + 1
+}
+
+func (r *rumors) add(u Update) {
+	if len(r.waiting) >= MaxRumors && r.waiting[u.Node] == nil {
+		return
+	}
+	r.order++
+	r.waiting[u.Node] = &rumor{update: u, bytes: size(u), order: r.order}
+}
+
+// take returns the updates for one message, first the given ones, then those
+// that were sent least often. It drops an update once it was sent limit times.
+func (r *rumors) take(first []Update, receiver mesh.NodeID, limit int) []Update {
+	room := UpdateBytes
+	for _, u := range first {
+		room -= size(u)
+	}
+	if len(r.waiting) == 0 {
+		return first
+	}
+	waiting := make([]*rumor, 0, len(r.waiting))
+	for _, w := range r.waiting {
+		waiting = append(waiting, w)
+	}
+	slices.SortFunc(waiting, func(a, b *rumor) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.order, a.order))
+	})
+	updates := first
+	for _, w := range waiting {
+		// The receiver knows itself, and a suspect one got its statement above.
+		if w.bytes > room || w.update.Node == receiver {
+			continue
+		}
+		room -= w.bytes
+		updates = append(updates, w.update)
+		if w.sent++; w.sent >= limit {
+			delete(r.waiting, w.update.Node)
+		}
+	}
+	return updates
+}
+
+// forwardLimit is how often one node forwards an update. With 2 log2(n) sends
+// by each of n nodes, the expected number of nodes that miss it is far below 1.
+func (m *Machine) forwardLimit() int {
+	return 2 * bits.Len(uint(len(m.peers())+1))
+}
--- /dev/null
+++ b/pkg/membership/valid.go
@@ -0,0 +1,27 @@
+package membership
+
+// maxWireID bounds identifiers from the wire, so that a hostile sender cannot
+// make updates too large to forward.
+const maxWireID = 128
+
+// valid reports whether a message names its sender and where it is reached.
+func (msg Message) valid() bool {
+	h := msg.From
+	return wireID(string(h.Node)) && wireID(string(h.Session)) && wireID(string(h.Zone)) &&
+		h.RPC.IsValid() && len(h.NACK) <= NACKBytes
+}
+
+// valid reports whether an update is whole and can be forwarded.
+func (u Update) valid() bool {
+	if !wireID(string(u.Node)) || !wireID(string(u.Session)) || precedence[u.State] == 0 {
+		return false
+	}
+	if u.State == Dead {
+		return u.Detail == nil
+	}
+	d := u.Detail
+	return d != nil && d.Info.ID == u.Node && d.Info.Session == u.Session &&
+		wireID(string(d.Info.Zone)) && d.Info.RPC.IsValid() && size(u) <= UpdateBytes
+}
+
+func wireID(s string) bool { return s != "" && len(s) <= maxWireID }
--- /dev/null
+++ b/pkg/membership/zone.go
@@ -0,0 +1,300 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// zone is what the machine holds about one zone.
+type zone struct {
+	contact time.Duration
+	known   bool
+	// failures counts the exchanges of this node without answer in a row.
+	failures int
+	// tried is when this node last opened an exchange.
+	tried   time.Duration
+	link    ZoneLink
+	sent    int
+	summary ZoneSummary
+}
+
+// attempt is an exchange with another zone without answer so far.
+type attempt struct {
+	zone     mesh.AvailabilityZone
+	deadline time.Duration
+}
+
+// zones is the state of the exchange between zones.
+type zones struct {
+	all  map[mesh.AvailabilityZone]*zone
+	next time.Duration
+	// last is the zone whose turn was last.
+	last     mesh.AvailabilityZone
+	attempts []attempt
+	// news are the own zone's members whose statement other zones need.
+	news     map[mesh.NodeID]bool
+	flush    time.Duration
+	refresh  time.Duration
+	readerOf map[mesh.AvailabilityZone][]mesh.NodeID
+	version  uint64
+}
+
+// flushDelay lets updates that arrive together share a message between zones.
+const flushDelay = 500 * time.Millisecond
+
+// refreshInterval bounds how often a reader contacts all zones on request.
+const refreshInterval = time.Second
+
+func newZones() zones {
+	return zones{
+		all:      make(map[mesh.AvailabilityZone]*zone),
+		news:     make(map[mesh.NodeID]bool),
+		readerOf: make(map[mesh.AvailabilityZone][]mesh.NodeID),
+	}
+}
+
+func (z *zones) get(name mesh.AvailabilityZone) *zone {
+	if z.all[name] == nil {
+		z.all[name] = &zone{link: ZoneLink{Zone: name, Reachable: true}}
+	}
+	return z.all[name]
+}
+
+func (z *zones) heard(name mesh.AvailabilityZone, now time.Duration) {
+	s := z.get(name)
+	s.contact, s.known = now, true
+}
+
+func (z *zones) forgetAttempt() { z.attempts = nil }
+
+// enqueue notes news of a member of the own zone for the other zones.
+func (z *zones) enqueue(id mesh.NodeID, own bool) {
+	if own {
+		z.news[id] = true
+	}
+}
+
+func (z *zones) hurry() { z.flush = 0 }
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// knownZones returns all zones, the own one included, in order.
+func (m *Machine) knownZones() []mesh.AvailabilityZone {
+	m.zones.get(m.cfg.Self.Zone)
+	for _, k := range m.table.members {
+		m.zones.get(k.detail.Info.Zone)
+	}
+	return sortedKeys(m.zones.all)
+}
+
+// readers returns the first ReadersPerZone healthy members of a zone. The
+// selection needs no agreement: nodes with the same view agree.
+func (m *Machine) readers(name mesh.AvailabilityZone) []mesh.NodeID {
+	z := &m.zones
+	if z.version != m.table.version {
+		z.version = m.table.version
+		clear(z.readerOf)
+	}
+	if readers, ok := z.readerOf[name]; ok {
+		return readers
+	}
+	ids := m.table.list(name, healthy)
+	if name == m.cfg.Self.Zone {
+		ids = append(ids, m.cfg.Self.ID)
+	}
+	readers := mesh.RankNodes(string(name), ids)
+	readers = readers[:min(len(readers), ReadersPerZone)]
+	z.readerOf[name] = readers
+	return readers
+}
+
+func (m *Machine) isReader() bool {
+	return slices.Contains(m.readers(m.cfg.Self.Zone), m.cfg.Self.ID)
+}
+
+// runZones opens the exchanges of a reader with other zones: the next one in
+// turn and, so that an outage is noticed soon, the one that has failed least
+// often since its last answer.
+func (m *Machine) runZones() {
+	m.expireAttempts()
+	z := &m.zones
+	if m.now < z.next {
+		return
+	}
+	z.next = m.now + ZoneExchangeInterval
+	if !m.isReader() {
+		z.attempts = nil
+		for _, s := range z.all {
+			s.failures = 0
+		}
+		return
+	}
+	others := m.otherZones()
+	if len(others) == 0 {
+		return
+	}
+	i, _ := slices.BinarySearch(others, z.last+"\x00")
+	z.last = others[i%len(others)]
+	m.contactZone(z.last)
+	if again, ok := m.failingZone(others); ok && again != z.last {
+		m.contactZone(again)
+	}
+}
+
+// otherZones returns the zones with members, except the own one.
+func (m *Machine) otherZones() []mesh.AvailabilityZone {
+	return slices.DeleteFunc(m.knownZones(), func(name mesh.AvailabilityZone) bool {
+		return name == m.cfg.Self.Zone || len(m.table.list(name, notDead)) == 0
+	})
+}
+
+func (m *Machine) failingZone(others []mesh.AvailabilityZone) (mesh.AvailabilityZone, bool) {
+	failing := slices.DeleteFunc(slices.Clone(others), func(name mesh.AvailabilityZone) bool {
+		return m.zones.get(name).failures == 0
+	})
+	if len(failing) == 0 {
+		return "", false
+	}
+	return slices.MinFunc(failing, func(a, b mesh.AvailabilityZone) int {
+		x, y := m.zones.get(a), m.zones.get(b)
+		return cmp.Or(cmp.Compare(min(x.failures, ZoneAttempts), min(y.failures, ZoneAttempts)), cmp.Compare(x.tried, y.tried))
+	}), true
+}
+
+// contactZone opens an exchange with a reader of a zone or, after a failure,
+// with any of its members.
+func (m *Machine) contactZone(name mesh.AvailabilityZone) {
+	s := m.zones.get(name)
+	to := m.readers(name)
+	if s.failures > 0 || len(to) == 0 {
+		to = m.table.list(name, notDead)
+	}
+	s.tried = m.now
+	for _, id := range m.pick(to, 1) {
+		m.zones.attempts = append(m.zones.attempts, attempt{zone: name, deadline: m.now + ZoneExchangeInterval})
+		m.send(m.table.members[id].detail.Info.RPC, Message{Digest: &Digest{Zones: m.digests(name, nil)}})
+	}
+}
+
+func (m *Machine) expireAttempts() {
+	z := &m.zones
+	open := z.attempts
+	z.attempts = nil
+	for _, a := range open {
+		if m.now < a.deadline {
+			z.attempts = append(z.attempts, a)
+			continue
+		}
+		s := z.get(a.zone)
+		if s.failures++; s.failures == ZoneAttempts && s.link.Reachable {
+			m.setLink(ZoneLink{Zone: a.zone, Reachable: false, Version: s.link.Version + 1})
+		}
+	}
+}
+
+// zoneAnswered notes the answer to an exchange.
+func (m *Machine) zoneAnswered(name mesh.AvailabilityZone) {
+	z := &m.zones
+	z.attempts = slices.DeleteFunc(z.attempts, func(a attempt) bool { return a.zone == name })
+	s := z.get(name)
+	s.failures = 0
+	if name != m.cfg.Self.Zone && !s.link.Reachable {
+		m.setLink(ZoneLink{Zone: name, Reachable: true, Version: s.link.Version + 1})
+	}
+}
+
+// acceptLinks takes over newer statements about links between zones.
+func (m *Machine) acceptLinks(links []ZoneLink) {
+	for _, l := range links {
+		if wireID(string(l.Zone)) && l.Zone != m.cfg.Self.Zone && l.Version > m.zones.get(l.Zone).link.Version {
+			m.setLink(l)
+		}
+	}
+}
+
+func (m *Machine) setLink(l ZoneLink) {
+	s := m.zones.get(l.Zone)
+	if s.link.Reachable != l.Reachable {
+		m.emit(ZoneChanged{Zone: l.Zone, Reachable: l.Reachable})
+		m.changed()
+	}
+	s.link, s.sent = l, 0
+}
+
+// takeLinks returns the links that still have to be forwarded.
+func (z *zones) takeLinks(limit int) []ZoneLink {
+	var links []ZoneLink
+	for _, name := range sortedKeys(z.all) {
+		if s := z.all[name]; s.link.Version > 0 && s.sent < limit {
+			s.sent++
+			links = append(links, s.link)
+		}
+	}
+	return links
+}
+
+func (z *zones) allLinks(own bool) []ZoneLink {
+	var links []ZoneLink
+	for _, name := range sortedKeys(z.all) {
+		if own && z.all[name].link.Version > 0 {
+			links = append(links, z.all[name].link)
+		}
+	}
+	return links
+}
+
+// forwardToZones sends news of the own zone to one reader of each other zone.
+// The second reader of the own zone leaves this to the first; the exchange
+// repairs what is lost.
+func (m *Machine) forwardToZones() {
+	z := &m.zones
+	if len(z.news) == 0 || m.now < z.flush {
+		return
+	}
+	z.flush = m.now + flushDelay
+	news := sortedKeys(z.news)
+	clear(z.news)
+	readers := m.readers(m.cfg.Self.Zone)
+	if len(readers) == 0 || readers[0] != m.cfg.Self.ID {
+		return
+	}
+	var updates []Update
+	for _, id := range news {
+		if u, ok := m.known(id); ok {
+			updates = append(updates, u)
+		}
+	}
+	for _, name := range m.otherZones() {
+		for _, id := range m.pick(m.readers(name), 1) {
+			m.sendUpdates(m.table.members[id].detail.Info.RPC, updates)
+		}
+	}
+}
+
+// refreshZones asks the first reader of the zone for its summaries. A reader contacts all
+// zones itself.
+func (m *Machine) refreshZones() {
+	if m.isReader() {
+		m.contactAllZones()
+		return
+	}
+	for _, id := range m.readers(m.cfg.Self.Zone)[:1] {
+		m.send(m.table.members[id].detail.Info.RPC,
+			Message{Digest: &Digest{Zones: m.digests(m.cfg.Self.Zone, nil), Refresh: true}})
+	}
+}
+
+func (m *Machine) contactAllZones() {
+	z := &m.zones
+	if !m.isReader() || m.now < z.refresh {
+		return
+	}
+	z.refresh = m.now + refreshInterval
+	for _, name := range m.otherZones() {
+		m.contactZone(name)
+	}
+}
