Add the rollout and pricing packages

Operators need shifts that finish on time and are taken back when the new version is worse, and changes that may wait need to share appends. This adds both machines with their events and effects: planner, sequential comparison, holder and local cut; and the queue with batches, token buckets and prices. Not measured yet.

--- /dev/null
+++ b/pkg/pricing/price.go
@@ -0,0 +1,83 @@
+package pricing
+
+import "time"
+
+// Mesh is what the price of a change depends on.
+type Mesh struct {
+	// Nodes is the number of live nodes, at least 1.
+	Nodes int
+	// Zones is the number of availability zones, at least 1.
+	Zones int
+	// FanOut is the number of children of a node in the distribution tree.
+	FanOut int
+}
+
+// Price is the cost of one change. Parts of a shared append are fractions.
+type Price struct {
+	// Bytes is the traffic of the whole mesh: the append, the reads of all zone
+	// readers, and one delivery to each other node.
+	Bytes float64 `json:"bytes"`
+	// RelayBytes is the most that a single node sends for it.
+	RelayBytes float64 `json:"relay_bytes"`
+	// Appends is the number of appends to the platform.
+	Appends float64 `json:"appends"`
+	// Reads is the number of reads from the platform.
+	Reads float64 `json:"reads"`
+}
+
+// The terms of the price model, in bytes.
+const (
+	// envelopeBytes is the JSON envelope of a record without its body.
+	envelopeBytes = 160
+	// itemBytes is what an item adds to a batch besides its body.
+	itemBytes = 56
+	// exchangeBytes is the HTTP overhead of one append or read.
+	exchangeBytes = 300
+	// pushBytes is the jsonrpc2 overhead of one delivery to a node.
+	pushBytes = 120
+	// base64Ratio is the growth of record bytes in the answer to a read.
+	base64Ratio = 4.0 / 3
+	// readersPerZone read the log for their zone.
+	readersPerZone = 2
+)
+
+// priceOf returns the price of a change that fills part of a record: record is
+// the size of the whole record and part the change's share, from 0 to 1.
+func (m Mesh) priceOf(record int, part float64) Price {
+	readers := float64(readersPerZone * m.Zones)
+	size := float64(record)
+	deliveries := max(float64(m.Nodes)-readers, 0)
+	bytes := size + exchangeBytes +
+		readers*(size*base64Ratio+exchangeBytes) +
+		deliveries*(size+pushBytes)
+	return Price{
+		Bytes:      bytes * part,
+		RelayBytes: float64(m.FanOut) * (size + pushBytes) * part,
+		Appends:    part,
+		Reads:      readers * part,
+	}
+}
+
+// Estimate returns the expected price of a change before it is appended. body is
+// the size of its encoded body in bytes, perSecond the rate of changes at the
+// node, and meanBody their mean size; all that arrive within the wait share the
+// append, up to MaxBatchItems.
+func (m Mesh) Estimate(body int, wait time.Duration, perSecond, meanBody float64) Price {
+	m = m.normal()
+	others := min(perSecond*wait.Seconds(), MaxBatchItems-1)
+	mine := float64(body + itemBytes)
+	shared := others * (meanBody + itemBytes)
+	size := envelopeBytes + mine + shared
+	return m.priceOf(int(size), mine/(mine+shared))
+}
+
+func (m Mesh) normal() Mesh {
+	return Mesh{Nodes: max(m.Nodes, 1), Zones: max(m.Zones, 1), FanOut: max(m.FanOut, 1)}
+}
+
+func (p Price) plus(o Price) Price {
+	return Price{
+		Bytes: p.Bytes + o.Bytes, RelayBytes: p.RelayBytes + o.RelayBytes,
+		Appends: p.Appends + o.Appends, Reads: p.Reads + o.Reads,
+	}
+}
--- /dev/null
+++ b/pkg/pricing/queue.go
@@ -0,0 +1,205 @@
+package pricing
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// Bounds of the queue.
+const (
+	// MaxBatchItems and MaxBatchBytes bound a batch, so that its rejection and
+	// one-by-one retry stays cheap and its delivery fast.
+	MaxBatchItems = 64
+	MaxBatchBytes = 64 << 10
+	// MaxWaiting bounds the changes that wait at a node; more are refused.
+	MaxWaiting = 10_000
+	// MaxWait bounds the wait of a change: its record must reach the log long
+	// before its presumed revisions are out of the reducer's window.
+	MaxWait = time.Hour
+	// SystemAppends is the bound on appends per second of the whole system.
+	SystemAppends = 100
+	// reservedPart of it is kept for claims, steps and renewals.
+	reservedPart = 0.3
+	// urgentInRow is how many appends urgent changes may lead in a row while a
+	// patient change is overdue.
+	urgentInRow = 3
+)
+
+// Config sets up a Queue.
+type Config struct {
+	// Author prefixes the ids of batch records. It must differ between sessions
+	// of a node, e.g. "<node>/<session>".
+	Author string
+	Mesh   Mesh
+}
+
+// Queue holds the changes that wait at one node. Its invariants: each change is
+// in at most one record in flight and gets exactly one Answer; changes whose
+// order matters reach the log in the order of their submission. The caller owns
+// a Queue from one goroutine.
+type Queue struct {
+	config   Config
+	now      time.Duration
+	sequence uint64
+	batches  uint64
+	waiting  []*item
+	system   []record.Record
+	inflight map[string][]*item
+	general  bucket
+	reserved bucket
+	// urgentLed counts the appends led by urgent changes since a patient one led.
+	urgentLed int
+	rate      changeRate
+	effects   []Effect
+}
+
+// item is a change in the queue.
+type item struct {
+	Change
+	sequence uint64
+	at, due  time.Duration
+	size     int
+	touches  footprint
+	// alone is set after a batch with this item was rejected.
+	alone bool
+	taken bool
+	spent Price
+}
+
+// NewQueue returns an empty queue whose buckets hold one token each.
+func NewQueue(config Config) *Queue {
+	config.Mesh = config.Mesh.normal()
+	q := &Queue{config: config, inflight: map[string][]*item{}}
+	q.general.tokens, q.reserved.tokens = 1, 1
+	q.setRates()
+	return q
+}
+
+func (q *Queue) setRates() {
+	share := float64(SystemAppends) / float64(q.config.Mesh.Nodes)
+	q.general.setRate(q.now, share*(1-reservedPart))
+	q.reserved.setRate(q.now, share*reservedPart)
+}
+
+// Waiting returns the number of changes that are neither in flight nor settled.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Step handles one event.
+func (q *Queue) Step(e Event) []Effect {
+	q.effects = nil
+	switch e := e.(type) {
+	case Tick:
+		q.advance(e.Now)
+	case Submitted:
+		q.advance(e.Now)
+		q.submit(e.Change)
+	case SystemSubmitted:
+		q.advance(e.Now)
+		q.system = append(q.system, e.Record)
+	case MeshChanged:
+		q.advance(e.Now)
+		q.config.Mesh = e.Mesh.normal()
+		q.setRates()
+	case Settled:
+		q.advance(e.Now)
+		q.settle(e)
+	case GaveUp:
+		q.advance(e.Now)
+		q.giveUp(e)
+	}
+	q.pump()
+	return q.effects
+}
+
+func (q *Queue) advance(now time.Duration) { q.now = max(q.now, now) }
+
+func (q *Queue) emit(e Effect) { q.effects = append(q.effects, e) }
+
+func (q *Queue) submit(c Change) {
+	it := &item{Change: c, sequence: q.sequence, at: q.now, due: q.now + max(c.Wait, 0)}
+	q.sequence++
+	if reason := q.refusal(it); reason != "" {
+		q.answer(it, state.Outcome{Code: state.Rejected, Reason: reason})
+		return
+	}
+	it.touches = footprintOf(c.Body)
+	q.rate.observe(q.now, it.size)
+	q.waiting = append(q.waiting, it)
+	q.hasten()
+	if c.Wait > 0 {
+		q.emit(Waiting{ChangeID: c.ID, Until: it.due, Price: q.Estimate(it.size, c.Wait)})
+	}
+}
+
+// refusal returns why a change can't be queued, and sets its size.
+func (q *Queue) refusal(it *item) string {
+	if it.Body == nil || it.Body.Kind() == record.KindBatch {
+		return "a change needs a body that is no batch"
+	}
+	data, err := json.Marshal(it.Body)
+	switch {
+	case err != nil:
+		return fmt.Sprintf("the change can't be encoded: %v", err)
+	case len(data) > MaxBatchBytes:
+		return fmt.Sprintf("the change has %d bytes, limit %d", len(data), MaxBatchBytes)
+	case len(q.waiting) >= MaxWaiting:
+		return fmt.Sprintf("%d changes wait at this node already", MaxWaiting)
+	case it.Wait > MaxWait:
+		return fmt.Sprintf("the wait is over the limit of %s", MaxWait)
+	}
+	it.size = len(data)
+	return ""
+}
+
+// hasten moves up the changes that an earlier due one has to follow.
+func (q *Queue) hasten() {
+	newest := q.waiting[len(q.waiting)-1]
+	set := newObjects()
+	set.add(newest.touches)
+	for _, it := range slices.Backward(q.waiting[:len(q.waiting)-1]) {
+		if it.due > newest.due && set.conflicts(it.touches) {
+			it.due = newest.due
+			set.add(it.touches)
+		}
+	}
+}
+
+// Estimate returns the expected price of a change with a body of the given size
+// in bytes, at the present rate of changes of this node.
+func (q *Queue) Estimate(body int, wait time.Duration) Price {
+	return q.config.Mesh.Estimate(body, wait, q.rate.perSecond(q.now), q.rate.meanSize())
+}
+
+func (q *Queue) answer(it *item, o state.Outcome) {
+	q.emit(Answer{ChangeID: it.ID, Outcome: o, Waited: q.now - it.at, Price: it.spent})
+}
+
+// settle answers the changes of a record, or retries them one at a time if the
+// record was a batch that was not accepted.
+func (q *Queue) settle(e Settled) {
+	items := q.inflight[e.RecordID]
+	delete(q.inflight, e.RecordID)
+	if len(items) > 1 && e.Outcome.Code != state.Accepted {
+		for _, it := range items {
+			it.alone, it.due, it.taken = true, q.now, false
+		}
+		q.waiting = append(q.waiting, items...)
+		slices.SortFunc(q.waiting, func(a, b *item) int { return int(int64(a.sequence) - int64(b.sequence)) })
+		return
+	}
+	for _, it := range items {
+		q.answer(it, e.Outcome)
+	}
+}
+
+func (q *Queue) giveUp(e GaveUp) {
+	for _, it := range q.inflight[e.RecordID] {
+		q.emit(Answer{ChangeID: it.ID, Unknown: true, Reason: e.Reason, Waited: q.now - it.at, Price: it.spent})
+	}
+	delete(q.inflight, e.RecordID)
+}
--- /dev/null
+++ b/pkg/rollout/cutter.go
@@ -0,0 +1,192 @@
+package rollout
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// CutRepeat is how often a cut is notified until the rollback is seen: a notice
+// may be lost, and the holder may change.
+const CutRepeat = 2 * time.Second
+
+// CutterConfig sets up a Cutter.
+type CutterConfig struct {
+	Self mesh.NodeID
+	Zone mesh.AvailabilityZone
+	// NewJudge makes the comparison; nil means NewSequential.
+	NewJudge func(JudgeConfig) Judge
+}
+
+// Cutter cuts this node's own share of a bad version as soon as its own evidence
+// condemns it. A cut holds until a later rollout of the service starts; no other
+// event lifts it. The caller owns a Cutter from one goroutine.
+type Cutter struct {
+	config  CutterConfig
+	nodes   int
+	watched map[string]*watch
+}
+
+// watch is the state of one service.
+type watch struct {
+	rollout state.Rollout
+	judge   Judge
+	last    time.Duration
+	cut     *Cut
+	told    time.Duration
+}
+
+// NewCutter returns a machine without cuts.
+func NewCutter(config CutterConfig) *Cutter {
+	if config.NewJudge == nil {
+		config.NewJudge = NewSequential
+	}
+	return &Cutter{config: config, nodes: 1, watched: map[string]*watch{}}
+}
+
+// Cuts returns the cuts in force at this node, by service.
+func (c *Cutter) Cuts() []Cut {
+	var cuts []Cut
+	for _, service := range slices.Sorted(maps.Keys(c.watched)) {
+		if cut := c.watched[service].cut; cut != nil {
+			cuts = append(cuts, *cut)
+		}
+	}
+	return cuts
+}
+
+// Step handles one event.
+func (c *Cutter) Step(e Event) []Effect {
+	switch e := e.(type) {
+	case CandidatesChanged:
+		c.nodes = max(len(e.Live), 1)
+	case RolloutChanged:
+		return c.rolloutChanged(e)
+	case LocalEvidence:
+		return c.localEvidence(e)
+	case CutNoticed:
+		return c.cutNoticed(e)
+	case Tick:
+		return c.repeat(e.Now)
+	}
+	return nil
+}
+
+func (c *Cutter) rolloutChanged(e RolloutChanged) []Effect {
+	r := e.Rollout
+	w := c.watched[r.Service]
+	if w != nil && w.rollout.ID == r.ID {
+		if r.Weight > w.rollout.Weight {
+			w.judge.Raised()
+		}
+		w.rollout = r
+		return nil
+	}
+	if w != nil && w.rollout.ID > r.ID {
+		return nil
+	}
+	c.watched[r.Service] = &watch{rollout: r, judge: c.newJudge(r), last: e.Now}
+	if w != nil && w.cut != nil {
+		return []Effect{LiftCut{Service: w.cut.Service, Version: w.cut.Version}}
+	}
+	return nil
+}
+
+// newJudge divides the probability of a false alarm by the number of nodes,
+// since any one of them may cut.
+func (c *Cutter) newJudge(r state.Rollout) Judge {
+	return c.config.NewJudge(JudgeConfig{
+		FalseAlarm: falseAlarm / float64(c.nodes),
+		Planned:    plannedTime(r),
+	})
+}
+
+func (c *Cutter) localEvidence(e LocalEvidence) []Effect {
+	var effects []Effect
+	for _, service := range slices.Sorted(maps.Keys(c.watched)) {
+		w := c.watched[service]
+		if !w.rollout.Open() || w.cut != nil {
+			continue
+		}
+		w.judge.Observe(blockOf(e.Delta, w.rollout, e.Now-w.last))
+		w.last = e.Now
+		if j := w.judge.Judgement(); j.Verdict == Condemned {
+			effects = append(effects, c.cut(w, e.Now, c.ownCut(w, j.Reason))...)
+		}
+	}
+	return effects
+}
+
+func (c *Cutter) ownCut(w *watch, reason string) Cut {
+	return Cut{
+		Rollout: w.rollout.ID, Service: w.rollout.Service, Version: w.rollout.To,
+		Node: c.config.Self, Zone: c.config.Zone, Reason: reason,
+	}
+}
+
+func (c *Cutter) cut(w *watch, now time.Duration, cut Cut) []Effect {
+	w.cut = &cut
+	w.told = now
+	effects := []Effect{CutVersion{Service: cut.Service, Version: cut.Version, Reason: cut.Reason}}
+	if cut.Node == c.config.Self {
+		effects = append(effects, NotifyCut{Cut: cut})
+	}
+	return effects
+}
+
+// cutNoticed follows a cut of the own zone: its members see the same targets.
+// Cuts of other zones are left to the holder.
+func (c *Cutter) cutNoticed(e CutNoticed) []Effect {
+	w := c.watched[e.Cut.Service]
+	if w == nil || w.rollout.ID != e.Cut.Rollout || !w.rollout.Open() || w.cut != nil || e.Cut.Zone != c.config.Zone {
+		return nil
+	}
+	return c.cut(w, e.Now, e.Cut)
+}
+
+func (c *Cutter) repeat(now time.Duration) []Effect {
+	var effects []Effect
+	for _, service := range slices.Sorted(maps.Keys(c.watched)) {
+		w := c.watched[service]
+		own := w.cut != nil && w.cut.Node == c.config.Self
+		if own && w.rollout.Open() && now-w.told >= CutRepeat {
+			w.told = now
+			effects = append(effects, NotifyCut{Cut: *w.cut})
+		}
+	}
+	return effects
+}
+
+// plannedTime is the time from start to deadline.
+func plannedTime(r state.Rollout) time.Duration {
+	return time.Duration(r.DeadlineUnixMS-r.StartUnixMS) * time.Millisecond
+}
+
+// blockOf arranges evidence of a rollout's two versions by route and zone.
+func blockOf(e Evidence, r state.Rollout, elapsed time.Duration) Block {
+	strata := map[stratumKey]*Stratum{}
+	for k, c := range e {
+		if k.Service != r.Service || (k.Version != r.From && k.Version != r.To) {
+			continue
+		}
+		key := stratumKey{k.Route, string(k.Zone)}
+		s := strata[key]
+		if s == nil {
+			s = &Stratum{Route: k.Route, Zone: k.Zone}
+			strata[key] = s
+		}
+		if k.Version == r.To {
+			s.New.Merge(c)
+		} else {
+			s.Old.Merge(c)
+		}
+	}
+	b := Block{Elapsed: elapsed, Weight: r.Weight}
+	for _, key := range slices.SortedFunc(maps.Keys(strata), compareStrata) {
+		b.Strata = append(b.Strata, *strata[key])
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/rollout/eprocess.go
@@ -0,0 +1,62 @@
+package rollout
+
+import "math"
+
+// eProcess gathers evidence against the hypothesis that the odds ratio of the
+// new version is at most null. Its value stays below 1/a at all looks with a
+// probability of at least 1-a if the hypothesis holds, so it may be read at any
+// time without inflating false alarms.
+//
+// It mixes over a grid of odds ratios and over the time at which a fault starts:
+// half of the prior weight is on the start of the rollout, and the rest is
+// spread over its planned time, so that a fault that shows late is not weighed
+// down by the good calls before it.
+type eProcess struct {
+	null   float64
+	omegas []float64
+	// sums holds, for each odds ratio, the mixture over start times so far.
+	sums  []float64
+	spent float64
+}
+
+// startWeight is the prior weight of a fault that is there from the start.
+const startWeight = 0.5
+
+// evidenceCeiling keeps the sums finite; it is far above any threshold.
+const evidenceCeiling = 1e60
+
+func newEProcess(null float64, omegas []float64) *eProcess {
+	return &eProcess{null: null, omegas: omegas, sums: make([]float64, len(omegas))}
+}
+
+// open adds the prior weight of faults that start before the next tables, for a
+// block that covers the given part of the planned time.
+func (p *eProcess) open(part float64) {
+	w := part * (1 - startWeight)
+	if p.spent == 0 {
+		w += startWeight
+	}
+	w = min(w, 1-p.spent)
+	p.spent += w
+	for i := range p.sums {
+		p.sums[i] += w
+	}
+}
+
+// observe multiplies in the likelihood ratios of one table, given as logarithms
+// in the order of omegas.
+func (p *eProcess) observe(logRatios []float64) {
+	for i, r := range logRatios {
+		p.sums[i] = min(p.sums[i]*math.Exp(r), evidenceCeiling)
+	}
+}
+
+// value returns the evidence: its expectation is at most 1 under the hypothesis.
+func (p *eProcess) value() float64 {
+	total := 1 - p.spent
+	mean := 0.0
+	for _, s := range p.sums {
+		mean += s / float64(len(p.sums))
+	}
+	return total + mean
+}
--- /dev/null
+++ b/pkg/rollout/holder.go
@@ -0,0 +1,215 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// Bounds of the holder.
+const (
+	// ClaimAfter is how long a holder may be silent before another node claims.
+	ClaimAfter = 6 * time.Second
+	// StatusInterval is how often the holder publishes its report: a third of
+	// ClaimAfter, so that one lost message causes no takeover.
+	StatusInterval = 2 * time.Second
+	// AppendRetry is how often an append without a result is asked for again.
+	AppendRetry = 2 * time.Second
+	// PlatformFreshness is how long a read of the log's head confirms that the
+	// platform is readable. Long polls answer at least every few seconds.
+	PlatformFreshness = 5 * time.Second
+	// EvidenceBound is how long a zone's evidence may be missing before no share
+	// is raised any more.
+	EvidenceBound = 5 * time.Second
+	// lookInterval is how often the holder compares.
+	lookInterval = time.Second
+)
+
+// falseAlarm is the probability of taking back a good version, over all looks.
+const falseAlarm = 0.001
+
+// HolderConfig sets up a Holder.
+type HolderConfig struct {
+	Self mesh.NodeID
+	// Rollout is the id of the rollout that this machine follows.
+	Rollout record.RolloutID
+	// NewJudge makes the comparison; nil means NewSequential.
+	NewJudge func(JudgeConfig) Judge
+}
+
+// Holder follows one rollout on every node, and drives it on the node that holds
+// its claim. Its invariants: it asks for records only under the epoch of its own
+// claim; it raises a share only while the platform is readable, the rollout is
+// progressing, no zone's evidence is overdue and the present share passed; it
+// completes only at full weight after the final soak. The caller owns a Holder
+// from one goroutine and drops it once Ended.
+type Holder struct {
+	config   HolderConfig
+	rollout  state.Rollout
+	known    bool
+	revision record.Revision
+	plan     Plan
+	live     []mesh.NodeID
+	zones    []mesh.AvailabilityZone
+	read     time.Duration
+	readSeen bool
+	// progress is when the present holder was last heard of.
+	progress time.Duration
+	// raisedMS is the wall clock time at which the present share was seen first.
+	raisedMS  int64
+	sources   map[mesh.NodeID]*source
+	zoneHeard map[mesh.AvailabilityZone]time.Duration
+	heldSince time.Duration
+	pending   Evidence
+	looked    time.Duration
+	judge     Judge
+	cut       *Cut
+	flight    *flight
+	attempts  int
+	told      time.Duration
+	now       time.Duration
+	unixMS    int64
+	rate      evidenceRate
+}
+
+// source is what was last received from one source of evidence.
+type source struct {
+	session  mesh.SessionID
+	sequence uint64
+	totals   Evidence
+}
+
+// flight is a record whose result has not been seen.
+type flight struct {
+	record record.Record
+	sent   time.Duration
+}
+
+// NewHolder returns a machine that knows nothing but the rollout's id.
+func NewHolder(config HolderConfig) *Holder {
+	if config.NewJudge == nil {
+		config.NewJudge = NewSequential
+	}
+	return &Holder{
+		config: config, sources: map[mesh.NodeID]*source{},
+		zoneHeard: map[mesh.AvailabilityZone]time.Duration{}, pending: Evidence{},
+	}
+}
+
+// Ended reports whether the rollout is done or taken back.
+func (h *Holder) Ended() bool { return h.known && !h.rollout.Open() }
+
+// Holding reports whether this node holds the rollout's claim.
+func (h *Holder) Holding() bool {
+	return h.known && h.rollout.Epoch != 0 && h.rollout.Holder == string(h.config.Self)
+}
+
+// Step handles one event.
+func (h *Holder) Step(e Event) []Effect {
+	switch e := e.(type) {
+	case Tick:
+		return h.tick(e)
+	case RolloutChanged:
+		return h.rolloutChanged(e)
+	case CandidatesChanged:
+		h.live = slices.Clone(e.Live)
+	case PlatformRead:
+		h.read, h.readSeen = e.Now, true
+		h.revision = max(h.revision, e.Revision)
+	case ZonesChanged:
+		h.zones = slices.Clone(e.Zones)
+	case EvidenceReceived:
+		h.evidence(e)
+	case CutNoticed:
+		return h.cutNoticed(e)
+	case HolderHeard:
+		if e.Rollout == h.config.Rollout && e.Epoch >= h.rollout.Epoch {
+			h.progress = max(h.progress, e.Now)
+		}
+	case AppendSettled:
+		h.settled(e)
+	}
+	return nil
+}
+
+func (h *Holder) tick(e Tick) []Effect {
+	h.now, h.unixMS = e.Now, e.UnixMS
+	if !h.known || !h.rollout.Open() {
+		return nil
+	}
+	if !h.Holding() {
+		return h.maybeClaim()
+	}
+	h.look()
+	effects := h.drive()
+	if h.now-h.told >= StatusInterval || h.told == 0 {
+		h.told = h.now
+		effects = append(effects, PublishStatus{Epoch: h.rollout.Epoch, Report: h.Report()})
+	}
+	return effects
+}
+
+func (h *Holder) rolloutChanged(e RolloutChanged) []Effect {
+	if e.Rollout.ID != h.config.Rollout || (h.known && e.Rollout.Revision < h.rollout.Revision) {
+		return nil
+	}
+	h.now, h.unixMS = e.Now, e.UnixMS
+	h.revision = max(h.revision, e.Revision)
+	before, first := h.rollout, !h.known
+	h.rollout, h.known = e.Rollout, true
+	if first {
+		h.plan = NewPlan(e.Rollout.StartUnixMS, e.Rollout.DeadlineUnixMS)
+	}
+	if first || before.Revision != e.Rollout.Revision {
+		h.progress = e.Now
+		h.flight, h.attempts = nil, 0
+	}
+	if first || before.Weight != e.Rollout.Weight {
+		h.raisedMS = e.UnixMS
+	}
+	if h.Holding() && (first || before.Epoch != e.Rollout.Epoch) {
+		h.takeOver()
+	}
+	if h.judge != nil && e.Rollout.Weight > before.Weight {
+		h.judge.Raised()
+	}
+	return h.tick(Tick{Now: e.Now, UnixMS: e.UnixMS})
+}
+
+// takeOver starts the comparison afresh: evidence counted under other shares
+// can't be split by time any more.
+func (h *Holder) takeOver() {
+	h.judge = h.config.NewJudge(JudgeConfig{FalseAlarm: falseAlarm, Planned: plannedTime(h.rollout)})
+	h.heldSince, h.looked = h.now, h.now
+	h.raisedMS = h.unixMS
+	h.sources = map[mesh.NodeID]*source{}
+	h.pending = Evidence{}
+	h.rate = evidenceRate{}
+}
+
+func (h *Holder) cutNoticed(e CutNoticed) []Effect {
+	if e.Cut.Rollout != h.config.Rollout || h.cut != nil {
+		return nil
+	}
+	cut := e.Cut
+	h.cut = &cut
+	if !h.Holding() || !h.rollout.Open() {
+		return nil
+	}
+	h.now = max(h.now, e.Now)
+	return h.drive()
+}
+
+func (h *Holder) settled(e AppendSettled) {
+	if h.flight == nil || e.ID != h.flight.record.ID {
+		return
+	}
+	h.flight = nil
+	if e.Outcome.Code != state.Accepted {
+		// The id is spent: its first outcome stands, so a later try needs a new one.
+		h.attempts++
+	}
+}
--- /dev/null
+++ b/pkg/rollout/holder_drive.go
@@ -0,0 +1,172 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// minSoak is the shortest soak of a step that is caught up late, and finalSoak
+// the shortest one at full weight, as parts of the planned soak.
+const (
+	catchUpPart = 0.25
+	finalPart   = 0.5
+)
+
+// maybeClaim claims the rollout if its holder is silent and this node ranks
+// first among the other live candidates.
+func (h *Holder) maybeClaim() []Effect {
+	if !h.platformReadable() || (h.rollout.Epoch != 0 && h.now-h.progress < ClaimAfter) {
+		return nil
+	}
+	var others []mesh.NodeID
+	for _, id := range h.live {
+		if string(id) != h.rollout.Holder {
+			others = append(others, id)
+		}
+	}
+	ranked := mesh.RankNodes(fmt.Sprintf("rollout-%d", h.rollout.ID), others)
+	if len(ranked) == 0 || ranked[0] != h.config.Self {
+		return nil
+	}
+	return h.append(record.Record{
+		ID:       h.recordID("claim-" + string(h.config.Self)),
+		Presumes: record.Revision(h.rollout.Epoch),
+		Body:     record.ClaimRollout{Rollout: h.rollout.ID, Holder: string(h.config.Self)},
+	})
+}
+
+// drive decides what the holder asks for next.
+func (h *Holder) drive() []Effect {
+	if h.cut != nil {
+		reason := fmt.Sprintf("cut by node %s in zone %s: %s", h.cut.Node, h.cut.Zone, h.cut.Reason)
+		return h.rollBack(record.CauseLocalCut, reason)
+	}
+	j := h.judge.Judgement()
+	if j.Verdict == Condemned {
+		return h.rollBack(record.CauseComparison, j.Reason)
+	}
+	if _, blocked := h.blocked(); blocked {
+		return nil
+	}
+	if h.rollout.Weight == 0 {
+		return h.step(h.plan.Steps[0].Weight)
+	}
+	return h.advance(j)
+}
+
+// advance completes the rollout, records a pass, or takes the next step.
+func (h *Holder) advance(j Judgement) []Effect {
+	next, more := h.plan.Next(h.rollout.Weight)
+	due := h.dueUnixMS()
+	if h.unixMS < due {
+		return nil
+	}
+	reason, ok := h.mayAdvance(j, next.Weight)
+	if !ok {
+		return nil
+	}
+	if !more {
+		return h.append(h.held("complete", record.CompleteRollout{Rollout: h.rollout.ID}))
+	}
+	if next.Weight > state.UnverifiedWeightLimit && !h.rollout.Passed {
+		return h.append(h.held("verdict", record.RolloutVerdict{Rollout: h.rollout.ID, Weight: h.rollout.Weight, Reason: reason}))
+	}
+	return h.step(next.Weight)
+}
+
+// mayAdvance says whether the evidence allows to leave the present share.
+func (h *Holder) mayAdvance(j Judgement, next record.BasisPoints) (reason string, ok bool) {
+	if j.Verdict == Passed {
+		return j.Reason, true
+	}
+	if next != 0 && next <= state.UnverifiedWeightLimit {
+		// Steps up to the limit need no pass, only that nothing speaks against it.
+		return j.Reason, j.Failures == 0 || j.CallsNeeded > 0
+	}
+	return h.lowTraffic(j, next)
+}
+
+// dueUnixMS is when the present share may be left: at its planned time, or if the
+// rollout is late, after the shortest soak.
+func (h *Holder) dueUnixMS() int64 {
+	weight := h.rollout.Weight
+	planned := h.plan.CompleteUnixMS
+	part := finalPart
+	if next, ok := h.plan.Next(weight); ok {
+		planned = next.AtUnixMS
+		part = catchUpPart
+	}
+	soak := time.Duration(float64(h.plan.Soak(weight)) * part)
+	return max(planned, h.raisedMS+soak.Milliseconds())
+}
+
+func (h *Holder) step(weight record.BasisPoints) []Effect {
+	return h.append(h.held(fmt.Sprintf("step-%d", weight), record.StepRollout{Rollout: h.rollout.ID, Weight: weight}))
+}
+
+func (h *Holder) rollBack(cause record.RollBackCause, reason string) []Effect {
+	return h.append(h.held("rollback", record.RollBackRollout{Rollout: h.rollout.ID, Cause: cause, Reason: reason}))
+}
+
+// held returns a record under this node's claim.
+func (h *Holder) held(what string, body record.Body) record.Record {
+	return record.Record{ID: h.recordID(what), Epoch: h.rollout.Epoch, Body: body}
+}
+
+// recordID is stable while the rollout does not change, so that repeated appends
+// have one effect, and new after each change, since the first outcome of an id
+// stands for ever.
+func (h *Holder) recordID(what string) string {
+	return fmt.Sprintf("rollout-%d-%s-e%d-r%d-a%d", h.rollout.ID, what, h.rollout.Epoch, h.rollout.Revision, h.attempts)
+}
+
+// append asks for a record, and for the same bytes again while its result is
+// unknown. A record of another kind replaces one in flight.
+func (h *Holder) append(rec record.Record) []Effect {
+	if h.flight != nil && h.flight.record.ID == rec.ID {
+		if h.now-h.flight.sent < AppendRetry {
+			return nil
+		}
+		h.flight.sent = h.now
+		return []Effect{AppendRecord{Record: h.flight.record}}
+	}
+	rec.Author = string(h.config.Self)
+	rec.Base = h.revision
+	h.flight = &flight{record: rec, sent: h.now}
+	return []Effect{AppendRecord{Record: rec}}
+}
+
+func (h *Holder) platformReadable() bool {
+	return h.readSeen && h.now-h.read <= PlatformFreshness
+}
+
+// blocked returns why no share may be raised now.
+func (h *Holder) blocked() (reason string, blocked bool) {
+	switch {
+	case h.rollout.Status == state.RolloutPaused:
+		return "paused by an operator", true
+	case !h.platformReadable():
+		return "the platform can't be read", true
+	}
+	if unseen := h.unseen(); len(unseen) > 0 && h.rollout.Weight > 0 {
+		return fmt.Sprintf("evidence of zones %v is missing", unseen), true
+	}
+	return "", false
+}
+
+// unseen lists the zones without evidence for longer than EvidenceBound.
+func (h *Holder) unseen() []mesh.AvailabilityZone {
+	var zones []mesh.AvailabilityZone
+	for _, z := range h.zones {
+		if h.now-max(h.zoneHeard[z], h.heldSince) > EvidenceBound {
+			zones = append(zones, z)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
--- /dev/null
+++ b/pkg/rollout/judge.go
@@ -0,0 +1,69 @@
+package rollout
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// Verdict is the outcome of a comparison so far.
+type Verdict string
+
+// The verdicts. Too few samples leave the verdict undecided.
+const (
+	Undecided Verdict = "undecided"
+	Passed    Verdict = "passed"
+	Condemned Verdict = "condemned"
+)
+
+// Stratum holds the calls of both versions at the same time, route and zone.
+type Stratum struct {
+	Route string                `json:"route"`
+	Zone  mesh.AvailabilityZone `json:"zone"`
+	Old   Counts                `json:"old"`
+	New   Counts                `json:"new"`
+}
+
+// Block is the evidence between two looks.
+type Block struct {
+	// Elapsed is the time that the block covers.
+	Elapsed time.Duration `json:"elapsed"`
+	// Weight is the share of the new version during the block.
+	Weight record.BasisPoints `json:"weight_bp"`
+	// Strata are sorted by route, then zone.
+	Strata []Stratum `json:"strata"`
+}
+
+// Judgement is a verdict with what it rests on.
+type Judgement struct {
+	Verdict Verdict
+	// Reason is one sentence for the operator.
+	Reason string
+	// Calls and Failures of the new version since the last raise of its share.
+	Calls, Failures uint64
+	// CallsNeeded is how many more calls of the new version a pass needs, 0 if
+	// their number is not what is missing.
+	CallsNeeded uint64
+}
+
+// Judge compares two versions. Implementations are deterministic and keep the
+// verdict Condemned once it is reached.
+type Judge interface {
+	// Observe adds the evidence since the last look.
+	Observe(Block)
+	// Raised tells that the share of the new version was raised: a pass has to
+	// be earned again under the higher load.
+	Raised()
+	// Judgement returns the verdict on the evidence so far.
+	Judgement() Judgement
+}
+
+// JudgeConfig sets up a Judge.
+type JudgeConfig struct {
+	// FalseAlarm is the probability, over all looks of one rollout, of
+	// condemning a version that is no worse than the old one.
+	FalseAlarm float64
+	// Planned is the time from start to deadline.
+	Planned time.Duration
+}
--- /dev/null
+++ b/pkg/rollout/pass.go
@@ -0,0 +1,43 @@
+package rollout
+
+import (
+	"fmt"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// passRule decides whether the calls under the present share are enough for a
+// pass. It never condemns.
+func passRule(fresh, old Counts, suspicion float64) Judgement {
+	j := Judgement{Verdict: Undecided, Calls: fresh.Calls, Failures: fresh.Failures}
+	switch {
+	case fresh.Calls < passCalls:
+		j.CallsNeeded = passCalls - fresh.Calls
+		j.Reason = fmt.Sprintf("%d of the %d calls that a pass needs", fresh.Calls, passCalls)
+	case suspicion >= passEvidence:
+		j.Reason = "the new version looks worse than the old one, without proof yet"
+	case upperRate(fresh) > rate(old)+passMargin:
+		j.CallsNeeded = fresh.Calls
+		j.Reason = fmt.Sprintf("%d of %d calls failed; more calls are needed to tell whether that is worse than the old version", fresh.Failures, fresh.Calls)
+	default:
+		j.Verdict = Passed
+		j.Reason = fmt.Sprintf("no worse than the old version in %d calls", fresh.Calls)
+	}
+	return j
+}
+
+func rate(c Counts) float64 {
+	if c.Calls == 0 {
+		return 0
+	}
+	return float64(c.Failures) / float64(c.Calls)
+}
+
+// upperRate is the upper confidence limit (Clopper-Pearson) of the failure rate.
+func upperRate(c Counts) float64 {
+	if c.Failures >= c.Calls {
+		return 1
+	}
+	b := distuv.Beta{Alpha: float64(c.Failures) + 1, Beta: float64(c.Calls - c.Failures)}
+	return b.Quantile(1 - passLevel)
+}
--- /dev/null
+++ b/pkg/rollout/plan.go
@@ -0,0 +1,81 @@
+package rollout
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// PlannedStep is one raise of the share and when it is due.
+type PlannedStep struct {
+	Weight record.BasisPoints `json:"weight_bp"`
+	// AtUnixMS is when the step is due, in milliseconds.
+	AtUnixMS int64 `json:"at_unix_ms"`
+}
+
+// Plan holds the steps of a rollout, worked back from its deadline.
+type Plan struct {
+	Steps []PlannedStep `json:"steps"`
+	// CompleteUnixMS is when the final soak ends, in milliseconds. It lies
+	// before the deadline by the time that the last records need.
+	CompleteUnixMS int64 `json:"complete_unix_ms"`
+}
+
+// stepShape gives the end of each soak as a part of the time to the completion.
+// The small shares get the longer soaks, since they gather evidence slowly.
+var stepShape = []struct {
+	weight record.BasisPoints
+	from   float64
+}{
+	{100, 0},
+	{500, 0.15},
+	{2500, 0.40},
+	{5000, 0.60},
+	{record.FullWeight, 0.75},
+}
+
+// completionPart is the part of the rollout's time by which it is completed;
+// the rest covers a takeover and a slow platform.
+const completionPart = 0.95
+
+// maxCompletionMargin bounds that reserve for long rollouts.
+const maxCompletionMargin = 2 * time.Minute
+
+// NewPlan works the steps back from the deadline. It depends only on the
+// rollout's record, so that every holder has the same plan.
+func NewPlan(startUnixMS, deadlineUnixMS int64) Plan {
+	total := max(deadlineUnixMS-startUnixMS, 1)
+	margin := min(int64(float64(total)*(1-completionPart)), maxCompletionMargin.Milliseconds())
+	span := total - margin
+	p := Plan{CompleteUnixMS: startUnixMS + span}
+	for _, s := range stepShape {
+		p.Steps = append(p.Steps, PlannedStep{s.weight, startUnixMS + int64(s.from*float64(span))})
+	}
+	return p
+}
+
+// Next returns the step after the given share, and false at full weight.
+func (p Plan) Next(weight record.BasisPoints) (PlannedStep, bool) {
+	for _, s := range p.Steps {
+		if s.Weight > weight {
+			return s, true
+		}
+	}
+	return PlannedStep{}, false
+}
+
+// Soak returns the planned time between a share and the next one, and the final
+// soak at full weight.
+func (p Plan) Soak(weight record.BasisPoints) time.Duration {
+	for i, s := range p.Steps {
+		if s.Weight < weight {
+			continue
+		}
+		end := p.CompleteUnixMS
+		if i+1 < len(p.Steps) {
+			end = p.Steps[i+1].AtUnixMS
+		}
+		return time.Duration(end-s.AtUnixMS) * time.Millisecond
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/rollout/report.go
@@ -0,0 +1,148 @@
+package rollout
+
+import (
+	"fmt"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// Status is what operators are told about a rollout.
+type Status string
+
+// The statuses. Unknown is reported by a node that can't see the platform, and
+// never stands in for another status.
+const (
+	StatusWaiting    Status = "waiting"
+	StatusInProgress Status = "in progress"
+	StatusPaused     Status = "paused"
+	StatusAtRisk     Status = "at risk"
+	StatusDone       Status = "done"
+	StatusReversed   Status = "reversed"
+	StatusUnknown    Status = "unknown"
+)
+
+// Report is the state of a rollout for operators.
+type Report struct {
+	Rollout record.RolloutID   `json:"rollout"`
+	Service string             `json:"service"`
+	From    string             `json:"from"`
+	To      string             `json:"to"`
+	Status  Status             `json:"status"`
+	Weight  record.BasisPoints `json:"weight_bp"`
+	// Reason is one sentence; it is set for every status but in progress.
+	Reason string `json:"reason,omitempty"`
+	// ExpectedUnixMS is when the rollout is expected to be done, in milliseconds,
+	// 0 if it can't be told.
+	ExpectedUnixMS int64 `json:"expected_unix_ms,omitempty"`
+	DeadlineUnixMS int64 `json:"deadline_unix_ms"`
+	// Unseen lists the zones whose evidence is missing.
+	Unseen []mesh.AvailabilityZone `json:"unseen,omitempty"`
+	// Calls and Failures of the new version since the last raise of its share.
+	Calls    uint64 `json:"calls"`
+	Failures uint64 `json:"failures"`
+}
+
+// Report returns the state of the rollout as this node sees it.
+func (h *Holder) Report() Report {
+	r := Report{Rollout: h.config.Rollout, Status: StatusUnknown, Reason: "the rollout has not been read yet"}
+	if !h.known {
+		return r
+	}
+	r.Service, r.From, r.To = h.rollout.Service, h.rollout.From, h.rollout.To
+	r.Weight, r.DeadlineUnixMS = h.rollout.Weight, h.rollout.DeadlineUnixMS
+	switch h.rollout.Status {
+	case state.RolloutDone:
+		r.Status, r.Reason = StatusDone, h.rollout.Reason
+		return r
+	case state.RolloutRolledBack:
+		r.Status, r.Reason = StatusReversed, h.rollout.Reason
+		return r
+	}
+	if !h.platformReadable() {
+		r.Reason = "this node can't read the platform"
+		return r
+	}
+	return h.openReport(r)
+}
+
+func (h *Holder) openReport(r Report) Report {
+	if h.rollout.Epoch == 0 {
+		r.Status, r.Reason = StatusWaiting, "no node holds the rollout yet"
+		return r
+	}
+	r.Status, r.Reason = StatusInProgress, ""
+	if h.rollout.Status == state.RolloutPaused {
+		r.Status, r.Reason = StatusPaused, "paused by an operator"
+	}
+	if !h.Holding() {
+		return r
+	}
+	j := h.judge.Judgement()
+	r.Calls, r.Failures = j.Calls, j.Failures
+	r.Unseen = h.unseen()
+	if len(r.Unseen) > 0 {
+		r.Status, r.Reason = StatusUnknown, fmt.Sprintf("evidence of zones %v is missing", r.Unseen)
+		return r
+	}
+	if r.Status == StatusInProgress {
+		h.warn(&r, j)
+	}
+	return r
+}
+
+// warn turns the status to at risk if the remaining steps do not fit before the
+// deadline at the present rate of evidence.
+func (h *Holder) warn(r *Report, j Judgement) {
+	expected, known := h.expectedUnixMS(j)
+	r.ExpectedUnixMS = expected
+	switch {
+	case !known:
+		r.Status, r.Reason = StatusAtRisk, "no calls arrive, so that the versions can't be compared"
+	case expected > h.rollout.DeadlineUnixMS:
+		r.Status = StatusAtRisk
+		r.Reason = fmt.Sprintf("expected %d s after the deadline", (expected-h.rollout.DeadlineUnixMS+999)/1000)
+		if j.Reason != "" && j.Verdict == Undecided {
+			r.Reason += ": " + j.Reason
+		}
+	}
+}
+
+// expectedUnixMS projects the completion from the remaining soaks and the calls
+// that each remaining share needs. It returns false if no calls arrive.
+func (h *Holder) expectedUnixMS(j Judgement) (unixMS int64, known bool) {
+	at := max(h.unixMS, h.dueUnixMS())
+	perSecond := h.rate.perSecond()
+	if h.now-h.heldSince >= rateMemory && perSecond == 0 {
+		return 0, false
+	}
+	at = max(at, h.unixMS+waitMS(j.CallsNeeded, perSecond, h.rollout.Weight))
+	weight := h.rollout.Weight
+	for {
+		next, more := h.plan.Next(weight)
+		if !more {
+			return at, true
+		}
+		soak, part := h.plan.Soak(next.Weight), catchUpPart
+		if next.Weight == record.FullWeight {
+			part = finalPart
+		}
+		soakMS := int64(float64(soak.Milliseconds()) * part)
+		planned := h.plan.CompleteUnixMS
+		if after, ok := h.plan.Next(next.Weight); ok {
+			planned = after.AtUnixMS
+		}
+		at = max(planned, at+max(soakMS, waitMS(cleanCalls, perSecond, next.Weight)))
+		weight = next.Weight
+	}
+}
+
+// waitMS is how long it takes to see a number of calls of the new version.
+func waitMS(calls uint64, perSecond float64, weight record.BasisPoints) int64 {
+	if perSecond == 0 || weight == 0 {
+		return 0
+	}
+	share := float64(weight) / float64(record.FullWeight)
+	return int64(1000 * float64(calls) / (perSecond * share))
+}
