Add the evaluation of version comparisons

Nothing had been measured yet. This replays seeded rollouts against the product's machines, a two-proportion test in the same machines, and a linear ramp with a fixed threshold.

--- /dev/null
+++ b/cmd/heathercroft-evaluate/main.go
@@ -0,0 +1,38 @@
+// Command heathercroft-evaluate replays seeded rollouts of good and bad versions
+// and writes the measured figures.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"heathercroft.example/heathercroft/internal/evaluation"
+)
+
+func main() {
+	app := kingpin.New("heathercroft-evaluate", "Replays seeded rollouts and measures the comparison of versions.")
+	seed := app.Flag("seed", "Seed of all scenarios.").Default("1").Uint64()
+	good := app.Flag("good", "Good versions per profile.").Default("200").Int()
+	bad := app.Flag("bad", "Bad versions per profile.").Default("200").Int()
+	workers := app.Flag("workers", "Replays at once.").Default("4").Int()
+	served := app.Flag("report-served", "Targets report their own number of calls.").Bool()
+	out := app.Flag("out", "Directory of the CSV files and figures.").Default("docs/figures").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	err := evaluation.Report(ctx, evaluation.Config{
+		Seed: *seed, Good: *good, Bad: *bad, Workers: *workers, ReportServed: *served,
+		Profiles: []evaluation.Profile{evaluation.Parapluie(), evaluation.DalaNight()},
+		Methods:  evaluation.Methods(),
+	}, *out, os.Stdout)
+	if err != nil {
+		log.Error("evaluation failed", "error", err.Error())
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/evaluation/method.go
@@ -0,0 +1,44 @@
+package evaluation
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/rollout"
+)
+
+// Result says how a replay ended.
+type Result string
+
+// The results of a replay.
+const (
+	Done     Result = "done"
+	Reversed Result = "reversed"
+	// Open: neither done nor taken back when the replay ended.
+	Open Result = "open"
+)
+
+// shifter is a method under evaluation: it decides the share of each node.
+type shifter interface {
+	share(node int) record.BasisPoints
+	// counted takes in one counted call.
+	counted(c call)
+	// tick lets the method act on what it has seen.
+	tick(now time.Duration, unixMS int64)
+	result() Result
+}
+
+// Method names a way to decide.
+type Method struct {
+	Name string
+	make func(Scenario, *world) shifter
+}
+
+// Methods returns the product's test and the baselines.
+func Methods() []Method {
+	return []Method{
+		{"sequential", func(s Scenario, w *world) shifter { return newMachines(s, w, rollout.NewSequential) }},
+		{"two-proportion", func(s Scenario, w *world) shifter { return newMachines(s, w, newTwoProportion) }},
+		{"fixed-threshold-ramp", func(s Scenario, _ *world) shifter { return newRamp(s) }},
+	}
+}
--- /dev/null
+++ b/internal/evaluation/report.go
@@ -0,0 +1,37 @@
+package evaluation
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Report runs the evaluation, prints the summaries to w as CSV, and writes the
+// CSV file and the figures into dir, which must exist.
+func Report(ctx context.Context, c Config, dir string, w io.Writer) error {
+	rows, err := Run(ctx, c)
+	if err != nil {
+		return err
+	}
+	list := Summarize(rows)
+	file, err := os.Create(filepath.Join(dir, "comparison.csv"))
+	if err != nil {
+		return errors.Wrap(err, "create summary file")
+	}
+	defer file.Close()
+	if err := WriteSummaries(io.MultiWriter(file, w), list); err != nil {
+		return err
+	}
+	for _, p := range c.Profiles {
+		if _, err := PlotOutcomes(dir, p.Name, list); err != nil {
+			return err
+		}
+		if _, err := PlotHarmed(dir, p.Name, list); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(file.Sync(), "write summary file")
+}
--- a/pkg/rollout/events.go
+++ b/pkg/rollout/events.go
@@ -66,8 +66,7 @@
 }
 
 // LocalEvidence carries what this node counted since its last LocalEvidence.
-// The node sends one as soon as a call of an open rollout failed, and at least
-// every 500 ms otherwise.
+// The node sends one within 500 ms of a counted call, and need not send empty ones.
 type LocalEvidence struct {
 	Now   time.Duration
 	Delta Evidence
--- a/pkg/rollout/holder.go
+++ b/pkg/rollout/holder.go
@@ -69,6 +69,9 @@
 	cut       *Cut
 	flight    *flight
 	attempts  int
+	// refusedAt is when the last append was refused, if refused is set.
+	refusedAt time.Duration
+	refused   bool
 	told      time.Duration
 	now       time.Duration
 	unixMS    int64
@@ -165,7 +168,7 @@
 	}
 	if first || before.Revision != e.Rollout.Revision {
 		h.progress = e.Now
-		h.flight, h.attempts = nil, 0
+		h.flight, h.attempts, h.refused = nil, 0, false
 	}
 	if first || before.Weight != e.Rollout.Weight {
 		h.raisedMS = e.UnixMS
@@ -211,5 +214,6 @@
 	if e.Outcome.Code != state.Accepted {
 		// The id is spent: its first outcome stands, so a later try needs a new one.
 		h.attempts++
+		h.refusedAt, h.refused = e.Now, true
 	}
 }
--- a/pkg/rollout/holder_drive.go
+++ b/pkg/rollout/holder_drive.go
@@ -10,8 +10,8 @@
 	"heathercroft.example/heathercroft/pkg/state"
 )
 
-// minSoak is the shortest soak of a step that is caught up late, and finalSoak
-// the shortest one at full weight, as parts of the planned soak.
+// The shortest soaks of a late rollout, as parts of the planned soaks. At full
+// weight more is kept, since a fault may show late.
 const (
 	catchUpPart = 0.25
 	finalPart   = 0.5
@@ -135,6 +135,9 @@
 		h.flight.sent = h.now
 		return []Effect{AppendRecord{Record: h.flight.record}}
 	}
+	if h.refused && h.now-h.refusedAt < AppendRetry {
+		return nil
+	}
 	rec.Author = string(h.config.Self)
 	rec.Base = h.revision
 	h.flight = &flight{record: rec, sent: h.now}
--- a/pkg/rollout/pass.go
+++ b/pkg/rollout/pass.go
@@ -6,9 +6,10 @@
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
-// passRule decides whether the calls under the present share are enough for a
-// pass. It never condemns.
-func passRule(fresh, old Counts, suspicion float64) Judgement {
+// PassRule decides whether the calls of both versions under the present share are
+// enough for a pass. suspicion is the evidence against the new version, 1 if there
+// is none. The verdict is Undecided or Passed; the rule never condemns.
+func PassRule(fresh, old Counts, suspicion float64) Judgement {
 	j := Judgement{Verdict: Undecided, Calls: fresh.Calls, Failures: fresh.Failures}
 	switch {
 	case fresh.Calls < passCalls:
--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -230,7 +230,7 @@
 	if s.condemned != nil {
 		return *s.condemned
 	}
-	return passRule(s.raised, s.oldRaised, s.suspicion())
+	return PassRule(s.raised, s.oldRaised, s.suspicion())
 }
 
 func (s *Sequential) suspicion() float64 {
