Compare marked calls against the share instead of within blocks

A block of one second rarely holds calls of both versions of the same route and zone at night, so conditional tables had nothing to compare. Each failed or slow call is now weighed against the new version's part of the recent calls of its route and zone, which starts from the share in force.

--- a/pkg/rollout/eprocess.go
+++ b/pkg/rollout/eprocess.go
@@ -2,19 +2,17 @@
 
 import "math"
 
-// eProcess gathers evidence against the hypothesis that the odds ratio of the
-// new version is at most null. Its value stays below 1/a at all looks with a
+// eProcess gathers evidence against the hypothesis that the new version is no
+// worse than the old one. Its value stays below 1/a at all looks with a
 // probability of at least 1-a if the hypothesis holds, so it may be read at any
 // time without inflating false alarms.
 //
-// It mixes over a grid of odds ratios and over the time at which a fault starts:
+// It mixes over a grid of rate ratios and over the time at which a fault starts:
 // half of the prior weight is on the start of the rollout, and the rest is
 // spread over its planned time, so that a fault that shows late is not weighed
 // down by the good calls before it.
 type eProcess struct {
-	null   float64
-	omegas []float64
-	// sums holds, for each odds ratio, the mixture over start times so far.
+	// sums holds, for each rate ratio, the mixture over start times so far.
 	sums  []float64
 	spent float64
 }
@@ -25,8 +23,8 @@
 // evidenceCeiling keeps the sums finite; it is far above any threshold.
 const evidenceCeiling = 1e60
 
-func newEProcess(null float64, omegas []float64) *eProcess {
-	return &eProcess{null: null, omegas: omegas, sums: make([]float64, len(omegas))}
+func newEProcess(ratios int) *eProcess {
+	return &eProcess{sums: make([]float64, ratios)}
 }
 
 // open adds the prior weight of faults that start before the next tables, for a
@@ -44,7 +42,7 @@
 }
 
 // observe multiplies in the likelihood ratios of one table, given as logarithms
-// in the order of omegas.
+// in the order of the rate ratios.
 func (p *eProcess) observe(logRatios []float64) {
 	for i, r := range logRatios {
 		p.sums[i] = min(p.sums[i]*math.Exp(r), evidenceCeiling)
--- /dev/null
+++ b/pkg/rollout/exposure.go
@@ -0,0 +1,54 @@
+package rollout
+
+import (
+	"math"
+
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// exposureMemory is how many recent calls of a stratum estimate the new
+// version's part of them: few enough to follow load, and enough for 5 %.
+const exposureMemory = 400
+
+// exposurePrior is the weight, in calls, of the share in force in that estimate.
+// It bridges the first calls after a raise.
+const exposurePrior = 20
+
+// exposure follows the new version's part of the calls of one stratum. Calls are
+// assigned to versions by the share, independently of how they end; so if the
+// versions are alike, a failed call is one of the new version with just this
+// probability, whatever the common failure rate is.
+type exposure struct {
+	weight             record.BasisPoints
+	newCalls, oldCalls float64
+}
+
+// observe adds the calls of a block under the given share. A change of the share
+// starts the estimate afresh.
+func (e *exposure) observe(weight record.BasisPoints, newCalls, oldCalls uint64) {
+	if weight != e.weight {
+		*e = exposure{weight: weight}
+	}
+	e.newCalls += float64(newCalls)
+	e.oldCalls += float64(oldCalls)
+	if total := e.newCalls + e.oldCalls; total > exposureMemory {
+		e.newCalls *= exposureMemory / total
+		e.oldCalls *= exposureMemory / total
+	}
+}
+
+// part returns the estimate, from 0 to 1.
+func (e *exposure) part() float64 {
+	prior := float64(e.weight) / float64(record.FullWeight)
+	return (e.newCalls + exposurePrior*prior) / (e.newCalls + e.oldCalls + exposurePrior)
+}
+
+// logRatio returns the logarithm of the likelihood ratio of the marked calls
+// (failed, or slow) of both versions: under a rate ratio of omega against one of
+// null, each marked call being one of the new version with the probability
+// omega·part/(omega·part + 1-part).
+func logRatio(newMarked, oldMarked uint64, part, omega, null float64) float64 {
+	marked := float64(newMarked + oldMarked)
+	return float64(newMarked)*math.Log(omega/null) +
+		marked*math.Log((null*part+1-part)/(omega*part+1-part))
+}
--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -6,9 +6,11 @@
 	"maps"
 	"slices"
 	"time"
+
+	"heathercroft.example/heathercroft/pkg/record"
 )
 
-// The odds ratios of the comparison. Up to the null ratio the new version counts
+// The rate ratios of the comparison. Up to the null ratio the new version counts
 // as no worse; the grids span what faults look like.
 const (
 	failureNull = 1.2
@@ -17,10 +19,11 @@
 
 var (
 	failureOmegas = []float64{3, 10, 50, 500}
-	latencyOmegas = []float64{3, 8, 30}
 	// latencyQuantiles of the old version set the bounds above which calls
-	// count as slow: the median shows a general slowdown, the tail a partial one.
-	latencyQuantiles = []float64{0.5, 0.95}
+	// count as slow: the lower one shows a general slowdown, the tail a partial
+	// one. A rate ratio can't exceed 1/(1-q).
+	latencyQuantiles = []float64{0.75, 0.95}
+	latencyOmegas    = [][]float64{{2, 3, 4}, {3, 6, 15}}
 )
 
 // minReference is how many calls of the old version a latency bound needs.
@@ -45,9 +48,9 @@
 }
 
 func newRouteProcesses() *routeProcesses {
-	r := &routeProcesses{failures: newEProcess(failureNull, failureOmegas)}
-	for range latencyQuantiles {
-		r.latency = append(r.latency, newEProcess(latencyNull, latencyOmegas))
+	r := &routeProcesses{failures: newEProcess(len(failureOmegas))}
+	for i := range latencyQuantiles {
+		r.latency = append(r.latency, newEProcess(len(latencyOmegas[i])))
 	}
 	return r
 }
@@ -68,19 +71,24 @@
 }
 
 // Sequential compares by mixture likelihood ratios that are valid at any look:
-// conditional odds ratios of failures, and of calls slower than quantiles of the
-// old version's earlier latency, at the same time, zone and route.
+// rate ratios of failures, and of calls slower than quantiles of the old
+// version's earlier latency, at the same time, zone and route.
 type Sequential struct {
 	config JudgeConfig
 	all    *routeProcesses
 	routes map[string]*routeProcesses
-	// reference holds the old version's latency so far by route and zone.
-	reference map[stratumKey]*Histogram
-	old       Counts
+	strata map[stratumKey]*stratumState
+	// raised and oldRaised count since the last raise of the share.
 	raised    Counts
 	oldRaised Counts
 	condemned *Judgement
-	buf       []float64
+}
+
+// stratumState is what earlier blocks tell about one route and zone.
+type stratumState struct {
+	exposure exposure
+	// reference holds the old version's latency.
+	reference Histogram
 }
 
 type stratumKey struct{ route, zone string }
@@ -93,7 +101,7 @@
 func NewSequential(config JudgeConfig) Judge {
 	return &Sequential{
 		config: config, all: newRouteProcesses(),
-		routes: map[string]*routeProcesses{}, reference: map[stratumKey]*Histogram{},
+		routes: map[string]*routeProcesses{}, strata: map[stratumKey]*stratumState{},
 	}
 }
 
@@ -113,73 +121,54 @@
 		r.open(part)
 	}
 	for _, st := range b.Strata {
-		s.observeStratum(st)
+		s.observeStratum(st, b.Weight)
 	}
 	s.decide()
 }
 
-func (s *Sequential) observeStratum(st Stratum) {
-	scopes := []*routeProcesses{s.all, s.routes[st.Route]}
-	s.observeFailures(st, scopes)
+func (s *Sequential) observeStratum(st Stratum, weight record.BasisPoints) {
 	key := stratumKey{st.Route, string(st.Zone)}
-	ref := s.reference[key]
-	if ref == nil {
-		ref = &Histogram{}
-		s.reference[key] = ref
+	state := s.strata[key]
+	if state == nil {
+		state = &stratumState{}
+		s.strata[key] = state
+	}
+	state.exposure.observe(weight, st.New.Calls, st.Old.Calls)
+	part := state.exposure.part()
+	scopes := []*routeProcesses{s.all, s.routes[st.Route]}
+	ratios := logRatios(st.New.Failures, st.Old.Failures, part, failureOmegas, failureNull)
+	for _, r := range scopes {
+		r.failures.observe(ratios)
 	}
 	// The bounds come from earlier blocks only: a bound that depends on the
 	// calls it sorts would bias the test.
-	if ref.Total() >= minReference {
-		s.observeLatency(st, ref, scopes)
+	if state.reference.Total() >= minReference {
+		observeLatency(st, &state.reference, part, scopes)
 	}
-	ref.merge(&st.Old.Latency)
-	s.old.Merge(st.Old)
+	state.reference.merge(&st.Old.Latency)
 	s.raised.Merge(st.New)
 	s.oldRaised.Merge(st.Old)
 }
 
-func (s *Sequential) observeFailures(st Stratum, scopes []*routeProcesses) {
-	t := table{
-		newCalls: st.New.Calls, newMarked: st.New.Failures,
-		oldCalls: st.Old.Calls, oldMarked: st.Old.Failures,
-	}
-	ratios, ok := s.ratios(t, failureOmegas, failureNull)
-	if !ok {
-		return
-	}
-	for _, r := range scopes {
-		r.failures.observe(ratios)
-	}
-}
-
-func (s *Sequential) observeLatency(st Stratum, ref *Histogram, scopes []*routeProcesses) {
+func observeLatency(st Stratum, reference *Histogram, part float64, scopes []*routeProcesses) {
 	for i, q := range latencyQuantiles {
-		bucket, _ := ref.Quantile(q)
-		t := table{
-			newCalls: st.New.Latency.Total(), newMarked: st.New.Latency.Above(bucket),
-			oldCalls: st.Old.Latency.Total(), oldMarked: st.Old.Latency.Above(bucket),
-		}
-		ratios, ok := s.ratios(t, latencyOmegas, latencyNull)
-		if !ok {
-			continue
-		}
+		bucket, _ := reference.Quantile(q)
+		ratios := logRatios(st.New.Latency.Above(bucket), st.Old.Latency.Above(bucket), part, latencyOmegas[i], latencyNull)
 		for _, r := range scopes {
 			r.latency[i].observe(ratios)
 		}
 	}
 }
 
-func (s *Sequential) ratios(t table, omegas []float64, null float64) ([]float64, bool) {
-	if t.degenerate() {
-		return nil, false
-	}
-	weights, lowest := t.logWeights(s.buf)
-	s.buf = weights
+func logRatios(newMarked, oldMarked uint64, part float64, omegas []float64, null float64) []float64 {
 	ratios := make([]float64, len(omegas))
+	if newMarked+oldMarked == 0 {
+		return ratios
+	}
 	for i, omega := range omegas {
-		ratios[i] = t.logRatio(weights, lowest, omega, null)
+		ratios[i] = logRatio(newMarked, oldMarked, part, omega, null)
 	}
-	return ratios, true
+	return ratios
 }
 
 // evidence returns the mean of the processes, which is again an e-process: half
