--- a/cmd/heathercroft-evaluate/main.go
+++ b/cmd/heathercroft-evaluate/main.go
@@ -20,6 +20,7 @@
 	bad := app.Flag("bad", "Bad versions per profile.").Default("200").Int()
 	workers := app.Flag("workers", "Replays at once.").Default("4").Int()
 	served := app.Flag("report-served", "Targets report their own number of calls.").Bool()
+	only := app.Flag("only", "Run only the method with this name.").String()
 	out := app.Flag("out", "Directory of the CSV files and figures.").Default("docs/figures").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -29,7 +30,7 @@
 	err := evaluation.Report(ctx, evaluation.Config{
 		Seed: *seed, Good: *good, Bad: *bad, Workers: *workers, ReportServed: *served,
 		Profiles: []evaluation.Profile{evaluation.Parapluie(), evaluation.DalaNight()},
-		Methods:  evaluation.Methods(),
+		Methods:  evaluation.Methods(*only),
 	}, *out, os.Stdout)
 	if err != nil {
 		log.Error("evaluation failed", "error", err.Error())
--- a/internal/evaluation/method.go
+++ b/internal/evaluation/method.go
@@ -1,6 +1,7 @@
 package evaluation
 
 import (
+	"slices"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/record"
@@ -34,11 +35,16 @@
 	make func(Scenario, *world) shifter
 }
 
-// Methods returns the product's test and the baselines.
-func Methods() []Method {
-	return []Method{
+// Methods returns the product's test and the baselines, or only the one with
+// the given name.
+func Methods(only string) []Method {
+	all := []Method{
 		{"sequential", func(s Scenario, w *world) shifter { return newMachines(s, w, rollout.NewSequential) }},
 		{"two-proportion", func(s Scenario, w *world) shifter { return newMachines(s, w, newTwoProportion) }},
 		{"fixed-threshold-ramp", func(s Scenario, _ *world) shifter { return newRamp(s) }},
 	}
+	if only == "" {
+		return all
+	}
+	return slices.DeleteFunc(all, func(m Method) bool { return m.Name != only })
 }
--- a/pkg/rollout/holder.go
+++ b/pkg/rollout/holder.go
@@ -66,9 +66,11 @@
 	pending   Evidence
 	looked    time.Duration
 	judge     Judge
-	cut       *Cut
-	flight    *flight
-	attempts  int
+	// calls and failures of the new version at earlier shares under this claim.
+	calls, failures uint64
+	cut             *Cut
+	flight          *flight
+	attempts        int
 	// refusedAt is when the last append was refused, if refused is set.
 	refusedAt time.Duration
 	refused   bool
@@ -177,6 +179,9 @@
 		h.takeOver()
 	}
 	if h.judge != nil && e.Rollout.Weight > before.Weight {
+		j := h.judge.Judgement()
+		h.calls += j.Calls
+		h.failures += j.Failures
 		h.judge.Raised()
 	}
 	return h.tick(Tick{Now: e.Now, UnixMS: e.UnixMS})
@@ -191,6 +196,7 @@
 	h.sources = map[mesh.NodeID]*source{}
 	h.pending = Evidence{}
 	h.rate = evidenceRate{}
+	h.calls, h.failures = 0, 0
 }
 
 func (h *Holder) cutNoticed(e CutNoticed) []Effect {
--- a/pkg/rollout/holder_drive.go
+++ b/pkg/rollout/holder_drive.go
@@ -13,8 +13,8 @@
 // The shortest soaks of a late rollout, as parts of the planned soaks. At full
 // weight more is kept, since a fault may show late.
 const (
-	catchUpPart = 0.25
-	finalPart   = 0.5
+	catchUpPart = 0.1
+	finalPart   = 0.25
 )
 
 // maybeClaim claims the rollout if its holder is silent and this node ranks
@@ -86,7 +86,7 @@
 	}
 	if next != 0 && next <= state.UnverifiedWeightLimit {
 		// Steps up to the limit need no pass, only that nothing speaks against it.
-		return j.Reason, j.Failures == 0 || j.CallsNeeded > 0
+		return j.Reason, !j.Suspicious
 	}
 	return h.lowTraffic(j, next)
 }
@@ -100,11 +100,27 @@
 	if next, ok := h.plan.Next(weight); ok {
 		planned = next.AtUnixMS
 		part = catchUpPart
+		if h.tooQuiet() {
+			planned = 0
+		}
 	}
 	soak := time.Duration(float64(h.plan.Soak(weight)) * part)
 	return max(planned, h.raisedMS+soak.Milliseconds())
 }
 
+// tooQuiet reports that the planned soak would gather next to no calls at a share
+// below the limit for versions without a pass. Such a share is left early: the
+// time gathers more at the next one.
+func (h *Holder) tooQuiet() bool {
+	next, ok := h.plan.Next(h.rollout.Weight)
+	perSecond := h.rate.perSecond()
+	if !ok || next.Weight > state.UnverifiedWeightLimit || perSecond == 0 {
+		return false
+	}
+	share := float64(h.rollout.Weight) / float64(record.FullWeight)
+	return perSecond*share*h.plan.Soak(h.rollout.Weight).Seconds() < cleanCalls
+}
+
 func (h *Holder) step(weight record.BasisPoints) []Effect {
 	return h.append(h.held(fmt.Sprintf("step-%d", weight), record.StepRollout{Rollout: h.rollout.ID, Weight: weight}))
 }
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -42,6 +42,9 @@
 	Reason string
 	// Calls and Failures of the new version since the last raise of its share.
 	Calls, Failures uint64
+	// Suspicious is set if the evidence speaks against the new version, without
+	// proof yet.
+	Suspicious bool
 	// CallsNeeded is how many more calls of the new version a pass needs, 0 if
 	// their number is not what is missing.
 	CallsNeeded uint64
--- a/pkg/rollout/pass.go
+++ b/pkg/rollout/pass.go
@@ -10,13 +10,13 @@
 // enough for a pass. suspicion is the evidence against the new version, 1 if there
 // is none. The verdict is Undecided or Passed; the rule never condemns.
 func PassRule(fresh, old Counts, suspicion float64) Judgement {
-	j := Judgement{Verdict: Undecided, Calls: fresh.Calls, Failures: fresh.Failures}
+	j := Judgement{Verdict: Undecided, Calls: fresh.Calls, Failures: fresh.Failures, Suspicious: suspicion >= passEvidence}
 	switch {
+	case j.Suspicious:
+		j.Reason = "the new version looks worse than the old one, without proof yet"
 	case fresh.Calls < passCalls:
 		j.CallsNeeded = passCalls - fresh.Calls
 		j.Reason = fmt.Sprintf("%d of the %d calls that a pass needs", fresh.Calls, passCalls)
-	case suspicion >= passEvidence:
-		j.Reason = "the new version looks worse than the old one, without proof yet"
 	case upperRate(fresh) > rate(old)+passMargin:
 		j.CallsNeeded = fresh.Calls
 		j.Reason = fmt.Sprintf("%d of %d calls failed; more calls are needed to tell whether that is worse than the old version", fresh.Failures, fresh.Calls)
--- a/pkg/rollout/report.go
+++ b/pkg/rollout/report.go
@@ -117,7 +117,7 @@
 	if h.now-h.heldSince >= rateMemory && perSecond == 0 {
 		return 0, false
 	}
-	at = max(at, h.unixMS+waitMS(j.CallsNeeded, perSecond, h.rollout.Weight))
+	at = max(at, h.unixMS+waitMS(h.cleanNeeded(j), perSecond, h.rollout.Weight))
 	weight := h.rollout.Weight
 	for {
 		next, more := h.plan.Next(weight)
@@ -133,7 +133,7 @@
 		if after, ok := h.plan.Next(next.Weight); ok {
 			planned = after.AtUnixMS
 		}
-		at = max(planned, at+max(soakMS, waitMS(cleanCalls, perSecond, next.Weight)))
+		at = max(planned, at+max(soakMS, waitMS(cleanAtShare, perSecond, next.Weight)))
 		weight = next.Weight
 	}
 }
