Filter cold starts beside the target and speed up the replays

A filter at each caller's node leaves out the first call from every node to every endpoint, which at night is a large part of all calls of the new version. The node beside the target sees all of them and filters once per endpoint.

--- a/cmd/heathercroft-evaluate/main.go
+++ b/cmd/heathercroft-evaluate/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -19,7 +20,9 @@
 	good := app.Flag("good", "Good versions per profile.").Default("200").Int()
 	bad := app.Flag("bad", "Bad versions per profile.").Default("200").Int()
 	workers := app.Flag("workers", "Replays at once.").Default("4").Int()
-	served := app.Flag("report-served", "Targets report their own number of calls.").Bool()
+	atCaller := app.Flag("filter-at-caller", "Place the cold-start filter at the caller's node.").Bool()
+	mesh := app.Flag("mesh", "Run only the profile with this name.").String()
+	cpu := app.Flag("cpuprofile", "File for a CPU profile.").String()
 	only := app.Flag("only", "Run only the method with this name.").String()
 	out := app.Flag("out", "Directory of the CSV files and figures.").Default("docs/figures").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -27,9 +30,15 @@
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
+	if *cpu != "" {
+		file, err := os.Create(*cpu)
+		app.FatalIfError(err, "create CPU profile")
+		app.FatalIfError(pprof.StartCPUProfile(file), "start CPU profile")
+		defer pprof.StopCPUProfile()
+	}
 	err := evaluation.Report(ctx, evaluation.Config{
-		Seed: *seed, Good: *good, Bad: *bad, Workers: *workers, ReportServed: *served,
-		Profiles: []evaluation.Profile{evaluation.Parapluie(), evaluation.DalaNight()},
+		Seed: *seed, Good: *good, Bad: *bad, Workers: *workers, FilterAtCaller: *atCaller,
+		Profiles: evaluation.Profiles(*mesh),
 		Methods:  evaluation.Methods(*only),
 	}, *out, os.Stdout)
 	if err != nil {
--- a/internal/evaluation/machines.go
+++ b/internal/evaluation/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/record"
@@ -22,11 +23,14 @@
 	cut     []bool
 	totals  []rollout.Evidence
 	fresh   []rollout.Evidence
-	sent    uint64
-	sentAt  time.Duration
-	now     time.Duration
-	unixMS  int64
-	appends int
+	// snapshot holds what was sent last; it is renewed only if dirty.
+	snapshot []rollout.Evidence
+	dirty    []bool
+	sent     uint64
+	sentAt   time.Duration
+	now      time.Duration
+	unixMS   int64
+	appends  int
 	// queue holds the effects of the last tick: they take one tick to arrive.
 	queue []rollout.Effect
 }
@@ -49,6 +53,7 @@
 		m.fresh = append(m.fresh, rollout.Evidence{})
 		m.step(n, rollout.CandidatesChanged{Live: w.nodes})
 	}
+	m.snapshot, m.dirty = make([]rollout.Evidence, len(w.nodes)), make([]bool, len(w.nodes))
 	m.take(m.holder.Step(rollout.CandidatesChanged{Live: w.nodes[:1]}))
 	m.take(m.holder.Step(rollout.PlatformRead{}))
 	m.take(m.holder.Step(rollout.ZonesChanged{Zones: s.Profile.Zones}))
@@ -65,6 +70,7 @@
 }
 
 func (m *machines) counted(c call) {
+	m.dirty[c.node] = true
 	m.totals[c.node].AddCall(c.key, c.failed, c.latency)
 	m.fresh[c.node].AddCall(c.key, c.failed, c.latency)
 }
@@ -94,12 +100,11 @@
 	m.sentAt = m.now
 	m.sent++
 	for n, node := range m.world.nodes {
-		totals := make(rollout.Evidence, len(m.totals[n]))
-		for k, c := range m.totals[n] {
-			totals[k] = c
+		if m.dirty[n] {
+			m.snapshot[n], m.dirty[n] = maps.Clone(m.totals[n]), false
 		}
 		m.take(m.holder.Step(rollout.EvidenceReceived{
-			Now: m.now, Source: node, Session: "s", Sequence: m.sent, Totals: totals,
+			Now: m.now, Source: node, Session: "s", Sequence: m.sent, Totals: m.snapshot[n],
 			Zone: m.world.scenario.Profile.Zones[m.world.zoneOf[n]],
 		}))
 	}
--- a/internal/evaluation/profile.go
+++ b/internal/evaluation/profile.go
@@ -1,6 +1,7 @@
 package evaluation
 
 import (
+	"slices"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/mesh"
@@ -73,3 +74,12 @@
 		Durations: []time.Duration{30 * time.Minute, 2 * time.Hour, 8 * time.Hour},
 	}
 }
+
+// Profiles returns all profiles, or only the one with the given name.
+func Profiles(only string) []Profile {
+	all := []Profile{Parapluie(), DalaNight()}
+	if only == "" {
+		return all
+	}
+	return slices.DeleteFunc(all, func(p Profile) bool { return p.Name != only })
+}
--- a/internal/evaluation/run.go
+++ b/internal/evaluation/run.go
@@ -20,9 +20,9 @@
 	Methods   []Method
 	// Workers is the number of replays at once.
 	Workers int
-	// ReportServed makes targets report their own number of calls, which sharpens
-	// the cold-start filter.
-	ReportServed bool
+	// FilterAtCaller places the cold-start filter at the caller's node instead of
+	// the node beside the target.
+	FilterAtCaller bool
 }
 
 // Row is the outcome of one replay.
@@ -71,7 +71,7 @@
 			if err := ctx.Err(); err != nil {
 				return err
 			}
-			replay(&rows[i], methods[rows[i].Method], c.ReportServed)
+			replay(&rows[i], methods[rows[i].Method], c.FilterAtCaller)
 			return nil
 		})
 	}
@@ -79,9 +79,9 @@
 }
 
 // replay runs one scenario to its end.
-func replay(row *Row, m Method, reportServed bool) {
+func replay(row *Row, m Method, filterAtCaller bool) {
 	s := row.Scenario
-	w := newWorld(s, reportServed)
+	w := newWorld(s, filterAtCaller)
 	method := m.make(s, w)
 	limit := time.Duration((1 + overtime) * float64(s.Duration))
 	now := time.Duration(0)
--- a/internal/evaluation/world.go
+++ b/internal/evaluation/world.go
@@ -60,14 +60,14 @@
 	// noise is the common latency factor of each zone in the present minute.
 	noise  []float64
 	minute int64
-	// reportServed makes targets report their own number of calls.
-	reportServed bool
-	harmed       int
-	newFailed    int
+	// filterAtCaller places the cold-start filter at the caller's node.
+	filterAtCaller bool
+	harmed         int
+	newFailed      int
 }
 
-func newWorld(s Scenario, reportServed bool) *world {
-	w := &world{scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 1)), minute: -1, reportServed: reportServed}
+func newWorld(s Scenario, filterAtCaller bool) *world {
+	w := &world{scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 1)), minute: -1, filterAtCaller: filterAtCaller}
 	for z, zone := range s.Profile.Zones {
 		for i := range s.Profile.NodesPerZone {
 			w.nodes = append(w.nodes, mesh.NodeID(fmt.Sprintf("node-%s-%d", zone, i)))
@@ -160,14 +160,14 @@
 	if !ep.begun {
 		ep.begun, ep.first = true, now
 	}
-	reported := uint64(0)
-	if w.reportServed {
-		reported = ep.served
-	}
 	ep.served++
+	filter := &w.filters[0]
+	if w.filterAtCaller {
+		filter = &w.filters[node]
+	}
 	return call{
 		node: node, failed: failed, latency: latency,
-		counted: w.filters[node].Count(now, ep.run, reported),
+		counted: filter.Count(now, ep.run),
 		key: rollout.Key{
 			Service: ep.run.Service, Version: ep.run.Version, Route: route,
 			Zone: w.scenario.Profile.Zones[zone],
--- a/pkg/rollout/coldstart.go
+++ b/pkg/rollout/coldstart.go
@@ -29,18 +29,18 @@
 	calls       uint64
 }
 
-// ColdStart tells which calls fall into the cold start of their endpoint. The
-// zero value is ready for use.
+// ColdStart tells which calls fall into the cold start of their endpoint. It
+// belongs on the node beside the target, which sees all calls of the endpoint and
+// marks the responses of cold ones; a filter at each caller's node would leave
+// out the first calls from every node. The zero value is ready for use.
 type ColdStart struct {
 	runs  map[EndpointRun]endpointAge
 	swept time.Duration
 }
 
-// Count registers one finished call at the monotonic time now and reports
-// whether it counts as evidence. served is the endpoint's own number of calls
-// before this one, as reported by the node beside it, or 0 if it is unknown;
-// then only the calls from this node are known.
-func (c *ColdStart) Count(now time.Duration, run EndpointRun, served uint64) bool {
+// Count registers one call at the monotonic time now and reports whether it
+// counts as evidence.
+func (c *ColdStart) Count(now time.Duration, run EndpointRun) bool {
 	if c.runs == nil {
 		c.runs = map[EndpointRun]endpointAge{}
 	}
@@ -49,7 +49,7 @@
 	if !known {
 		age.first = now
 	}
-	counts := max(age.calls, served) >= ColdStartCalls || (known && now-age.first >= ColdStartTime)
+	counts := age.calls >= ColdStartCalls || (known && now-age.first >= ColdStartTime)
 	age.last = now
 	age.calls++
 	c.runs[run] = age
--- a/pkg/rollout/cutter.go
+++ b/pkg/rollout/cutter.go
@@ -28,6 +28,8 @@
 	config  CutterConfig
 	nodes   int
 	watched map[string]*watch
+	// notifying is set while a cut of this node may have to be notified again.
+	notifying bool
 }
 
 // watch is the state of one service.
@@ -132,6 +134,7 @@
 	w.told = now
 	effects := []Effect{CutVersion{Service: cut.Service, Version: cut.Version, Reason: cut.Reason}}
 	if cut.Node == c.config.Self {
+		c.notifying = true
 		effects = append(effects, NotifyCut{Cut: cut})
 	}
 	return effects
@@ -148,6 +151,9 @@
 }
 
 func (c *Cutter) repeat(now time.Duration) []Effect {
+	if !c.notifying {
+		return nil
+	}
 	var effects []Effect
 	for _, service := range slices.Sorted(maps.Keys(c.watched)) {
 		w := c.watched[service]
--- a/pkg/rollout/pass.go
+++ b/pkg/rollout/pass.go
@@ -17,7 +17,7 @@
 	case fresh.Calls < passCalls:
 		j.CallsNeeded = passCalls - fresh.Calls
 		j.Reason = fmt.Sprintf("%d of the %d calls that a pass needs", fresh.Calls, passCalls)
-	case upperRate(fresh) > rate(old)+passMargin:
+	case !withinMargin(fresh, rate(old)+passMargin):
 		j.CallsNeeded = fresh.Calls
 		j.Reason = fmt.Sprintf("%d of %d calls failed; more calls are needed to tell whether that is worse than the old version", fresh.Failures, fresh.Calls)
 	default:
@@ -34,11 +34,12 @@
 	return float64(c.Failures) / float64(c.Calls)
 }
 
-// upperRate is the upper confidence limit (Clopper-Pearson) of the failure rate.
-func upperRate(c Counts) float64 {
-	if c.Failures >= c.Calls {
-		return 1
+// withinMargin reports whether the upper confidence limit (Clopper-Pearson) of
+// the failure rate is at most limit.
+func withinMargin(c Counts, limit float64) bool {
+	if c.Failures >= c.Calls || limit >= 1 {
+		return limit >= 1
 	}
 	b := distuv.Beta{Alpha: float64(c.Failures) + 1, Beta: float64(c.Calls - c.Failures)}
-	return b.Quantile(1 - passLevel)
+	return b.CDF(limit) >= 1-passLevel
 }
