--- /dev/null
+++ b/pkg/rollout/pass.go
@@ -0,0 +1,45 @@
+package rollout
+
+import (
+	"fmt"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// PassRule decides whether the calls of both versions under the present share are
+// enough for a pass. suspicion is the evidence against the new version, 1 if there
+// is none. The verdict is Undecided or Passed; the rule never condemns.
+func PassRule(fresh, old Counts, suspicion float64) Judgement {
+	j := Judgement{Verdict: Undecided, Calls: fresh.Calls, Failures: fresh.Failures, Suspicious: suspicion >= passEvidence}
+	switch {
+	case j.Suspicious:
+		j.Reason = "the new version looks worse than the old one, without proof yet"
+	case fresh.Calls < passCalls:
+		j.CallsNeeded = passCalls - fresh.Calls
+		j.Reason = fmt.Sprintf("%d of the %d calls that a pass needs", fresh.Calls, passCalls)
+	case !withinMargin(fresh, rate(old)+passMargin):
+		j.CallsNeeded = fresh.Calls
+		j.Reason = fmt.Sprintf("%d of %d calls failed; more calls are needed to tell whether that is worse than the old version", fresh.Failures, fresh.Calls)
+	default:
+		j.Verdict = Passed
+		j.Reason = fmt.Sprintf("no worse than the old version in %d calls", fresh.Calls)
+	}
+	return j
+}
+
+func rate(c Counts) float64 {
+	if c.Calls == 0 {
+		return 0
+	}
+	return float64(c.Failures) / float64(c.Calls)
+}
+
+// withinMargin reports whether the upper confidence limit (Clopper-Pearson) of
+// the failure rate is at most limit.
+func withinMargin(c Counts, limit float64) bool {
+	if c.Failures >= c.Calls || limit >= 1 {
+		return limit >= 1
+	}
+	b := distuv.Beta{Alpha: float64(c.Failures) + 1, Beta: float64(c.Calls - c.Failures)}
+	return b.CDF(limit) >= 1-passLevel
+}
--- /dev/null
+++ b/pkg/rollout/sequential.go
@@ -0,0 +1,229 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// The rate ratios of the comparison. Up to the null ratio the new version counts
+// as no worse; the grids span what faults look like.
+const (
+	failureNull = 1.2
+	latencyNull = 1.5
+)
+
+var (
+	failureOmegas = []float64{3, 10, 50, 500}
+	// latencyQuantiles of the old version set the bounds above which calls
+	// count as slow: the lower one shows a general slowdown, the tail a partial
+	// one. A rate ratio can't exceed 1/(1-q).
+	latencyQuantiles = []float64{0.75, 0.95}
+	latencyOmegas    = [][]float64{{2, 3, 4}, {3, 6, 15}}
+)
+
+// minReference is how many calls of the old version a latency bound needs.
+const minReference = 20
+
+// The pass rule: the new version must have served enough calls under its present
+// share that a failure rate passMargin above the old version's would have shown,
+// and the evidence against it must be low.
+const (
+	passCalls  = 60
+	passMargin = 0.05
+	passLevel  = 0.05
+	// passEvidence is the evidence above which a version is too suspicious to
+	// pass, though it is far from being condemned.
+	passEvidence = 20
+)
+
+// routeProcesses gathers the evidence of one scope: one route, or all.
+type routeProcesses struct {
+	failures *eProcess
+	latency  []*eProcess
+}
+
+func newRouteProcesses() *routeProcesses {
+	r := &routeProcesses{failures: newEProcess(len(failureOmegas))}
+	for i := range latencyQuantiles {
+		r.latency = append(r.latency, newEProcess(len(latencyOmegas[i])))
+	}
+	return r
+}
+
+func (r *routeProcesses) open(part float64) {
+	r.failures.open(part)
+	for _, p := range r.latency {
+		p.open(part)
+	}
+}
+
+func (r *routeProcesses) latencyValue() float64 {
+	sum := 0.0
+	for _, p := range r.latency {
+		sum += p.value()
+	}
+	return sum / float64(len(r.latency))
+}
+
+// Sequential compares by mixture likelihood ratios that are valid at any look:
+// rate ratios of failures, and of calls slower than quantiles of the old
+// version's earlier latency, at the same time, zone and route.
+type Sequential struct {
+	config JudgeConfig
+	all    *routeProcesses
+	routes map[string]*routeProcesses
+	strata map[stratumKey]*stratumState
+	// raised and oldRaised count since the last raise of the share.
+	raised    Counts
+	oldRaised Counts
+	condemned *Judgement
+}
+
+// stratumState is what earlier blocks tell about one route and zone.
+type stratumState struct {
+	exposure exposure
+	// reference holds the old version's latency.
+	reference Histogram
+}
+
+type stratumKey struct{ route, zone string }
+
+func compareStrata(a, b stratumKey) int {
+	return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.zone, b.zone))
+}
+
+// NewSequential returns the product's judge.
+func NewSequential(config JudgeConfig) Judge {
+	return &Sequential{
+		config: config, all: newRouteProcesses(),
+		routes: map[string]*routeProcesses{}, strata: map[stratumKey]*stratumState{},
+	}
+}
+
+// Raised implements Judge.
+func (s *Sequential) Raised() { s.raised, s.oldRaised = Counts{}, Counts{} }
+
+// Observe implements Judge.
+func (s *Sequential) Observe(b Block) {
+	part := float64(b.Elapsed) / float64(max(s.config.Planned, time.Second))
+	for _, st := range b.Strata {
+		if s.routes[st.Route] == nil {
+			s.routes[st.Route] = newRouteProcesses()
+		}
+	}
+	s.all.open(part)
+	for _, r := range s.routes {
+		r.open(part)
+	}
+	for _, st := range b.Strata {
+		s.observeStratum(st, b.Weight)
+	}
+	s.decide()
+}
+
+func (s *Sequential) observeStratum(st Stratum, weight record.BasisPoints) {
+	key := stratumKey{st.Route, string(st.Zone)}
+	state := s.strata[key]
+	if state == nil {
+		state = &stratumState{}
+		s.strata[key] = state
+	}
+	state.exposure.observe(weight, st.New.Calls, st.Old.Calls)
+	part := state.exposure.part()
+	scopes := []*routeProcesses{s.all, s.routes[st.Route]}
+	ratios := logRatios(st.New.Failures, st.Old.Failures, part, failureOmegas, failureNull)
+	for _, r := range scopes {
+		r.failures.observe(ratios)
+	}
+	// The bounds come from earlier blocks only: a bound that depends on the
+	// calls it sorts would bias the test.
+	if state.reference.Total() >= minReference {
+		observeLatency(st, &state.reference, part, scopes)
+	}
+	state.reference.merge(&st.Old.Latency)
+	s.raised.Merge(st.New)
+	s.oldRaised.Merge(st.Old)
+}
+
+func observeLatency(st Stratum, reference *Histogram, part float64, scopes []*routeProcesses) {
+	for i, q := range latencyQuantiles {
+		bucket, _ := reference.Quantile(q)
+		ratios := logRatios(st.New.Latency.Above(bucket), st.Old.Latency.Above(bucket), part, latencyOmegas[i], latencyNull)
+		for _, r := range scopes {
+			r.latency[i].observe(ratios)
+		}
+	}
+}
+
+func logRatios(newMarked, oldMarked uint64, part float64, omegas []float64, null float64) []float64 {
+	ratios := make([]float64, len(omegas))
+	if newMarked+oldMarked == 0 {
+		return ratios
+	}
+	for i, omega := range omegas {
+		ratios[i] = logRatio(newMarked, oldMarked, part, omega, null)
+	}
+	return ratios
+}
+
+// evidence returns the mean of the processes, which is again an e-process: half
+// on the whole service, half spread over its routes.
+func (s *Sequential) evidence(value func(*routeProcesses) float64) (total float64, worstRoute string) {
+	worst, sum := 0.0, 0.0
+	for _, route := range slices.Sorted(maps.Keys(s.routes)) {
+		v := value(s.routes[route])
+		sum += v
+		if v > worst {
+			worst, worstRoute = v, route
+		}
+	}
+	if len(s.routes) == 0 {
+		return 1, ""
+	}
+	return (value(s.all) + sum/float64(len(s.routes))) / 2, worstRoute
+}
+
+func (s *Sequential) failureEvidence() (float64, string) {
+	return s.evidence(func(r *routeProcesses) float64 { return r.failures.value() })
+}
+
+func (s *Sequential) latencyEvidence() (float64, string) {
+	return s.evidence((*routeProcesses).latencyValue)
+}
+
+func (s *Sequential) decide() {
+	if s.condemned != nil {
+		return
+	}
+	failures, failureRoute := s.failureEvidence()
+	latency, latencyRoute := s.latencyEvidence()
+	if (failures+latency)/2 < 1/s.config.FalseAlarm {
+		return
+	}
+	j := Judgement{Verdict: Condemned, Calls: s.raised.Calls, Failures: s.raised.Failures}
+	if failures >= latency {
+		j.Reason = fmt.Sprintf("the new version fails more calls than the old one, most clearly on route %q (%d of %d calls at this share)", failureRoute, j.Failures, j.Calls)
+	} else {
+		j.Reason = fmt.Sprintf("the new version is slower than the old one, most clearly on route %q", latencyRoute)
+	}
+	s.condemned = &j
+}
+
+// Judgement implements Judge.
+func (s *Sequential) Judgement() Judgement {
+	if s.condemned != nil {
+		return *s.condemned
+	}
+	return PassRule(s.raised, s.oldRaised, s.suspicion())
+}
+
+func (s *Sequential) suspicion() float64 {
+	failures, _ := s.failureEvidence()
+	latency, _ := s.latencyEvidence()
+	return max(failures, latency)
+}
