--- /dev/null
+++ b/internal/query/reply.go
@@ -0,0 +1,166 @@
+package query
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// Status says where a command stands.
+type Status string
+
+// The statuses of a reply.
+const (
+	// StatusDone: a query was answered, a change is in force everywhere, or a
+	// move has ended with all traffic at the new version.
+	StatusDone Status = "done"
+	// StatusRefused: the change has no effect; Reason says why.
+	StatusRefused Status = "refused"
+	// StatusWaiting: the change waits at the node and is not accepted.
+	StatusWaiting Status = "waiting"
+	// StatusInProgress: the change is accepted and not yet in force everywhere,
+	// or the move has not ended.
+	StatusInProgress Status = "in-progress"
+	// StatusReversed: the move was taken back.
+	StatusReversed Status = "reversed"
+	// StatusUnknown: the change may have been appended, or zones can't be seen.
+	StatusUnknown Status = "unknown"
+)
+
+// RunOutcome says whether a command had an effect.
+type RunOutcome string
+
+// The outcomes of a command that is not known to have run.
+const (
+	NotRun     RunOutcome = "not-run"
+	MayHaveRun RunOutcome = "may-have-run"
+)
+
+// Winner is the change that won a race.
+type Winner struct {
+	Revision record.Revision `json:"revision"`
+	ID       string          `json:"id,omitempty"`
+	Author   string          `json:"author,omitempty"`
+}
+
+// Reply is the answer to a command. At most one of the row fields is set.
+type Reply struct {
+	ID     string `json:"id,omitempty"`
+	Status Status `json:"status"`
+	// Outcome is set for a refused or unknown change.
+	Outcome RunOutcome `json:"outcome,omitempty"`
+	Reason  string     `json:"reason,omitempty"`
+	// Winner is set if the change lost a race.
+	Winner *Winner `json:"winner,omitempty"`
+	// Revision is the revision of the change, or the node's revision for a query.
+	Revision record.Revision `json:"revision"`
+	// UnseenZones are the zones whose present state can't be known.
+	UnseenZones []string `json:"unseen_zones,omitempty"`
+	// PendingZones are the visible zones where the change is not in force yet.
+	PendingZones []string `json:"pending_zones,omitempty"`
+	PriceBefore  *Price   `json:"price_before,omitempty"`
+	PriceAfter   *Price   `json:"price_after,omitempty"`
+
+	InForce  []InForceRow `json:"in_force,omitempty"`
+	Services []ServiceRow `json:"services,omitempty"`
+	Routes   []RouteRow   `json:"routes,omitempty"`
+	Moves    []MoveRow    `json:"moves,omitempty"`
+	Nodes    []NodeReport `json:"nodes,omitempty"`
+	Zones    []ZoneRow    `json:"zones,omitempty"`
+	Waiting  []WaitingRow `json:"waiting,omitempty"`
+}
+
+// ZoneState says whether a configuration is in force in a zone.
+type ZoneState string
+
+// The states of a configuration in a zone.
+const (
+	ZoneInForce ZoneState = "in-force"
+	ZonePending ZoneState = "pending"
+	ZoneUnknown ZoneState = "unknown"
+)
+
+// InForceRow is the state of a configuration in one zone.
+type InForceRow struct {
+	Zone    string          `json:"zone"`
+	Service string          `json:"service,omitempty"`
+	Wanted  record.Revision `json:"wanted"`
+	State   ZoneState       `json:"state"`
+	// NodesInForce of Nodes have applied at least the wanted revision.
+	NodesInForce int `json:"nodes_in_force"`
+	Nodes        int `json:"nodes"`
+	// Lowest and Highest are the range of revisions in the zone, as of AsOf.
+	Lowest  record.Revision `json:"lowest"`
+	Highest record.Revision `json:"highest"`
+	AsOf    time.Time       `json:"as_of"`
+	NACKs   []NACK          `json:"nacks,omitempty"`
+}
+
+// ServiceRow is one service.
+type ServiceRow struct {
+	Name     string          `json:"name"`
+	Versions []VersionRow    `json:"versions"`
+	Revision record.Revision `json:"revision"`
+}
+
+// VersionRow is one version of a service with its share of traffic.
+type VersionRow struct {
+	Version string             `json:"version"`
+	Weight  record.BasisPoints `json:"weight_bp"`
+}
+
+// RouteRow is one route.
+type RouteRow struct {
+	Name     string          `json:"name"`
+	Prefix   string          `json:"prefix"`
+	Service  string          `json:"service"`
+	Revision record.Revision `json:"revision"`
+}
+
+// MoveStatus is where a move stands.
+type MoveStatus string
+
+// The states of a move.
+const (
+	MoveInProgress MoveStatus = "in-progress"
+	MovePaused     MoveStatus = "paused"
+	MoveDone       MoveStatus = "done"
+	MoveReversed   MoveStatus = "reversed"
+	MoveUnknown    MoveStatus = "unknown"
+)
+
+// MoveRow is one move.
+type MoveRow struct {
+	ID       record.RolloutID   `json:"id"`
+	Service  string             `json:"service"`
+	From     string             `json:"from"`
+	To       string             `json:"to"`
+	Status   MoveStatus         `json:"status"`
+	Weight   record.BasisPoints `json:"weight_bp"`
+	Deadline time.Time          `json:"deadline"`
+	AtRisk   bool               `json:"at_risk,omitempty"`
+	Expected *time.Time         `json:"expected,omitempty"`
+	Holder   string             `json:"holder,omitempty"`
+	Cause    string             `json:"cause,omitempty"`
+	Reason   string             `json:"reason,omitempty"`
+	CutZones []string           `json:"cut_zones,omitempty"`
+	Revision record.Revision    `json:"revision"`
+}
+
+// ZoneRow is one availability zone.
+type ZoneRow struct {
+	Zone    string          `json:"zone"`
+	Region  string          `json:"region"`
+	Visible bool            `json:"visible"`
+	Nodes   int             `json:"nodes"`
+	Lowest  record.Revision `json:"lowest"`
+	Highest record.Revision `json:"highest"`
+	AsOf    time.Time       `json:"as_of"`
+}
+
+// WaitingRow is one change that waits at the node.
+type WaitingRow struct {
+	ID   string    `json:"id"`
+	Text string    `json:"text"`
+	Due  time.Time `json:"due"`
+}
--- /dev/null
+++ b/internal/settings/values.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// ByteSize is a number of bytes written with a unit, such as "64KiB".
+type ByteSize int64
+
+// Units of ByteSize.
+const (
+	Byte ByteSize = 1
+	KiB           = 1024 * Byte
+	MiB           = 1024 * KiB
+	GiB           = 1024 * MiB
+)
+
+// byteUnits is ordered so that a unit precedes the units that it ends with.
+var byteUnits = []struct {
+	name string
+	size ByteSize
+}{{"GiB", GiB}, {"MiB", MiB}, {"KiB", KiB}, {"B", Byte}}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (b *ByteSize) UnmarshalText(text []byte) error {
+	for _, unit := range byteUnits {
+		number, ok := strings.CutSuffix(string(text), unit.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+		if err != nil || n < 0 || n > int64((1<<62)/unit.size) {
+			break
+		}
+		*b = ByteSize(n) * unit.size
+		return nil
+	}
+	return errors.Newf("%q is no size; write a whole number with B, KiB, MiB or GiB, such as \"64KiB\"", text)
+}
+
+// Address is an IP address and a port, such as "10.0.0.1:8080". Host names are
+// refused, since a node must work without name resolution.
+type Address struct{ netip.AddrPort }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (a *Address) UnmarshalText(text []byte) error {
+	parsed, err := netip.ParseAddrPort(string(text))
+	if err != nil {
+		return errors.Newf("%q is no IP address with a port, such as \"10.0.0.1:8080\" or \"[::1]:8080\"; host names are not looked up", text)
+	}
+	a.AddrPort = parsed
+	return nil
+}
+
+// BaseURL is an http URL whose host is an IP address, such as "http://10.0.0.1:7000".
+type BaseURL struct {
+	// Address is the IP address and port.
+	Address netip.AddrPort
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (u *BaseURL) UnmarshalText(text []byte) error {
+	host, ok := strings.CutPrefix(string(text), "http://")
+	parsed, err := netip.ParseAddrPort(strings.TrimSuffix(host, "/"))
+	if !ok || err != nil {
+		return errors.Newf("%q is no base URL; write http:// with an IP address and a port, such as \"http://10.0.0.1:7000\"", text)
+	}
+	u.Address = parsed
+	return nil
+}
+
+// String returns the URL without a slash at its end, or "" if it is not set.
+func (u BaseURL) String() string {
+	if !u.Address.IsValid() {
+		return ""
+	}
+	return "http://" + u.Address.String()
+}
+
+// Name is a name that is usable in headers, metrics and the query language.
+type Name string
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (n *Name) UnmarshalText(text []byte) error {
+	if !state.ValidName(string(text)) {
+		return errors.Newf("%q is no valid name; use up to 128 letters, digits, '-', '_' and '.'", text)
+	}
+	*n = Name(text)
+	return nil
+}
--- /dev/null
+++ b/pkg/timeline/event.go
@@ -0,0 +1,24 @@
+// Package timeline records the events of a process and merges the events of
+// many processes into one order.
+package timeline
+
+import "time"
+
+// Kind names what happened.
+type Kind string
+
+// Event is one thing that happened in a process.
+type Event struct {
+	Process string `json:"process"`
+	Zone    string `json:"zone,omitempty"`
+	// Session identifies one run of the process.
+	Session string `json:"session"`
+	// Sequence counts the events of a session from 1.
+	Sequence uint64 `json:"sequence"`
+	// Time is the wall clock of the process.
+	Time time.Time `json:"time"`
+	// Revision is the log revision that the event belongs to, 0 if there is none.
+	Revision uint64            `json:"revision,omitempty"`
+	Kind     Kind              `json:"kind"`
+	Fields   map[string]string `json:"fields,omitempty"`
+}
