--- a/internal/query/backend.go
+++ b/internal/query/backend.go
@@ -73,6 +73,8 @@
 	Outcome state.Outcome
 	// Reason says why a change was not run or is not decided yet.
 	Reason string
+	// Elsewhere is set for StageNotRun if another node may be able to append it.
+	Elsewhere bool
 	// Due is the end of the wait of a waiting change.
 	Due time.Time
 	// Cost is what the change has cost, once known.
--- a/internal/query/reply.go
+++ b/internal/query/reply.go
@@ -43,19 +43,26 @@
 	Author   string          `json:"author,omitempty"`
 }
 
-// Reply is the answer to a command. At most one of the row fields is set.
+// Reply is the answer to a command. At most one of the row fields is set, and a
+// query without rows has none.
 type Reply struct {
 	ID     string `json:"id,omitempty"`
 	Status Status `json:"status"`
 	// Outcome is set for a refused or unknown change.
 	Outcome RunOutcome `json:"outcome,omitempty"`
 	Reason  string     `json:"reason,omitempty"`
+	// Elsewhere is set if the change was not run and another node may accept it.
+	Elsewhere bool `json:"elsewhere,omitempty"`
 	// Winner is set if the change lost a race.
 	Winner *Winner `json:"winner,omitempty"`
 	// Revision is the revision of the change, or the node's revision for a query.
 	Revision record.Revision `json:"revision"`
+	// Due is when a waiting change will be appended at the latest.
+	Due *time.Time `json:"due,omitempty"`
 	// UnseenZones are the zones whose present state can't be known.
 	UnseenZones []string `json:"unseen_zones,omitempty"`
+	// NACKs are the refusals of the change's revision by nodes.
+	NACKs []NACK `json:"nacks,omitempty"`
 	// PendingZones are the visible zones where the change is not in force yet.
 	PendingZones []string `json:"pending_zones,omitempty"`
 	PriceBefore  *Price   `json:"price_before,omitempty"`
@@ -143,8 +150,11 @@
 	Holder   string             `json:"holder,omitempty"`
 	Cause    string             `json:"cause,omitempty"`
 	Reason   string             `json:"reason,omitempty"`
-	CutZones []string           `json:"cut_zones,omitempty"`
-	Revision record.Revision    `json:"revision"`
+	// CutZones are the zones that have cut their share of the new version to 0.
+	CutZones []string `json:"cut_zones,omitempty"`
+	// UnseenZones are the zones for which the status is not known.
+	UnseenZones []string        `json:"unseen_zones,omitempty"`
+	Revision    record.Revision `json:"revision"`
 }
 
 // ZoneRow is one availability zone.
