Add the routing table and the retry rules

A call needs a route, a version, an endpoint and a decision about retries. The table is immutable and built per change; the counters of endpoints outlive it.

--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits of the budget.
+const (
+	// BudgetWindow is the time over which calls are counted.
+	BudgetWindow = 10 * time.Second
+	// BudgetShare is the share of the calls in the window that may be retries.
+	BudgetShare = 0.2
+	// BudgetPerSecond is how many retries a second are allowed beyond the share.
+	BudgetPerSecond = 3
+)
+
+const bucketCount = int(BudgetWindow / time.Second)
+
+// Budget bounds the retries of one service. It is safe for concurrent use.
+type Budget struct {
+	mu      sync.Mutex
+	second  int64
+	buckets [bucketCount]bucket
+}
+
+type bucket struct {
+	calls   int
+	retries int
+}
+
+// Call counts a first attempt.
+func (b *Budget) Call(now time.Duration) {
+	b.mu.Lock()
+	b.advance(now).calls++
+	b.mu.Unlock()
+}
+
+// Allow spends one retry if the budget has one.
+func (b *Budget) Allow(now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.advance(now)
+	calls, retries := 0, 0
+	for _, k := range b.buckets {
+		calls += k.calls
+		retries += k.retries
+	}
+	if float64(retries+1) > BudgetShare*float64(calls) && current.retries >= BudgetPerSecond {
+		return false
+	}
+	current.retries++
+	return true
+}
+
+// advance clears the buckets that left the window and returns the current one.
+func (b *Budget) advance(now time.Duration) *bucket {
+	second := int64(now / time.Second)
+	if second > b.second {
+		for s := max(b.second+1, second-int64(bucketCount)+1); s <= second; s++ {
+			b.buckets[s%int64(bucketCount)] = bucket{}
+		}
+		b.second = second
+	}
+	return &b.buckets[b.second%int64(bucketCount)]
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,254 @@
+// Package routing chooses where a call goes: route by longest path prefix,
+// version by weight, endpoint by load.
+//
+// A Table is immutable and built once per change; readers hold it through one
+// atomic pointer. The counters of an endpoint live in a Tracker across tables.
+// The package reads no clock: times are offsets of one monotonic clock.
+package routing
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// Flags are the marks that membership puts on an endpoint.
+type Flags uint8
+
+// The marks of an endpoint.
+const (
+	// Leaving: the target or its node drains; the endpoint is never chosen.
+	Leaving Flags = 1 << iota
+	// Suspect: the node missed probes; chosen after the unmarked ones.
+	Suspect
+	// ZoneUnreachable: the zone did not answer; chosen after suspect ones.
+	ZoneUnreachable
+	// Damped: the endpoint changed state too often; chosen only as a last resort.
+	Damped
+)
+
+// MarkedEndpoint is an endpoint with the marks of membership.
+type MarkedEndpoint struct {
+	mesh.Endpoint
+	Flags Flags
+}
+
+// Cut sets the share of a version to 0 at this node.
+type Cut struct {
+	Service string
+	Version string
+}
+
+// Input holds all that a table is built from. Build keeps no reference to it.
+type Input struct {
+	Revision  record.Revision
+	Services  map[string]state.Service
+	Routes    map[string]state.Route
+	Endpoints []MarkedEndpoint
+	Cuts      []Cut
+	// Zone is the node's own availability zone.
+	Zone mesh.AvailabilityZone
+}
+
+// Table is an immutable routing table.
+type Table struct {
+	Revision record.Revision
+	// Built is the time of Build on the clock of the caller.
+	Built    time.Duration
+	routes   map[string]*Route
+	lengths  []int
+	services map[string]*Service
+}
+
+// Route is a path prefix and the service behind it.
+type Route struct {
+	Name    string
+	Prefix  string
+	Service *Service
+}
+
+// Service holds the versions of one service that can get traffic.
+type Service struct {
+	Name string
+	// versions with a share after cuts, in order of name; upTo is cumulative.
+	versions []*version
+	all      []*Endpoint
+}
+
+type version struct {
+	name   string
+	weight record.BasisPoints
+	upTo   record.BasisPoints
+	// tiers are the endpoints by preference of their marks.
+	tiers [tierCount]tier
+}
+
+type tier struct {
+	local  []*Endpoint
+	remote []*Endpoint
+}
+
+const tierCount = 4
+
+// Endpoint is a target that can be chosen.
+type Endpoint struct {
+	mesh.Endpoint
+	Flags Flags
+	// Local is set if the endpoint is in the node's own zone.
+	Local   bool
+	load    *Load
+	service *Service
+}
+
+// Build makes a table. Endpoints of unknown services or versions are left out,
+// and so are leaving ones.
+func Build(in Input, tracker *Tracker, now time.Duration) *Table {
+	t := &Table{
+		Revision: in.Revision, Built: now,
+		routes: make(map[string]*Route, len(in.Routes)), services: make(map[string]*Service, len(in.Services)),
+	}
+	byVersion := groupEndpoints(in, tracker)
+	for _, svc := range in.Services {
+		t.services[svc.Name] = buildService(svc, byVersion, in.Cuts)
+	}
+	for _, r := range in.Routes {
+		svc, ok := t.services[r.Service]
+		if !ok {
+			continue
+		}
+		if old, exists := t.routes[r.Prefix]; exists && old.Name < r.Name {
+			continue
+		}
+		t.routes[r.Prefix] = &Route{Name: r.Name, Prefix: r.Prefix, Service: svc}
+	}
+	t.lengths = prefixLengths(t.routes)
+	return t
+}
+
+func prefixLengths(routes map[string]*Route) []int {
+	set := map[int]struct{}{}
+	for prefix := range routes {
+		set[len(prefix)] = struct{}{}
+	}
+	lengths := slices.Sorted(maps.Keys(set))
+	slices.Reverse(lengths)
+	return lengths
+}
+
+// Lookup returns the route with the longest prefix of path, or nil. It does not allocate.
+func (t *Table) Lookup(path string) *Route {
+	for _, n := range t.lengths {
+		if n > len(path) {
+			continue
+		}
+		if r, ok := t.routes[path[:n]]; ok {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+func groupEndpoints(in Input, tracker *Tracker) map[Cut][]*Endpoint {
+	groups := map[Cut][]*Endpoint{}
+	keys := make(map[endpointKey]struct{}, len(in.Endpoints))
+	for _, e := range in.Endpoints {
+		if e.Flags&Leaving != 0 || e.Slots <= 0 {
+			continue
+		}
+		key := keyOf(e.Endpoint)
+		if _, twice := keys[key]; twice {
+			continue
+		}
+		keys[key] = struct{}{}
+		id := Cut{Service: e.Service, Version: e.Version}
+		groups[id] = append(groups[id], &Endpoint{
+			Endpoint: e.Endpoint, Flags: e.Flags, Local: e.Zone == in.Zone, load: tracker.load(key),
+		})
+	}
+	tracker.retain(keys)
+	for _, group := range groups {
+		slices.SortFunc(group, func(a, b *Endpoint) int { return cmp.Compare(a.Node, b.Node) })
+	}
+	return groups
+}
+
+func buildService(svc state.Service, byVersion map[Cut][]*Endpoint, cuts []Cut) *Service {
+	s := &Service{Name: svc.Name}
+	weights := effectiveWeights(svc, byVersion, cuts)
+	for _, name := range slices.Sorted(slices.Values(svc.Versions)) {
+		endpoints := byVersion[Cut{Service: svc.Name, Version: name}]
+		for _, e := range endpoints {
+			e.service = s
+		}
+		s.all = append(s.all, endpoints...)
+		if weights[name] > 0 {
+			s.versions = append(s.versions, newVersion(name, weights[name], endpoints))
+		}
+	}
+	total := record.BasisPoints(0)
+	for _, v := range s.versions {
+		total += v.weight
+		v.upTo = total
+	}
+	return s
+}
+
+// effectiveWeights applies the cuts. If no share is left, the uncut versions
+// with endpoints share alike; if there is none, the cuts are void, since a
+// service with a single version would otherwise refuse every call.
+func effectiveWeights(svc state.Service, byVersion map[Cut][]*Endpoint, cuts []Cut) map[string]record.BasisPoints {
+	weights := maps.Clone(svc.Weights)
+	for _, c := range cuts {
+		if c.Service == svc.Name {
+			delete(weights, c.Version)
+		}
+	}
+	if len(weights) > 0 {
+		return weights
+	}
+	weights = map[string]record.BasisPoints{}
+	for _, name := range svc.Versions {
+		id := Cut{Service: svc.Name, Version: name}
+		if !slices.Contains(cuts, id) && len(byVersion[id]) > 0 {
+			weights[name] = 1
+		}
+	}
+	if len(weights) > 0 {
+		return weights
+	}
+	return svc.Weights
+}
+
+func newVersion(name string, weight record.BasisPoints, endpoints []*Endpoint) *version {
+	v := &version{name: name, weight: weight}
+	for _, e := range endpoints {
+		t := &v.tiers[tierOf(e.Flags)]
+		if e.Local {
+			t.local = append(t.local, e)
+		} else {
+			t.remote = append(t.remote, e)
+		}
+	}
+	return v
+}
+
+func tierOf(f Flags) int {
+	switch {
+	case f&Damped != 0:
+		return 3
+	case f&ZoneUnreachable != 0:
+		return 2
+	case f&Suspect != 0:
+		return 1
+	default:
+		return 0
+	}
+}
