Add the call path between callers, nodes and targets

Streams requests through node A and node B over HTTP/2 and to the target over HTTP/1.1, refuses with typed codes, and asks a key owner for keyed requests.

--- /dev/null
+++ b/internal/callpath/call.go
@@ -0,0 +1,248 @@
+package callpath
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/retry"
+	"heathercroft.example/heathercroft/pkg/routing"
+)
+
+// source is the listener that a request came in on.
+type source int
+
+const (
+	fromCaller source = iota
+	fromTarget
+	fromNode
+)
+
+// call is one inbound request.
+type call struct {
+	req  *http.Request
+	w    http.ResponseWriter
+	body *requestBody
+	ctx  context.Context
+	// id is the request id.
+	id string
+	// deadline is on the node's clock, 0 if there is none.
+	deadline time.Duration
+	// depth and inherited are from the headers of the caller.
+	depth     int
+	inherited int
+	key       string
+	fence     Fence
+	// target is service/version as the sending node expects it, empty at node A.
+	target string
+	// callerExpects is set if the caller itself waits for a 100 response.
+	callerExpects bool
+	// mayHaveRun is set once an attempt may have run, so that no later refusal
+	// may say not-run.
+	mayHaveRun bool
+}
+
+// handle serves one request of any source.
+func (n *Node) handle(w http.ResponseWriter, r *http.Request, from source) {
+	hop := ""
+	if from == fromNode {
+		hop = r.Header.Get(HeaderHop)
+	} else {
+		removeAll(r.Header, nodeOnly)
+	}
+	if !n.inFlight.enter(from == fromTarget) {
+		n.refuse(w, NotRun(CodeDraining, "the node stops"))
+		return
+	}
+	defer n.inFlight.leave()
+	c, refusal := n.newCall(w, r)
+	if refusal != nil {
+		n.refuse(w, refusal)
+		return
+	}
+	defer c.body.end()
+	ctx, cancel := n.withDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	switch hop {
+	case HopTarget:
+		n.serveTarget(c)
+	case HopOwner:
+		n.serveOwner(c)
+	default:
+		n.serveCall(c)
+	}
+}
+
+func (n *Node) withDeadline(ctx context.Context, deadline time.Duration) (context.Context, context.CancelFunc) {
+	if deadline == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, deadline-n.deps.Now())
+}
+
+// newCall reads the headers that steer a call.
+func (n *Node) newCall(w http.ResponseWriter, r *http.Request) (*call, *Refusal) {
+	control := http.NewResponseController(w)
+	if r.ProtoMajor == 1 && r.ContentLength != 0 {
+		// The answer may begin before the body has been read. All servers of
+		// net/http support this for HTTP/1.
+		_ = control.EnableFullDuplex()
+	}
+	c := &call{req: r, w: w, id: r.Header.Get(HeaderRequestID), target: r.Header.Get(HeaderTarget)}
+	c.body = newRequestBody(r.Body, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	if headerSize(r.Header)+len(r.RequestURI) > n.settings.MaxHeaderBytes {
+		return nil, NotRun(CodeHeaderTooLarge, "the header is over "+strconv.Itoa(n.settings.MaxHeaderBytes)+" bytes")
+	}
+	if c.id == "" {
+		c.id = rand.Text()
+	}
+	left, limited, err := retry.ParseDeadline(r.Header.Get(HeaderDeadline))
+	if err != nil {
+		return nil, NotRun(CodeBadRequest, HeaderDeadline+": "+err.Error())
+	}
+	if limited {
+		if left == 0 {
+			return nil, NotRun(CodeDeadline, "no time is left")
+		}
+		c.deadline = n.deps.Now() + left
+	}
+	var ok bool
+	if c.depth, ok = smallNumber(r.Header.Get(HeaderDepth)); !ok {
+		return nil, NotRun(CodeBadRequest, HeaderDepth+" is not a number from 0 to 999")
+	}
+	if c.inherited, ok = smallNumber(r.Header.Get(HeaderAttempt)); !ok {
+		return nil, NotRun(CodeBadRequest, HeaderAttempt+" is not a number from 0 to 999")
+	}
+	c.callerExpects = strings.EqualFold(r.Header.Get("Expect"), "100-continue") && r.Header.Get(HeaderExpect) == ""
+	if !safe(r.Method) {
+		if len(r.Header[HeaderKey]) > 1 || len(r.Header.Get(HeaderKey)) > maxKeyLength {
+			return nil, NotRun(CodeBadRequest, HeaderKey+" is given twice or is over 256 bytes")
+		}
+		c.key = r.Header.Get(HeaderKey)
+	}
+	return c, nil
+}
+
+// maxKeyLength bounds a key in bytes, since keys are kept in memory.
+const maxKeyLength = 256
+
+// safe methods change nothing, so a key on them means nothing.
+func safe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions || method == http.MethodTrace
+}
+
+func smallNumber(s string) (int, bool) {
+	if s == "" {
+		return 0, true
+	}
+	v, err := strconv.Atoi(s)
+	return v, err == nil && v >= 0 && v <= 999
+}
+
+func (n *Node) timeLeft(c *call) time.Duration {
+	if c.deadline == 0 {
+		return retry.MaxDeadline
+	}
+	return c.deadline - n.deps.Now()
+}
+
+// serveCall is node A: it routes the call and sends it on.
+func (n *Node) serveCall(c *call) {
+	started := n.deps.Now()
+	n.metrics.calls.Add(1)
+	n.metrics.inFlightCalls.Add(1)
+	defer func() { n.metrics.callEnded(started, n.deps.Now()) }()
+	c.w.Header().Set(HeaderRequestID, c.id)
+	if c.depth >= retry.MaxDepth {
+		n.refuse(c.w, NotRun(CodeDepth, "calls are nested at most 24 deep"))
+		return
+	}
+	route, refusal := n.route(c)
+	if refusal != nil {
+		n.refuse(c.w, refusal)
+		return
+	}
+	if c.key != "" {
+		n.metrics.keyed.Add(1)
+		n.serveKeyed(c, route)
+		return
+	}
+	n.deliver(c, n.attempts(c, route))
+}
+
+func (n *Node) route(c *call) (*routing.Route, *Refusal) {
+	table := n.deps.Table()
+	if table == nil {
+		return nil, NotRun(CodeNotReady, "the node has no confirmed configuration yet")
+	}
+	route := table.Lookup(c.req.URL.Path)
+	if route == nil {
+		return nil, NotRun(CodeNoRoute, "no route has a prefix of this path")
+	}
+	return route, nil
+}
+
+// attempts sends the call until an answer can be delivered.
+func (n *Node) attempts(c *call, route *routing.Route) *answer {
+	budget := n.budget(route.Service.Name)
+	budget.Call(n.deps.Now())
+	allow := func() bool {
+		if budget.Allow(n.deps.Now()) {
+			return true
+		}
+		n.metrics.budgetRefusals.Add(1)
+		return false
+	}
+	var tried [retry.MaxRetries + 1]*routing.Endpoint
+	var last *answer
+	for i := 0; ; i++ {
+		choice, ok := choose(c, route.Service, i, n.deps.Now(), tried[:i], last)
+		if !ok {
+			if last != nil {
+				return last
+			}
+			return refused(retry.NotSent, NotRun(CodeNoEndpoint, "no endpoint of service "+route.Service.Name+" can be used now"))
+		}
+		if last != nil {
+			last.discard()
+			n.metrics.retries.Add(1)
+		}
+		tried[i] = choice.Endpoint
+		last = n.attempt(c, route, choice, i)
+		c.mayHaveRun = c.mayHaveRun || !last.outcome.NotRun() && last.outcome != retry.Answered
+		action := retry.Decide(retry.Attempt{
+			Outcome: last.outcome, Method: c.req.Method, BodyConsumed: c.body.consumed(),
+			Keyed: c.key != "", Retries: i, Inherited: c.inherited, TimeLeft: n.timeLeft(c),
+		}, allow)
+		if action != retry.Retry || c.ctx.Err() != nil {
+			return last
+		}
+	}
+}
+
+// choose prefers endpoints that the call has not tried. A service whose only
+// endpoint lost a connection may be tried there again.
+func choose(c *call, s *routing.Service, attempt int, now time.Duration, tried []*routing.Endpoint, last *answer) (routing.Choice, bool) {
+	choice, ok := s.Choose(c.id, attempt, now, tried)
+	if !ok && last != nil && (last.outcome == retry.ResetAfterWrite || last.outcome == retry.MayHaveRun) {
+		return s.Choose(c.id, attempt, now, nil)
+	}
+	return choice, ok
+}
+
+// refuse answers with a refusal by this node.
+func (n *Node) refuse(w http.ResponseWriter, r *Refusal) {
+	out := *r
+	if out.Node == "" {
+		out.Node = n.deps.Node
+	}
+	if table := n.deps.Table(); table != nil && out.Revision == 0 {
+		out.Revision = table.Revision
+	}
+	n.metrics.refusals.Add(string(out.Code), 1)
+	out.write(w)
+}
--- /dev/null
+++ b/internal/callpath/conn.go
@@ -0,0 +1,88 @@
+package callpath
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errStrayAnswer reports bytes from the target that answer no request, such as
+// an answer that was sent twice. They must not meet the next request.
+var errStrayAnswer = errors.New("target sent bytes without a request")
+
+// settleLimit is how long a connection may take to become ready for its next
+// request. It is ready within microseconds unless stray bytes are buffered.
+const settleLimit = 10 * time.Millisecond
+
+// watchedConn is a connection to the local target. It knows whether bytes of
+// the present request were written, closes itself when nothing moves for a
+// limit, and refuses bytes that no request asked for.
+type watchedConn struct {
+	net.Conn
+	// limit is the silence allowed at present, in nanoseconds.
+	limit atomic.Int64
+	// wrote is set before the first byte of the present request is written.
+	wrote atomic.Bool
+	// reading is set while a read waits for bytes, so nothing is buffered above.
+	reading atomic.Bool
+	entered chan struct{}
+}
+
+func watch(conn net.Conn, silence time.Duration) *watchedConn {
+	c := &watchedConn{Conn: conn, entered: make(chan struct{}, 1)}
+	c.limit.Store(int64(silence))
+	return c
+}
+
+// allow sets how long nothing may move, and forgets the previous request.
+func (c *watchedConn) allow(silence time.Duration) {
+	c.wrote.Store(false)
+	c.limit.Store(int64(silence))
+	_ = c.SetReadDeadline(time.Now().Add(silence))
+}
+
+// settled waits until the client above has consumed all bytes and waits for
+// more. It returns false if that does not happen, since then a stray answer may
+// be buffered that would be taken for the answer to the next request.
+func (c *watchedConn) settled() bool {
+	if c.reading.Load() {
+		return true
+	}
+	timer := time.NewTimer(settleLimit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.entered:
+			if c.reading.Load() {
+				return true
+			}
+		case <-timer.C:
+			return c.reading.Load()
+		}
+	}
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	_ = c.SetReadDeadline(time.Now().Add(time.Duration(c.limit.Load())))
+	c.reading.Store(true)
+	select {
+	case c.entered <- struct{}{}:
+	default:
+	}
+	n, err := c.Conn.Read(p)
+	c.reading.Store(false)
+	if n > 0 && !c.wrote.Load() {
+		return 0, errStrayAnswer
+	}
+	return n, err
+}
+
+// Write implements net.Conn. Progress in writing also extends the time for reading.
+func (c *watchedConn) Write(p []byte) (int, error) {
+	c.wrote.Store(true)
+	_ = c.SetDeadline(time.Now().Add(time.Duration(c.limit.Load())))
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/internal/callpath/crash.go
@@ -0,0 +1,163 @@
+package callpath
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits of the protection against requests that crash targets.
+const (
+	// CrashLimit is how many crashes by one fingerprint refuse it.
+	CrashLimit = 2
+	// CrashBlock is how long a fingerprint is refused, and how long crashes count.
+	CrashBlock = 10 * time.Minute
+	// fingerprintBytes is how much of a body is part of a fingerprint.
+	fingerprintBytes = 4 << 10
+	// crashWindow is how long before the target's announcement stopped a
+	// connection may have broken to count as part of the same crash.
+	crashWindow = 5 * time.Second
+	// maxFingerprints bounds the memory; beyond it the oldest is dropped.
+	maxFingerprints = 1024
+)
+
+// Fingerprint identifies equal requests: method, path, and key or start of the body.
+type Fingerprint uint64
+
+func fingerprintOf(method, path, key string, head []byte) Fingerprint {
+	h := xxhash.New()
+	_, _ = h.WriteString(method + "\x00" + path + "\x00" + key + "\x00")
+	if key == "" {
+		_, _ = h.Write(head)
+	}
+	return Fingerprint(h.Sum64())
+}
+
+// crashGuard refuses requests whose fingerprint has crashed targets. It is safe
+// for concurrent use.
+type crashGuard struct {
+	mu sync.Mutex
+	// broken holds requests whose connection broke and that may prove a crash.
+	broken  []brokenRequest
+	crashes map[Fingerprint]crashRecord
+}
+
+type brokenRequest struct {
+	fingerprint Fingerprint
+	at          time.Duration
+}
+
+type crashRecord struct {
+	count int
+	last  time.Duration
+}
+
+func newCrashGuard() *crashGuard {
+	return &crashGuard{crashes: map[Fingerprint]crashRecord{}}
+}
+
+// connectionBroke remembers a request whose connection to the target broke.
+func (g *crashGuard) connectionBroke(f Fingerprint, now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.broken) >= maxFingerprints {
+		g.broken = g.broken[1:]
+	}
+	g.broken = append(g.broken, brokenRequest{f, now})
+}
+
+// targetGone returns the fingerprints that were in flight when the target crashed.
+func (g *crashGuard) targetGone(now time.Duration) []Fingerprint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var found []Fingerprint
+	seen := map[Fingerprint]bool{}
+	for _, b := range g.broken {
+		if now-b.at <= crashWindow && !seen[b.fingerprint] {
+			seen[b.fingerprint] = true
+			found = append(found, b.fingerprint)
+		}
+	}
+	g.broken = nil
+	return found
+}
+
+// count adds a crash anywhere in the zone.
+func (g *crashGuard) count(f Fingerprint, now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for other, r := range g.crashes {
+		if now-r.last > CrashBlock {
+			delete(g.crashes, other)
+		}
+	}
+	if _, known := g.crashes[f]; !known && len(g.crashes) >= maxFingerprints {
+		return
+	}
+	r := g.crashes[f]
+	g.crashes[f] = crashRecord{count: r.count + 1, last: now}
+}
+
+// any reports whether a fingerprint is refused at all, so that the usual
+// request pays nothing.
+func (g *crashGuard) any(now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.crashes {
+		if r.blocks(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *crashGuard) blocked(f Fingerprint, now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crashes[f].blocks(now)
+}
+
+func (r crashRecord) blocks(now time.Duration) bool {
+	return r.count >= CrashLimit && now-r.last <= CrashBlock
+}
+
+// check refuses a request that crashed targets before. The start of the body is
+// read only while some fingerprint is refused.
+func (n *Node) checkCrash(c *call) *Refusal {
+	now := n.deps.Now()
+	if !n.crash.any(now) {
+		return nil
+	}
+	var head []byte
+	if c.key == "" {
+		head = c.body.peek(fingerprintBytes)
+	}
+	if !n.crash.blocked(fingerprintOf(c.req.Method, c.req.URL.Path, c.key, head), now) {
+		return nil
+	}
+	return MayHaveRun(CodeCrashing, "equal requests crashed targets; refused for 10 min")
+}
+
+// noteBroken remembers the fingerprint of a request whose connection broke.
+func (n *Node) noteBroken(c *call) {
+	head := c.body.seen(fingerprintBytes)
+	n.crash.connectionBroke(fingerprintOf(c.req.Method, c.req.URL.Path, c.key, head), n.deps.Now())
+}
+
+// TargetGone tells the call path that the local target's announcement stopped
+// without a drain. Requests whose connections broke just before are reported to
+// Events and counted as a crash.
+func (n *Node) TargetGone() {
+	now := n.deps.Now()
+	found := n.crash.targetGone(now)
+	for _, f := range found {
+		n.crash.count(f, now)
+	}
+	if len(found) > 0 && n.deps.Events != nil {
+		n.deps.Events.Crashed(found)
+	}
+}
+
+// CrashReported counts a crash of another target in the zone.
+func (n *Node) CrashReported(f Fingerprint) { n.crash.count(f, n.deps.Now()) }
--- /dev/null
+++ b/internal/callpath/deliver.go
@@ -0,0 +1,175 @@
+package callpath
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// copyBytes is the size of the buffer between the two ends of a body.
+const copyBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+// deliver writes the answer to whoever sent the request. If the answer ends
+// early it aborts the handler, so that the receiver sees a broken response.
+func (n *Node) deliver(c *call, a *answer) {
+	if a.resp == nil || c.mayHaveRun && a.outcome.NotRun() {
+		n.deliverRefusal(c, a)
+		return
+	}
+	if !n.stream(c, a, nil) {
+		n.metrics.aborted.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// deliverRefusal answers with a refusal. After an attempt that may have run,
+// the refusal of a later one does not prove that the call did not run.
+func (n *Node) deliverRefusal(c *call, a *answer) {
+	r := a.refusal
+	if r == nil {
+		r = NotRun(a.code(), "the last attempt was refused")
+		if r.Code == "" {
+			r.Code = CodeTargetRefused
+		}
+	}
+	if c.mayHaveRun && r.Outcome == OutcomeNotRun {
+		r = MayHaveRun(r.Code, "an earlier attempt may have run; the last one: "+r.Message)
+	}
+	a.end(false)
+	n.addLoad(c)
+	n.refuse(c.w, r)
+}
+
+func (n *Node) addLoad(c *call) {
+	if c.target != "" {
+		inFlight, slots := n.limiter.load()
+		c.w.Header()[HeaderLoad] = []string{strconv.Itoa(inFlight) + "/" + strconv.Itoa(slots)}
+	}
+}
+
+// stream copies the answer and ends it. It returns false if the answer was cut
+// short or the receiver left. capture gets the body as well, unless it is nil;
+// with capture, the answer is read to its end even if the receiver left.
+func (n *Node) stream(c *call, a *answer, capture *capturedBody) bool {
+	n.writeHeader(c, a.resp)
+	complete, delivered := n.copyBody(c, a.resp, capture)
+	if complete && delivered {
+		writeTrailers(c.w.Header(), a.resp)
+	}
+	a.end(complete)
+	if capture != nil {
+		capture.complete = complete
+	}
+	return complete && delivered
+}
+
+func (n *Node) writeHeader(c *call, resp *http.Response) {
+	h := c.w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	delete(h, HeaderLoad)
+	n.addLoad(c)
+	if c.target == "" {
+		h[HeaderRequestID] = []string{c.id}
+	}
+	for name := range resp.Trailer {
+		h.Add("Trailer", name)
+	}
+	c.w.WriteHeader(resp.StatusCode)
+}
+
+// writeTrailers passes on the trailers that came after the body. Those that the
+// answer did not announce need the prefix.
+func writeTrailers(h http.Header, resp *http.Response) {
+	announced := map[string]bool{}
+	for _, name := range h["Trailer"] {
+		announced[name] = true
+	}
+	for name, values := range resp.Trailer {
+		if !announced[name] {
+			name = http.TrailerPrefix + name
+		}
+		h[name] = values
+	}
+}
+
+// copyBody streams the body and flushes what has arrived. complete is set if
+// the body was read to its end, delivered if the receiver got all of it.
+func (n *Node) copyBody(c *call, resp *http.Response, capture *capturedBody) (complete, delivered bool) {
+	buffer := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buffer)
+	control := http.NewResponseController(c.w)
+	delivered = true
+	total := int64(0)
+	for {
+		count, err := resp.Body.Read(buffer[:])
+		total += int64(count)
+		if count > 0 {
+			n.metrics.responseBytes.Add(int64(count))
+			capture.add(buffer[:count])
+			if delivered {
+				delivered = n.pass(c, control, buffer[:count], total == resp.ContentLength)
+			}
+			if !delivered && capture == nil {
+				return false, false
+			}
+		}
+		if err == io.EOF {
+			return true, delivered
+		}
+		if err != nil {
+			return false, delivered
+		}
+	}
+}
+
+// pass writes a part of the body. The last part is flushed by the server.
+func (n *Node) pass(c *call, control *http.ResponseController, part []byte, last bool) bool {
+	if _, err := c.w.Write(part); err != nil {
+		return false
+	}
+	return last || control.Flush() == nil
+}
+
+// capturedBody keeps the start of a body for repeats.
+type capturedBody struct {
+	data      []byte
+	oversized bool
+	complete  bool
+}
+
+func (b *capturedBody) add(p []byte) {
+	if b == nil || b.oversized {
+		return
+	}
+	if len(b.data)+len(p) > MaxStoredBody {
+		b.oversized = true
+		b.data = nil
+		return
+	}
+	b.data = append(b.data, p...)
+}
+
+// writeStored answers a repeat with the first answer.
+func (n *Node) writeStored(c *call, s *StoredAnswer) {
+	if s.Oversized {
+		n.refuse(c.w, MayHaveRun(CodeKeyUnknownOutcome, "the request ran; its answer was over 64 KiB and was not kept"))
+		return
+	}
+	n.metrics.replayed.Add(1)
+	h := c.w.Header()
+	for name, values := range s.Header {
+		h[name] = values
+	}
+	h[HeaderReplayed] = []string{"true"}
+	h[HeaderRequestID] = []string{c.id}
+	if s.Status != http.StatusNoContent && s.Status != http.StatusNotModified {
+		h["Content-Length"] = []string{strconv.Itoa(len(s.Body))}
+	}
+	c.w.WriteHeader(s.Status)
+	_, _ = c.w.Write(s.Body)
+}
--- /dev/null
+++ b/internal/callpath/exchange.go
@@ -0,0 +1,200 @@
+package callpath
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/retry"
+)
+
+// serveTarget is node B: it passes a request from another node to the target.
+func (n *Node) serveTarget(c *call) {
+	service, version, ok := strings.Cut(c.target, "/")
+	if !ok {
+		n.refuse(c.w, NotRun(CodeBadRequest, HeaderTarget+" is not service/version"))
+		return
+	}
+	if c.key != "" {
+		if c.fence, ok = parseFence(c.req.Header.Get(HeaderFence)); !ok {
+			n.refuse(c.w, NotRun(CodeBadRequest, HeaderFence+" is missing or malformed on a keyed request"))
+			return
+		}
+	}
+	if c.req.Header.Get(HeaderBody) == bodyNone {
+		c.req.ContentLength = 0
+	}
+	n.deliver(c, n.exchange(c, service, version, c.inherited))
+}
+
+func formatFence(f Fence) string {
+	return strconv.Itoa(f.Slot) + "/" + strconv.FormatUint(uint64(f.Epoch), 10)
+}
+
+func parseFence(s string) (Fence, bool) {
+	slot, epoch, ok := strings.Cut(s, "/")
+	if !ok {
+		return Fence{}, false
+	}
+	i, err := strconv.Atoi(slot)
+	e, err2 := strconv.ParseUint(epoch, 10, 64)
+	return Fence{Slot: i, Epoch: record.Epoch(e)}, err == nil && err2 == nil
+}
+
+// exchange passes the call to the local target if everything allows it.
+func (n *Node) exchange(c *call, service, version string, attempt int) *answer {
+	target, refusal := n.localTarget(service, version)
+	if refusal != nil {
+		return refused(retry.RefusedByNode, refusal)
+	}
+	if refusal := n.checkCrash(c); refusal != nil {
+		return refused(retry.MayHaveRun, refusal)
+	}
+	upload := n.isUpload(c.req.ContentLength)
+	started := n.deps.Now()
+	if refusal := n.limiter.acquire(c.ctx, upload, n.settings.QueueTimeout); refusal != nil {
+		return refused(retry.RefusedByNode, refusal)
+	}
+	n.metrics.queueWaitMicros.Add((n.deps.Now() - started).Microseconds())
+	n.metrics.targetRequests.Add(1)
+	n.metrics.inFlightAtTarget.Add(1)
+	if upload {
+		n.metrics.uploads.Add(1)
+	}
+	release := func(bool) {
+		n.limiter.release(upload)
+		n.metrics.inFlightAtTarget.Add(-1)
+	}
+	// The fence is checked last, so that no wait lies between it and the request.
+	if c.key != "" {
+		if refusal := n.checkFence(c); refusal != nil {
+			release(false)
+			return refused(retry.RefusedByNode, refusal)
+		}
+	}
+	a := n.roundTrip(c, target, attempt)
+	if a.resp == nil {
+		release(false)
+		return a
+	}
+	a.then(release)
+	return a
+}
+
+func (n *Node) localTarget(service, version string) (mesh.Target, *Refusal) {
+	t, ok := n.deps.Target()
+	if !ok || t.Service != service || t.Version != version {
+		return t, NotRun(CodeNoTarget, "no target of this service and version is beside the node")
+	}
+	if t.State == mesh.TargetLeaving {
+		return t, NotRun(CodeDraining, "the target drains")
+	}
+	n.resize(t.Slots, t.Connections)
+	return t, nil
+}
+
+func (n *Node) checkFence(c *call) *Refusal {
+	if n.deps.Keys == nil {
+		return NotRun(CodeUnconfirmed, "the node keeps no key slots")
+	}
+	return n.deps.Keys.CheckFence(c.key, c.fence)
+}
+
+// roundTrip sends the request on an idle connection, or on a new one if the
+// idle one broke before a byte was written.
+func (n *Node) roundTrip(c *call, target mesh.Target, attempt int) *answer {
+	addr := target.Address.String()
+	for fresh := false; ; fresh = true {
+		conn, err := n.pool.get(c.ctx, addr, fresh)
+		if err != nil {
+			if c.ctx.Err() != nil {
+				return endedEarly(c, false)
+			}
+			return refused(retry.ConnectionRefused, NotRun(CodeUnreachable, err.Error()))
+		}
+		if !conn.reused {
+			n.metrics.targetConnections.Add(1)
+		}
+		a, again := n.try(c, conn, addr, attempt)
+		if !again {
+			return a
+		}
+	}
+}
+
+func (n *Node) try(c *call, conn *targetConn, addr string, attempt int) (a *answer, again bool) {
+	ctx := c.trace1xx()
+	req := n.outbound(ctx, c, addr, attempt)
+	if req.Body == nil {
+		req.Body = http.NoBody
+	}
+	resp, err := conn.client.RoundTrip(req)
+	if err != nil {
+		wrote := conn.raw.wrote.Load()
+		n.pool.put(conn, false)
+		n.metrics.strayOrBroken.Add(1)
+		if !wrote && conn.reused && c.ctx.Err() == nil && !c.body.consumed() {
+			return nil, true
+		}
+		return n.targetFailed(c, err, wrote), false
+	}
+	a = &answer{outcome: retry.Answered, resp: resp}
+	a.then(func(complete bool) {
+		n.pool.put(conn, complete)
+		if !complete && c.ctx.Err() == nil {
+			n.noteBroken(c)
+		}
+	})
+	if reason := unverifiable(c.req.Method, resp); reason != "" {
+		a.discard()
+		return refused(retry.MayHaveRun, MayHaveRun(CodeBadAnswer, reason)), false
+	}
+	cleanAnswer(a)
+	return a, false
+}
+
+func (n *Node) targetFailed(c *call, err error, wrote bool) *answer {
+	switch {
+	case c.ctx.Err() != nil:
+		return endedEarly(c, wrote)
+	case !wrote:
+		return refused(retry.ResetBeforeWrite, NotRun(CodeUnreachable, "connection to the target lost before the request was sent"))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refused(retry.TimedOut, MayHaveRun(CodeSilent, "the target made no progress"))
+	default:
+		n.noteBroken(c)
+		return refused(retry.ResetAfterWrite, MayHaveRun(CodeConnectionLost, "connection to the target lost: "+err.Error()))
+	}
+}
+
+// unverifiable returns why the end of an answer could not be told from a broken
+// connection, or that it changes the protocol.
+func unverifiable(method string, resp *http.Response) string {
+	switch {
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return "the target switched protocols"
+	case method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+		return ""
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		return "the answer has neither a length nor chunks, so its end cannot be told from a broken connection"
+	default:
+		return ""
+	}
+}
+
+// cleanAnswer removes what a target must not say. The only statement of a
+// target about the outcome that counts is not-run on a 503.
+func cleanAnswer(a *answer) {
+	h := a.resp.Header
+	removeHopByHop(h)
+	removeAll(h, nodeOnly)
+	if a.resp.StatusCode == http.StatusServiceUnavailable && h.Get(HeaderOutcome) == string(OutcomeNotRun) {
+		a.outcome = retry.RefusedByTarget
+		return
+	}
+	delete(h, HeaderOutcome)
+}
--- /dev/null
+++ b/internal/callpath/send.go
@@ -0,0 +1,268 @@
+package callpath
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"heathercroft.example/heathercroft/pkg/retry"
+	"heathercroft.example/heathercroft/pkg/routing"
+)
+
+// attempt sends the call to one endpoint and books the result.
+func (n *Node) attempt(c *call, route *routing.Route, choice routing.Choice, retries int) *answer {
+	e := choice.Endpoint
+	started := n.deps.Now()
+	e.Begin()
+	var a *answer
+	var silent bool
+	if e.Node == n.deps.Node {
+		a = n.exchange(c, e.Service, choice.Version, c.inherited+retries)
+	} else {
+		a, silent = n.send(c, e.Call, retries, func(h http.Header) {
+			h[HeaderHop] = []string{HopTarget}
+			h[HeaderTarget] = []string{e.Service + "/" + choice.Version}
+			if c.key != "" {
+				h[HeaderFence] = []string{formatFence(c.fence)}
+			}
+		})
+	}
+	now := n.deps.Now()
+	n.bookLoad(e, a, now)
+	n.bookHealth(e, a, silent, now)
+	sample := Sample{
+		Service: route.Service.Name, Version: choice.Version, Route: route.Name, Zone: e.Zone,
+		Node: e.Node, Outcome: a.outcome, Latency: now - started,
+	}
+	if a.resp != nil && a.outcome == retry.Answered {
+		sample.Status = a.resp.StatusCode
+	}
+	n.record(c, sample)
+	a.then(func(complete bool) {
+		e.End()
+		if a.outcome == retry.Answered && !complete && c.ctx.Err() == nil && c.req.Context().Err() == nil {
+			e.Failed(n.deps.Now())
+			if !sample.Failed() {
+				sample.Outcome, sample.Amends = retry.ShortBody, true
+				n.record(c, sample)
+			}
+		}
+	})
+	return a
+}
+
+func (n *Node) record(c *call, s Sample) {
+	n.metrics.attempts.Add(s.Outcome.String(), 1)
+	if n.deps.Recorder != nil && c.req.Context().Err() == nil {
+		n.deps.Recorder.Record(s)
+	}
+}
+
+func (n *Node) bookLoad(e *routing.Endpoint, a *answer, now time.Duration) {
+	if a.resp == nil {
+		return
+	}
+	inFlight, _, ok := strings.Cut(a.resp.Header.Get(HeaderLoad), "/")
+	if !ok {
+		return
+	}
+	if v, err := strconv.Atoi(inFlight); err == nil {
+		e.ReportLoad(v, now)
+	}
+}
+
+// bookHealth counts what speaks for or against the endpoint. A target that
+// leaves or is gone is taken out at once, before membership has told.
+func (n *Node) bookHealth(e *routing.Endpoint, a *answer, silent bool, now time.Duration) {
+	ejected := false
+	switch a.outcome {
+	case retry.Answered:
+		switch a.resp.StatusCode {
+		case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+			ejected = e.Failed(now)
+		default:
+			e.Succeeded(now)
+		}
+	case retry.RefusedByNode:
+		if code := a.code(); code == CodeDraining || code == CodeNoTarget {
+			ejected = e.Silent(now)
+		}
+	case retry.ConnectionRefused, retry.ResetAfterWrite, retry.ResetBeforeWrite, retry.MayHaveRun, retry.TimedOut:
+		if silent {
+			ejected = e.Silent(now)
+		} else {
+			ejected = e.Failed(now)
+		}
+	}
+	if ejected {
+		n.metrics.ejections.Add(1)
+		if n.deps.Events != nil {
+			n.deps.Events.Ejected(e.Node, e.Service, e.Version)
+		}
+	}
+}
+
+// code returns the reason of a refusal, by this node or another one.
+func (a *answer) code() Code {
+	if a.refusal != nil {
+		return a.refusal.Code
+	}
+	return Code(a.resp.Header.Get(HeaderReason))
+}
+
+// send makes one request to another node. silent reports that the connection
+// did not answer a ping.
+func (n *Node) send(c *call, to netip.AddrPort, retries int, mark func(http.Header)) (a *answer, silent bool) {
+	var connected, wrote atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn:          func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteHeaderField: func(string, []string) { wrote.Store(true) },
+		Got1xxResponse:   c.forward1xx,
+	}
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(c.ctx, trace))
+	req := n.outbound(ctx, c, to.String(), c.inherited+retries)
+	if req.ContentLength == 0 {
+		req.Body = http.NoBody
+		if !retry.Idempotent(req.Method) {
+			// net/http would repeat some requests without a body by itself.
+			req.Body = emptyBody{}
+			req.Header[HeaderBody] = []string{bodyNone}
+		}
+	} else if n.isUpload(req.ContentLength) && !c.callerExpects {
+		// The other node can then refuse before the body is consumed.
+		req.Header["Expect"] = []string{"100-continue"}
+		req.Header[HeaderExpect] = []string{"node"}
+	}
+	mark(req.Header)
+	resp, err := n.peers.RoundTrip(req)
+	if err != nil {
+		cancel()
+		return n.sendFailed(c, err, connected.Load(), wrote.Load())
+	}
+	a = classify(resp)
+	a.then(func(bool) { cancel() })
+	return a, false
+}
+
+// classify reads what the other node says about the attempt.
+func classify(resp *http.Response) *answer {
+	a := &answer{outcome: retry.Answered, resp: resp}
+	outcome := Outcome(resp.Header.Get(HeaderOutcome))
+	switch {
+	case resp.Header.Get(HeaderReason) != "" && outcome == OutcomeNotRun:
+		a.outcome = retry.RefusedByNode
+	case resp.Header.Get(HeaderReason) != "":
+		a.outcome = retry.MayHaveRun
+	case outcome == OutcomeNotRun && resp.StatusCode == http.StatusServiceUnavailable:
+		a.outcome = retry.RefusedByTarget
+	}
+	return a
+}
+
+func (n *Node) sendFailed(c *call, err error, connected, wrote bool) (a *answer, silent bool) {
+	if c.ctx.Err() != nil {
+		return endedEarly(c, wrote), false
+	}
+	if !connected {
+		return refused(retry.ConnectionRefused, NotRun(CodeUnreachable, "no connection to the node: "+err.Error())), false
+	}
+	if !wrote {
+		return refused(retry.ResetBeforeWrite, NotRun(CodeUnreachable, "connection lost before the request was sent")), false
+	}
+	return refused(retry.ResetAfterWrite, MayHaveRun(CodeConnectionLost, "connection to the node lost: "+err.Error())),
+		strings.Contains(err.Error(), pingLost)
+}
+
+// pingLost is how net/http reports an HTTP/2 connection whose ping was not answered.
+const pingLost = "client connection lost"
+
+// endedEarly is the answer for a call whose deadline passed or whose caller left.
+func endedEarly(c *call, wrote bool) *answer {
+	code, message := CodeCanceled, "the caller left"
+	if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+		code, message = CodeDeadline, "the deadline passed"
+	}
+	if wrote {
+		return refused(retry.TimedOut, MayHaveRun(code, message))
+	}
+	return refused(retry.NotSent, NotRun(code, message))
+}
+
+// outbound returns the request as it goes to a node or target.
+func (n *Node) outbound(ctx context.Context, c *call, host string, attempt int) *http.Request {
+	in := c.req
+	h := in.Header.Clone()
+	trailers := strings.Contains(strings.ToLower(h.Get("Te")), "trailers")
+	removeHopByHop(h)
+	removeAll(h, nodeOnly)
+	delete(h, HeaderOutcome)
+	if trailers {
+		h["Te"] = []string{"trailers"}
+	}
+	if !c.callerExpects {
+		delete(h, "Expect")
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		// Without this, net/http would add its own.
+		h["User-Agent"] = []string{""}
+	}
+	h[HeaderRequestID] = []string{c.id}
+	h[HeaderAttempt] = []string{strconv.Itoa(attempt)}
+	if c.deadline != 0 {
+		h[HeaderDeadline] = []string{retry.FormatDeadline(n.timeLeft(c))}
+	}
+	depth := c.depth
+	if c.target == "" {
+		depth++
+	}
+	h[HeaderDepth] = []string{strconv.Itoa(depth)}
+	u := *in.URL
+	u.Scheme, u.Host = "http", host
+	req := &http.Request{
+		Method: in.Method, URL: &u, Host: in.Host, Header: h, ContentLength: in.ContentLength,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if in.ContentLength != 0 {
+		req.Body = c.body.attempt()
+		if in.ContentLength < 0 {
+			req.Trailer = in.Trailer
+		}
+	}
+	return req.WithContext(ctx)
+}
+
+// forward1xx passes an informational response on, but for 100, which the
+// server sends by itself when the body is read.
+func (c *call) forward1xx(code int, header textproto.MIMEHeader) error {
+	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
+		return nil
+	}
+	h := c.w.Header()
+	saved := h.Clone()
+	for name, values := range header {
+		h[name] = values
+	}
+	removeHopByHop(h)
+	c.w.WriteHeader(code)
+	clear(h)
+	for name, values := range saved {
+		h[name] = values
+	}
+	return nil
+}
+
+func (n *Node) isUpload(length int64) bool {
+	return length < 0 || length > n.settings.UploadBytes
+}
+
+func (c *call) trace1xx() context.Context {
+	return httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{Got1xxResponse: c.forward1xx})
+}
