Weigh fast calls as well as slow ones in the latency test

Only slow calls counted, under a null ratio of 1.5, so that a general slowdown gained little evidence per call. Marked and unmarked calls are both weighed now, and the null ratios are 1.15 at the 75th and 1.3 at the 95th percentile.

--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -12,10 +12,7 @@
 
 // The rate ratios of the comparison. Up to the null ratio the new version counts
 // as no worse; the grids span what faults look like.
-const (
-	failureNull = 1.2
-	latencyNull = 1.5
-)
+const failureNull = 1.2
 
 var (
 	failureOmegas = []float64{3, 10, 50, 500}
@@ -23,7 +20,8 @@
 	// count as slow: the lower one shows a general slowdown, the tail a partial
 	// one. A rate ratio can't exceed 1/(1-q).
 	latencyQuantiles = []float64{0.75, 0.95}
-	latencyOmegas    = [][]float64{{2, 3, 4}, {3, 6, 15}}
+	latencyOmegas    = [][]float64{{1.7, 2.5, 3.5}, {2.5, 5, 12}}
+	latencyNulls     = []float64{1.15, 1.3}
 )
 
 // minReference is how many calls of the old version a latency bound needs.
@@ -151,9 +149,16 @@
 }
 
 func observeLatency(st Stratum, reference *Histogram, part float64, scopes []*routeProcesses) {
+	total := reference.Total()
 	for i, q := range latencyQuantiles {
 		bucket, _ := reference.Quantile(q)
-		ratios := logRatios(st.New.Latency.Above(bucket), st.Old.Latency.Above(bucket), part, latencyOmegas[i], latencyNull)
+		base := float64(reference.Above(bucket)+1) / float64(total+2)
+		fresh := marks{st.New.Latency.Total(), st.New.Latency.Above(bucket)}
+		old := marks{st.Old.Latency.Total(), st.Old.Latency.Above(bucket)}
+		ratios := make([]float64, len(latencyOmegas[i]))
+		for k, omega := range latencyOmegas[i] {
+			ratios[k] = logRatioBoth(fresh, old, part, base, omega, latencyNulls[i])
+		}
 		for _, r := range scopes {
 			r.latency[i].observe(ratios)
 		}
