Compare with the past at full weight

At full weight no old calls are left to compare with, so faults that show only then were never judged.

--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -24,6 +24,9 @@
 	latencyNulls     = []float64{1.15, 1.3}
 )
 
+// pastQuantile is the latency bound at full weight.
+const pastQuantile = 0.95
+
 // minReference is how many calls of the old version a latency bound needs.
 const minReference = 20
 
@@ -76,6 +79,7 @@
 	all    *routeProcesses
 	routes map[string]*routeProcesses
 	strata map[stratumKey]*stratumState
+	past   *referenceTest
 	// raised and oldRaised count since the last raise of the share.
 	raised    Counts
 	oldRaised Counts
@@ -100,6 +104,7 @@
 	return &Sequential{
 		config: config, all: newRouteProcesses(),
 		routes: map[string]*routeProcesses{}, strata: map[stratumKey]*stratumState{},
+		past: newReferenceTest(),
 	}
 }
 
@@ -118,20 +123,23 @@
 	for _, r := range s.routes {
 		r.open(part)
 	}
+	if b.Weight == record.FullWeight {
+		s.past.open(part)
+	}
 	for _, st := range b.Strata {
-		s.observeStratum(st, b.Weight)
+		s.observeStratum(st, b)
 	}
 	s.decide()
 }
 
-func (s *Sequential) observeStratum(st Stratum, weight record.BasisPoints) {
+func (s *Sequential) observeStratum(st Stratum, b Block) {
 	key := stratumKey{st.Route, string(st.Zone)}
 	state := s.strata[key]
 	if state == nil {
 		state = &stratumState{}
 		s.strata[key] = state
 	}
-	state.exposure.observe(weight, st.New.Calls, st.Old.Calls)
+	state.exposure.observe(b.Weight, st.New.Calls, st.Old.Calls)
 	part := state.exposure.part()
 	scopes := []*routeProcesses{s.all, s.routes[st.Route]}
 	ratios := logRatios(st.New.Failures, st.Old.Failures, part, failureOmegas, failureNull)
@@ -143,11 +151,28 @@
 	if state.reference.Total() >= minReference {
 		observeLatency(st, &state.reference, part, scopes)
 	}
+	s.observePast(st, state, b)
 	state.reference.merge(&st.Old.Latency)
 	s.raised.Merge(st.New)
 	s.oldRaised.Merge(st.Old)
 }
 
+// observePast compares with the old version's earlier calls at full weight, and
+// learns from them before.
+func (s *Sequential) observePast(st Stratum, state *stratumState, b Block) {
+	slowOld, slowNew, base := uint64(0), uint64(0), 0.0
+	if total := state.reference.Total(); total >= minReference {
+		bucket, _ := state.reference.Quantile(pastQuantile)
+		base = float64(state.reference.Above(bucket)+1) / float64(total+2)
+		slowOld, slowNew = st.Old.Latency.Above(bucket), st.New.Latency.Above(bucket)
+	}
+	if b.Weight < record.FullWeight {
+		s.past.learn(st, float64(slowOld), base, b.Elapsed)
+		return
+	}
+	s.past.compare(st, slowNew, base)
+}
+
 func observeLatency(st Stratum, reference *Histogram, part float64, scopes []*routeProcesses) {
 	total := reference.Total()
 	for i, q := range latencyQuantiles {
@@ -207,14 +232,20 @@
 	}
 	failures, failureRoute := s.failureEvidence()
 	latency, latencyRoute := s.latencyEvidence()
-	if (failures+latency)/2 < 1/s.config.FalseAlarm {
+	pastFailures, pastLatency := s.past.failureEvidence(), s.past.latencyEvidence()
+	if (failures+latency+pastFailures+pastLatency)/4 < 1/s.config.FalseAlarm {
 		return
 	}
 	j := Judgement{Verdict: Condemned, Calls: s.raised.Calls, Failures: s.raised.Failures}
-	if failures >= latency {
+	switch max(failures, latency, pastFailures, pastLatency) {
+	case failures:
 		j.Reason = fmt.Sprintf("the new version fails more calls than the old one, most clearly on route %q (%d of %d calls at this share)", failureRoute, j.Failures, j.Calls)
-	} else {
+	case latency:
 		j.Reason = fmt.Sprintf("the new version is slower than the old one, most clearly on route %q", latencyRoute)
+	case pastFailures:
+		j.Reason = fmt.Sprintf("at full weight %d of %d calls failed, more than before in all zones but one", j.Failures, j.Calls)
+	default:
+		j.Reason = "at full weight calls are slower than before in all zones but one"
 	}
 	s.condemned = &j
 }
@@ -230,5 +261,5 @@
 func (s *Sequential) suspicion() float64 {
 	failures, _ := s.failureEvidence()
 	latency, _ := s.latencyEvidence()
-	return max(failures, latency)
+	return max(failures, latency, s.past.failureEvidence(), s.past.latencyEvidence())
 }
