--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -68,7 +68,7 @@
 	end := time.Now()
 	c.recorder.add(result{
 		call: call, repeat: n > 0, outcome: v.outcome, retries: retries,
-		response: end.Sub(start), service: end.Sub(sent),
+		response: end.Sub(start), service: end.Sub(sent), lag: sent.Sub(start),
 	})
 	c.log(a, call, v)
 	return v.outcome
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -24,6 +24,8 @@
 	response time.Duration
 	// service is the time from the actual send time to the end.
 	service time.Duration
+	// lag is the time from the intended to the actual send time.
+	lag time.Duration
 }
 
 // group is what is measured together.
@@ -39,10 +41,11 @@
 }
 
 func newSamples() *samples {
-	return &samples{
-		response: hdrhistogram.New(1, histogramMax, histogramDigits),
-		service:  hdrhistogram.New(1, histogramMax, histogramDigits),
-	}
+	return &samples{response: newHistogram(), service: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
 }
 
 // recorder collects the results of a run.
@@ -50,12 +53,14 @@
 	mu     sync.Mutex
 	counts map[Via]*Counts
 	groups map[group]*samples
+	lag    *hdrhistogram.Histogram
 }
 
 func newRecorder() *recorder {
 	return &recorder{
 		counts: map[Via]*Counts{ViaNode: {}, ViaDirect: {}},
 		groups: map[group]*samples{},
+		lag:    newHistogram(),
 	}
 }
 
@@ -63,6 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts[res.call.Via].add(res)
+	record(r.lag, res.lag)
 	if res.outcome != OutcomeAnswered || res.repeat {
 		return
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -72,6 +72,8 @@
 	Node     Counts  `json:"node"`
 	Direct   Counts  `json:"direct"`
 	Duplicates
+	// StartLag is how late the generator itself started its calls.
+	StartLag  Latency      `json:"start_lag"`
 	Latencies []Comparison `json:"latencies"`
 }
 
@@ -89,7 +91,10 @@
 	comparisons := r.compare()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Report{Node: *r.counts[ViaNode], Direct: *r.counts[ViaDirect], Latencies: comparisons}
+	return Report{
+		Node: *r.counts[ViaNode], Direct: *r.counts[ViaDirect],
+		StartLag: summarize(r.lag), Latencies: comparisons,
+	}
 }
 
 // compare builds the comparisons of all kinds that were answered.
@@ -166,6 +171,7 @@
 			line("%s ratio\t\t%.3f\t%.3f\t%.3f\t", c.Kind, c.Ratio.P50, c.Ratio.P99, c.Ratio.P999)
 		}
 	}
+	writeLatency(line, "start lag", r.StartLag)
 	if err := tab.Flush(); err != nil {
 		return err
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -68,18 +68,6 @@
 	}
 }
 
-// waitUntil reports whether the time came before ctx ended.
-func waitUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // reportProgress writes the counts at intervals until the returned function is called.
 func (c *caller) reportProgress() (stop func()) {
 	ticker := time.NewTicker(progressInterval)
