--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,9 @@
 	stopping  chan struct{}
 	closeOnce sync.Once
 
+	// held and polling count the calls that an outage holds and the reads that wait.
+	held, polling atomic.Int64
+
 	mu      sync.Mutex
 	streams map[string]*stream
 }
@@ -165,6 +169,8 @@
 	control, changed := s.switches.get()
 	timer := time.NewTimer(q.wait)
 	defer timer.Stop()
+	s.polling.Add(1)
+	defer s.polling.Add(-1)
 	for {
 		page, held, more := source.read(q.from, q.max, s.now(), control.retention())
 		if !held || len(page.Entries) > 0 {
@@ -225,6 +231,8 @@
 
 // hold waits for a change of the control, the stop, or the end of ctx.
 func (s *Server) hold(ctx context.Context, changed <-chan struct{}) {
+	s.held.Add(1)
+	defer s.held.Add(-1)
 	select {
 	case <-changed:
 	case <-s.stopping:
--- a/internal/platform/status.go
+++ b/internal/platform/status.go
@@ -45,12 +45,19 @@
 type Status struct {
 	Control  Control  `json:"control"`
 	Counters Counters `json:"counters"`
+	// Held counts the calls that an outage holds now.
+	Held int64 `json:"held"`
+	// Polling counts the reads that wait now.
+	Polling int64 `json:"polling"`
 }
 
 // Status returns the control and the counters.
 func (s *Server) Status() Status {
 	control, _ := s.switches.get()
-	return Status{Control: control, Counters: s.counters.snapshot()}
+	return Status{
+		Control: control, Counters: s.counters.snapshot(),
+		Held: s.held.Load(), Polling: s.polling.Load(),
+	}
 }
 
 func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
