--- a/pkg/distribution/machine.go
+++ b/pkg/distribution/machine.go
@@ -121,9 +121,17 @@
 }
 
 // install hands a snapshot to the adapter if it is newer than all entries. A
-// node that cannot apply a record does not pass over it by a snapshot.
+// node that cannot apply a record does not pass over it by a snapshot, but
+// relays the entries that follow the snapshot.
 func (m *Machine) install(s Snapshot) {
-	if m.applying || m.nack != "" || s.Revision <= m.buffer.have {
+	if s.Revision <= m.buffer.have {
+		return
+	}
+	if m.nack != "" {
+		m.buffer.rebase(s.Revision)
+		return
+	}
+	if m.applying {
 		return
 	}
 	m.applying = true
--- a/pkg/distribution/peers.go
+++ b/pkg/distribution/peers.go
@@ -50,6 +50,9 @@
 	if p.reader && !m.peers.reader {
 		m.log.promoted(m.now)
 	}
+	if len(m.peers.live) == 0 && len(p.live) > 0 {
+		m.pulls.next = m.now
+	}
 	m.peers = p
 }
 
--- a/pkg/distribution/pull.go
+++ b/pkg/distribution/pull.go
@@ -127,6 +127,8 @@
 	case m.buffer.have > before && r.Have > m.buffer.have:
 		// The response was cut at its limit.
 		m.pull(r.From, PullRequest{})
+	case r.Members != nil && r.Have > m.buffer.have:
+		m.pullFrom(r.From)
 	}
 }
 
