Compose the node and serve the first path through separate processes

Cause: the parts need one reducer that dispatches events and collects effects, and adapters that carry them out. Ruled out while integrating: effects of the distribution machine that caused events for itself were carried out of order (ready was followed by a stale not-ready); they now wait in a backlog. A change was reported as in force only after 12 s, since readers talk to one zone in turn every 2 s; a waiting command now asks for fresh zone reports every second.

--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,6 @@
 
 clean:
 	rm -rf $(BIN)
+
+demo: build
+	go run ./scripts/demo --bin $(BIN)
--- /dev/null
+++ b/cmd/heathercroft-node/main.go
@@ -0,0 +1,37 @@
+// Command heathercroft-node is the process beside a target instance: it carries
+// calls, applies configuration and moves traffic.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/node"
+	"heathercroft.example/heathercroft/internal/settings"
+)
+
+func main() {
+	cli := kingpin.New("heathercroft-node", "Carries calls, applies configuration and moves traffic beside one target instance.")
+	path := cli.Flag("settings", "TOML settings file.").Required().String()
+	check := cli.Flag("check-settings", "Check the settings file and exit.").Bool()
+	kingpin.MustParse(cli.Parse(os.Args[1:]))
+
+	s := settings.DefaultNode()
+	if err := settings.Load(*path, &s); err != nil {
+		app.Fail(app.ExitBadSettings, err)
+	}
+	if *check {
+		return
+	}
+	logger := app.NewLogger(os.Stdout, "heathercroft-node", s.Log.Level).With("node", string(s.Node.ID), "zone", string(s.Node.Zone))
+	n, err := node.New(s, logger)
+	if err != nil {
+		app.Fail(app.ExitFailure, err)
+	}
+	if err := n.Run(context.Background()); err != nil {
+		app.Fail(app.ExitFailure, err)
+	}
+}
--- a/internal/callpath/node.go
+++ b/internal/callpath/node.go
@@ -31,7 +31,7 @@
 	n := &Node{deps: d, settings: s, metrics: newMetrics(), pool: newPool(s), crash: newCrashGuard()}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := net.Dialer{Timeout: s.DialTimeout}
+	dialer := net.Dialer{Timeout: s.DialTimeout, LocalAddr: s.LocalAddr}
 	n.peers = &http.Transport{
 		Protocols:              protocols,
 		DialContext:            dialer.DialContext,
--- a/internal/callpath/settings.go
+++ b/internal/callpath/settings.go
@@ -1,6 +1,9 @@
 package callpath
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Settings are the limits of the call path.
 type Settings struct {
@@ -22,6 +25,9 @@
 	// MaxHeaderBytes bounds the header of a call. It must leave room for the
 	// headers that nodes add under the limit of their servers.
 	MaxHeaderBytes int
+	// LocalAddr is the source address of connections to other nodes; nil leaves
+	// it to the system.
+	LocalAddr net.Addr
 	// DetachedLimit is how long a keyed request may go on after its caller left.
 	DetachedLimit time.Duration
 }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,248 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/distribution"
+	"heathercroft.example/heathercroft/pkg/membership"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/pricing"
+	"heathercroft.example/heathercroft/pkg/state"
+	"heathercroft.example/heathercroft/pkg/timeline"
+)
+
+// TickInterval is the time between two ticks.
+const TickInterval = 100 * time.Millisecond
+
+// Config is what a reducer needs at its start.
+type Config struct {
+	Self mesh.NodeInfo
+	// StartUnixMS is the wall clock at the start of the process in milliseconds.
+	StartUnixMS int64
+	// Seeds are RPC addresses of nodes to join through.
+	Seeds []netip.AddrPort
+	// Seed drives all random choices.
+	Seed uint64
+}
+
+// Core is the reducer of one node. It is owned by one goroutine.
+type Core struct {
+	cfg  Config
+	time Time
+	out  []Effect
+
+	state        *state.State
+	membership   *membership.Machine
+	distribution *distribution.Machine
+	queue        *pricing.Queue
+	appends      appends
+	fates        fates
+	rollouts     rollouts
+	snapshots    snapshots
+
+	// distributionBacklog and queueBacklog hold events that effects of the same
+	// machine caused.
+	distributionBacklog []distribution.Event
+	queueBacklog        []pricing.Event
+
+	leaving bool
+	// target is the local target, nil if none is announced.
+	target *mesh.Target
+	// generation of the membership view that the parts have been told.
+	generation uint64
+	addresses  map[mesh.NodeID]netip.AddrPort
+	live       []mesh.NodeID
+	// head is the newest offset known to be in the log.
+	head     uint64
+	headRead time.Duration
+	headSeen bool
+}
+
+// New returns the reducer of a node that knows nothing but itself.
+func New(cfg Config) *Core {
+	source := func(stream uint64) rand.Source { return rand.NewPCG(cfg.Seed, stream) }
+	author := string(cfg.Self.ID) + "/" + string(cfg.Self.Session)
+	return &Core{
+		cfg:   cfg,
+		state: state.New(),
+		membership: membership.New(membership.Config{
+			Self: cfg.Self, Incarnation: uint64(cfg.StartUnixMS), Seeds: cfg.Seeds, Source: source(1),
+		}),
+		distribution: distribution.New(distribution.Config{Self: cfg.Self.ID, Zone: cfg.Self.Zone, Source: source(2)}),
+		queue:        pricing.NewQueue(pricing.Config{Author: author, Mesh: pricing.Mesh{Nodes: 1, Zones: 1, FanOut: distribution.FanOut}}),
+		appends:      newAppends(rand.New(source(3))),
+		fates:        newFates(),
+		rollouts:     newRollouts(cfg, rand.New(source(4))),
+		addresses:    map[mesh.NodeID]netip.AddrPort{},
+	}
+}
+
+// Step reduces one event and returns the effects in the order in which they
+// have to be carried out. Time never decreases from one event to the next.
+func (c *Core) Step(t Time, event Event) []Effect {
+	c.time = t
+	switch e := event.(type) {
+	case Tick:
+		c.tick()
+	case Started:
+		c.announceSelf()
+	case Leave:
+		c.leave()
+	case TargetAnnounced:
+		c.targetAnnounced(e.Target)
+	case MembershipReceived:
+		c.stepMembership(membership.Received{Now: t.Now, Message: e.Message})
+	case EvidenceCounted, EvidenceReceived, HolderStatusReceived, CutReceived:
+		c.stepRollouts(event)
+	case AppendResult:
+		c.appendResult(e)
+	case SnapshotAppended:
+		c.snapshotAppended(e)
+	case TargetCrashed:
+		c.spreadCrash(e.Report)
+	case CrashReceived:
+		c.emit(CountCrashes(e))
+	case RefreshZones:
+		c.stepMembership(membership.RefreshZones{Now: t.Now})
+	case Submitted:
+		c.submitted(e.Submission)
+	default:
+		c.stepDistributionEvent(event)
+	}
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) note(kind timeline.Kind, fields map[string]string) {
+	c.emit(Note{Kind: kind, Revision: c.state.Revision, Fields: fields})
+}
+
+func (c *Core) tick() {
+	now := c.time.Now
+	c.stepMembership(membership.Tick{Now: now})
+	c.stepDistribution(distribution.Tick{Now: now})
+	c.stepQueue(pricing.Tick{Now: now})
+	c.tickRollouts()
+	c.retryAppends()
+	c.scheduleSnapshot()
+}
+
+func (c *Core) leave() {
+	c.leaving = true
+	c.note(KindLeaving, nil)
+	c.stepMembership(membership.Leave{Now: c.time.Now})
+}
+
+func (c *Core) targetAnnounced(t mesh.Target) {
+	if c.leaving {
+		t.State = mesh.TargetLeaving
+	}
+	before := c.target
+	c.target = &t
+	c.stepMembership(membership.TargetAnnounced{Now: c.time.Now, Target: t})
+	if before != nil && before.State == t.State && before.Version == t.Version {
+		return
+	}
+	kind := KindTargetAnnounced
+	if t.State == mesh.TargetLeaving {
+		kind = KindTargetLeaving
+	}
+	c.note(kind, map[string]string{"service": t.Service, "version": t.Version})
+}
+
+// stepMembership runs the failure detector and passes on what changed.
+func (c *Core) stepMembership(e membership.Event) {
+	for _, effect := range c.membership.Step(e) {
+		switch effect := effect.(type) {
+		case membership.Send:
+			c.emit(Send{To: effect.To, Method: MethodMembership, Params: effect.Message})
+		case membership.Changed:
+			c.membersChanged()
+		case membership.StateChanged:
+			c.note(KindMemberState, map[string]string{"node": string(effect.Node), "state": string(effect.State)})
+		case membership.ZoneChanged:
+			kind := KindZoneUnreachable
+			if effect.Reachable {
+				kind = KindZoneReachable
+			}
+			c.note(kind, map[string]string{"zone": string(effect.Zone)})
+		case membership.TargetGone:
+			if c.target != nil && c.target.State != mesh.TargetLeaving {
+				c.emit(TargetLost{})
+			}
+			c.target = nil
+			c.emit(PublishTable{})
+			c.note(KindTargetGone, map[string]string{"service": effect.Target.Service, "version": effect.Target.Version})
+		case membership.TargetRejected:
+			c.note(KindTargetRejected, map[string]string{"bytes": strconv.Itoa(effect.Bytes)})
+		default:
+			panic(fmt.Sprintf("membership effect without a rule: %T", effect))
+		}
+	}
+}
+
+// membersChanged tells the other parts about the live members.
+func (c *Core) membersChanged() {
+	if c.generation == c.membership.Generation() {
+		return
+	}
+	c.generation = c.membership.Generation()
+	clear(c.addresses)
+	c.live = c.live[:0]
+	var peers []distribution.Peer
+	zones := map[mesh.AvailabilityZone]bool{}
+	for _, m := range c.membership.Members() {
+		if m.State == membership.Dead {
+			continue
+		}
+		c.addresses[m.Info.ID] = m.Info.RPC
+		zones[m.Info.Zone] = true
+		if m.State != membership.Leaving {
+			c.live = append(c.live, m.Info.ID)
+		}
+		peers = append(peers, distribution.Peer{
+			ID: m.Info.ID, Session: m.Info.Session, Zone: m.Info.Zone, Suspect: m.State == membership.Suspect,
+		})
+	}
+	c.stepDistribution(distribution.MembersChanged{Now: c.time.Now, Peers: peers})
+	c.stepQueue(pricing.MeshChanged{Now: c.time.Now, Mesh: pricing.Mesh{
+		Nodes: len(c.live), Zones: len(zones), FanOut: distribution.FanOut,
+	}})
+	c.rolloutMembersChanged()
+	c.emit(PublishTable{})
+	c.emit(Notify{})
+}
+
+// send asks for a message to a member; one that is not known any more gets none.
+func (c *Core) send(to mesh.NodeID, method string, params any) {
+	if address, ok := c.addresses[to]; ok {
+		c.emit(Send{To: address, Method: method, Params: params})
+	}
+}
+
+// spreadCrash tells each member of the zone, since a request that crashes
+// targets is sent to all of them in turn. Crashes are rare, so the cost of one
+// message to each member does not matter.
+func (c *Core) spreadCrash(r CrashReport) {
+	for _, id := range c.zoneMembers() {
+		c.send(id, MethodCrash, r)
+	}
+}
+
+// zoneMembers returns the other live members of the own zone.
+func (c *Core) zoneMembers() []mesh.NodeID {
+	var ids []mesh.NodeID
+	for _, m := range c.membership.Members() {
+		if m.Info.Zone == c.cfg.Self.Zone && m.State == membership.Alive && m.Info.ID != c.cfg.Self.ID {
+			ids = append(ids, m.Info.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/core/event.go
@@ -0,0 +1,179 @@
+// Package core is the reducer of a node. Every input of the node is an Event;
+// Step reduces it once through the state machines of pkg and returns the
+// effects as data. The package has no I/O, clock or goroutine.
+package core
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/distribution"
+	"heathercroft.example/heathercroft/pkg/membership"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/rollout"
+)
+
+// Time is the time of an event.
+type Time struct {
+	// Now is monotonic, since the start of the process.
+	Now time.Duration
+	// UnixMS is the wall clock in milliseconds.
+	UnixMS int64
+}
+
+// Event is an input of the reducer.
+type Event interface{ coreEvent() }
+
+// Tick lets timers run. The adapter sends one every TickInterval.
+type Tick struct{}
+
+// Started is the first event of a process.
+type Started struct{}
+
+// Leave says that the node was told to stop.
+type Leave struct{}
+
+// TargetAnnounced is an announcement of the local target.
+type TargetAnnounced struct{ Target mesh.Target }
+
+// MembershipReceived is a membership message of another node.
+type MembershipReceived struct{ Message membership.Message }
+
+// PushReceived is a push of log entries from another node.
+type PushReceived struct{ Push distribution.Push }
+
+// PullReceived is a pull request of another node.
+type PullReceived struct{ Request distribution.PullRequest }
+
+// PullAnswered is the response to a pull request of this node.
+type PullAnswered struct{ Response distribution.PullResponse }
+
+// TransferDone reports the end of a snapshot transfer to another node.
+type TransferDone struct{ To mesh.NodeID }
+
+// LogPage is the answer to ReadLog.
+type LogPage struct {
+	Read        uint64
+	First, Next record.Revision
+	Entries     []distribution.Entry
+	// Retention is how long the platform keeps entries, 0 if unknown.
+	Retention time.Duration
+}
+
+// LogFailed reports that a read of the platform failed.
+type LogFailed struct {
+	Read   uint64
+	Reason string
+}
+
+// LogOutOfRange reports that the platform no longer has the offset.
+type LogOutOfRange struct {
+	Read        uint64
+	First, Next record.Revision
+}
+
+// SnapshotRead is the answer to ReadSnapshots; Revision is 0 if there is none.
+type SnapshotRead struct {
+	Read     uint64
+	Snapshot distribution.Snapshot
+}
+
+// AppendResult is the end of one attempt to append a record.
+type AppendResult struct {
+	ID string
+	// Offset is set if the platform confirmed the append.
+	Offset record.Revision
+	// NotRun is set if the platform certainly did not append the record.
+	NotRun bool
+	Reason string
+}
+
+// SnapshotAppended reports the end of an attempt to append a snapshot.
+type SnapshotAppended struct {
+	Revision record.Revision
+	Err      string
+}
+
+// EvidenceCounted is what the call path counted since the last event.
+type EvidenceCounted struct{ Delta rollout.Evidence }
+
+// EvidenceReport is what a node has counted of the services with an open
+// rollout; it travels to the holder.
+type EvidenceReport struct {
+	Rollout  record.RolloutID      `json:"rollout"`
+	Source   mesh.NodeID           `json:"source"`
+	Session  mesh.SessionID        `json:"session"`
+	Zone     mesh.AvailabilityZone `json:"zone"`
+	Sequence uint64                `json:"sequence"`
+	Totals   rollout.Evidence      `json:"totals"`
+}
+
+// EvidenceReceived is a report of another node.
+type EvidenceReceived struct{ Report EvidenceReport }
+
+// HolderStatus is what the holder of a rollout tells others.
+type HolderStatus struct {
+	Holder mesh.NodeID    `json:"holder"`
+	Epoch  record.Epoch   `json:"epoch"`
+	Report rollout.Report `json:"report"`
+	// IntervalMS asks sources of evidence to report at this interval.
+	IntervalMS int64 `json:"interval_ms"`
+}
+
+// HolderStatusReceived is a status message of a holder.
+type HolderStatusReceived struct{ Status HolderStatus }
+
+// CutReceived is a notice of another node that it cut a version.
+type CutReceived struct{ Cut rollout.Cut }
+
+// CrashReport names requests that were in flight when a target crashed.
+type CrashReport struct {
+	Fingerprints []uint64 `json:"fingerprints"`
+}
+
+// TargetCrashed says that the local target crashed with requests in flight.
+type TargetCrashed struct{ Report CrashReport }
+
+// CrashReceived is a crash report of another node of the zone.
+type CrashReceived struct{ Report CrashReport }
+
+// Submitted is a configuration change of an operator.
+type Submitted struct{ Submission Submission }
+
+// RefreshZones asks for the newest reports of the other zones.
+type RefreshZones struct{}
+
+// Submission is a configuration change of an operator.
+type Submission struct {
+	ID       string
+	Body     record.Body
+	Presumes record.Revision
+	// Wait is how long the append may be deferred.
+	Wait time.Duration
+	// Text is the command as written.
+	Text string
+}
+
+func (Tick) coreEvent()                 {}
+func (Started) coreEvent()              {}
+func (Leave) coreEvent()                {}
+func (TargetAnnounced) coreEvent()      {}
+func (MembershipReceived) coreEvent()   {}
+func (PushReceived) coreEvent()         {}
+func (PullReceived) coreEvent()         {}
+func (PullAnswered) coreEvent()         {}
+func (TransferDone) coreEvent()         {}
+func (LogPage) coreEvent()              {}
+func (LogFailed) coreEvent()            {}
+func (LogOutOfRange) coreEvent()        {}
+func (SnapshotRead) coreEvent()         {}
+func (AppendResult) coreEvent()         {}
+func (SnapshotAppended) coreEvent()     {}
+func (EvidenceCounted) coreEvent()      {}
+func (EvidenceReceived) coreEvent()     {}
+func (HolderStatusReceived) coreEvent() {}
+func (CutReceived) coreEvent()          {}
+func (Submitted) coreEvent()            {}
+func (RefreshZones) coreEvent()         {}
+func (TargetCrashed) coreEvent()        {}
+func (CrashReceived) coreEvent()        {}
--- /dev/null
+++ b/internal/core/report.go
@@ -0,0 +1,210 @@
+package core
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/distribution"
+	"heathercroft.example/heathercroft/pkg/membership"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/pricing"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/rollout"
+	"heathercroft.example/heathercroft/pkg/routing"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// State returns a copy of the state.
+func (c *Core) State() *state.State { return c.state.Clone() }
+
+// Revision returns the revision in force at this node.
+func (c *Core) Revision() record.Revision { return c.state.Revision }
+
+// Target returns the local target; ok is false if none is announced.
+func (c *Core) Target() (t mesh.Target, ok bool) {
+	if c.target == nil {
+		return mesh.Target{}, false
+	}
+	return *c.target, true
+}
+
+// Routing returns the input of the routing table.
+func (c *Core) Routing() routing.Input {
+	in := routing.Input{
+		Revision: c.state.Revision, Services: c.state.Services, Routes: c.state.Routes, Zone: c.cfg.Self.Zone,
+	}
+	for _, cut := range c.rollouts.cutter.Cuts() {
+		in.Cuts = append(in.Cuts, routing.Cut{Service: cut.Service, Version: cut.Version})
+	}
+	for _, e := range c.membership.Endpoints() {
+		in.Endpoints = append(in.Endpoints, routing.MarkedEndpoint{Endpoint: e.Endpoint, Flags: flagsOf(e)})
+	}
+	return in
+}
+
+func flagsOf(e membership.Endpoint) routing.Flags {
+	var flags routing.Flags
+	for _, f := range []struct {
+		set  bool
+		flag routing.Flags
+	}{
+		{e.Leaving, routing.Leaving},
+		{e.Suspect, routing.Suspect},
+		{e.Damped, routing.Damped},
+		{e.Unreachable, routing.ZoneUnreachable},
+	} {
+		if f.set {
+			flags |= f.flag
+		}
+	}
+	return flags
+}
+
+// RevisionCount is how many nodes have a revision in force.
+type RevisionCount struct {
+	Revision record.Revision
+	Nodes    int
+}
+
+// ZoneReport is what this node knows of one zone.
+type ZoneReport struct {
+	Zone    mesh.AvailabilityZone
+	Region  mesh.Region
+	Visible bool
+	// ContactAge is the time since the zone was last heard of; Known is false if
+	// it never was.
+	ContactAge time.Duration
+	Known      bool
+	Nodes      int
+	Applied    []RevisionCount
+	NACKs      []membership.NACK
+}
+
+// Zones reports what is in force in each zone. Numbers of other zones come from
+// the summaries of their readers, and are as old as the last contact.
+func (c *Core) Zones() []ZoneReport {
+	members := map[mesh.AvailabilityZone][]membership.Member{}
+	for _, m := range c.membership.Members() {
+		if m.State != membership.Dead {
+			members[m.Info.Zone] = append(members[m.Info.Zone], m)
+		}
+	}
+	var reports []ZoneReport
+	for _, z := range c.membership.Zones() {
+		r := ZoneReport{Zone: z.Zone, Visible: z.Reachable, Known: z.Known, ContactAge: c.time.Now - z.LastContact}
+		if own := members[z.Zone]; len(own) > 0 {
+			r.Region = own[0].Info.Region
+			r.Nodes = len(own)
+			r.Applied, r.NACKs = countRevisions(own)
+		}
+		if z.Zone == c.cfg.Self.Zone {
+			r.Visible, r.Known, r.ContactAge = true, true, 0
+		} else if z.Summary.Version > 0 {
+			r.Nodes, r.NACKs = z.Summary.Members, z.Summary.NACKs
+			r.Applied = summaryRevisions(z.Summary)
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+func countRevisions(members []membership.Member) ([]RevisionCount, []membership.NACK) {
+	counts := map[record.Revision]int{}
+	var nacks []membership.NACK
+	for _, m := range members {
+		counts[m.Revision]++
+		if m.NACK != "" {
+			nacks = append(nacks, membership.NACK{Node: m.Info.ID, Revision: m.Revision, Reason: m.NACK})
+		}
+	}
+	var list []RevisionCount
+	for _, revision := range slices.Sorted(maps.Keys(counts)) {
+		list = append(list, RevisionCount{Revision: revision, Nodes: counts[revision]})
+	}
+	return list, nacks
+}
+
+// summaryRevisions gives the range of a zone: at least one node has the lowest
+// revision, and all others are taken to have it too, so that a change is never
+// reported in force before the last node has it.
+func summaryRevisions(s membership.ZoneSummary) []RevisionCount {
+	if s.Members == 0 {
+		return nil
+	}
+	if s.MinRevision == s.MaxRevision || s.Members == 1 {
+		return []RevisionCount{{Revision: s.MinRevision, Nodes: s.Members}}
+	}
+	return []RevisionCount{{Revision: s.MinRevision, Nodes: s.Members - 1}, {Revision: s.MaxRevision, Nodes: 1}}
+}
+
+// Members returns all known nodes, dead ones included.
+func (c *Core) Members() []membership.Member { return c.membership.Members() }
+
+// Distribution returns the status of the distribution.
+func (c *Core) Distribution() distribution.Status { return c.distribution.Status() }
+
+// Head returns the newest revision known to be in the log, and the age of the
+// last read of the log by this node; ok is false if it never read it.
+func (c *Core) Head() (head record.Revision, age time.Duration, ok bool) {
+	return record.Revision(c.head), c.time.Now - c.headRead, c.headSeen
+}
+
+// RolloutReport returns what this node knows of a rollout beside its state.
+// fresh is false if neither this node is the holder nor heard of it lately.
+func (c *Core) RolloutReport(id record.RolloutID) (report rollout.Report, fresh, ok bool) {
+	h := c.rollouts.holders[id]
+	if h == nil {
+		return rollout.Report{}, false, false
+	}
+	if h.machine.Holding() || h.heardAt == 0 {
+		return h.machine.Report(), h.machine.Holding(), true
+	}
+	return h.heard.Report, c.time.Now-h.heardAt < rollout.ClaimAfter, true
+}
+
+// RolloutHolder returns where the holder of an open rollout is reached.
+func (c *Core) RolloutHolder(id record.RolloutID) (mesh.NodeID, bool) {
+	h := c.rollouts.holders[id]
+	if h == nil || h.rollout.Holder == "" {
+		return "", false
+	}
+	return mesh.NodeID(h.rollout.Holder), true
+}
+
+// Cuts returns the versions that this node sends no calls to.
+func (c *Core) Cuts() []rollout.Cut { return c.rollouts.cutter.Cuts() }
+
+// Price estimates the price of a change.
+func (c *Core) Price(bodyBytes int, wait time.Duration) pricing.Price {
+	return c.queue.Estimate(bodyBytes, wait)
+}
+
+// Fate returns what became of a change of an operator.
+func (c *Core) Fate(id string) Fate {
+	if f, ok := c.fates.byID[id]; ok {
+		return *f
+	}
+	if o, ok := c.state.Outcomes[id]; ok {
+		return Fate{Stage: StageDecided, Outcome: o, Reason: o.Reason}
+	}
+	return Fate{Stage: StageNone}
+}
+
+// Waiting returns the changes that wait at this node, in order of their end.
+func (c *Core) Waiting() []Fate {
+	var list []Fate
+	for _, f := range c.fates.byID {
+		if f.Stage == StageWaiting {
+			list = append(list, *f)
+		}
+	}
+	slices.SortFunc(list, func(a, b Fate) int {
+		return cmp.Or(cmp.Compare(a.Due, b.Due), cmp.Compare(a.Submission.ID, b.Submission.ID))
+	})
+	return list
+}
+
+// MalformedRecords returns how many entries of the log were no record.
+func (c *Core) MalformedRecords() uint64 { return c.state.Malformed }
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net/http"
+
+	"heathercroft.example/heathercroft/internal/core"
+	"heathercroft.example/heathercroft/internal/query"
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// maxAnnouncement bounds the body of an announcement in bytes.
+const maxAnnouncement = 16 << 10
+
+// adminHandler serves targets, operators and monitoring.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	b := backend{n.loop}
+	commands := query.Handler(b)
+	mux.HandleFunc("POST /heathercroft/v1/announce", n.announce)
+	mux.HandleFunc(query.CommandPath, func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		go b.keepFresh(ctx)
+		b.refreshRollouts(ctx)
+		commands.ServeHTTP(w, r)
+	})
+	mux.HandleFunc("GET /heathercroft/v1/ready", n.readiness)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return mux
+}
+
+// announce takes the announcement of the target beside the node.
+func (n *Node) announce(w http.ResponseWriter, r *http.Request) {
+	var t mesh.Target
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&t); err != nil {
+		badAnnouncements.Add(1)
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if reason := invalidTarget(t); reason != "" {
+		badAnnouncements.Add(1)
+		http.Error(w, "announcement: "+reason, http.StatusBadRequest)
+		return
+	}
+	n.loop.post(core.TargetAnnounced{Target: t})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func invalidTarget(t mesh.Target) string {
+	switch {
+	case t.Service == "" || t.Version == "":
+		return "service and version are required"
+	case !t.Address.IsValid():
+		return "address must be an IP address and port"
+	case t.Slots <= 0:
+		return "slots must be at least 1"
+	case t.State != mesh.TargetServing && t.State != mesh.TargetLeaving:
+		return "state must be serving or leaving"
+	default:
+		return ""
+	}
+}
+
+// readiness tells whether the node serves calls, and why not.
+func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
+	type answer struct {
+		Ready    bool   `json:"ready"`
+		Reason   string `json:"reason,omitempty"`
+		Revision uint64 `json:"revision"`
+	}
+	var a answer
+	n.loop.query(func(c *core.Core) {
+		status := c.Distribution()
+		a = answer{Ready: status.Ready, Reason: status.Reason, Revision: uint64(c.Revision())}
+	})
+	w.Header().Set("Content-Type", "application/json")
+	if !a.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(a)
+}
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heathercroft.example/heathercroft/internal/callpath"
+	"heathercroft.example/heathercroft/internal/core"
+	"heathercroft.example/heathercroft/internal/rpc"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/routing"
+	"heathercroft.example/heathercroft/pkg/timeline"
+)
+
+const (
+	// inboxSize bounds the events that wait for the reducer. All protocols between
+	// nodes tolerate loss, so messages over it are dropped and counted.
+	inboxSize = 4096
+	// sendLimit bounds the messages in flight to other nodes.
+	sendLimit = 128
+	// sendTimeout bounds one message: a connection that went silent is then dropped.
+	sendTimeout = time.Second
+	// evidenceEvery is the time between two collections of evidence, well under
+	// the bound of 1 s for a local cut.
+	evidenceEvery = 250 * time.Millisecond
+)
+
+// loop owns the reducer: it feeds events to it one at a time and carries out
+// the effects. It implements transport.Server of kratos.
+type loop struct {
+	node     *Node
+	core     *core.Core
+	platform *platform
+	client   *rpc.Client
+	start    time.Time
+
+	inbox   chan core.Event
+	queries chan func()
+	stop    chan struct{}
+	ended   chan struct{}
+	once    sync.Once
+
+	table   atomic.Pointer[routing.Table]
+	target  atomic.Pointer[mesh.Target]
+	tracker *routing.Tracker
+	ready   bool
+	sends   chan struct{}
+
+	changedMu sync.Mutex
+	changed   chan struct{}
+
+	inboxDropped, sendsDropped, sendsFailed, sent atomic.Int64
+}
+
+func newLoop(n *Node) *loop {
+	local := n.settings.Listen.RPC.Addr()
+	l := &loop{
+		node: n, client: rpc.NewClient(n.counters, local), start: time.Now(),
+		inbox: make(chan core.Event, inboxSize), queries: make(chan func()), stop: make(chan struct{}),
+		ended: make(chan struct{}), tracker: routing.NewTracker(), sends: make(chan struct{}, sendLimit),
+		changed: make(chan struct{}),
+	}
+	seeds := make([]netip.AddrPort, 0, len(n.settings.Peers.Seeds))
+	for _, s := range n.settings.Peers.Seeds {
+		seeds = append(seeds, s.AddrPort)
+	}
+	l.core = core.New(core.Config{Self: n.self, StartUnixMS: l.start.UnixMilli(), Seeds: seeds, Seed: randomSeed()})
+	l.platform = newPlatform(l, platformClient(n.settings.Platform, local), n.settings.Platform)
+	return l
+}
+
+func randomSeed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// now is the monotonic time since the start of the process.
+func (l *loop) now() time.Duration { return time.Since(l.start) }
+
+func (l *loop) time() core.Time {
+	return core.Time{Now: l.now(), UnixMS: time.Now().UnixMilli()}
+}
+
+// Start runs the reducer until Stop.
+func (l *loop) Start(context.Context) error {
+	defer close(l.ended)
+	tick := time.NewTicker(core.TickInterval)
+	defer tick.Stop()
+	collect := time.NewTicker(evidenceEvery)
+	defer collect.Stop()
+	l.step(core.Started{})
+	for {
+		select {
+		case <-l.stop:
+			return nil
+		case e := <-l.inbox:
+			l.step(e)
+		case q := <-l.queries:
+			q()
+		case <-tick.C:
+			l.step(core.Tick{})
+		case <-collect.C:
+			if delta := l.node.evidence.collect(); len(delta) > 0 {
+				l.step(core.EvidenceCounted{Delta: delta})
+			}
+		}
+	}
+}
+
+// Stop ends the reducer and its connections.
+func (l *loop) Stop(context.Context) error {
+	l.once.Do(func() { close(l.stop) })
+	<-l.ended
+	l.platform.close()
+	l.client.Close()
+	return nil
+}
+
+// post hands over an event that must not be lost. It gives up when the loop ended.
+func (l *loop) post(e core.Event) {
+	select {
+	case l.inbox <- e:
+	case <-l.ended:
+	}
+}
+
+// offer hands over a message of another node, or drops it if the inbox is full.
+func (l *loop) offer(e core.Event) {
+	select {
+	case l.inbox <- e:
+	default:
+		l.inboxDropped.Add(1)
+	}
+}
+
+// query runs a function between two events. It returns false if the loop ended.
+func (l *loop) query(f func(*core.Core)) bool {
+	done := make(chan struct{})
+	select {
+	case l.queries <- func() { f(l.core); close(done) }:
+		<-done
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
+func (l *loop) step(e core.Event) {
+	rebuild := false
+	for _, effect := range l.core.Step(l.time(), e) {
+		switch effect := effect.(type) {
+		case core.Send:
+			l.send(effect)
+		case core.SendSnapshot:
+			l.sendSnapshot(effect)
+		case core.ReadLog:
+			l.platform.read(effect)
+		case core.ReadSnapshots:
+			l.platform.readSnapshots(effect)
+		case core.Append:
+			l.platform.append(effect)
+		case core.AppendSnapshot:
+			l.platform.appendSnapshot(l.core.State())
+		case core.PublishTable:
+			rebuild = true
+		case core.PublishReady:
+			l.ready = effect.Ready
+			rebuild = true
+		case core.TargetLost:
+			l.node.calls.TargetGone()
+		case core.CountCrashes:
+			for _, f := range effect.Report.Fingerprints {
+				l.node.calls.CrashReported(callpath.Fingerprint(f))
+			}
+		case core.Notify:
+			l.notify()
+		case core.Note:
+			l.note(effect)
+		}
+	}
+	if rebuild {
+		l.rebuild()
+	}
+}
+
+// rebuild swaps in a new routing table. There is none while the node is not ready.
+func (l *loop) rebuild() {
+	if t, ok := l.core.Target(); ok {
+		l.target.Store(&t)
+	} else {
+		l.target.Store(nil)
+	}
+	if !l.ready {
+		return
+	}
+	l.table.Store(routing.Build(l.core.Routing(), l.tracker, l.now()))
+}
+
+func (l *loop) localTarget() (mesh.Target, bool) {
+	if t := l.target.Load(); t != nil {
+		return *t, true
+	}
+	return mesh.Target{}, false
+}
+
+// notify wakes all that wait on changes.
+func (l *loop) notify() {
+	l.changedMu.Lock()
+	defer l.changedMu.Unlock()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *loop) changes() <-chan struct{} {
+	l.changedMu.Lock()
+	defer l.changedMu.Unlock()
+	return l.changed
+}
+
+func (l *loop) note(n core.Note) {
+	l.record(n.Kind, uint64(n.Revision), n.Fields)
+}
+
+// record adds an event to the timeline and writes it to the log.
+func (l *loop) record(kind timeline.Kind, revision uint64, fields map[string]string) {
+	l.node.recorder.Record(kind, revision, fields)
+	args := []any{"event", string(kind), "revision", revision}
+	for _, key := range slices.Sorted(maps.Keys(fields)) {
+		args = append(args, key, fields[key])
+	}
+	l.node.logger.Info("event", args...)
+}
+
+// send delivers a message; the answer only confirms the receipt, so that a
+// silent connection is noticed.
+func (l *loop) send(e core.Send) {
+	select {
+	case l.sends <- struct{}{}:
+	default:
+		l.sendsDropped.Add(1)
+		return
+	}
+	l.sent.Add(1)
+	go func() {
+		defer func() { <-l.sends }()
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		if err := l.client.Call(ctx, e.To, e.Method, e.Params, nil); err != nil {
+			l.sendsFailed.Add(1)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,167 @@
+// Package node runs a heathercroft node: it owns the reducer and carries out
+// its effects over HTTP, jsonrpc2 and the platform's log.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kratos/kratos/v2/transport"
+
+	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/callpath"
+	"heathercroft.example/heathercroft/internal/core"
+	"heathercroft.example/heathercroft/internal/logclient"
+	"heathercroft.example/heathercroft/internal/rpc"
+	"heathercroft.example/heathercroft/internal/settings"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/timeline"
+)
+
+// Node is one node process.
+type Node struct {
+	settings settings.Node
+	logger   *slog.Logger
+	self     mesh.NodeInfo
+	recorder *timeline.Recorder
+
+	loop      *loop
+	calls     *callpath.Node
+	evidence  *evidence
+	counters  *rpc.Counters
+	listeners listeners
+}
+
+// listeners are the open sockets of a node.
+type listeners struct{ caller, rpc, call, admin, outbound net.Listener }
+
+// New opens the listeners and composes the node.
+func New(s settings.Node, logger *slog.Logger) (*Node, error) {
+	n := &Node{settings: s, logger: logger, counters: &rpc.Counters{}, evidence: newEvidence()}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.self = mesh.NodeInfo{
+		ID: mesh.NodeID(s.Node.ID), Session: newSession(), Zone: mesh.AvailabilityZone(s.Node.Zone),
+		Region: mesh.Region(s.Node.Region), RPC: s.AdvertisedRPC(), Call: s.AdvertisedCall(),
+	}
+	n.recorder = timeline.NewRecorder(string(n.self.ID), string(n.self.Zone), string(n.self.Session), s.Log.Events, nil)
+	n.loop = newLoop(n)
+	n.calls = callpath.New(callpath.Deps{
+		Node: n.self.ID, Zone: n.self.Zone, Table: n.loop.table.Load, Target: n.loop.localTarget,
+		Recorder: n.evidence, Events: callEvents{n}, Now: n.loop.now, Logger: logger,
+	}, callSettings(s))
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		name    string
+		address settings.Address
+		to      *net.Listener
+	}{
+		{"caller", n.settings.Listen.Caller, &n.listeners.caller},
+		{"rpc", n.settings.Listen.RPC, &n.listeners.rpc},
+		{"call", n.settings.Listen.Call, &n.listeners.call},
+		{"admin", n.settings.Listen.Admin, &n.listeners.admin},
+		{"outbound", n.settings.Listen.Outbound, &n.listeners.outbound},
+	} {
+		listener, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return errors.Wrapf(err, "listen for %s", l.name)
+		}
+		*l.to = listener
+	}
+	return nil
+}
+
+// newSession returns an id that sorts after those of earlier sessions of the
+// same node unless its clock went back, and is unique in any case.
+func newSession() mesh.SessionID {
+	var stamp [8]byte
+	binary.BigEndian.PutUint64(stamp[:], uint64(time.Now().UnixMilli()))
+	return mesh.SessionID(hexLower(stamp[2:]) + "-" + rand.Text()[:8])
+}
+
+func hexLower(b []byte) string {
+	const digits = "0123456789abcdef"
+	out := make([]byte, 0, 2*len(b))
+	for _, v := range b {
+		out = append(out, digits[v>>4], digits[v&15])
+	}
+	return string(out)
+}
+
+func callSettings(s settings.Node) callpath.Settings {
+	c := callpath.DefaultSettings()
+	c.QueueTimeout = s.Limits.QueueWait.Std()
+	c.UploadBytes = int64(s.Limits.UploadSize)
+	c.LocalAddr = localTCP(s.Listen.Call.Addr())
+	return c
+}
+
+// Run serves until a stop signal, then drains and stops.
+func (n *Node) Run(ctx context.Context) error {
+	callServer := app.HTTPServer(n.listeners.call, n.calls.NodeHandler())
+	callpath.ConfigureServer(callServer.Server)
+	callerServer := app.HTTPServer(n.listeners.caller, n.calls.CallHandler())
+	callpath.ConfigureServer(callerServer.Server)
+	n.publishMetrics()
+	return app.Run(ctx, app.Options{
+		Name:   "heathercroft-node",
+		Logger: n.logger,
+		Servers: []transport.Server{
+			n.loop,
+			rpc.NewServer(n.listeners.rpc, peerHandler{n.loop}, n.counters),
+			callServer,
+			callerServer,
+			app.HTTPServer(n.listeners.outbound, n.calls.OutboundHandler()),
+			app.HTTPServer(n.listeners.admin, n.adminHandler()),
+		},
+		StopTimeout: stopTimeout,
+		BeforeStop:  n.drain,
+	})
+}
+
+// stopTimeout bounds the closing of the listeners after the drain.
+const stopTimeout = 5 * time.Second
+
+// drain tells the others, refuses new work and waits for the requests in flight.
+func (n *Node) drain(ctx context.Context) error {
+	n.loop.post(core.Leave{})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Drain.Limit.Std())
+	defer cancel()
+	if left := n.calls.Drain(ctx); left > 0 {
+		n.logger.Warn("drain limit reached", "requests_left", left)
+	}
+	return nil
+}
+
+func platformClient(s settings.Platform, local netip.Addr) *logclient.Client {
+	dialer := net.Dialer{Timeout: s.AppendTimeout.Std(), LocalAddr: localTCP(local)}
+	return logclient.New(s.URL.String(), &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: platformIdle,
+	}})
+}
+
+// platformConnections and platformIdle keep few connections to the platform: a
+// reader uses one for its long poll and one for appends.
+const (
+	platformConnections = 2
+	platformIdle        = 30 * time.Second
+)
+
+// localTCP binds outgoing connections to the node's own address.
+func localTCP(addr netip.Addr) net.Addr {
+	if !addr.IsValid() || addr.IsUnspecified() {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(addr, 0))
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -9,6 +9,7 @@
 type Node struct {
 	Node         NodeIdentity `toml:"node"`
 	Listen       NodeListen   `toml:"listen"`
+	Advertise    Advertise    `toml:"advertise"`
 	Platform     Platform     `toml:"platform"`
 	Peers        Peers        `toml:"peers"`
 	Limits       Limits       `toml:"limits"`
@@ -53,6 +54,9 @@
 	// RetryMin and RetryMax bound the delay between attempts.
 	RetryMin Duration `toml:"retry_min"`
 	RetryMax Duration `toml:"retry_max"`
+	// Retention is how long the platform keeps a record; 0 is unknown. A snapshot
+	// is appended at least every quarter of it.
+	Retention Duration `toml:"retention"`
 }
 
 // Peers holds the nodes to contact first.
@@ -148,6 +152,7 @@
 			AppendTimeout: Duration(2 * time.Second), ReadWait: Duration(10 * time.Second),
 			ReadTimeout: Duration(3 * time.Second),
 			RetryMin:    Duration(100 * time.Millisecond), RetryMax: Duration(10 * time.Second),
+			Retention: Duration(24 * time.Hour),
 		},
 		Limits: Limits{
 			QueueWait: Duration(50 * time.Millisecond), Connections: 4096,
--- a/pkg/rollout/holder_drive.go
+++ b/pkg/rollout/holder_drive.go
@@ -29,7 +29,7 @@
 			others = append(others, id)
 		}
 	}
-	ranked := mesh.RankNodes(fmt.Sprintf("rollout-%d", h.rollout.ID), others)
+	ranked := mesh.RankNodes(CandidateKey(h.rollout.ID), others)
 	if len(ranked) == 0 || ranked[0] != h.config.Self {
 		return nil
 	}
@@ -189,3 +189,6 @@
 	slices.Sort(zones)
 	return zones
 }
+
+// CandidateKey is the rendezvous key by which nodes rank as holders of a rollout.
+func CandidateKey(id record.RolloutID) string { return fmt.Sprintf("rollout-%d", id) }
