--- a/internal/load/executions.go
+++ b/internal/load/executions.go
@@ -127,6 +127,11 @@
 		return target.Executions{}, errors.Newf("status %d", res.StatusCode)
 	}
 	var found target.Executions
-	err = json.NewDecoder(io.LimitReader(res.Body, maxExecutions)).Decode(&found)
-	return found, errors.Wrap(err, "decode executions")
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxExecutions)).Decode(&found); err != nil {
+		return target.Executions{}, errors.Wrap(err, "decode executions")
+	}
+	if found.Session == "" {
+		return target.Executions{}, errors.New("answer holds no session, so it is no list of executions")
+	}
+	return found, nil
 }
--- a/internal/target/call.go
+++ b/internal/target/call.go
@@ -137,9 +137,6 @@
 func (s *Server) execute(ctx context.Context, w http.ResponseWriter, r *http.Request, o callOptions, inFlight int) {
 	nth := s.served.Add(1)
 	conn := connectionOf(r)
-	if !conn.paid.Swap(true) && !s.work(ctx, s.settings.ConnectionCost.Std()) {
-		return
-	}
 	digest := xxhash.New()
 	received, err := receive(ctx, w, r, digest)
 	if err != nil {
@@ -168,7 +165,7 @@
 		ReceivedBytes: received, ReceivedHash: strconv.FormatUint(digest.Sum64(), 16),
 		BodyBytes: o.responseBytes,
 	}
-	if !s.work(ctx, s.serviceTime(o, nth)+faults.latency) {
+	if !s.work(ctx, s.serviceTime(o, nth)+s.connectionTime(conn)+faults.latency) {
 		s.answerFailure(w, http.StatusGatewayTimeout, answer, "deadline passed or caller left")
 		return
 	}
@@ -221,6 +218,14 @@
 	return d
 }
 
+// connectionTime returns the cost of a connection for its first request, and 0 later.
+func (s *Server) connectionTime(c *connection) time.Duration {
+	if c.paid.Swap(true) {
+		return 0
+	}
+	return s.settings.ConnectionCost.Std()
+}
+
 func (s *Server) answerFailure(w http.ResponseWriter, status int, a Answer, message string) {
 	a.Error, a.BodyBytes = message, 0
 	httpjson.Write(w, status, a)
