--- a/internal/load/attempt.go
+++ b/internal/load/attempt.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/content"
@@ -29,12 +28,11 @@
 
 // attempt is one request of a call.
 type attempt struct {
-	id   string
-	key  string
-	kind Kind
+	Call
+	// id is the X-Request-Id, which differs between the two requests of a repeated call.
+	id string
 	// base is the URL of the node or target.
 	base string
-	path string
 	// deadline is the end of the call for its caller.
 	deadline time.Time
 	// siblings are the request ids sent under the same key.
@@ -45,8 +43,6 @@
 type sender struct {
 	client *http.Client
 	mix    Mix
-	// empty is the hash of no bytes.
-	empty uint64
 }
 
 func newSender(s *Settings) *sender {
@@ -63,59 +59,38 @@
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		mix:   s.Mix,
-		empty: xxhash.Sum64(nil),
-	}
-}
-
-// bodyOf returns the size of the request body of a kind.
-func (s *sender) bodyOf(kind Kind) int64 {
-	switch kind {
-	case KindKeyed:
-		return s.mix.KeyedBytes
-	case KindUpload:
-		return s.mix.UploadBytes
-	default:
-		return 0
+		mix: s.Mix,
 	}
 }
 
 func (s *sender) request(ctx context.Context, a attempt) (*http.Request, error) {
-	method, size := http.MethodPost, s.bodyOf(a.kind)
-	if a.kind == KindRead {
+	method := http.MethodPost
+	if a.Kind == KindRead {
 		method = http.MethodGet
 	}
 	query := url.Values{"response_bytes": {strconv.FormatInt(s.mix.ResponseBytes, 10)}}
-	req, err := http.NewRequestWithContext(ctx, method, a.base+a.path+"?"+query.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, method, a.base+a.Path+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	if a.kind != KindRead {
+	if a.Kind != KindRead {
 		// Without GetBody, the transport never sends a request again by itself. It
 		// would do so for one with a key, and hide what happened to the first.
-		req.Body = io.NopCloser(content.NewReader(a.contentSeed(), size))
-		req.ContentLength = size
-		if size == 0 {
-			req.TransferEncoding = []string{"chunked"}
+		req.Body = io.NopCloser(content.NewReader(a.BodySeed, a.BodyBytes))
+		req.ContentLength = a.BodyBytes
+		if a.BodyBytes == 0 {
+			// Together with a body, a length of 0 already means an unknown one; -1 says it.
 			req.ContentLength = -1
 		}
 	}
 	req.Header.Set(target.HeaderRequestID, a.id)
-	if a.key != "" {
-		req.Header.Set(target.HeaderIdempotencyKey, a.key)
+	if a.Key != "" {
+		req.Header.Set(target.HeaderIdempotencyKey, a.Key)
 	}
 	req.Header.Set(target.HeaderDeadline, strconv.FormatInt(max(1, time.Until(a.deadline).Milliseconds()), 10))
 	return req, nil
 }
 
-// contentSeed is the same for all requests under one key, which carry one body.
-func (a attempt) contentSeed() string {
-	if a.key != "" {
-		return a.key
-	}
-	return a.id
-}
-
 // send sends one attempt and reads its answer to the end.
 func (s *sender) send(ctx context.Context, a attempt) verdict {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline.Add(answerGrace))
@@ -143,14 +118,14 @@
 }
 
 func (s *sender) expect(a attempt, header http.Header) expectation {
-	want := expectation{ids: []string{a.id}, receivedHash: s.empty, bodyBytes: s.mix.ResponseBytes}
+	want := expectation{
+		ids:           []string{a.id},
+		receivedBytes: a.BodyBytes, receivedHash: a.BodyHash,
+		bodyBytes: s.mix.ResponseBytes,
+	}
 	if header.Get(headerReplayed) == "true" {
 		want.ids = append(want.ids, a.siblings...)
 	}
-	if a.kind != KindRead {
-		want.receivedBytes = s.bodyOf(a.kind)
-		want.receivedHash = content.Hash(a.contentSeed(), want.receivedBytes)
-	}
 	return want
 }
 
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -49,7 +49,7 @@
 	sent := time.Now()
 	urls := c.urls(call.Via)
 	a := attempt{
-		id: requestID(call, n), key: call.Key, kind: call.Kind, path: call.Path,
+		Call: call, id: requestID(call, n),
 		deadline: start.Add(c.settings.Deadline.Std()),
 	}
 	if call.Key != "" {
@@ -70,12 +70,12 @@
 		call: call, repeat: n > 0, outcome: v.outcome, retries: retries,
 		response: end.Sub(start), service: end.Sub(sent), lag: sent.Sub(start),
 	})
-	c.log(a, call, v)
+	c.log(a, v)
 	return v.outcome
 }
 
 // log writes a line for each call that was not answered.
-func (c *caller) log(a attempt, call Call, v verdict) {
+func (c *caller) log(a attempt, v verdict) {
 	level := slog.LevelInfo
 	switch v.outcome {
 	case OutcomeAnswered:
@@ -85,7 +85,7 @@
 	}
 	c.logger.Log(context.Background(), level, "call was not answered",
 		"event", "load_call", "outcome", string(v.outcome), "reason", v.reason, "request_id", a.id,
-		"key", a.key, "kind", string(call.Kind), "via", string(call.Via), "url", a.base+a.path)
+		"key", a.Key, "kind", string(a.Kind), "via", string(a.Via), "url", a.base+a.Path)
 }
 
 func (c *caller) urls(via Via) []string {
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -1,9 +1,12 @@
 package load
 
 import (
+	"context"
 	"math/rand/v2"
 	"strconv"
 	"time"
+
+	"heathercroft.example/heathercroft/internal/content"
 )
 
 // Kind is what a call does.
@@ -52,6 +55,11 @@
 	Start time.Duration
 	// First is the index of the first URL to use.
 	First int
+	// BodyBytes is the size of the request body, which is derived from BodySeed.
+	BodyBytes int64
+	BodySeed  string
+	// BodyHash is the xxhash64 of the request body.
+	BodyHash uint64
 }
 
 // planner draws the calls of a run. Arrivals are a Poisson process, as those of
@@ -88,9 +96,48 @@
 		c.Key = p.run + "-key-" + strconv.Itoa(p.count)
 		c.Repeat = p.repeat(c.Via)
 	}
+	c.BodySeed, c.BodyBytes = p.body(c)
+	c.BodyHash = content.Hash(c.BodySeed, c.BodyBytes)
 	return c, true
 }
 
+// body returns the seed and size of the request body. All requests under one key
+// carry one body.
+func (p *planner) body(c Call) (seed string, size int64) {
+	switch c.Kind {
+	case KindKeyed:
+		return c.Key, p.settings.Mix.KeyedBytes
+	case KindUpload:
+		return c.ID, p.settings.Mix.UploadBytes
+	default:
+		return c.ID, 0
+	}
+}
+
+// lookAhead is how many calls are planned before their time, so that hashing a
+// large body does not delay the calls after it.
+const lookAhead = 64
+
+// plan sends the calls of a run until its end or the end of ctx, and closes the channel.
+func (p *planner) plan(ctx context.Context) <-chan Call {
+	calls := make(chan Call, lookAhead)
+	go func() {
+		defer close(calls)
+		for {
+			c, ok := p.next()
+			if !ok {
+				return
+			}
+			select {
+			case calls <- c:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return calls
+}
+
 func (p *planner) kind() Kind {
 	m := p.settings.Mix
 	drawn := p.random.Float64() * (m.Read + m.Keyed + m.Upload)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -52,10 +52,11 @@
 	work := context.WithoutCancel(ctx)
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	for {
-		call, ok := plan.next()
-		if !ok || !waitUntil(ctx, begin.Add(call.Start)) {
-			return uploads
+	planning, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for call := range plan.plan(planning) {
+		if !waitUntil(ctx, begin.Add(call.Start)) {
+			break
 		}
 		if call.Kind == KindUpload {
 			uploads[call.ID] = true
@@ -66,6 +67,7 @@
 			c.do(work, call, begin.Add(call.Start))
 		})
 	}
+	return uploads
 }
 
 // reportProgress writes the counts at intervals until the returned function is called.
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -19,6 +18,9 @@
 	"heathercroft.example/heathercroft/internal/target"
 )
 
+// noListener is an address that refuses connections: tests listen on ports from 1024.
+const noListener = "127.0.0.1:1"
+
 // startTarget returns the URL of a target without service time.
 func startTarget(t *testing.T) string {
 	t.Helper()
@@ -197,10 +199,7 @@
 
 // A call that reached no node did not run, so its caller may go to another one.
 func TestRunGoesAroundUnreachableNode(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, listener.Close())
-	r := run(t, nil, func(s *Settings) { s.Nodes[0] = "http://" + listener.Addr().String() })
+	r := run(t, nil, func(s *Settings) { s.Nodes[0] = "http://" + noListener })
 	require.True(t, r.Passed())
 	require.Equal(t, r.Node.Sent, r.Node.Answered)
 	require.Positive(t, r.Node.Retries)
--- a/internal/logclient/client_test.go
+++ b/internal/logclient/client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -81,10 +80,8 @@
 
 // A refused connection must not count as an append that may have taken effect.
 func TestAppendWithoutConnectionHasNoEffect(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, listener.Close())
-	_, err = logclient.New("http://"+listener.Addr().String(), new(http.Client)).Append(t.Context(), "s", []byte("x"))
+	// Port 1 has no listener: tests and daemons listen on ports from 1024.
+	_, err := logclient.New("http://127.0.0.1:1", new(http.Client)).Append(t.Context(), "s", []byte("x"))
 	require.True(t, errors.Is(err, logclient.ErrUnavailable), err)
 	require.False(t, errors.Is(err, logclient.ErrUnknown), err)
 }
