Show lost answers that the HTTP transport would hide

net/http sends a read or a keyed request again by itself when a used connection breaks before its answer. The report then lacked the first loss, and a key could have been sent more often than planned. Requests now have no GetBody, and a call counts as unreachable only if no byte of it was written.

--- a/internal/load/attempt.go
+++ b/internal/load/attempt.go
@@ -4,10 +4,8 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +41,7 @@
 type sender struct {
 	client *http.Client
 	mix    Mix
+	http2  bool
 }
 
 func newSender(s *Settings) *sender {
@@ -53,13 +52,15 @@
 		client: &http.Client{
 			Transport: &http.Transport{
 				Protocols:           protocols,
+				DialContext:         dialMetered,
 				MaxConnsPerHost:     s.MaxConnections,
 				MaxIdleConnsPerHost: s.MaxConnections,
 				DisableCompression:  true,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		mix: s.Mix,
+		mix:   s.Mix,
+		http2: s.HTTP2,
 	}
 }
 
@@ -73,15 +74,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	if a.Kind != KindRead {
-		// Without GetBody, the transport never sends a request again by itself. It
-		// would do so for one with a key, and hide what happened to the first.
+	if a.BodyBytes > 0 || !s.http2 {
+		// A body without GetBody keeps the transport from sending a request again by
+		// itself. It would do so for reads and for requests with a key, and hide what
+		// happened to the first one. HTTP/1.1 does not send an empty body; HTTP/2 would
+		// send it as one of unknown length, and repeats only what the server refused.
 		req.Body = io.NopCloser(content.NewReader(a.BodySeed, a.BodyBytes))
 		req.ContentLength = a.BodyBytes
-		if a.BodyBytes == 0 {
-			// Together with a body, a length of 0 already means an unknown one; -1 says it.
-			req.ContentLength = -1
-		}
 	}
 	req.Header.Set(target.HeaderRequestID, a.id)
 	if a.Key != "" {
@@ -95,17 +94,14 @@
 func (s *sender) send(ctx context.Context, a attempt) verdict {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline.Add(answerGrace))
 	defer cancel()
-	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { written.Store(true) },
-	})
-	req, err := s.request(ctx, a)
+	sent := new(wire)
+	req, err := s.request(sent.trace(ctx), a)
 	if err != nil {
 		return verdict{OutcomeError, err.Error()}
 	}
 	res, err := s.client.Do(req)
 	if err != nil {
-		if written.Load() {
+		if sent.mayHaveSent() {
 			return verdict{OutcomeLost, err.Error()}
 		}
 		return verdict{OutcomeUnreachable, err.Error()}
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -205,6 +205,21 @@
 	require.Positive(t, r.Node.Retries)
 }
 
+// The transport must not send a read again by itself, which would hide a lost answer.
+func TestRunSeesLostAnswersOnUsedConnections(t *testing.T) {
+	var used sync.Map
+	abortSecond := func(_ *fakeNode, _ http.ResponseWriter, r *http.Request) bool {
+		if _, again := used.LoadOrStore(r.RemoteAddr, true); again {
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	}
+	r := run(t, abortSecond, func(s *Settings) { s.MaxConnections, s.Mix = 1, Mix{Read: 1} })
+	require.Positive(t, r.Node.Answered)
+	require.Positive(t, r.Node.Lost)
+	require.Equal(t, r.Node.Sent, r.Node.Answered+r.Node.Lost)
+}
+
 // Targets that cannot be asked must be named; their silence is no proof.
 func TestRunNamesUncheckedTargets(t *testing.T) {
 	r := run(t, nil, func(s *Settings) { s.Targets = []string{s.Direct[0], s.Direct[0] + "/nowhere"} })
--- a/internal/target/faults_test.go
+++ b/internal/target/faults_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"heathercroft.example/heathercroft/internal/settings"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -139,3 +140,19 @@
 	code, _ = get("/healthz")
 	require.Equal(t, http.StatusOK, code)
 }
+
+// Cold starts are excluded from comparisons, which a trial can only show if they occur.
+func TestColdStart(t *testing.T) {
+	cold := func(c ColdStart) *Server {
+		return start(t, func(s *Settings) {
+			s.ServiceTime.Base, s.ColdStart = settings.Duration(time.Second), c
+		}).Server
+	}
+	extra := settings.Duration(time.Minute)
+	byCount := cold(ColdStart{Requests: 2, Extra: extra})
+	require.Equal(t, time.Minute+time.Second, byCount.serviceTime(callOptions{}, 2))
+	require.Equal(t, time.Second, byCount.serviceTime(callOptions{}, 3))
+	byTime := cold(ColdStart{Duration: settings.Duration(time.Hour), Extra: extra})
+	require.Equal(t, time.Minute+time.Second, byTime.serviceTime(callOptions{}, 1000))
+	require.Equal(t, time.Minute, byTime.serviceTime(callOptions{hasWork: true}, 1000))
+}
