--- a/internal/load/attempt.go
+++ b/internal/load/attempt.go
@@ -4,13 +4,10 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/content"
@@ -29,12 +26,11 @@
 
 // attempt is one request of a call.
 type attempt struct {
-	id   string
-	key  string
-	kind Kind
+	Call
+	// id is the X-Request-Id, which differs between the two requests of a repeated call.
+	id string
 	// base is the URL of the node or target.
 	base string
-	path string
 	// deadline is the end of the call for its caller.
 	deadline time.Time
 	// siblings are the request ids sent under the same key.
@@ -45,8 +41,7 @@
 type sender struct {
 	client *http.Client
 	mix    Mix
-	// empty is the hash of no bytes.
-	empty uint64
+	http2  bool
 }
 
 func newSender(s *Settings) *sender {
@@ -57,6 +52,7 @@
 		client: &http.Client{
 			Transport: &http.Transport{
 				Protocols:           protocols,
+				DialContext:         dialMetered,
 				MaxConnsPerHost:     s.MaxConnections,
 				MaxIdleConnsPerHost: s.MaxConnections,
 				DisableCompression:  true,
@@ -64,73 +60,48 @@
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		mix:   s.Mix,
-		empty: xxhash.Sum64(nil),
-	}
-}
-
-// bodyOf returns the size of the request body of a kind.
-func (s *sender) bodyOf(kind Kind) int64 {
-	switch kind {
-	case KindKeyed:
-		return s.mix.KeyedBytes
-	case KindUpload:
-		return s.mix.UploadBytes
-	default:
-		return 0
+		http2: s.HTTP2,
 	}
 }
 
 func (s *sender) request(ctx context.Context, a attempt) (*http.Request, error) {
-	method, size := http.MethodPost, s.bodyOf(a.kind)
-	if a.kind == KindRead {
+	method := http.MethodPost
+	if a.Kind == KindRead {
 		method = http.MethodGet
 	}
 	query := url.Values{"response_bytes": {strconv.FormatInt(s.mix.ResponseBytes, 10)}}
-	req, err := http.NewRequestWithContext(ctx, method, a.base+a.path+"?"+query.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, method, a.base+a.Path+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	if a.kind != KindRead {
-		// Without GetBody, the transport never sends a request again by itself. It
-		// would do so for one with a key, and hide what happened to the first.
-		req.Body = io.NopCloser(content.NewReader(a.contentSeed(), size))
-		req.ContentLength = size
-		if size == 0 {
-			req.TransferEncoding = []string{"chunked"}
-			req.ContentLength = -1
-		}
+	if a.BodyBytes > 0 || !s.http2 {
+		// A body without GetBody keeps the transport from sending a request again by
+		// itself. It would do so for reads and for requests with a key, and hide what
+		// happened to the first one. HTTP/1.1 does not send an empty body; HTTP/2 would
+		// send it as one of unknown length, and repeats only what the server refused.
+		req.Body = io.NopCloser(content.NewReader(a.BodySeed, a.BodyBytes))
+		req.ContentLength = a.BodyBytes
 	}
 	req.Header.Set(target.HeaderRequestID, a.id)
-	if a.key != "" {
-		req.Header.Set(target.HeaderIdempotencyKey, a.key)
+	if a.Key != "" {
+		req.Header.Set(target.HeaderIdempotencyKey, a.Key)
 	}
 	req.Header.Set(target.HeaderDeadline, strconv.FormatInt(max(1, time.Until(a.deadline).Milliseconds()), 10))
 	return req, nil
 }
 
-// contentSeed is the same for all requests under one key, which carry one body.
-func (a attempt) contentSeed() string {
-	if a.key != "" {
-		return a.key
-	}
-	return a.id
-}
-
 // send sends one attempt and reads its answer to the end.
 func (s *sender) send(ctx context.Context, a attempt) verdict {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline.Add(answerGrace))
 	defer cancel()
-	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { written.Store(true) },
-	})
-	req, err := s.request(ctx, a)
+	sent := new(wire)
+	req, err := s.request(sent.trace(ctx), a)
 	if err != nil {
 		return verdict{OutcomeError, err.Error()}
 	}
 	res, err := s.client.Do(req)
 	if err != nil {
-		if written.Load() {
+		if sent.mayHaveSent() {
 			return verdict{OutcomeLost, err.Error()}
 		}
 		return verdict{OutcomeUnreachable, err.Error()}
@@ -143,14 +114,14 @@
 }
 
 func (s *sender) expect(a attempt, header http.Header) expectation {
-	want := expectation{ids: []string{a.id}, receivedHash: s.empty, bodyBytes: s.mix.ResponseBytes}
+	want := expectation{
+		ids:           []string{a.id},
+		receivedBytes: a.BodyBytes, receivedHash: a.BodyHash,
+		bodyBytes: s.mix.ResponseBytes,
+	}
 	if header.Get(headerReplayed) == "true" {
 		want.ids = append(want.ids, a.siblings...)
 	}
-	if a.kind != KindRead {
-		want.receivedBytes = s.bodyOf(a.kind)
-		want.receivedHash = content.Hash(a.contentSeed(), want.receivedBytes)
-	}
 	return want
 }
 
