Fix slow convergence found by random faults

The answers to the polls of a zone's readers could be lost together, which a poll of 10 s notices too late. A zone whose members were all held for dead was no longer contacted. A node without live peers tried one address at a time. A node that joined before its peer had news got it only by the next exchange, up to 37 s later. Change: no read during an installation; a wait of 4 s for the second reader, and a new poll when the other reader changes; dead members of a dead zone are tried; three addresses per join attempt; probe answers carry a hash of the view, and three differing answers in a row hurry the next exchange.

--- a/internal/convergence/harness_test.go
+++ b/internal/convergence/harness_test.go
@@ -61,6 +61,8 @@
 	byRPC    map[netip.AddrPort]*node
 	platform platform
 	faults   faults
+	// announcements are the nodes that the log names.
+	announcements []mesh.NodeInfo
 	// membershipOnly leaves distribution out.
 	membershipOnly bool
 	// filter, if set, drops or changes messages between nodes. Tests use it to
@@ -264,6 +266,7 @@
 	n.dist = distribution.New(distribution.Config{
 		Self: n.info.ID, Zone: n.info.Zone, Source: rand.NewPCG(p.rng.Uint64(), 3),
 	})
+	n.announce()
 	n.every(p.rng.Int64N(int64(tickInterval)), tickInterval, n.tick)
 	n.every(p.rng.Int64N(int64(time.Second)), time.Second, func() {
 		if n.target != nil {
@@ -272,6 +275,25 @@
 	})
 }
 
+// announce stands for the announcements in the log: a node that reaches the
+// platform announces itself once per start and hears of the others.
+func (n *node) announce() {
+	announced, read := false, 0
+	n.every(int64(500*time.Millisecond), time.Second, func() {
+		p := n.pump
+		if p.platform.unreachable(n) {
+			return
+		}
+		if !announced {
+			p.announcements = append(p.announcements, n.info)
+			announced = true
+		}
+		for ; read < len(p.announcements); read++ {
+			n.stepMember(membership.NodeAnnounced{Now: n.now(), Node: p.announcements[read]})
+		}
+	})
+}
+
 // seeds are the first two nodes of each zone.
 func (p *pump) seeds() []netip.AddrPort {
 	var seeds []netip.AddrPort
--- a/pkg/distribution/config.go
+++ b/pkg/distribution/config.go
@@ -19,7 +19,7 @@
 	ReadersPerZone = 2
 	// ReadWait is the long poll of the log by the first reader of a zone.
 	ReadWait = 10 * time.Second
-	// SecondReadWait is that of the others. If a platform outage swallows the
+	// SecondReadWait is that of the second or only one. If a platform outage swallows the
 	// open polls of all readers, a poll of 10 s would be noticed as lost only
 	// after the 9 s bound on convergence.
 	SecondReadWait = 4 * time.Second
--- a/pkg/distribution/logreader.go
+++ b/pkg/distribution/logreader.go
@@ -23,8 +23,9 @@
 	// the newest offset then.
 	headKnown bool
 	head      record.Revision
-	// lost is set while the next offset is no longer kept by the platform.
-	lost bool
+	// lost is set while the platform no longer keeps the offset wanted.
+	lost   bool
+	wanted record.Revision
 }
 
 // out reports whether the platform has failed for OutageAfter.
@@ -38,6 +39,14 @@
 	}
 }
 
+// renew replaces an open read after the other reader changed: the two no longer
+// cover for each other if the answers to their open reads are lost.
+func (l *logReader) renew(now time.Duration) {
+	if l.open && !l.failing && !l.snapshot {
+		l.open, l.next = false, now
+	}
+}
+
 func (l *logReader) succeeded() {
 	l.open, l.failing, l.attempts = false, false, 0
 }
@@ -49,7 +58,8 @@
 	if l.open && m.now >= l.deadline {
 		m.logError(l.number)
 	}
-	if l.open || m.now < l.next {
+	if l.open || m.now < l.next || m.installing {
+		// During an installation the next offset is not known yet.
 		return
 	}
 	switch {
@@ -140,8 +150,8 @@
 	if !m.peers.reader {
 		return
 	}
-	l.lost = true
-	m.emit(RangeLost{Wanted: m.buffer.have + 1, First: e.First})
+	l.lost, l.wanted = true, m.buffer.have+1
+	m.emit(RangeLost{Wanted: l.wanted, First: e.First})
 }
 
 // snapshotRead installs the snapshot if it is newer, and reads on after it. If
@@ -155,7 +165,7 @@
 	l.succeeded()
 	l.lost = false
 	l.next = m.now
-	if e.Snapshot.Revision <= m.buffer.have {
+	if e.Snapshot.Revision < l.wanted && m.buffer.have < l.wanted {
 		l.next = m.now + m.backoff(7, BackoffMax)
 		return
 	}
--- a/pkg/distribution/machine.go
+++ b/pkg/distribution/machine.go
@@ -21,7 +21,9 @@
 	nack    string
 	// applying is set until the adapter answers ApplyEntries or InstallSnapshot.
 	applying bool
-	buffer   buffer
+	// installing is set while applying a snapshot.
+	installing bool
+	buffer     buffer
 
 	peers  peers
 	log    logReader
@@ -134,12 +136,12 @@
 	if m.applying {
 		return
 	}
-	m.applying = true
+	m.applying, m.installing = true, true
 	m.emit(InstallSnapshot{Snapshot: s})
 }
 
 func (m *Machine) stateApplied(e Applied) {
-	m.applying = false
+	m.applying, m.installing = false, false
 	if e.Revision < m.applied {
 		return
 	}
--- a/pkg/distribution/peers.go
+++ b/pkg/distribution/peers.go
@@ -13,8 +13,10 @@
 	live, suspects []mesh.NodeID
 	// readers are the readers of each other zone, in order of the zones.
 	readers [][]mesh.NodeID
-	reader  bool
-	// first is set on the reader that ranks first.
+	// own are the readers of the zone.
+	own    []mesh.NodeID
+	reader bool
+	// first is set on the reader that ranks first of several.
 	first bool
 }
 
@@ -44,11 +46,14 @@
 	for _, name := range names {
 		p.readers = append(p.readers, firstRanked(string(name), zones[name]))
 	}
-	readers := firstRanked(string(m.cfg.Zone), append(slices.Clone(p.live), m.cfg.Self))
-	p.reader = slices.Contains(readers, m.cfg.Self)
-	p.first = readers[0] == m.cfg.Self
-	if p.reader && !m.peers.reader {
+	p.own = firstRanked(string(m.cfg.Zone), append(slices.Clone(p.live), m.cfg.Self))
+	p.reader = slices.Contains(p.own, m.cfg.Self)
+	p.first = len(p.own) > 1 && p.own[0] == m.cfg.Self
+	switch {
+	case p.reader && !m.peers.reader:
 		m.log.promoted(m.now)
+	case p.reader && !slices.Equal(p.own, m.peers.own):
+		m.log.renew(m.now)
 	}
 	if len(m.peers.live) == 0 && len(p.live) > 0 {
 		m.pulls.next = m.now
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -68,6 +68,9 @@
 	// ReportRepeat is the time after which an unchanged revision is reported
 	// again, since a report may be lost.
 	ReportRepeat = 30 * time.Second
+	// JoinContacts is how many addresses a node without live peers contacts at
+	// once, since some of those it knows may be down.
+	JoinContacts = 3
 	// ContactInterval is the mean time between two attempts to reach a node
 	// that is known by address but not alive. They heal a partition of a zone.
 	ContactInterval = 10 * time.Second
@@ -76,6 +79,9 @@
 	BusyRumors = 16
 	// BusyExchangeInterval is the time between exchanges while nodes differ.
 	BusyExchangeInterval = 2 * time.Second
+	// ViewMismatches is how many answers to probes in a row must come from
+	// members with another view before an exchange is hurried.
+	ViewMismatches = 3
 	// MaxRumors bounds the waiting updates; exchanges deliver the rest.
 	MaxRumors = 512
 	// PauseGap is the gap between two ticks that counts as a pause of the local
--- a/pkg/membership/exchange.go
+++ b/pkg/membership/exchange.go
@@ -17,6 +17,8 @@
 	next time.Duration
 	// hurried is set while the last exchange found differences.
 	hurried bool
+	// mismatches counts the answers to probes in a row whose view differed.
+	mismatches int
 	// admitted holds the times of the joins that are being served.
 	admitted []time.Duration
 }
@@ -41,6 +43,39 @@
 	}
 }
 
+// compareView hurries the next exchange if the views of probed members keep
+// differing from the local one. News explains a difference for a moment only.
+func (m *Machine) compareView(theirs uint64) {
+	e := &m.exchange
+	if theirs == 0 || theirs == m.view() {
+		e.mismatches = 0
+		return
+	}
+	if e.mismatches++; e.mismatches >= ViewMismatches {
+		e.mismatches, e.hurried = 0, true
+	}
+}
+
+// cachedView is the hash of all zones at one generation.
+type cachedView struct {
+	generation uint64
+	hash       uint64
+}
+
+// view returns a hash over the statements of all members that are not dead.
+func (m *Machine) view() uint64 {
+	if m.viewed.generation != m.generation {
+		hash := m.statement().hash()
+		for _, id := range m.table.ids {
+			if k := m.table.members[id]; k.state != Dead {
+				hash ^= k.statement().hash()
+			}
+		}
+		m.viewed = cachedView{generation: m.generation, hash: hash}
+	}
+	return m.viewed.hash
+}
+
 // digests sums up all zones for a receiver in a zone. Nodes of the same zone
 // get all summaries. Nodes of another zone get that of the local zone, and that
 // of their own zone if theirs has an older version, so that the readers of a
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// runJoin contacts one candidate. A node without live peers waits with full
+// runJoin contacts candidates. A node without live peers waits with full
 // jitter and a bound that doubles from JoinDelayMin to JoinDelayMax, so that
 // a herd that restarts together spreads out.
 func (m *Machine) runJoin() {
@@ -35,8 +35,9 @@
 		return
 	}
 	alone := !j.joined || len(m.peers()) == 0
-	to, ok := m.candidate()
+	contacts := 1
 	if alone {
+		contacts = JoinContacts
 		bound := min(JoinDelayMax, 2*JoinDelayMin<<min(j.attempts, 10))
 		j.attempts++
 		j.next = m.now + m.jitter(JoinDelayMin, bound)
@@ -44,7 +45,7 @@
 		j.attempts = 0
 		j.next = m.now + m.jitter(ContactInterval/2, ContactInterval*3/2)
 	}
-	if ok {
+	for _, to := range m.candidates(contacts) {
 		m.send(to, Message{Digest: &Digest{Zones: m.digests(m.cfg.Self.Zone, nil), Join: alone}})
 	}
 }
@@ -56,9 +57,9 @@
 	}
 }
 
-// candidate returns a random address to contact, half of the time one of the
-// own zone if there is any.
-func (m *Machine) candidate() (netip.AddrPort, bool) {
+// candidates returns up to n random addresses to contact, each one of the own
+// zone half of the time if there is any.
+func (m *Machine) candidates(n int) []netip.AddrPort {
 	var near, far []netip.AddrPort
 	add := func(to netip.AddrPort, zone mesh.AvailabilityZone) {
 		if zone == m.cfg.Self.Zone {
@@ -85,11 +86,21 @@
 	}
 	unwanted := func(to netip.AddrPort) bool { return alive[to] || to == m.cfg.Self.RPC }
 	near, far = slices.DeleteFunc(near, unwanted), slices.DeleteFunc(far, unwanted)
-	if len(near) > 0 && (len(far) == 0 || m.rng.IntN(2) == 0) {
-		return near[m.rng.IntN(len(near))], true
-	}
-	if len(far) > 0 {
-		return far[m.rng.IntN(len(far))], true
+	m.shuffle(near)
+	m.shuffle(far)
+	var chosen []netip.AddrPort
+	for len(chosen) < n && len(near)+len(far) > 0 {
+		from := &far
+		if len(near) > 0 && (len(far) == 0 || m.rng.IntN(2) == 0) {
+			from = &near
+		}
+		chosen = append(chosen, (*from)[0])
+		*from = (*from)[1:]
 	}
-	return netip.AddrPort{}, false
+	slices.SortFunc(chosen, netip.AddrPort.Compare)
+	return slices.Compact(chosen)
+}
+
+func (m *Machine) shuffle(to []netip.AddrPort) {
+	m.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
 }
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -33,6 +33,7 @@
 	generation uint64
 	announced  uint64
 	endpoints  cachedEndpoints
+	viewed     cachedView
 }
 
 // New returns a machine that knows only the local node.
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -135,6 +135,8 @@
 	return ids
 }
 
+func anyState(*member) bool { return true }
+
 func notDead(k *member) bool { return k.state != Dead }
 
 func healthy(k *member) bool { return k.state != Dead && k.state != Suspect }
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -92,6 +92,9 @@
 // ProbeAnswer answers a probe.
 type ProbeAnswer struct {
 	Sequence uint64 `json:"sequence"`
+	// View is the hash of all zones at the answering node, 0 if the answer is
+	// passed on for it.
+	View uint64 `json:"view,string,omitempty"`
 }
 
 // IndirectProbe asks the receiver to probe a member and to pass on the answer.
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -112,10 +112,11 @@
 }
 
 func (m *Machine) answerProbe(from Header, p Probe) {
-	m.sendGossip(from.RPC, from.Node, Message{Answer: &ProbeAnswer{Sequence: p.Sequence}})
+	m.sendGossip(from.RPC, from.Node, Message{Answer: &ProbeAnswer{Sequence: p.Sequence, View: m.view()}})
 }
 
 func (m *Machine) probeAnswered(a ProbeAnswer) {
+	m.compareView(a.View)
 	p := &m.prober
 	p.open = slices.DeleteFunc(p.open, func(o probe) bool { return o.sequence == a.Sequence })
 	for i, r := range p.relays {
--- a/pkg/membership/zone.go
+++ b/pkg/membership/zone.go
@@ -145,10 +145,11 @@
 	}
 }
 
-// otherZones returns the zones with members, except the own one.
+// otherZones returns the zones with members, except the own one. A zone whose
+// members are all dead is tried as long as these are remembered.
 func (m *Machine) otherZones() []mesh.AvailabilityZone {
 	return slices.DeleteFunc(m.knownZones(), func(name mesh.AvailabilityZone) bool {
-		return name == m.cfg.Self.Zone || len(m.table.list(name, notDead)) == 0
+		return name == m.cfg.Self.Zone || len(m.table.list(name, anyState)) == 0
 	})
 }
 
@@ -173,6 +174,9 @@
 	if s.failures > 0 || len(to) == 0 {
 		to = m.table.list(name, notDead)
 	}
+	if len(to) == 0 {
+		to = m.table.list(name, anyState)
+	}
 	s.tried = m.now
 	for _, id := range m.pick(to, 1) {
 		m.zones.attempts = append(m.zones.attempts, attempt{zone: name, deadline: m.now + ZoneExchangeInterval})
