Check settings by type, bounds and table, and name the line

An error names the file, the line and the key, and an unknown key suggests the nearest one. The TOML decoder stores numbers in integer kinds without asking the type, so that "read_wait = 10" was 10 ns; values that are written as text are now checked before decoding.

--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,86 @@
+package settings
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// lineOf returns the line of a key in a TOML document that has been decoded.
+func lineOf(data []byte, key string) (int, bool) {
+	p := unstable.Parser{}
+	p.Reset(data)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		if e.Kind != unstable.KeyValue {
+			table = keyOf(e) + "."
+			continue
+		}
+		if table+keyOf(e) == key {
+			return p.Shape(e.Value().Raw).Start.Line, true
+		}
+	}
+	return 0, false
+}
+
+// fieldTypes returns the types of all keys of a settings struct, tables included.
+func fieldTypes(t reflect.Type, prefix string) map[string]reflect.Type {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	types := map[string]reflect.Type{}
+	if t.Kind() != reflect.Struct {
+		return types
+	}
+	for f := range t.Fields() {
+		tag := f.Tag.Get("toml")
+		if tag == "" {
+			continue
+		}
+		types[prefix+tag] = f.Type
+		maps.Copy(types, fieldTypes(f.Type, prefix+tag+"."))
+	}
+	return types
+}
+
+// nearestKey returns the known key that needs the fewest edits to match, if it
+// is near enough to be meant. A key in the wrong table is found by its last part.
+func nearestKey(wrong string, known map[string]reflect.Type) (string, bool) {
+	best, bestEdits := "", len(wrong)/2+1
+	for _, k := range slices.Sorted(maps.Keys(known)) {
+		if lastPart(k) == lastPart(wrong) {
+			return k, true
+		}
+		if n := edits(wrong, k); n < bestEdits {
+			best, bestEdits = k, n
+		}
+	}
+	return best, best != ""
+}
+
+func lastPart(key string) string { return key[strings.LastIndexByte(key, '.')+1:] }
+
+// edits is the Levenshtein distance of two keys in bytes.
+func edits(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			change := diagonal
+			if a[i-1] != b[j-1] {
+				change++
+			}
+			diagonal = row[j]
+			row[j] = min(change, row[j]+1, row[j-1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 )
 
@@ -179,4 +180,12 @@
 }
 
 // Validate implements Validator.
-func (n *Node) Validate() error { return nil }
+func (n *Node) Validate() error {
+	return firstProblem(slices.Concat(
+		n.Node.problems(), n.Listen.problems(), n.Platform.problems(), n.Peers.problems(n.Listen.RPC),
+		n.Limits.problems(), n.Retry.problems(), n.Keys.problems(),
+		[]*Problem{between("drain.limit", n.Drain.Limit, 0, Duration(time.Hour))},
+		n.Distribution.problems(), n.Membership.problems(),
+		[]*Problem{between("log.events", n.Log.Events, 1, 1_000_000)},
+	)...)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
@@ -25,15 +26,21 @@
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil {
-		return errors.Newf("%q is no duration; write a number with a unit, such as \"250ms\" or \"5s\"", text)
+		return errors.Newf("%q is no duration; write a number with a unit (ms, s, m or h), such as \"250ms\" or \"5s\"", text)
 	}
 	*d = Duration(parsed)
 	return nil
 }
 
+// String returns the duration with its unit.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // Std returns the duration as time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
+// maxFile bounds a settings file in bytes.
+const maxFile = 1 << 20
+
 // Load reads a TOML file into target, which holds the defaults, and validates it.
 func Load(path string, target Validator) error {
 	data, err := os.ReadFile(path)
@@ -45,22 +52,38 @@
 
 // Parse is Load for bytes; name stands for the file in errors.
 func Parse(name string, data []byte, target Validator) error {
+	if len(data) > maxFile {
+		return errors.Newf("%s: %d bytes, the limit is %d", name, len(data), maxFile)
+	}
+	if err := checkTexts(name, data, target); err != nil {
+		return err
+	}
 	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := dec.Decode(target); err != nil {
-		return describe(name, err)
+		return describe(name, err, target)
 	}
-	if err := target.Validate(); err != nil {
+	err := target.Validate()
+	var problem *Problem
+	if errors.As(err, &problem) {
+		return describeProblem(name, data, problem)
+	}
+	if err != nil {
 		return errors.Newf("%s: %v", name, err)
 	}
 	return nil
 }
 
-func describe(name string, err error) error {
+func describe(name string, err error, target Validator) error {
 	var missing *toml.StrictMissingError
 	if errors.As(err, &missing) && len(missing.Errors) > 0 {
 		first := missing.Errors[0]
 		row, column := first.Position()
-		return errors.Newf("%s:%d:%d: unknown key %q", name, row, column, strings.Join(first.Key(), "."))
+		key := strings.Join(first.Key(), ".")
+		hint := ""
+		if near, ok := nearestKey(key, fieldTypes(reflect.TypeOf(target), "")); ok {
+			hint = fmt.Sprintf("; did you mean %q?", near)
+		}
+		return errors.Newf("%s:%d:%d: unknown key %q%s", name, row, column, key, hint)
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -44,6 +44,16 @@
 	return errors.Newf("%q is no size; write a whole number with B, KiB, MiB or GiB, such as \"64KiB\"", text)
 }
 
+// String returns the size with the largest unit that divides it.
+func (b ByteSize) String() string {
+	for _, unit := range byteUnits {
+		if b != 0 && b%unit.size == 0 {
+			return strconv.FormatInt(int64(b/unit.size), 10) + unit.name
+		}
+	}
+	return strconv.FormatInt(int64(b), 10) + "B"
+}
+
 // Address is an IP address and a port, such as "10.0.0.1:8080". Host names are
 // refused, since a node must work without name resolution.
 type Address struct{ netip.AddrPort }
