--- a/internal/query/assess.go
+++ b/internal/query/assess.go
@@ -35,6 +35,7 @@
 }
 
 func assessDecided(b Backend, reply Reply, o state.Outcome, follow bool) (Reply, bool) {
+	reply.Decided = true
 	if o.Code != state.Accepted {
 		reply.Status, reply.Outcome = StatusRefused, NotRun
 		reply.Reason = fmt.Sprintf("%s: %s", o.Code, o.Reason)
--- a/internal/query/reply.go
+++ b/internal/query/reply.go
@@ -51,6 +51,9 @@
 	// Outcome is set for a refused or unknown change.
 	Outcome RunOutcome `json:"outcome,omitempty"`
 	Reason  string     `json:"reason,omitempty"`
+	// Decided is set if the outcome was read from the log, so that it holds for
+	// every repetition of the command at any node.
+	Decided bool `json:"decided,omitempty"`
 	// Elsewhere is set if the change was not run and another node may accept it.
 	Elsewhere bool `json:"elsewhere,omitempty"`
 	// Winner is set if the change lost a race.
@@ -174,3 +177,26 @@
 	Text string    `json:"text"`
 	Due  time.Time `json:"due"`
 }
+
+// Exit codes of the operators' program.
+const (
+	ExitDone    = 0
+	ExitRefused = 1
+	// ExitUsage is for bad usage and for commands that can't be parsed.
+	ExitUsage = 2
+	// ExitNotDone: the wait ended before the command was done, or it can't be
+	// done any more since its move was taken back.
+	ExitNotDone = 3
+)
+
+// ExitCode returns the exit code of the operators' program for the reply.
+func (r Reply) ExitCode() int {
+	switch r.Status {
+	case StatusDone:
+		return ExitDone
+	case StatusRefused:
+		return ExitRefused
+	default:
+		return ExitNotDone
+	}
+}
