--- a/internal/operator/run.go
+++ b/internal/operator/run.go
@@ -28,6 +28,7 @@
 	nodes         []string
 	output        string
 	id            string
+	fromFile      bool
 	file          string
 	settings      string
 	checkSettings bool
@@ -83,7 +84,7 @@
 	app.Flag("node", "Base URL of a node, such as http://10.0.0.1:7003. Repeat it for nodes to try next.").StringsVar(&a.nodes)
 	app.Flag("output", "Form of the output: text or json.").EnumVar(&a.output, outputText, outputJSON)
 	app.Flag("id", "Id of the change. Repeat a command with the id of its first attempt to give it one effect.").StringVar(&a.id)
-	app.Flag("file", "File that holds the command, or - for standard input.").StringVar(&a.file)
+	app.Flag("file", "File that holds the command, or - for standard input.").IsSetByUser(&a.fromFile).StringVar(&a.file)
 	app.Flag("wait", "Adds the option wait to the command: how long acceptance may be deferred.").StringVar(&a.wait)
 	app.Flag("within", "Adds the option within to the command: how long to wait for the outcome.").StringVar(&a.within)
 	app.Flag("settings", "Settings file in TOML with the nodes, the output and the connect timeout.").StringVar(&a.settings)
@@ -132,7 +133,7 @@
 // text returns the command with the options that were given as flags.
 func (a *arguments) text(in io.Reader) (string, error) {
 	text := strings.Join(a.words, " ")
-	if a.file != "" {
+	if a.fromFile {
 		if len(a.words) > 0 {
 			return "", errors.New("give the command either as arguments or by --file")
 		}
@@ -156,7 +157,8 @@
 }
 
 func readCommand(path string, in io.Reader) (string, error) {
-	if path != "-" {
+	// The library passes a lone "-" on as an empty value.
+	if path != "-" && path != "" {
 		f, err := os.Open(path)
 		if err != nil {
 			return "", errors.Wrap(err, "--file")
