--- a/pkg/timeline/event.go
+++ b/pkg/timeline/event.go
@@ -2,7 +2,10 @@
 // many processes into one order.
 package timeline
 
-import "time"
+import (
+	"log/slog"
+	"time"
+)
 
 // Kind names what happened.
 type Kind string
@@ -22,3 +25,10 @@
 	Kind     Kind              `json:"kind"`
 	Fields   map[string]string `json:"fields,omitempty"`
 }
+
+// LogKey is the key of a log line that holds an event.
+const LogKey = "event"
+
+// LogAttr returns the event as an attribute of a JSON log line, from which it can
+// be collected again.
+func LogAttr(e Event) slog.Attr { return slog.Any(LogKey, e) }
