--- a/pkg/timeline/event.go
+++ b/pkg/timeline/event.go
@@ -10,6 +10,10 @@
 // Kind names what happened.
 type Kind string
 
+// KindAppended is the event of the process that appended a record and was told
+// its revision. It causes all other events of that revision.
+const KindAppended Kind = "appended"
+
 // Event is one thing that happened in a process.
 type Event struct {
 	Process string `json:"process"`
--- a/pkg/timeline/timeline_test.go
+++ b/pkg/timeline/timeline_test.go
@@ -27,7 +27,10 @@
 			now = now.Add(time.Duration(rapid.IntRange(-1, 5).Draw(t, "gap")) * time.Second)
 			e := Event{Process: fmt.Sprintf("p%d", lane/2), Session: fmt.Sprintf("s%d", lane), Sequence: uint64(i + 1), Time: now.Add(offset)}
 			if rapid.Bool().Draw(t, "has revision") {
-				revision += uint64(rapid.IntRange(0, 3).Draw(t, "step"))
+				step := rapid.IntRange(0, 3).Draw(t, "step")
+				if revision += uint64(step); step > 0 && rapid.Bool().Draw(t, "appended") {
+					e.Kind = KindAppended
+				}
 				if wild {
 					revision = uint64(rapid.IntRange(0, 9).Draw(t, "revision"))
 				}
@@ -52,8 +55,8 @@
 			require.Equal(t, last[e.Session]+1, e.Sequence, "sequence of %s", e.Session)
 			last[e.Session] = e.Sequence
 			if e.Revision != 0 && !wild {
-				require.GreaterOrEqual(t, e.Revision, highest)
-				highest = e.Revision
+				require.GreaterOrEqual(t, rankOf(e), highest)
+				highest = rankOf(e)
 			}
 		}
 	})
