--- a/pkg/timeline/event.go
+++ b/pkg/timeline/event.go
@@ -2,11 +2,18 @@
 // many processes into one order.
 package timeline
 
-import "time"
+import (
+	"log/slog"
+	"time"
+)
 
 // Kind names what happened.
 type Kind string
 
+// KindAppended is the event of the process that appended a record and was told
+// its revision. It causes all other events of that revision.
+const KindAppended Kind = "appended"
+
 // Event is one thing that happened in a process.
 type Event struct {
 	Process string `json:"process"`
@@ -22,3 +29,10 @@
 	Kind     Kind              `json:"kind"`
 	Fields   map[string]string `json:"fields,omitempty"`
 }
+
+// LogKey is the key of a log line that holds an event.
+const LogKey = "event"
+
+// LogAttr returns the event as an attribute of a JSON log line, from which it can
+// be collected again.
+func LogAttr(e Event) slog.Attr { return slog.Any(LogKey, e) }
