Own idempotency keys in the node

Cause: keyed requests were refused, since no node owned a key slot. Change: internal/core/keys.go feeds the key owner from the log, the members and the age of the state; a pull answer carries how old the answering node's state is, so that nodes that do not read the log can check a fence; internal/node/keys.go connects the call path. The timeline of a node is served on its admin listener. Conclusion: slots are claimed, renewed and released by the running nodes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/distribution"
+	"heathercroft.example/heathercroft/pkg/idempotency"
 	"heathercroft.example/heathercroft/pkg/membership"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/pricing"
@@ -27,6 +29,8 @@
 	Seeds []netip.AddrPort
 	// Seed drives all random choices.
 	Seed uint64
+	// Keys are the limits of key ownership.
+	Keys idempotency.Config
 }
 
 // Core is the reducer of one node. It is owned by one goroutine.
@@ -43,6 +47,7 @@
 	fates        fates
 	rollouts     rollouts
 	snapshots    snapshots
+	keys         keys
 
 	// distributionBacklog and queueBacklog hold events that effects of the same
 	// machine caused.
@@ -77,6 +82,7 @@
 		appends:      newAppends(rand.New(source(3))),
 		fates:        newFates(),
 		rollouts:     newRollouts(cfg, rand.New(source(4))),
+		keys:         newKeys(cfg.Keys),
 		addresses:    map[mesh.NodeID]netip.AddrPort{},
 	}
 }
@@ -102,6 +108,8 @@
 		c.appendResult(e)
 	case SnapshotAppended:
 		c.snapshotAppended(e)
+	case KeyRequested, KeyCanceled, KeyFinished, HandoverReceived, HandoverAnswered:
+		c.stepKeyEvent(event)
 	case TargetCrashed:
 		c.spreadCrash(e.Report)
 	case CrashReceived:
@@ -130,6 +138,7 @@
 	c.stepDistribution(distribution.Tick{Now: now})
 	c.stepQueue(pricing.Tick{Now: now})
 	c.tickRollouts()
+	c.tickKeys()
 	c.retryAppends()
 	c.scheduleSnapshot()
 }
@@ -138,6 +147,7 @@
 	c.leaving = true
 	c.note(KindLeaving, nil)
 	c.stepMembership(membership.Leave{Now: c.time.Now})
+	c.stopKeys()
 }
 
 func (c *Core) targetAnnounced(t mesh.Target) {
@@ -216,6 +226,8 @@
 		Nodes: len(c.live), Zones: len(zones), FanOut: distribution.FanOut,
 	}})
 	c.rolloutMembersChanged()
+	c.stepKeys(idempotency.MembersChanged{Now: c.time.Now, Live: slices.Clone(c.live)})
+	c.emit(PublishKeys{})
 	c.emit(PublishTable{})
 	c.emit(Notify{})
 }
--- a/internal/core/distribute.go
+++ b/internal/core/distribute.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/pkg/distribution"
+	"heathercroft.example/heathercroft/pkg/idempotency"
 	"heathercroft.example/heathercroft/pkg/membership"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/pricing"
@@ -24,7 +25,7 @@
 	case PullReceived:
 		c.stepDistribution(distribution.PullReceived{Now: now, Request: e.Request})
 	case PullAnswered:
-		c.stepDistribution(distribution.PullAnswered{Now: now, Response: e.Response})
+		c.pullAnswered(e.Answer)
 	case TransferDone:
 		c.stepDistribution(distribution.TransferDone{Now: now, To: e.To})
 	case LogPage:
@@ -47,8 +48,14 @@
 		c.head = max(c.head, uint64(e.Next)-1)
 	}
 	c.headRead, c.headSeen = c.time.Now, true
-	if uint64(c.state.Revision) >= c.head {
-		c.platformRead()
+	sent, ok := c.keys.readSent[e.Read]
+	delete(c.keys.readSent, e.Read)
+	if uint64(c.state.Revision) < c.head {
+		return
+	}
+	c.platformRead()
+	if ok {
+		c.headConfirmed(sent)
 	}
 }
 
@@ -71,15 +78,17 @@
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case distribution.ReadLog:
+			c.keys.readSent[effect.Read] = c.time.Now
 			c.emit(ReadLog(effect))
 		case distribution.ReadSnapshotStream:
 			c.emit(ReadSnapshots(effect))
 		case distribution.SendPush:
 			c.send(effect.To, MethodPush, effect.Push)
 		case distribution.SendPull:
+			c.keys.pullSent[effect.Request.ID] = c.time.Now
 			c.send(effect.To, MethodPull, effect.Request)
 		case distribution.SendResponse:
-			c.send(effect.To, MethodPullAnswer, effect.Response)
+			c.send(effect.To, MethodPullAnswer, c.answerPull(effect.Response))
 		case distribution.SendSnapshot:
 			c.sendSnapshot(effect)
 		case distribution.ApplyEntries:
@@ -104,7 +113,7 @@
 		c.stepDistribution(distribution.TransferDone{Now: c.time.Now, To: e.To})
 		return
 	}
-	c.emit(SendSnapshot{To: address, Node: e.To, Response: e.Response})
+	c.emit(SendSnapshot{To: address, Node: e.To, Response: c.answerPull(e.Response)})
 }
 
 func (c *Core) setReady(e distribution.SetReady) {
@@ -145,6 +154,7 @@
 		fields["reason"] = r.Outcome.Reason
 	}
 	c.note(KindRecordApplied, fields)
+	c.keysApplied(r)
 	if r.ID != "" {
 		c.settle(r.ID, r.Outcome)
 	}
@@ -178,6 +188,8 @@
 		c.nodeAnnounced(n.NodeAnnounced)
 	}
 	c.settleFromOutcomes()
+	c.stepKeys(idempotency.SnapshotLoaded{Now: c.time.Now, Slots: &c.state.KeySlots})
+	c.emit(PublishKeys{})
 	c.stateChanged("")
 }
 
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"time"
 
-	"heathercroft.example/heathercroft/pkg/distribution"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/record"
 	"heathercroft.example/heathercroft/pkg/timeline"
@@ -25,7 +24,7 @@
 type SendSnapshot struct {
 	To       netip.AddrPort
 	Node     mesh.NodeID
-	Response distribution.PullResponse
+	Response PullAnswer
 }
 
 // ReadLog asks for entries of the log; a new one replaces an unanswered one.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -46,7 +46,7 @@
 type PullReceived struct{ Request distribution.PullRequest }
 
 // PullAnswered is the response to a pull request of this node.
-type PullAnswered struct{ Response distribution.PullResponse }
+type PullAnswered struct{ Answer PullAnswer }
 
 // TransferDone reports the end of a snapshot transfer to another node.
 type TransferDone struct{ To mesh.NodeID }
--- /dev/null
+++ b/internal/core/keys.go
@@ -0,0 +1,256 @@
+package core
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/distribution"
+	"heathercroft.example/heathercroft/pkg/idempotency"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// MethodHandover carries the stored results of an owner that stops, and
+// MethodHandoverAnswer the word of its successor.
+const (
+	MethodHandover       = "idempotency.handover"
+	MethodHandoverAnswer = "idempotency.handover_answer"
+)
+
+// keyTickInterval is the time between two ticks of the key owner.
+const keyTickInterval = time.Second
+
+// handoverTimeout is how long the successor may take to answer.
+const handoverTimeout = 3 * time.Second
+
+// KeyRequested is a request with an idempotency key that this node may execute.
+type KeyRequested struct {
+	ID     idempotency.RequestID
+	Key    string
+	Digest uint64
+}
+
+// KeyCanceled says that the caller of a waiting request left.
+type KeyCanceled struct{ ID idempotency.RequestID }
+
+// KeyFinished is the end of an execution.
+type KeyFinished struct {
+	ID     idempotency.RequestID
+	Kind   idempotency.ResultKind
+	Answer idempotency.Answer
+}
+
+// HandoverReceived is the memory of an owner that stops.
+type HandoverReceived struct{ Handover idempotency.Handover }
+
+// HandoverAnswer says whether a successor took the memory.
+type HandoverAnswer struct {
+	OK bool `json:"ok"`
+}
+
+// HandoverAnswered is the answer of the successor.
+type HandoverAnswered struct{ Answer HandoverAnswer }
+
+func (KeyRequested) coreEvent()     {}
+func (KeyCanceled) coreEvent()      {}
+func (KeyFinished) coreEvent()      {}
+func (HandoverReceived) coreEvent() {}
+func (HandoverAnswered) coreEvent() {}
+
+// KeyExecute allows a request to run.
+type KeyExecute struct {
+	ID    idempotency.RequestID
+	Fence idempotency.Fence
+}
+
+// KeyReplay answers a request with a stored result.
+type KeyReplay struct {
+	ID     idempotency.RequestID
+	Answer idempotency.Answer
+}
+
+// KeyRefuse refuses a request.
+type KeyRefuse struct {
+	ID         idempotency.RequestID
+	Reason     idempotency.Reason
+	MayHaveRun bool
+}
+
+// PublishKeys says that the owners of key slots or their confirmation changed.
+type PublishKeys struct{}
+
+// KeysReleased says that this node owns no key slot any more after Leave.
+type KeysReleased struct{}
+
+func (KeyExecute) coreEffect()   {}
+func (KeyReplay) coreEffect()    {}
+func (KeyRefuse) coreEffect()    {}
+func (PublishKeys) coreEffect()  {}
+func (KeysReleased) coreEffect() {}
+
+// keys is the key owner and what is known about the age of the local state.
+type keys struct {
+	machine  *idempotency.Machine
+	ticked   time.Duration
+	released bool
+	handover time.Duration
+	// confirmedAsOf is a time at which the local state was known to hold all
+	// records of the log; confirmed is false if it never was.
+	confirmedAsOf time.Duration
+	confirmed     bool
+	// readSent and pullSent are the times of sending of open requests.
+	readSent map[uint64]time.Duration
+	pullSent map[uint64]time.Duration
+}
+
+func newKeys(c idempotency.Config) keys {
+	return keys{machine: idempotency.New(c), readSent: map[uint64]time.Duration{}, pullSent: map[uint64]time.Duration{}}
+}
+
+// PullAnswer is a pull response with the age of the answering node's state, so
+// that nodes that do not read the log know how old theirs is.
+type PullAnswer struct {
+	distribution.PullResponse
+	// ConfirmedAgeMS is the time in milliseconds since the state of the answering
+	// node was known to hold all records of the log, -1 if it never was.
+	ConfirmedAgeMS int64 `json:"confirmed_age_ms"`
+}
+
+func (c *Core) answerPull(r distribution.PullResponse) PullAnswer {
+	age := int64(-1)
+	if c.keys.confirmed {
+		age = (c.time.Now - c.keys.confirmedAsOf).Milliseconds() + 1
+	}
+	return PullAnswer{PullResponse: r, ConfirmedAgeMS: age}
+}
+
+// pullAnswered learns how old the local state is. The answer was written after
+// the request was sent, so the age counts back from then.
+func (c *Core) pullAnswered(a PullAnswer) {
+	sent, ok := c.keys.pullSent[a.ID]
+	delete(c.keys.pullSent, a.ID)
+	c.stepDistribution(distribution.PullAnswered{Now: c.time.Now, Response: a.PullResponse})
+	if ok && a.ConfirmedAgeMS >= 0 && c.state.Revision >= a.Applied {
+		c.headConfirmed(sent - time.Duration(a.ConfirmedAgeMS)*time.Millisecond)
+	}
+}
+
+func (c *Core) headConfirmed(asOf time.Duration) {
+	k := &c.keys
+	if k.confirmed && asOf <= k.confirmedAsOf {
+		return
+	}
+	k.confirmedAsOf, k.confirmed = asOf, true
+	c.stepKeys(idempotency.HeadConfirmed{Now: c.time.Now, AsOf: asOf})
+	c.emit(PublishKeys{})
+}
+
+// keysApplied reports a record that concerns key slots.
+func (c *Core) keysApplied(r state.Result) {
+	switch r.Record.Body.(type) {
+	case record.ClaimKeySlot, record.RenewKeySlots, record.ReleaseKeySlots:
+		c.stepKeys(idempotency.RecordApplied{Now: c.time.Now, Result: r, Slots: &c.state.KeySlots})
+		c.emit(PublishKeys{})
+	}
+}
+
+func (c *Core) tickKeys() {
+	if c.time.Now-c.keys.ticked < keyTickInterval {
+		return
+	}
+	c.keys.ticked = c.time.Now
+	maps := []map[uint64]time.Duration{c.keys.readSent, c.keys.pullSent}
+	for _, sent := range maps {
+		for id, at := range sent {
+			if c.time.Now-at > time.Minute {
+				delete(sent, id)
+			}
+		}
+	}
+	c.stepKeys(idempotency.Tick{Now: c.time.Now})
+	if c.keys.handover > 0 && c.time.Now-c.keys.handover > handoverTimeout {
+		c.handoverAnswered(HandoverAnswer{OK: false})
+	}
+}
+
+func (c *Core) stepKeyEvent(event Event) {
+	now := c.time.Now
+	switch e := event.(type) {
+	case KeyRequested:
+		c.stepKeys(idempotency.Request{Now: now, ID: e.ID, Key: e.Key, Digest: e.Digest})
+	case KeyCanceled:
+		c.stepKeys(idempotency.Canceled{Now: now, ID: e.ID})
+	case KeyFinished:
+		c.stepKeys(idempotency.Finished{Now: now, ID: e.ID, Kind: e.Kind, Answer: e.Answer})
+	case HandoverReceived:
+		c.handoverReceived(e.Handover)
+	case HandoverAnswered:
+		c.handoverAnswered(e.Answer)
+	}
+}
+
+func (c *Core) handoverReceived(h idempotency.Handover) {
+	for _, effect := range c.keys.machine.Step(idempotency.HandoverReceived{Now: c.time.Now, Handover: h}) {
+		if answer, ok := effect.(idempotency.AnswerHandover); ok {
+			c.send(h.From, MethodHandoverAnswer, HandoverAnswer(answer))
+		}
+	}
+}
+
+func (c *Core) handoverAnswered(a HandoverAnswer) {
+	if c.keys.handover == 0 {
+		return
+	}
+	c.keys.handover = 0
+	c.stepKeys(idempotency.HandoverAnswered{Now: c.time.Now, OK: a.OK})
+}
+
+// stopKeys hands the stored results to the member that ranks first for this node.
+func (c *Core) stopKeys() {
+	var others []mesh.NodeID
+	for _, id := range c.live {
+		if id != c.cfg.Self.ID {
+			others = append(others, id)
+		}
+	}
+	var successor mesh.NodeID
+	if ranked := mesh.RankNodes("handover/"+string(c.cfg.Self.ID), others); len(ranked) > 0 {
+		successor = ranked[0]
+	}
+	c.stepKeys(idempotency.StopRequested{Now: c.time.Now, Successor: successor})
+}
+
+func (c *Core) stepKeys(e idempotency.Event) {
+	for _, effect := range c.keys.machine.Step(e) {
+		switch effect := effect.(type) {
+		case idempotency.Append:
+			c.submitSystem(effect.Record)
+		case idempotency.Execute:
+			c.emit(KeyExecute(effect))
+		case idempotency.Replay:
+			c.emit(KeyReplay(effect))
+		case idempotency.Refuse:
+			c.emit(KeyRefuse(effect))
+		case idempotency.SendHandover:
+			c.keys.handover = c.time.Now
+			c.send(effect.To, MethodHandover, effect.Handover)
+		case idempotency.Stopped:
+			c.keys.released = true
+			c.emit(KeysReleased{})
+		}
+	}
+}
+
+// KeysReleased reports whether this node owns no key slot after Leave.
+func (c *Core) KeysReleased() bool { return c.keys.released }
+
+// Keys returns what the call path needs to know about the owners of keys.
+func (c *Core) Keys() (fence *idempotency.FenceView, slots idempotency.Slots) {
+	return c.keys.machine.FenceView(), c.state.KeySlots
+}
+
+// KeyStats reports the owned slots, and the remembered keys and their bytes.
+func (c *Core) KeyStats() (slots, keys, bytes int) {
+	keys, bytes = c.keys.machine.Stats()
+	return c.keys.machine.Owned(), keys, bytes
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -9,6 +9,7 @@
 	"heathercroft.example/heathercroft/internal/core"
 	"heathercroft.example/heathercroft/internal/query"
 	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/timeline"
 )
 
 // maxAnnouncement bounds the body of an announcement in bytes.
@@ -27,6 +28,7 @@
 		b.refreshRollouts(ctx)
 		commands.ServeHTTP(w, r)
 	})
+	mux.Handle("GET /heathercroft/v1/events", timeline.Handler(n.recorder))
 	mux.HandleFunc("GET /heathercroft/v1/ready", n.readiness)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	return mux
--- /dev/null
+++ b/internal/node/keys.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"heathercroft.example/heathercroft/internal/callpath"
+	"heathercroft.example/heathercroft/internal/core"
+	"heathercroft.example/heathercroft/pkg/idempotency"
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// keyOwners connects the call path to the key owner in the reducer.
+type keyOwners struct {
+	loop *loop
+	view atomic.Pointer[keyView]
+	next atomic.Uint64
+
+	mu      sync.Mutex
+	waiting map[idempotency.RequestID]chan callpath.KeyGrant
+
+	released     chan struct{}
+	releasedOnce sync.Once
+}
+
+// keyView is what the call path reads without asking the reducer.
+type keyView struct {
+	slots idempotency.Slots
+	fence *idempotency.FenceView
+	nodes map[mesh.NodeID]keyNode
+}
+
+type keyNode struct {
+	session mesh.SessionID
+	call    netip.AddrPort
+}
+
+var _ callpath.Keys = (*keyOwners)(nil)
+
+func newKeyOwners(l *loop) *keyOwners {
+	return &keyOwners{
+		loop: l, waiting: map[idempotency.RequestID]chan callpath.KeyGrant{}, released: make(chan struct{}),
+	}
+}
+
+func keyConfig(n *Node) idempotency.Config {
+	c := idempotency.DefaultConfig(n.self.ID, n.self.Session)
+	c.Lease = n.settings.Keys.Lease.Std()
+	c.Margin = n.settings.Keys.Margin.Std()
+	c.Horizon = n.settings.Keys.Horizon.Std()
+	return c
+}
+
+// publish replaces the view after the owners or the members changed.
+func (k *keyOwners) publish(c *core.Core) {
+	fence, slots := c.Keys()
+	view := &keyView{slots: slots, fence: fence, nodes: map[mesh.NodeID]keyNode{}}
+	for _, info := range c.LiveNodes() {
+		view.nodes[info.ID] = keyNode{session: info.Session, call: info.Call}
+	}
+	k.view.Store(view)
+}
+
+// Owner implements callpath.Keys.
+func (k *keyOwners) Owner(key string) callpath.KeyOwner {
+	view := k.view.Load()
+	if view == nil {
+		return callpath.KeyOwner{Refusal: callpath.NotRun(callpath.CodeNotReady, "the owners of keys are not known yet")}
+	}
+	location, ok := idempotency.Locate(key, &view.slots)
+	if !ok {
+		return callpath.KeyOwner{Refusal: callpath.NotRun(callpath.CodeNoOwner, "the key's slot has no owner at present")}
+	}
+	if location.Node == k.loop.node.self.ID {
+		return callpath.KeyOwner{Node: location.Node}
+	}
+	node, known := view.nodes[location.Node]
+	switch {
+	case known && node.session == location.Session:
+		return callpath.KeyOwner{Node: location.Node, Call: node.call}
+	case location.Minted:
+		return callpath.KeyOwner{Refusal: callpath.MayHaveRun(callpath.CodeNoOwner, "the node that minted the key is gone")}
+	default:
+		return callpath.KeyOwner{Refusal: callpath.NotRun(callpath.CodeNoOwner, "the owner of the key's slot is not reachable")}
+	}
+}
+
+// Begin implements callpath.Keys.
+func (k *keyOwners) Begin(ctx context.Context, key string, digest uint64) callpath.KeyGrant {
+	id := idempotency.RequestID(k.next.Add(1))
+	answer := make(chan callpath.KeyGrant, 1)
+	k.mu.Lock()
+	k.waiting[id] = answer
+	k.mu.Unlock()
+	k.loop.post(core.KeyRequested{ID: id, Key: key, Digest: digest})
+	select {
+	case grant := <-answer:
+		grant.ID, grant.Key = uint64(id), key
+		return grant
+	case <-ctx.Done():
+	case <-k.loop.ended:
+	}
+	return k.abandon(id, key, answer)
+}
+
+// abandon gives up a waiting request. An execution that was granted at the same
+// time ends at once as not run.
+func (k *keyOwners) abandon(id idempotency.RequestID, key string, answer chan callpath.KeyGrant) callpath.KeyGrant {
+	k.mu.Lock()
+	delete(k.waiting, id)
+	k.mu.Unlock()
+	select {
+	case grant := <-answer:
+		if grant.Execute {
+			k.loop.post(core.KeyFinished{ID: id, Kind: idempotency.NotRun})
+		}
+	default:
+		k.loop.post(core.KeyCanceled{ID: id})
+	}
+	// An earlier request with the key may be running, so this one can't say not-run.
+	return callpath.KeyGrant{
+		ID: uint64(id), Key: key,
+		Refusal: callpath.MayHaveRun(callpath.CodeDeadline, "the call ended while a request with the same key was running"),
+	}
+}
+
+// deliver passes the decision of the reducer to the waiting request.
+func (k *keyOwners) deliver(id idempotency.RequestID, grant callpath.KeyGrant) {
+	k.mu.Lock()
+	answer, ok := k.waiting[id]
+	delete(k.waiting, id)
+	k.mu.Unlock()
+	if ok {
+		answer <- grant
+		return
+	}
+	if grant.Execute {
+		// Not from the loop's own goroutine, which would wait for itself.
+		go k.loop.post(core.KeyFinished{ID: id, Kind: idempotency.NotRun})
+	}
+}
+
+// Finish implements callpath.Keys.
+func (k *keyOwners) Finish(grant callpath.KeyGrant, result callpath.KeyResult) {
+	event := core.KeyFinished{ID: idempotency.RequestID(grant.ID)}
+	switch result.Kind {
+	case callpath.KeyNotRun:
+		event.Kind = idempotency.NotRun
+	case callpath.KeyDone:
+		event.Kind = idempotency.Done
+		event.Answer = idempotency.Answer{
+			Status: result.Answer.Status, Header: result.Answer.Header, Body: result.Answer.Body, Oversized: result.Answer.Oversized,
+		}
+	default:
+		event.Kind = idempotency.Unknown
+	}
+	k.loop.post(event)
+}
+
+// CheckFence implements callpath.Keys.
+func (k *keyOwners) CheckFence(key string, fence callpath.Fence) *callpath.Refusal {
+	view := k.view.Load()
+	if view == nil {
+		return callpath.NotRun(callpath.CodeNotReady, "the owners of keys are not known yet")
+	}
+	switch view.fence.Check(key, idempotency.Fence(fence), k.loop.now()) {
+	case idempotency.FencePass:
+		return nil
+	case idempotency.FenceOld:
+		return callpath.NotRun(callpath.CodeFenced, "the key's slot has a newer owner")
+	default:
+		return callpath.NotRun(callpath.CodeFenced, "this node's view of the log is too old to check the key's owner")
+	}
+}
+
+func storedAnswer(a idempotency.Answer) *callpath.StoredAnswer {
+	return &callpath.StoredAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Oversized: a.Oversized}
+}
+
+// keyRefusals gives the code and the message of each reason.
+var keyRefusals = map[idempotency.Reason]struct {
+	code    callpath.Code
+	message string
+}{
+	idempotency.ReasonNotOwner:    {callpath.CodeNoOwner, "this node does not own the key's slot"},
+	idempotency.ReasonLeaseLapsed: {callpath.CodeLeaseLapsed, "the owner of the key's slot could not renew its lease"},
+	idempotency.ReasonTakeover:    {callpath.CodeKeyUnknownOutcome, "an earlier owner without stored results may have run the key"},
+	idempotency.ReasonUnknown:     {callpath.CodeKeyUnknownOutcome, "an earlier request with the key may have run"},
+	idempotency.ReasonMismatch:    {callpath.CodeKeyMismatch, "the key was used for another request"},
+	idempotency.ReasonFull:        {callpath.CodeKeyMemoryFull, "the owner cannot remember more keys"},
+	idempotency.ReasonStopping:    {callpath.CodeDraining, "the owner of the key's slot stops"},
+	idempotency.ReasonWaiters:     {callpath.CodeQueueFull, "too many repeats of the key wait"},
+	idempotency.ReasonSessionGone: {callpath.CodeKeyUnknownOutcome, "the node session that minted the key is gone"},
+}
+
+func keyRefusal(reason idempotency.Reason, mayHaveRun bool) *callpath.Refusal {
+	r, ok := keyRefusals[reason]
+	if !ok {
+		panic("key refusal without a code: " + string(reason))
+	}
+	if mayHaveRun {
+		return callpath.MayHaveRun(r.code, r.message)
+	}
+	return callpath.NotRun(r.code, r.message)
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -38,6 +38,7 @@
 	node     *Node
 	core     *core.Core
 	platform *platform
+	keys     *keyOwners
 	client   *rpc.Client
 	start    time.Time
 
@@ -71,7 +72,10 @@
 	for _, s := range n.settings.Peers.Seeds {
 		seeds = append(seeds, s.AddrPort)
 	}
-	l.core = core.New(core.Config{Self: n.self, StartUnixMS: l.start.UnixMilli(), Seeds: seeds, Seed: randomSeed()})
+	l.core = core.New(core.Config{
+		Self: n.self, StartUnixMS: l.start.UnixMilli(), Seeds: seeds, Seed: randomSeed(), Keys: keyConfig(n),
+	})
+	l.keys = newKeyOwners(l)
 	l.platform = newPlatform(l, platformClient(n.settings.Platform, local), n.settings.Platform)
 	return l
 }
@@ -174,6 +178,16 @@
 		case core.PublishReady:
 			l.ready = effect.Ready
 			rebuild = true
+		case core.KeyExecute:
+			l.keys.deliver(effect.ID, callpath.KeyGrant{Execute: true, Fence: callpath.Fence(effect.Fence)})
+		case core.KeyReplay:
+			l.keys.deliver(effect.ID, callpath.KeyGrant{Replay: storedAnswer(effect.Answer)})
+		case core.KeyRefuse:
+			l.keys.deliver(effect.ID, callpath.KeyGrant{Refusal: keyRefusal(effect.Reason, effect.MayHaveRun)})
+		case core.PublishKeys:
+			l.keys.publish(l.core)
+		case core.KeysReleased:
+			l.keys.releasedOnce.Do(func() { close(l.keys.released) })
 		case core.TargetLost:
 			l.node.calls.TargetGone()
 		case core.CountCrashes:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,7 @@
 	n.loop = newLoop(n)
 	n.calls = callpath.New(callpath.Deps{
 		Node: n.self.ID, Zone: n.self.Zone, Table: n.loop.table.Load, Target: n.loop.localTarget,
-		Recorder: n.evidence, Events: callEvents{n}, Now: n.loop.now, Logger: logger,
+		Keys: n.loop.keys, Recorder: n.evidence, Events: callEvents{n}, Now: n.loop.now, Logger: logger,
 	}, callSettings(s))
 	return n, nil
 }
@@ -130,6 +130,9 @@
 	})
 }
 
+// releaseLimit bounds the wait for the release of key slots, which needs the platform.
+const releaseLimit = 8 * time.Second
+
 // stopTimeout bounds the closing of the listeners after the drain.
 const stopTimeout = 5 * time.Second
 
@@ -141,6 +144,12 @@
 	if left := n.calls.Drain(ctx); left > 0 {
 		n.logger.Warn("drain limit reached", "requests_left", left)
 	}
+	select {
+	case <-n.loop.keys.released:
+	case <-ctx.Done():
+	case <-time.After(releaseLimit):
+		n.logger.Warn("key slots were not released in time; their leases have to lapse")
+	}
 	return nil
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,6 +9,7 @@
 	"heathercroft.example/heathercroft/internal/core"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/distribution"
+	"heathercroft.example/heathercroft/pkg/idempotency"
 	"heathercroft.example/heathercroft/pkg/membership"
 	"heathercroft.example/heathercroft/pkg/record"
 	"heathercroft.example/heathercroft/pkg/rollout"
@@ -46,13 +47,17 @@
 	case core.MethodPull:
 		return decodeAs(params, func(r distribution.PullRequest) core.Event { return core.PullReceived{Request: r} })
 	case core.MethodPullAnswer:
-		return decodeAs(params, func(r distribution.PullResponse) core.Event { return core.PullAnswered{Response: r} })
+		return decodeAs(params, func(a core.PullAnswer) core.Event { return core.PullAnswered{Answer: a} })
 	case core.MethodEvidence:
 		return decodeAs(params, func(r core.EvidenceReport) core.Event { return core.EvidenceReceived{Report: r} })
 	case core.MethodHolderStatus:
 		return decodeAs(params, func(s core.HolderStatus) core.Event { return core.HolderStatusReceived{Status: s} })
 	case core.MethodCut:
 		return decodeAs(params, func(c rollout.Cut) core.Event { return core.CutReceived{Cut: c} })
+	case core.MethodHandover:
+		return decodeAs(params, func(h idempotency.Handover) core.Event { return core.HandoverReceived{Handover: h} })
+	case core.MethodHandoverAnswer:
+		return decodeAs(params, func(a core.HandoverAnswer) core.Event { return core.HandoverAnswered{Answer: a} })
 	case core.MethodCrash:
 		return decodeAs(params, func(r core.CrashReport) core.Event { return core.CrashReceived{Report: r} })
 	default:
