--- a/internal/query/assess.go
+++ b/internal/query/assess.go
@@ -16,7 +16,7 @@
 		reply.Status, reply.Outcome, reply.Elsewhere = StatusRefused, NotRun, f.Elsewhere
 		return reply, true
 	case StageWaiting:
-		reply.Status, reply.Outcome = StatusWaiting, NotRun
+		reply.Status = StatusWaiting
 		due := f.Due
 		reply.Due = &due
 		return reply, false
--- a/internal/query/fake_test.go
+++ b/internal/query/fake_test.go
@@ -50,6 +50,9 @@
 	return n
 }
 
+// NewFakeBackend gives the fake node to tests outside the package.
+func NewFakeBackend() Backend { return seeded() }
+
 func (n *fakeNode) write(id, author string, presumes record.Revision, body record.Body) state.Outcome {
 	data, err := record.Encode(record.Record{ID: id, Author: author, Base: n.state.Revision, Presumes: presumes, Body: body})
 	if err != nil {
