Submit a change without the time bound of its reply

With "within 0s" the context had ended before the node was asked, so a node that honors it would not have taken the change. The tests use a fixed closed port.

--- a/internal/query/backend.go
+++ b/internal/query/backend.go
@@ -28,7 +28,8 @@
 	// Waiting returns the changes that wait at this node, in order of their end.
 	Waiting() []WaitingChange
 	// Submit hands over a change and returns its fate so far. A change with an id
-	// that was submitted before is not submitted again.
+	// that was submitted before is not submitted again. The context is not
+	// canceled when the operator goes away or the time of the reply is up.
 	Submit(ctx context.Context, s Submission) Fate
 	// Fate returns what became of a change by its id.
 	Fate(id string) Fate
--- a/internal/query/execute.go
+++ b/internal/query/execute.go
@@ -102,7 +102,8 @@
 		}
 		price := b.Price(body, c.Wait)
 		before = &price
-		fate := b.Submit(ctx, Submission{ID: req.ID, Body: body, Presumes: presumes, Wait: c.Wait, Text: req.Text})
+		// The time of the reply doesn't bound the change, which goes on without it.
+		fate := b.Submit(context.WithoutCancel(ctx), Submission{ID: req.ID, Body: body, Presumes: presumes, Wait: c.Wait, Text: req.Text})
 		if fate.Stage == StageNotRun {
 			// The node may keep no trace of a change that it did not take on.
 			reply, _ := assessChange(b, req.ID, fate, false)
