--- a/internal/collector/svg.go
+++ b/internal/collector/svg.go
@@ -21,6 +21,8 @@
 	legendLine  = 18
 	markRadius  = 6
 	nameLength  = 26
+	// minWidth holds the title, which has up to 150 characters.
+	minWidth = 1000
 )
 
 // maxDrawn bounds the events of a picture, since browsers draw larger ones slowly.
@@ -43,7 +45,7 @@
 	events = events[left:]
 	p := &picture{lanes: map[string]int{}, colors: map[timeline.Kind]string{}}
 	p.assign(events)
-	width := leftMargin + columnWidth*(len(events)+1)
+	width := max(minWidth, leftMargin+columnWidth*(len(events)+1))
 	height := topMargin + laneHeight*len(p.lanes) + legendLine*(len(p.colors)+2)
 	p.printf(`<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" viewBox="0 0 %d %d" font-family="sans-serif" font-size="12">`, width, height, width, height)
 	p.printf(`<rect width="100%%" height="100%%" fill="#ffffff"/>`)
