Compare latencies within tables that hold both versions

The previous latency test rested on an estimate of the new version's part of the calls.

Slow calls are now compared by odds ratios within tables of both versions, whose completion does not depend on latency. Incomplete tables end with a change of the share, and the pass rule leaves out the worst zone at full weight.

--- a/cmd/heathercroft-evaluate/main.go
+++ b/cmd/heathercroft-evaluate/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -24,6 +25,7 @@
 	mesh := app.Flag("mesh", "Run only the profile with this name.").String()
 	cpu := app.Flag("cpuprofile", "File for a CPU profile.").String()
 	only := app.Flag("only", "Run only the method with this name.").String()
+	replays := app.Flag("replays", "File for one CSV line per replay.").String()
 	out := app.Flag("out", "Directory of the CSV files and figures.").Default("docs/figures").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -36,11 +38,18 @@
 		app.FatalIfError(pprof.StartCPUProfile(file), "start CPU profile")
 		defer pprof.StopCPUProfile()
 	}
+	var lines io.Writer
+	if *replays != "" {
+		file, err := os.Create(*replays)
+		app.FatalIfError(err, "create file of replays")
+		defer file.Close()
+		lines = file
+	}
 	err := evaluation.Report(ctx, evaluation.Config{
 		Seed: *seed, Good: *good, Bad: *bad, Workers: *workers, FilterAtCaller: *atCaller,
 		Profiles: evaluation.Profiles(*mesh),
 		Methods:  evaluation.Methods(*only),
-	}, *out, os.Stdout)
+	}, *out, os.Stdout, lines)
 	if err != nil {
 		log.Error("evaluation failed", "error", err.Error())
 		os.Exit(1)
--- a/internal/evaluation/machines.go
+++ b/internal/evaluation/machines.go
@@ -121,6 +121,8 @@
 	}
 }
 
+func (m *machines) reason() string { return m.state.Rollouts[m.id].Reason }
+
 // step gives an event to one cutter. A cut is in force at once.
 func (m *machines) step(node int, e rollout.Event) {
 	for _, effect := range m.cutters[node].Step(e) {
--- a/internal/evaluation/method.go
+++ b/internal/evaluation/method.go
@@ -27,6 +27,8 @@
 	// tick lets the method act on what it has seen.
 	tick(now time.Duration, unixMS int64)
 	result() Result
+	// reason says why a version was taken back.
+	reason() string
 }
 
 // Method names a way to decide.
--- a/internal/evaluation/plot.go
+++ b/internal/evaluation/plot.go
@@ -71,6 +71,7 @@
 	p.Y.Label.Text = "calls (log scale)"
 	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Legend.Top = true
+	p.Y.Min, p.Y.Max = 0.1, 1e5
 	var names []string
 	for _, k := range badKinds {
 		names = append(names, string(k))
--- a/internal/evaluation/ramp.go
+++ b/internal/evaluation/ramp.go
@@ -77,3 +77,5 @@
 }
 
 func (r *ramp) result() Result { return r.end }
+
+func (r *ramp) reason() string { return "" }
--- a/internal/evaluation/report.go
+++ b/internal/evaluation/report.go
@@ -10,12 +10,18 @@
 )
 
 // Report runs the evaluation, prints the summaries to w as CSV, and writes the
-// CSV file and the figures into dir, which must exist.
-func Report(ctx context.Context, c Config, dir string, w io.Writer) error {
+// CSV file and the figures into dir, which must exist. It writes one line per
+// replay to replays, unless that is nil.
+func Report(ctx context.Context, c Config, dir string, w, replays io.Writer) error {
 	rows, err := Run(ctx, c)
 	if err != nil {
 		return err
 	}
+	if replays != nil {
+		if err := WriteRows(replays, rows); err != nil {
+			return err
+		}
+	}
 	list := Summarize(rows)
 	file, err := os.Create(filepath.Join(dir, "comparison.csv"))
 	if err != nil {
--- a/internal/evaluation/run.go
+++ b/internal/evaluation/run.go
@@ -40,6 +40,8 @@
 	NewFailed int
 	// Took is the time from the start to the end, or to the end of the replay.
 	Took time.Duration
+	// Reason is why the version was taken back.
+	Reason string
 }
 
 // Run replays all scenarios with all methods. The rows are in the same order for
@@ -96,6 +98,7 @@
 	}
 	row.Result = method.result()
 	row.Took = now
+	row.Reason = method.reason()
 	row.InTime = row.Result == Done && now <= s.Duration
 	row.Harmed, row.NewFailed = w.harmed, w.newFailed
 }
--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -44,7 +44,7 @@
 }
 
 // logRatio returns the logarithm of the likelihood ratio of the marked calls
-// (failed, or slow) of both versions: under a rate ratio of omega against one of
+// of both versions: under a rate ratio of omega against one of
 // null, each marked call being one of the new version with the probability
 // omega·part/(omega·part + 1-part).
 func logRatio(newMarked, oldMarked uint64, part, omega, null float64) float64 {
@@ -56,23 +56,6 @@
 		marked*math.Log((null*part+1-part)/(omega*part+1-part))
 }
 
-// logRatioBoth is logRatio over the marked and the unmarked calls, for marks that
-// are frequent: base is the old version's rate of marks. If the new version's
-// rate of marks is omega·base, its unmarked calls are rarer accordingly.
-func logRatioBoth(fresh, old marks, part, base, omega, null float64) float64 {
-	return logRatio(fresh.marked, old.marked, part, omega, null) +
-		logRatio(fresh.calls-fresh.marked, old.calls-old.marked, part, unmarkedRatio(omega, base), unmarkedRatio(null, base))
-}
-
-// marks counts the calls of one version, and those of them that are marked.
-type marks struct{ calls, marked uint64 }
-
 // highestRate bounds a rate of marks below 1, so that one unmarked call never
 // rules out a rate ratio.
 const highestRate = 0.97
-
-// unmarkedRatio is the rate ratio of unmarked calls that goes with one of marked
-// calls.
-func unmarkedRatio(omega, base float64) float64 {
-	return (1 - min(omega*base, highestRate)) / (1 - min(base, highestRate))
-}
--- /dev/null
+++ b/pkg/rollout/hypergeometric.go
@@ -0,0 +1,63 @@
+package rollout
+
+import "math"
+
+// table counts slow calls of both versions at the same time.
+type table struct {
+	newCalls, newMarked uint64
+	oldCalls, oldMarked uint64
+}
+
+func (t *table) add(o table) {
+	t.newCalls += o.newCalls
+	t.newMarked += o.newMarked
+	t.oldCalls += o.oldCalls
+	t.oldMarked += o.oldMarked
+}
+
+// oddsRatio returns the logarithm of the likelihood ratio of the table under odds
+// ratio omega against odds ratio null, given the margins of the table. Under
+// equal odds the marked calls fall on the two versions as in a draw without
+// replacement, whatever their common rate is, so trouble common to both
+// versions cancels out.
+func (t table) oddsRatio(weights []float64, lowest uint64, omega, null float64) float64 {
+	x := float64(t.newMarked)
+	return x*math.Log(omega/null) + logSum(weights, lowest, null) - logSum(weights, lowest, omega)
+}
+
+// logWeights returns log C(newCalls,x)·C(oldCalls,marked-x), up to a constant,
+// for each possible count x of marked calls of the new version, and the lowest x.
+func (t table) logWeights(buf []float64) (weights []float64, lowest uint64) {
+	marked := t.newMarked + t.oldMarked
+	if marked > t.oldCalls {
+		lowest = marked - t.oldCalls
+	}
+	highest := min(marked, t.newCalls)
+	weights = append(buf[:0], 0)
+	for x := lowest; x < highest; x++ {
+		up := float64(t.newCalls-x) * float64(marked-x)
+		down := float64(x+1) * float64(t.oldCalls-marked+x+1)
+		weights = append(weights, weights[len(weights)-1]+math.Log(up/down))
+	}
+	return weights, lowest
+}
+
+// logSum returns log of the sum of exp(weights[i])·omega^(lowest+i).
+func logSum(weights []float64, lowest uint64, omega float64) float64 {
+	logOmega := math.Log(omega)
+	top := math.Inf(-1)
+	for i, w := range weights {
+		top = max(top, w+float64(lowest+uint64(i))*logOmega)
+	}
+	sum := 0.0
+	for i, w := range weights {
+		sum += math.Exp(w + float64(lowest+uint64(i))*logOmega - top)
+	}
+	return top + math.Log(sum)
+}
+
+// degenerate reports a table that cannot tell the versions apart.
+func (t table) degenerate() bool {
+	marked := t.newMarked + t.oldMarked
+	return t.newCalls == 0 || t.oldCalls == 0 || marked == 0 || marked == t.newCalls+t.oldCalls
+}
--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/record"
 )
 
@@ -18,15 +19,19 @@
 	failureOmegas = []float64{3, 10, 50, 500}
 	// latencyQuantiles of the old version set the bounds above which calls
 	// count as slow: the lower one shows a general slowdown, the tail a partial
-	// one. A rate ratio can't exceed 1/(1-q).
+	// one.
 	latencyQuantiles = []float64{0.75, 0.95}
-	latencyOmegas    = [][]float64{{1.7, 2.5, 3.5}, {2.5, 5, 12}}
-	latencyNulls     = []float64{1.15, 1.3}
+	// latencyOmegas and latencyNulls are odds ratios.
+	latencyOmegas = [][]float64{{2, 5, 15}, {3, 8, 25}}
+	latencyNulls  = []float64{1.2, 1.4}
 )
 
 // pastQuantile is the latency bound at full weight.
 const pastQuantile = 0.95
 
+// minZones is the number of zones with calls from which one may be left out.
+const minZones = 3
+
 // minReference is how many calls of the old version a latency bound needs.
 const minReference = 20
 
@@ -46,6 +51,8 @@
 type routeProcesses struct {
 	failures *eProcess
 	latency  []*eProcess
+	// tables holds calls of zones with too few of them for a table of their own.
+	tables tables
 }
 
 func newRouteProcesses() *routeProcesses {
@@ -72,8 +79,8 @@
 }
 
 // Sequential compares by mixture likelihood ratios that are valid at any look:
-// rate ratios of failures, and of calls slower than quantiles of the old
-// version's earlier latency, at the same time, zone and route.
+// rate ratios of failures, and odds ratios of calls slower than quantiles of the
+// old version's earlier latency, at the same time, zone and route.
 type Sequential struct {
 	config JudgeConfig
 	all    *routeProcesses
@@ -83,7 +90,11 @@
 	// raised and oldRaised count since the last raise of the share.
 	raised    Counts
 	oldRaised Counts
-	condemned *Judgement
+	// raisedZones holds raised by zone.
+	raisedZones map[mesh.AvailabilityZone]Counts
+	weight      record.BasisPoints
+	condemned   *Judgement
+	buffer      []float64
 }
 
 // stratumState is what earlier blocks tell about one route and zone.
@@ -91,6 +102,7 @@
 	exposure exposure
 	// reference holds the old version's latency.
 	reference Histogram
+	tables    tables
 }
 
 type stratumKey struct{ route, zone string }
@@ -104,12 +116,28 @@
 	return &Sequential{
 		config: config, all: newRouteProcesses(),
 		routes: map[string]*routeProcesses{}, strata: map[stratumKey]*stratumState{},
-		past: newReferenceTest(),
+		raisedZones: map[mesh.AvailabilityZone]Counts{},
+		past:        newReferenceTest(),
 	}
 }
 
 // Raised implements Judge.
-func (s *Sequential) Raised() { s.raised, s.oldRaised = Counts{}, Counts{} }
+func (s *Sequential) Raised() {
+	s.raised, s.oldRaised = Counts{}, Counts{}
+	s.raisedZones = map[mesh.AvailabilityZone]Counts{}
+}
+
+// changeWeight drops the incomplete tables: calls under different shares are not
+// of the same time.
+func (s *Sequential) changeWeight(weight record.BasisPoints) {
+	s.weight = weight
+	for _, r := range s.routes {
+		r.tables = tables{}
+	}
+	for _, st := range s.strata {
+		st.tables = tables{}
+	}
+}
 
 // Observe implements Judge.
 func (s *Sequential) Observe(b Block) {
@@ -123,6 +151,10 @@
 	for _, r := range s.routes {
 		r.open(part)
 	}
+	s.age(b.Elapsed)
+	if b.Weight != s.weight {
+		s.changeWeight(b.Weight)
+	}
 	if b.Weight == record.FullWeight {
 		s.past.open(part)
 	}
@@ -148,13 +180,16 @@
 	}
 	// The bounds come from earlier blocks only: a bound that depends on the
 	// calls it sorts would bias the test.
-	if state.reference.Total() >= minReference {
-		observeLatency(st, &state.reference, part, scopes)
+	if state.reference.Total() >= minReference && b.Weight < record.FullWeight {
+		s.observeLatency(st, state, b.Elapsed)
 	}
 	s.observePast(st, state, b)
 	state.reference.merge(&st.Old.Latency)
 	s.raised.Merge(st.New)
 	s.oldRaised.Merge(st.Old)
+	zone := s.raisedZones[st.Zone]
+	zone.Merge(st.New)
+	s.raisedZones[st.Zone] = zone
 }
 
 // observePast compares with the old version's earlier calls at full weight, and
@@ -173,23 +208,6 @@
 	s.past.compare(st, slowNew, base)
 }
 
-func observeLatency(st Stratum, reference *Histogram, part float64, scopes []*routeProcesses) {
-	total := reference.Total()
-	for i, q := range latencyQuantiles {
-		bucket, _ := reference.Quantile(q)
-		base := float64(reference.Above(bucket)+1) / float64(total+2)
-		fresh := marks{st.New.Latency.Total(), st.New.Latency.Above(bucket)}
-		old := marks{st.Old.Latency.Total(), st.Old.Latency.Above(bucket)}
-		ratios := make([]float64, len(latencyOmegas[i]))
-		for k, omega := range latencyOmegas[i] {
-			ratios[k] = logRatioBoth(fresh, old, part, base, omega, latencyNulls[i])
-		}
-		for _, r := range scopes {
-			r.latency[i].observe(ratios)
-		}
-	}
-}
-
 func logRatios(newMarked, oldMarked uint64, part float64, omegas []float64, null float64) []float64 {
 	ratios := make([]float64, len(omegas))
 	if newMarked+oldMarked == 0 {
@@ -255,7 +273,27 @@
 	if s.condemned != nil {
 		return *s.condemned
 	}
-	return PassRule(s.raised, s.oldRaised, s.suspicion())
+	return PassRule(s.comparable(), s.oldRaised, s.suspicion())
+}
+
+// comparable returns the calls that the pass rule rests on. At full weight the
+// zone with the highest failure rate is left out if there are others enough:
+// without old calls beside it, its trouble can't be told from a fault.
+func (s *Sequential) comparable() Counts {
+	if s.weight < record.FullWeight || len(s.raisedZones) < minZones {
+		return s.raised
+	}
+	zones := slices.Sorted(maps.Keys(s.raisedZones))
+	worst := slices.MaxFunc(zones, func(a, b mesh.AvailabilityZone) int {
+		return cmp.Compare(rate(s.raisedZones[a]), rate(s.raisedZones[b]))
+	})
+	sum := Counts{}
+	for _, z := range zones {
+		if z != worst {
+			sum.Merge(s.raisedZones[z])
+		}
+	}
+	return sum
 }
 
 func (s *Sequential) suspicion() float64 {
