--- a/pkg/rollout/holder.go
+++ b/pkg/rollout/holder.go
@@ -87,10 +87,11 @@
 	totals   Evidence
 }
 
-// flight is a record whose result has not been seen.
+// flight is a record whose effect on the rollout has not been seen.
 type flight struct {
-	record record.Record
-	sent   time.Duration
+	record   record.Record
+	sent     time.Duration
+	accepted bool
 }
 
 // NewHolder returns a machine that knows nothing but the rollout's id.
@@ -216,10 +217,13 @@
 	if h.flight == nil || e.ID != h.flight.record.ID {
 		return
 	}
-	h.flight = nil
-	if e.Outcome.Code != state.Accepted {
-		// The id is spent: its first outcome stands, so a later try needs a new one.
-		h.attempts++
-		h.refusedAt, h.refused = e.Now, true
+	if e.Outcome.Code == state.Accepted {
+		// RolloutChanged follows; until then the record must not be asked for again.
+		h.flight.accepted = true
+		return
 	}
+	// The id is spent: its first outcome stands, so a later try needs a new one.
+	h.flight = nil
+	h.attempts++
+	h.refusedAt, h.refused = e.Now, true
 }
--- a/pkg/rollout/holder_drive.go
+++ b/pkg/rollout/holder_drive.go
@@ -17,6 +17,10 @@
 	finalPart   = 0.25
 )
 
+// quietCalls is the number of calls of the new version below which a planned
+// soak tells next to nothing.
+const quietCalls = 10
+
 // maybeClaim claims the rollout if its holder is silent and this node ranks
 // first among the other live candidates.
 func (h *Holder) maybeClaim() []Effect {
@@ -118,7 +122,7 @@
 		return false
 	}
 	share := float64(h.rollout.Weight) / float64(record.FullWeight)
-	return perSecond*share*h.plan.Soak(h.rollout.Weight).Seconds() < cleanCalls
+	return perSecond*share*h.plan.Soak(h.rollout.Weight).Seconds() < quietCalls
 }
 
 func (h *Holder) step(weight record.BasisPoints) []Effect {
@@ -145,7 +149,7 @@
 // unknown. A record of another kind replaces one in flight.
 func (h *Holder) append(rec record.Record) []Effect {
 	if h.flight != nil && h.flight.record.ID == rec.ID {
-		if h.now-h.flight.sent < AppendRetry {
+		if h.flight.accepted || h.now-h.flight.sent < AppendRetry {
 			return nil
 		}
 		h.flight.sent = h.now
