--- a/cmd/heathercroft-evaluate/main.go
+++ b/cmd/heathercroft-evaluate/main.go
@@ -26,12 +26,17 @@
 	cpu := app.Flag("cpuprofile", "File for a CPU profile.").String()
 	only := app.Flag("only", "Run only the method with this name.").String()
 	replays := app.Flag("replays", "File for one CSV line per replay.").String()
+	waits := app.Flag("waits", "Run the bench of waits of configuration changes instead.").Bool()
 	out := app.Flag("out", "Directory of the CSV files and figures.").Default("docs/figures").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
+	if *waits {
+		app.FatalIfError(evaluation.ReportWaits(*seed, *out, os.Stdout), "bench of waits")
+		return
+	}
 	if *cpu != "" {
 		file, err := os.Create(*cpu)
 		app.FatalIfError(err, "create CPU profile")
--- a/internal/evaluation/report.go
+++ b/internal/evaluation/report.go
@@ -41,3 +41,21 @@
 	}
 	return errors.Wrap(file.Sync(), "write summary file")
 }
+
+// ReportWaits runs the pricing bench, prints its rows to w as CSV, and writes the
+// CSV file and the figure into dir, which must exist.
+func ReportWaits(seed uint64, dir string, w io.Writer) error {
+	rows := RunWaits(seed)
+	file, err := os.Create(filepath.Join(dir, "waits.csv"))
+	if err != nil {
+		return errors.Wrap(err, "create file of waits")
+	}
+	defer file.Close()
+	if err := WriteWaits(io.MultiWriter(file, w), rows); err != nil {
+		return err
+	}
+	if err := PlotWaits(dir, rows); err != nil {
+		return err
+	}
+	return errors.Wrap(file.Sync(), "write file of waits")
+}
--- /dev/null
+++ b/pkg/pricing/limits_test.go
@@ -0,0 +1,128 @@
+package pricing_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/pricing"
+	"heathercroft.example/heathercroft/pkg/record"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+func put(id, name string, wait time.Duration) pricing.Change {
+	return pricing.Change{ID: id, Wait: wait, Body: record.PutRoute{Name: name, Prefix: "/" + id, Service: "courier"}}
+}
+
+func appendsOf(effects []pricing.Effect) []pricing.Append {
+	var list []pricing.Append
+	for _, e := range effects {
+		if a, ok := e.(pricing.Append); ok {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func newQueue(nodes int) *pricing.Queue {
+	return pricing.NewQueue(pricing.Config{Author: "n/s", Mesh: pricing.Mesh{Nodes: nodes, Zones: 4, FanOut: 4}})
+}
+
+// Guards against more than 100 appends per second of the whole system, and
+// against urgent changes that starve patient ones or the system's own records.
+// The urgent ones come faster than their batches, which they fill by twos, can go.
+func TestAppendsStayUnderTheLimit(t *testing.T) {
+	q := newQueue(1)
+	count, system := 0, 0
+	patient := time.Duration(0)
+	const seconds = 5
+	for i := range seconds * 200 {
+		now := time.Duration(i) * 5 * time.Millisecond
+		urgent := pricing.Change{ID: fmt.Sprintf("u%d", i), Body: record.PutRoute{
+			Name: fmt.Sprint(i), Prefix: strings.Repeat("x", 32_640), Service: "courier",
+		}}
+		effects := q.Step(pricing.Submitted{Now: now, Change: urgent})
+		if i == 100 {
+			effects = append(effects, q.Step(pricing.Submitted{Now: now, Change: put("patient", "p", time.Second)})...)
+		}
+		if i%10 == 0 {
+			rec := record.Record{ID: fmt.Sprintf("s%d", i), Body: record.RenewKeySlots{Node: "n"}}
+			effects = append(effects, q.Step(pricing.SystemSubmitted{Now: now, Record: rec})...)
+		}
+		for _, a := range appendsOf(effects) {
+			count++
+			if len(a.Changes) == 0 {
+				system++
+			}
+			if slices.Contains(a.Changes, "patient") {
+				patient = now
+			}
+			q.Step(pricing.Settled{Now: now, RecordID: a.Record.ID, Outcome: state.Outcome{Code: state.Accepted}})
+		}
+	}
+	require.Greater(t, q.Waiting(), 100)
+	require.LessOrEqual(t, count, 100*(seconds+1))
+	// Submitted at 0.5 s with a wait of 1 s.
+	require.GreaterOrEqual(t, patient, 1500*time.Millisecond)
+	require.LessOrEqual(t, patient, 1600*time.Millisecond)
+	require.Equal(t, seconds*20, system)
+}
+
+// Guards against patient changes that don't ride with an urgent one, or that are
+// appended before the end of their wait without one.
+func TestPatientChangesRideWithAnUrgentOne(t *testing.T) {
+	q := newQueue(4)
+	for i := range 5 {
+		require.Empty(t, appendsOf(q.Step(pricing.Submitted{Change: put(fmt.Sprintf("p%d", i), fmt.Sprint(i), time.Minute)})))
+	}
+	list := appendsOf(q.Step(pricing.Submitted{Now: time.Second, Change: put("u", "u", 0)}))
+	require.Len(t, list, 1)
+	require.Equal(t, []string{"p0", "p1", "p2", "p3", "p4", "u"}, list[0].Changes)
+}
+
+// Guards against an urgent change that overtakes an earlier one of its object.
+func TestEarlierChangeOfTheObjectGoesFirst(t *testing.T) {
+	q := newQueue(4)
+	q.Step(pricing.Submitted{Change: put("first", "a", time.Hour)})
+	list := appendsOf(q.Step(pricing.Submitted{Now: time.Second, Change: put("second", "a", 0)}))
+	require.Len(t, list, 1)
+	require.Equal(t, []string{"first"}, list[0].Changes)
+	settled := pricing.Settled{Now: 10 * time.Second, RecordID: list[0].Record.ID, Outcome: state.Outcome{Code: state.Accepted}}
+	list = appendsOf(q.Step(settled))
+	require.Equal(t, []string{"second"}, list[0].Changes)
+}
+
+// Guards against two rollouts in one record, which would share one id.
+func TestOneRecordStartsOneRollout(t *testing.T) {
+	q := newQueue(4)
+	for _, s := range []string{"finder", "courier"} {
+		c := pricing.Change{ID: s, Wait: time.Second, Body: record.StartRollout{Service: s, From: "v1", To: "v2"}}
+		q.Step(pricing.Submitted{Change: c})
+	}
+	list := appendsOf(q.Step(pricing.Tick{Now: 2 * time.Second}))
+	require.Equal(t, []string{"finder"}, list[0].Changes)
+}
+
+// Guards against a price that does not fall with the wait, or an unknown outcome
+// that is told as a known one.
+func TestPriceFallsWithTheWait(t *testing.T) {
+	m := pricing.Mesh{Nodes: 2500, Zones: 15, FanOut: 4}
+	urgent := m.Estimate(200, 0, 0.1, 200)
+	patient := m.Estimate(200, time.Minute, 0.1, 200)
+	require.InDelta(t, 1, urgent.Appends, 1e-9)
+	require.Less(t, patient.Appends, urgent.Appends/5)
+	require.Less(t, patient.Bytes, urgent.Bytes)
+	q := newQueue(1)
+	list := appendsOf(q.Step(pricing.Submitted{Change: put("a", "a", 0)}))
+	for _, e := range q.Step(pricing.GaveUp{Now: time.Second, RecordID: list[0].Record.ID, Reason: "platform out"}) {
+		if a, ok := e.(pricing.Answer); ok {
+			require.True(t, a.Unknown)
+			return
+		}
+	}
+	t.Fatal("no answer after the adapter gave up")
+}
--- /dev/null
+++ b/pkg/pricing/main_test.go
@@ -0,0 +1,17 @@
+package pricing_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that a run has the same
+// verdict each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20240611"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
