Push along one tree at a time, spread deaths at once, bound corrections

Cause: with two readers pushing at once, a node forwarded only what was new to it, so each tree stopped where the other came first and some nodes got a change only by pull. A dead node was known to 167 members only after up to 10.3 s. Two nodes that could not agree answered each other without pause. Updates known to all were repeated for minutes after a start of a whole zone. Random contacts could miss the only live node among many dead addresses for over 39 s. Change: a node forwards an entry once per root, and the second reader pushes only what the first did not push within 200 ms. Deaths are forwarded to four random members. Corrections are limited to one per node and second. Answers with an equal view end the forwarding of updates. Contacts take turns.

--- a/internal/convergence/harness_test.go
+++ b/internal/convergence/harness_test.go
@@ -44,8 +44,8 @@
 type faults struct {
 	drop, duplicate float64
 	delay           time.Duration
-	// cut holds the zones that reach only themselves, dead-ended the zones that
-	// do not reach the platform.
+	// cut holds the zones that reach only themselves, noPlatform those that do
+	// not reach the platform.
 	cut        map[mesh.AvailabilityZone]bool
 	noPlatform map[mesh.AvailabilityZone]bool
 }
@@ -157,12 +157,13 @@
 }
 
 // transmit delivers a message between nodes, subject to the faults.
-func (p *pump) transmit(from, to *node, msg any, deliver func(*node)) {
+func (p *pump) transmit(from, to *node, msg any) {
 	if to == nil {
 		return
 	}
 	if p.filter != nil {
-		if _, pass := p.filter(from, to, msg); !pass {
+		var pass bool
+		if msg, pass = p.filter(from, to, msg); !pass {
 			return
 		}
 	}
@@ -181,7 +182,7 @@
 		if p.rng.Float64() < p.faults.drop {
 			continue
 		}
-		p.schedule(p.now+p.latency(), func() { to.handle(func() { deliver(to) }) })
+		p.schedule(p.now+p.latency(), func() { to.handle(func() { to.receive(msg) }) })
 	}
 }
 
@@ -355,13 +356,24 @@
 	}
 }
 
+func (n *node) receive(msg any) {
+	switch m := msg.(type) {
+	case membership.Message:
+		n.stepMember(membership.Received{Now: n.now(), Message: m})
+	case distribution.Push:
+		n.stepDist(distribution.PushReceived{Now: n.now(), Push: m})
+	case distribution.PullRequest:
+		n.stepDist(distribution.PullReceived{Now: n.now(), Request: m})
+	case distribution.PullResponse:
+		n.stepDist(distribution.PullAnswered{Now: n.now(), Response: m})
+	}
+}
+
 func (n *node) stepMember(e membership.Event) {
 	for _, effect := range n.member.Step(e) {
 		switch f := effect.(type) {
 		case membership.Send:
-			n.pump.transmit(n, n.pump.byRPC[f.To], f.Message, func(to *node) {
-				to.stepMember(membership.Received{Now: to.now(), Message: f.Message})
-			})
+			n.pump.transmit(n, n.pump.byRPC[f.To], f.Message)
 		case membership.Changed:
 			if !n.pump.membershipOnly {
 				n.stepDist(distribution.MembersChanged{Now: n.now(), Peers: n.peers()})
--- a/internal/convergence/platform_test.go
+++ b/internal/convergence/platform_test.go
@@ -156,19 +156,15 @@
 		case distribution.ReadSnapshotStream:
 			p.platform.readSnapshot(n, f)
 		case distribution.SendPush:
-			n.transmitTo(f.To, f.Push, func(to *node) {
-				to.stepDist(distribution.PushReceived{Now: to.now(), Push: f.Push})
-			})
+			n.transmitTo(f.To, f.Push)
 		case distribution.SendPull:
-			n.transmitTo(f.To, f.Request, func(to *node) {
-				to.stepDist(distribution.PullReceived{Now: to.now(), Request: f.Request})
-			})
+			n.transmitTo(f.To, f.Request)
 		case distribution.SendResponse:
-			n.respond(f.To, f.Response)
+			n.transmitTo(f.To, f.Response)
 		case distribution.SendSnapshot:
 			f.Response.Snapshot = &distribution.Snapshot{}
 			*f.Response.Snapshot = snapshotOf(n.revision, n.digest)
-			n.respond(f.To, f.Response)
+			n.transmitTo(f.To, f.Response)
 			p.schedule(p.now+50*time.Millisecond, func() {
 				n.handle(func() { n.stepDist(distribution.TransferDone{Now: n.now(), To: f.To}) })
 			})
@@ -184,15 +180,7 @@
 	}
 }
 
-func (n *node) transmitTo(to mesh.NodeID, msg any, deliver func(*node)) {
-	n.pump.transmit(n, n.pump.nodes[to], msg, deliver)
-}
-
-func (n *node) respond(to mesh.NodeID, r distribution.PullResponse) {
-	n.transmitTo(to, r, func(to *node) {
-		to.stepDist(distribution.PullAnswered{Now: to.now(), Response: r})
-	})
-}
+func (n *node) transmitTo(to mesh.NodeID, msg any) { n.pump.transmit(n, n.pump.nodes[to], msg) }
 
 // later reports the result of an apply effect as the adapter does: after the
 // step that asked for it.
--- a/pkg/distribution/config.go
+++ b/pkg/distribution/config.go
@@ -41,6 +41,10 @@
 	OutageAfter = 3 * time.Second
 	// FanOut is the number of children in the push tree.
 	FanOut = 4
+	// PushDelay is how long the second reader waits for a push by the first one
+	// before it pushes what it read itself. Pushes by both would double the
+	// bytes of each change.
+	PushDelay = 200 * time.Millisecond
 	// PullInterval is the time between two pulls, with a jitter of ±25 %.
 	PullInterval = 2 * time.Second
 	// ResponseBytes bounds the entries of one response or push.
--- a/pkg/distribution/logreader.go
+++ b/pkg/distribution/logreader.go
@@ -112,7 +112,7 @@
 	if len(e.Entries) == 0 {
 		l.next = max(m.now, l.started+EmptyReadInterval)
 	}
-	m.relay(m.cfg.Self, m.ingest(e.Entries))
+	m.pushRead(m.ingest(e.Entries))
 }
 
 func (m *Machine) learnHead(next record.Revision) {
--- a/pkg/distribution/machine.go
+++ b/pkg/distribution/machine.go
@@ -3,10 +3,8 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/record"
 )
 
@@ -26,6 +24,7 @@
 	buffer     buffer
 
 	peers  peers
+	pushes pushes
 	log    logReader
 	pulls  pulls
 	serves transfers
@@ -48,7 +47,7 @@
 
 // New returns a machine at revision 0 that is not ready.
 func New(cfg Config) *Machine {
-	m := &Machine{cfg: cfg, rng: rand.New(cfg.Source), buffer: newBuffer(), serves: newTransfers(), ready: newReadiness()}
+	m := &Machine{cfg: cfg, rng: rand.New(cfg.Source), buffer: newBuffer(), pushes: newPushes(), serves: newTransfers(), ready: newReadiness()}
 	// Numbers start at random, so that a late answer to a former session does
 	// not match a request of this one.
 	m.log.number = m.rng.Uint64N(math.MaxUint32)
@@ -84,6 +83,7 @@
 	case TransferDone:
 		m.serves.done(e.To)
 	}
+	m.runPushes()
 	m.runReads()
 	m.runPulls()
 	m.apply()
@@ -150,45 +150,6 @@
 	m.buffer.trim(m.applied)
 }
 
-// pushReceived relays what is new, entries after a gap included, so that a gap
-// does not delay the nodes below.
-func (m *Machine) pushReceived(p Push) {
-	m.relay(p.Root, m.ingest(p.Entries))
-	if _, gap := m.buffer.gapEnd(); gap {
-		m.pullFrom(p.From)
-	}
-}
-
-// relay sends entries to the children in the tree of a root.
-func (m *Machine) relay(root mesh.NodeID, entries []Entry) {
-	if len(entries) == 0 {
-		return
-	}
-	children := m.peers.children(root, m.cfg.Self)
-	for chunk := range chunks(entries) {
-		for _, id := range children {
-			m.emit(SendPush{To: id, Push: Push{From: m.cfg.Self, Root: root, Entries: chunk}})
-		}
-	}
-}
-
-// chunks cuts entries into pushes of at most ResponseBytes, or one entry.
-func chunks(entries []Entry) func(yield func([]Entry) bool) {
-	return func(yield func([]Entry) bool) {
-		for start := 0; start < len(entries); {
-			end, bytes := start+1, len(entries[start].Data)
-			for end < len(entries) && bytes+len(entries[end].Data) <= ResponseBytes {
-				bytes += len(entries[end].Data)
-				end++
-			}
-			if !yield(slices.Clone(entries[start:end])) {
-				return
-			}
-			start = end
-		}
-	}
-}
-
 func (m *Machine) emit(e Effect) { m.out = append(m.out, e) }
 
 // backoff returns a delay with full jitter and a bound that doubles with the
--- /dev/null
+++ b/pkg/distribution/push.go
@@ -0,0 +1,107 @@
+package distribution
+
+import (
+	"slices"
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/record"
+)
+
+// pushed identifies an entry in the tree of one root.
+type pushed struct {
+	root   mesh.NodeID
+	offset record.Revision
+}
+
+// pushes tracks what was sent down the trees.
+type pushes struct {
+	// seen holds what was forwarded. A node forwards an entry once in the tree of
+	// each root: if it forwarded only what is new to it, then of two trees
+	// that start at the same time each would stop where the other came first,
+	// and nodes below in both would get nothing.
+	seen map[pushed]bool
+	// deferred are entries that the second reader read, which it pushes unless
+	// the first one does so before.
+	deferred []Entry
+	until    time.Duration
+}
+
+func newPushes() pushes { return pushes{seen: make(map[pushed]bool)} }
+
+// pushReceived relays entries, those after a gap included, so that a gap does
+// not delay the nodes below.
+func (m *Machine) pushReceived(p Push) {
+	m.ingest(p.Entries)
+	m.pushes.deferred = slices.DeleteFunc(m.pushes.deferred, func(e Entry) bool {
+		return slices.ContainsFunc(p.Entries, func(o Entry) bool { return o.Offset == e.Offset })
+	})
+	m.relay(p.Root, p.Entries)
+	if _, gap := m.buffer.gapEnd(); gap {
+		m.pullFrom(p.From)
+	}
+}
+
+// pushRead sends what this reader read from the log down its tree, at once if
+// it ranks first.
+func (m *Machine) pushRead(entries []Entry) {
+	s := &m.pushes
+	if m.peers.first || len(m.peers.own) < 2 || len(s.deferred)+len(entries) > HeldEntries {
+		m.relay(m.cfg.Self, entries)
+		return
+	}
+	if len(s.deferred) == 0 {
+		s.until = m.now + PushDelay
+	}
+	s.deferred = append(s.deferred, entries...)
+}
+
+func (m *Machine) runPushes() {
+	s := &m.pushes
+	if len(s.deferred) > 0 && m.now >= s.until {
+		entries := s.deferred
+		s.deferred = nil
+		m.relay(m.cfg.Self, entries)
+	}
+}
+
+// relay sends entries to the children in the tree of a root, each one once.
+func (m *Machine) relay(root mesh.NodeID, entries []Entry) {
+	s := &m.pushes
+	if len(s.seen) > BufferEntries {
+		clear(s.seen)
+	}
+	var fresh []Entry
+	for _, e := range entries {
+		if key := (pushed{root, e.Offset}); !s.seen[key] {
+			s.seen[key] = true
+			fresh = append(fresh, e)
+		}
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	children := m.peers.children(root, m.cfg.Self)
+	for chunk := range chunks(fresh) {
+		for _, id := range children {
+			m.emit(SendPush{To: id, Push: Push{From: m.cfg.Self, Root: root, Entries: chunk}})
+		}
+	}
+}
+
+// chunks cuts entries into pushes of at most ResponseBytes, or one entry.
+func chunks(entries []Entry) func(yield func([]Entry) bool) {
+	return func(yield func([]Entry) bool) {
+		for start := 0; start < len(entries); {
+			end, bytes := start+1, len(entries[start].Data)
+			for end < len(entries) && bytes+len(entries[end].Data) <= ResponseBytes {
+				bytes += len(entries[end].Data)
+				end++
+			}
+			if !yield(slices.Clone(entries[start:end])) {
+				return
+			}
+			start = end
+		}
+	}
+}
--- a/pkg/membership/exchange.go
+++ b/pkg/membership/exchange.go
@@ -43,12 +43,16 @@
 	}
 }
 
-// compareView hurries the next exchange if the views of probed members keep
-// differing from the local one. News explains a difference for a moment only.
+// compareView ends the forwarding of what probed members know, and hurries the
+// next exchange if their views keep differing from the local one. News explains a difference for a moment only.
 func (m *Machine) compareView(theirs uint64) {
 	e := &m.exchange
-	if theirs == 0 || theirs == m.view() {
+	if theirs == 0 {
+		return
+	}
+	if theirs == m.view() {
 		e.mismatches = 0
+		m.rumors.agreed(m.forwardLimit())
 		return
 	}
 	if e.mismatches++; e.mismatches >= ViewMismatches {
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -16,9 +17,13 @@
 	// joined is set once an exchange was answered.
 	joined    bool
 	announced map[mesh.NodeID]mesh.NodeInfo
+	// tried holds when an address was last contacted.
+	tried map[netip.AddrPort]time.Duration
 }
 
-func newJoiner() joiner { return joiner{announced: make(map[mesh.NodeID]mesh.NodeInfo)} }
+func newJoiner() joiner {
+	return joiner{announced: make(map[mesh.NodeID]mesh.NodeInfo), tried: make(map[netip.AddrPort]time.Duration)}
+}
 
 func (j *joiner) announce(node mesh.NodeInfo, self mesh.NodeID) {
 	if node.ID != self && node.RPC.IsValid() {
@@ -57,8 +62,9 @@
 	}
 }
 
-// candidates returns up to n random addresses to contact, each one of the own
-// zone half of the time if there is any.
+// candidates returns up to n addresses to contact, each one of the own zone half
+// of the time if there is any. Those tried longest ago come first, in random
+// order, so that every one has its turn within a bounded time.
 func (m *Machine) candidates(n int) []netip.AddrPort {
 	var near, far []netip.AddrPort
 	add := func(to netip.AddrPort, zone mesh.AvailabilityZone) {
@@ -86,8 +92,8 @@
 	}
 	unwanted := func(to netip.AddrPort) bool { return alive[to] || to == m.cfg.Self.RPC }
 	near, far = slices.DeleteFunc(near, unwanted), slices.DeleteFunc(far, unwanted)
-	m.shuffle(near)
-	m.shuffle(far)
+	m.orderByTurn(near)
+	m.orderByTurn(far)
 	var chosen []netip.AddrPort
 	for len(chosen) < n && len(near)+len(far) > 0 {
 		from := &far
@@ -98,9 +104,16 @@
 		*from = (*from)[1:]
 	}
 	slices.SortFunc(chosen, netip.AddrPort.Compare)
-	return slices.Compact(chosen)
+	chosen = slices.Compact(chosen)
+	for _, to := range chosen {
+		m.joiner.tried[to] = m.now
+	}
+	return chosen
 }
 
-func (m *Machine) shuffle(to []netip.AddrPort) {
+func (m *Machine) orderByTurn(to []netip.AddrPort) {
 	m.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	slices.SortStableFunc(to, func(a, b netip.AddrPort) int {
+		return cmp.Compare(m.joiner.tried[a], m.joiner.tried[b])
+	})
 }
--- a/pkg/membership/local.go
+++ b/pkg/membership/local.go
@@ -33,7 +33,7 @@
 func (m *Machine) restate() {
 	m.incarnation++
 	m.spreadSelf()
-	if u := m.statement(); urgent(u) {
+	if u := m.statement(); m.urgent(u) {
 		m.forwardUrgent(u)
 	}
 }
@@ -64,7 +64,7 @@
 	m.detail.Target = &t
 	u := m.statement()
 	u.Detail.NACK = longestNACK
-	if bytes := size(u); bytes > UpdateBytes {
+	if bytes := size(u); bytes > UpdateBytes || !u.valid() {
 		m.detail.Target = former
 		m.emit(TargetRejected{Target: t, Bytes: bytes})
 		return
@@ -97,20 +97,27 @@
 	m.restate()
 }
 
-// urgent reports whether an update says that a target takes no more work.
-func urgent(u Update) bool {
-	if u.Detail == nil || u.State == Suspect {
-		return false
+// urgent reports whether an update says that a target takes no more work: it
+// leaves, or its node, in the own zone, is dead.
+func (m *Machine) urgent(u Update) bool {
+	if u.State == Dead {
+		k := m.table.members[u.Node]
+		return k != nil && k.detail.Info.Zone == m.cfg.Self.Zone
 	}
-	return u.State == Leaving || (u.Detail.Target != nil && u.Detail.Target.State == mesh.TargetLeaving)
+	return u.State == Leaving || (u.State == Alive && u.Detail.Target != nil && u.Detail.Target.State == mesh.TargetLeaving)
 }
 
-// forwardUrgent sends an update at once along a tree over the zone's members
-// with the node that it is about at the root, and to two random members, which
-// cover the subtree of a lost message. Probes alone need over 4 s to reach 167
-// members.
+// forwardUrgent sends an update at once. Probes alone need over 4 s to reach
+// 167 members. A leaving node is the root of a tree over the zone's members; two
+// random members besides cover the subtree of a lost message. Several members
+// declare a node dead at about the same time, so that there is no single root,
+// and each one sends to random members only.
 func (m *Machine) forwardUrgent(u Update) {
-	for _, id := range m.urgentReceivers(u.Node) {
+	to := m.urgentReceivers(u.Node)
+	if u.State == Dead {
+		to = m.pick(m.healthyPeers(), LeavingFanout)
+	}
+	for _, id := range to {
 		m.send(m.table.members[id].detail.Info.RPC, Message{Updates: []Update{u}})
 	}
 	m.zones.hurry()
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -29,6 +29,9 @@
 	zones    zones
 	reports  reports
 
+	// corrected holds the nodes that were told of an outdated header.
+	corrected map[mesh.NodeID]bool
+
 	malformed  uint64
 	generation uint64
 	announced  uint64
@@ -47,6 +50,7 @@
 		rumors:      newRumors(),
 		zones:       newZones(),
 		joiner:      newJoiner(),
+		corrected:   make(map[mesh.NodeID]bool),
 		generation:  1,
 	}
 	m.prober = newProber(m.jitter(0, ProbeInterval))
@@ -168,18 +172,35 @@
 	}
 	switch {
 	case order > 0:
-		m.send(h.RPC, Message{Want: &Want{Nodes: []mesh.NodeID{h.Node}}})
+		if m.mayCorrect(h.Node) {
+			m.send(h.RPC, Message{Want: &Want{Nodes: []mesh.NodeID{h.Node}}})
+		}
 		return nil
-	case order < 0:
-		return []Update{known.statement()}
+	case order == 0:
+		known.report(h.Revision, h.NACK)
+		if healthy(known) {
+			return nil
+		}
 	}
-	known.report(h.Revision, h.NACK)
-	if known.state == Suspect || known.state == Dead {
+	if m.mayCorrect(h.Node) {
 		return []Update{known.statement()}
 	}
 	return nil
 }
 
+// mayCorrect limits the answers to outdated headers to one per node and
+// housekeepingInterval. Without a limit two nodes that cannot agree, such as
+// two processes with the same node id, answer each other without pause.
+func (m *Machine) mayCorrect(id mesh.NodeID) bool {
+	if m.corrected[id] || len(m.corrected) >= maxCorrected {
+		return false
+	}
+	m.corrected[id] = true
+	return true
+}
+
+const maxCorrected = 4096
+
 func (k *member) report(revision record.Revision, nack string) {
 	if revision >= k.detail.Revision {
 		k.detail.Revision, k.detail.NACK = revision, nack
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -23,6 +23,8 @@
 	// changes holds the times of the last state changes of the endpoint.
 	changes     []time.Duration
 	dampedUntil time.Duration
+	// tried is when this node last opened an exchange between zones with it.
+	tried time.Duration
 }
 
 func (k *member) statement() Update {
@@ -160,7 +162,7 @@
 			if spread {
 				m.rumors.add(m.table.members[u.Node].statement())
 			}
-			if spread && urgent(u) {
+			if spread && m.urgent(u) {
 				m.forwardUrgent(u)
 			}
 		} else if k := m.table.members[u.Node]; k != nil && msg.Exchange && k.statement().compare(u) > 0 {
@@ -253,6 +255,9 @@
 	}
 	if m.accept(u) {
 		m.rumors.add(u)
+		if state == Dead {
+			m.forwardUrgent(u)
+		}
 	}
 }
 
@@ -263,6 +268,7 @@
 		return
 	}
 	m.table.expiry = m.now + housekeepingInterval
+	clear(m.corrected)
 	for _, id := range slices.Clone(m.table.ids) {
 		k := m.table.members[id]
 		if k.state == Dead && m.now-k.since >= DeadRetention {
--- a/pkg/membership/rumor.go
+++ b/pkg/membership/rumor.go
@@ -39,8 +39,12 @@
 	if len(r.waiting) >= MaxRumors && r.waiting[u.Node] == nil {
 		return
 	}
+	bytes := size(u)
+	if bytes > UpdateBytes {
+		return
+	}
 	r.order++
-	r.waiting[u.Node] = &rumor{update: u, bytes: size(u), order: r.order}
+	r.waiting[u.Node] = &rumor{update: u, bytes: bytes, order: r.order}
 }
 
 // take returns the updates for one message, first the given ones, then those
@@ -75,6 +79,23 @@
 	return updates
 }
 
+// agreements is how many probed members with the same view as the local one
+// end the forwarding of an update. Otherwise a zone that started as a whole would
+// repeat for minutes what all its members know.
+const agreements = 4
+
+// agreed notes that a member knows all waiting updates but suspicions.
+func (r *rumors) agreed(limit int) {
+	for id, w := range r.waiting {
+		if w.update.State == Suspect {
+			continue
+		}
+		if w.sent += (limit + agreements - 1) / agreements; w.sent >= limit {
+			delete(r.waiting, id)
+		}
+	}
+}
+
 // forwardLimit is how often one node forwards an update. With 2 log2(n) sends
 // by each of n nodes, the expected number of nodes that miss it is far below 1.
 func (m *Machine) forwardLimit() int {
--- a/pkg/membership/valid.go
+++ b/pkg/membership/valid.go
@@ -21,7 +21,20 @@
 	}
 	d := u.Detail
 	return d != nil && d.Info.ID == u.Node && d.Info.Session == u.Session &&
-		wireID(string(d.Info.Zone)) && d.Info.RPC.IsValid() && size(u) <= UpdateBytes
+		wireID(string(d.Info.Zone)) && d.Info.RPC.IsValid() && u.textBytes() <= maxText
+}
+
+// maxText bounds the text in an update. The rest of its encoding takes up to
+// 450 bytes.
+const maxText = UpdateBytes - 450
+
+func (u Update) textBytes() int {
+	d := u.Detail
+	n := 2*(len(u.Node)+len(u.Session)) + len(d.Info.Zone) + len(d.Info.Region) + len(d.NACK)
+	if d.Target != nil {
+		n += len(d.Target.Service) + len(d.Target.Version)
+	}
+	return n
 }
 
 func wireID(s string) bool { return s != "" && len(s) <= maxWireID }
--- a/pkg/membership/zone.go
+++ b/pkg/membership/zone.go
@@ -167,7 +167,7 @@
 }
 
 // contactZone opens an exchange with a reader of a zone or, after a failure,
-// with any of its members.
+// with any of its members, that was tried longest ago.
 func (m *Machine) contactZone(name mesh.AvailabilityZone) {
 	s := m.zones.get(name)
 	to := m.readers(name)
@@ -178,7 +178,12 @@
 		to = m.table.list(name, anyState)
 	}
 	s.tried = m.now
-	for _, id := range m.pick(to, 1) {
+	to = m.pick(to, len(to))
+	slices.SortStableFunc(to, func(a, b mesh.NodeID) int {
+		return cmp.Compare(m.table.members[a].tried, m.table.members[b].tried)
+	})
+	for _, id := range to[:min(1, len(to))] {
+		m.table.members[id].tried = m.now
 		m.zones.attempts = append(m.zones.attempts, attempt{zone: name, deadline: m.now + ZoneExchangeInterval})
 		m.send(m.table.members[id].detail.Info.RPC, Message{Digest: &Digest{Zones: m.digests(name, nil)}})
 	}
