--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -66,18 +66,18 @@
 func Decode(data []byte) (*state.State, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "decompress snapshot"), ErrInvalid)
+		return nil, errors.Wrapf(ErrInvalid, "decompress snapshot: %v", err)
 	}
 	plain, err := io.ReadAll(io.LimitReader(r, MaxBytes+1))
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "decompress snapshot"), ErrInvalid)
+		return nil, errors.Wrapf(ErrInvalid, "decompress snapshot: %v", err)
 	}
 	if len(plain) > MaxBytes {
 		return nil, errors.Wrapf(ErrInvalid, "snapshot has more than %d bytes", MaxBytes)
 	}
 	s, err := state.Decode(plain)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "decode snapshot"), ErrInvalid)
+		return nil, errors.Wrapf(ErrInvalid, "decode snapshot: %v", err)
 	}
 	return s, nil
 }
