--- a/pkg/membership/local.go
+++ b/pkg/membership/local.go
@@ -126,13 +126,17 @@
 func (m *Machine) urgentReceivers(root mesh.NodeID) []mesh.NodeID {
 	peers := m.healthyPeers()
 	self := m.cfg.Self.ID
-	all := append([]mesh.NodeID{self}, peers...)
 	order := []mesh.NodeID{root}
-	for _, id := range mesh.RankNodes(string(root), all) {
-		if id != root {
-			order = append(order, id)
+	add := func(ids []mesh.NodeID) {
+		for _, id := range mesh.RankNodes(string(root), ids) {
+			if id != root {
+				order = append(order, id)
+			}
 		}
 	}
+	add(append([]mesh.NodeID{self}, peers...))
+	// Suspects come last, where they relay to nobody.
+	add(m.table.list(m.cfg.Self.Zone, suspected))
 	var to []mesh.NodeID
 	for i, id := range order {
 		if id != self {
--- /dev/null
+++ b/pkg/membership/machine_test.go
@@ -0,0 +1,321 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+func info(i int) mesh.NodeInfo {
+	rpc := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7400)
+	return mesh.NodeInfo{
+		ID: mesh.NodeID(fmt.Sprintf("n%d", i)), Session: "s1", Zone: "a", Region: "r", RPC: rpc,
+		Call: netip.AddrPortFrom(rpc.Addr(), 7401),
+	}
+}
+
+func servingTarget() mesh.Target {
+	return mesh.Target{
+		Service: "finder", Version: "v1", Address: netip.MustParseAddrPort("10.1.0.1:80"), Slots: 12, Connections: 100,
+		State: mesh.TargetServing,
+	}
+}
+
+func statementOf(node mesh.NodeInfo, incarnation uint64, state State) Update {
+	u := Update{Node: node.ID, Session: node.Session, Incarnation: incarnation, State: state}
+	if state != Dead {
+		t := servingTarget()
+		u.Detail = &Detail{Info: node, Target: &t}
+	}
+	return u
+}
+
+func from(node mesh.NodeInfo, incarnation uint64, msg Message) Message {
+	msg.From = Header{Node: node.ID, Session: node.Session, Zone: node.Zone, RPC: node.RPC, Incarnation: incarnation}
+	return msg
+}
+
+// local is a machine with a clock of its own, among scripted peers.
+type local struct {
+	*Machine
+	at time.Duration
+}
+
+func newLocal(peers int) *local {
+	l := &local{Machine: New(Config{Self: info(0), Source: rand.NewPCG(1, 1)})}
+	for i := 1; i <= peers; i++ {
+		l.receive(from(info(i), 1, Message{Updates: []Update{statementOf(info(i), 1, Alive)}}))
+	}
+	return l
+}
+
+func (l *local) receive(msg Message) []Effect { return l.Step(Received{Now: l.at, Message: msg}) }
+
+// run lets time pass in ticks and returns the effects with their times.
+func (l *local) run(d time.Duration) (effects []Effect, times []time.Duration) {
+	for end := l.at + d; l.at < end; {
+		l.at += 100 * time.Millisecond
+		for _, e := range l.Step(Tick{Now: l.at}) {
+			effects, times = append(effects, e), append(times, l.at)
+		}
+	}
+	return effects, times
+}
+
+func (l *local) state(id mesh.NodeID) State {
+	for _, k := range l.Members() {
+		if k.Info.ID == id {
+			return k.State
+		}
+	}
+	return ""
+}
+
+func sends(effects []Effect) []Send {
+	var list []Send
+	for _, e := range effects {
+		if s, ok := e.(Send); ok {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// TestProbeTiming guards against timeouts that differ from the design: indirect
+// probes after 500 ms, suspicion after 1 s, death 3 s later.
+func TestProbeTiming(t *testing.T) {
+	l := newLocal(4)
+	effects, times := l.run(8 * time.Second)
+	var probed, indirect, suspect, dead time.Duration
+	for i, e := range effects {
+		switch f := e.(type) {
+		case Send:
+			if f.Message.Probe != nil && f.To == info(1).RPC && probed == 0 {
+				probed = times[i]
+			}
+			if f.Message.Indirect != nil && f.Message.Indirect.Node == "n1" && indirect == 0 {
+				indirect = times[i]
+			}
+		case StateChanged:
+			if f.Node == "n1" && f.State == Suspect {
+				suspect = times[i]
+			}
+			if f.Node == "n1" && f.State == Dead {
+				dead = times[i]
+			}
+		}
+	}
+	require.Equal(t, 500*time.Millisecond, indirect-probed)
+	require.Equal(t, time.Second, suspect-probed)
+	require.Equal(t, SuspicionTimeout, dead-suspect)
+}
+
+// TestRound guards against a member that random choice leaves without a probe.
+func TestRound(t *testing.T) {
+	l := newLocal(20)
+	l.run(time.Second)
+	probed := make(map[netip.AddrPort]bool)
+	for range 20 {
+		effects, _ := l.run(ProbeInterval)
+		for _, s := range sends(effects) {
+			if s.Message.Probe != nil {
+				probed[s.To] = true
+				l.receive(Message{
+					From:   from(info(int(s.To.Addr().As4()[3])), 1, Message{}).From,
+					Answer: &ProbeAnswer{Sequence: s.Message.Probe.Sequence},
+				})
+			}
+		}
+	}
+	require.GreaterOrEqual(t, len(probed), 19)
+}
+
+// TestLocalPause guards against a resumed node that takes all others for dead.
+func TestLocalPause(t *testing.T) {
+	l := newLocal(3)
+	l.receive(from(info(2), 1, Message{Updates: []Update{statementOf(info(1), 1, Suspect)}}))
+	l.run(time.Second)
+	l.at += time.Minute
+	l.run(100 * time.Millisecond)
+	require.Equal(t, Suspect, l.state("n1"))
+}
+
+// TestPrecedence guards against a statement that loses to an older one.
+func TestPrecedence(t *testing.T) {
+	l := newLocal(1)
+	say := func(u Update) { l.receive(from(info(2), 1, Message{Updates: []Update{u}})) }
+	for _, step := range []struct {
+		inc   uint64
+		state State
+		want  State
+	}{
+		{1, Suspect, Suspect},
+		{1, Alive, Suspect},
+		{2, Alive, Alive},
+		{1, Dead, Alive},
+		{2, Dead, Dead},
+		{2, Suspect, Dead},
+		{3, Leaving, Leaving},
+	} {
+		say(statementOf(info(1), step.inc, step.state))
+		require.Equal(t, step.want, l.state("n1"), "%+v", step)
+	}
+}
+
+// TestNewSession guards against a restarted node that stays hidden behind the
+// higher incarnation of its former session.
+func TestNewSession(t *testing.T) {
+	l := newLocal(1)
+	former := info(0)
+	former.Session = "s0"
+	effects := l.receive(from(info(1), 1, Message{Updates: []Update{statementOf(former, 40, Alive)}}))
+	require.NotEmpty(t, effects)
+	require.Equal(t, uint64(41), l.self().Incarnation)
+
+	other := newLocal(1)
+	restarted := info(1)
+	restarted.Session = "s2"
+	sent := sends(other.receive(from(restarted, 0, Message{})))
+	require.Len(t, sent, 1)
+	require.Equal(t, uint64(1), sent[0].Message.Updates[0].Incarnation)
+}
+
+// TestUnequalDuplicates guards against two processes with the same node id that
+// answer each other without pause.
+func TestUnequalDuplicates(t *testing.T) {
+	l := newLocal(1)
+	restarted := info(1)
+	restarted.Session = "s2"
+	count := 0
+	for range 100 {
+		count += len(sends(l.receive(from(restarted, 0, Message{}))))
+	}
+	require.Equal(t, 1, count)
+}
+
+// TestUpdateBytes guards against messages over the size of a packet.
+func TestUpdateBytes(t *testing.T) {
+	l := newLocal(60)
+	effects, _ := l.run(10 * time.Second)
+	for _, s := range sends(effects) {
+		if s.Message.Probe == nil {
+			continue
+		}
+		data, err := json.Marshal(s.Message.Updates)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), UpdateBytes+2)
+	}
+}
+
+// TestDamping guards against a flapping endpoint that is chosen in between, and
+// against damping that never ends.
+func TestDamping(t *testing.T) {
+	l := newLocal(1)
+	for incarnation := uint64(2); incarnation <= FlapChanges+2; incarnation++ {
+		u := statementOf(info(1), incarnation, Alive)
+		if incarnation%2 == 0 {
+			u.Detail.Target = nil
+		}
+		if list := l.Endpoints(); len(list) > 0 {
+			require.False(t, list[0].Damped, incarnation)
+		}
+		l.receive(from(info(2), 1, Message{Updates: []Update{u}}))
+	}
+	require.True(t, l.Endpoints()[0].Damped)
+	before := l.Generation()
+	l.Step(Tick{Now: l.at + DampTime + 2*housekeepingInterval})
+	require.False(t, l.Endpoints()[0].Damped)
+	require.Greater(t, l.Generation(), before)
+}
+
+// TestTarget guards against a silent target that stays in use, a leaving node
+// whose target returns to serving, and an announcement too large to spread.
+func TestTarget(t *testing.T) {
+	l := newLocal(1)
+	l.Step(TargetAnnounced{Now: l.at, Target: servingTarget()})
+	require.Len(t, l.Endpoints(), 2)
+	effects, _ := l.run(TargetTimeout)
+	require.Contains(t, effects, TargetGone{Target: servingTarget()})
+
+	l.Step(TargetAnnounced{Now: l.at, Target: servingTarget()})
+	sent := sends(l.Step(Leave{Now: l.at}))
+	require.NotEmpty(t, sent)
+	require.Equal(t, Leaving, sent[0].Message.Updates[0].State)
+	l.Step(TargetAnnounced{Now: l.at, Target: servingTarget()})
+	require.True(t, l.Endpoints()[0].Leaving)
+
+	large := servingTarget()
+	large.Service = strings.Repeat("x", UpdateBytes)
+	require.IsType(t, TargetRejected{}, l.Step(TargetAnnounced{Now: l.at, Target: large})[0])
+}
+
+// TestJoinAdmission guards against a herd of joins that one node serves at once.
+func TestJoinAdmission(t *testing.T) {
+	l := newLocal(0)
+	served, busy := 0, 0
+	for i := 1; i <= 20; i++ {
+		for _, s := range sends(l.receive(from(info(i), 1, Message{Digest: &Digest{Join: true}}))) {
+			if s.Message.Entries != nil {
+				served++
+			}
+			if b := s.Message.Busy; b != nil {
+				busy++
+				retry := time.Duration(b.RetryMS) * time.Millisecond
+				require.True(t, retry >= JoinDelayMin && retry <= JoinDelayMax)
+			}
+		}
+	}
+	require.Equal(t, ExchangeAdmission, served)
+	require.Equal(t, 20-ExchangeAdmission, busy)
+}
+
+// TestGeneration guards against a routing table that is rebuilt for a revision.
+func TestGeneration(t *testing.T) {
+	l := newLocal(2)
+	before := l.Generation()
+	l.Step(Applied{Now: l.at, Revision: 9, NACK: "reason"})
+	header := from(info(1), 1, Message{})
+	header.From.Revision = 8
+	l.receive(header)
+	require.Equal(t, before, l.Generation())
+	require.Equal(t, "reason", l.self().NACK)
+}
+
+// TestMalformed guards against input that stops the machine or is taken over.
+func TestMalformed(t *testing.T) {
+	l := newLocal(1)
+	members := len(l.Members())
+	l.receive(Message{})
+	for _, u := range []Update{
+		{}, {Node: "x", Session: "s", State: Alive}, {Node: "x", Session: "s", State: "odd"},
+		{Node: "x", Session: "s", State: Alive, Detail: &Detail{Info: info(5)}},
+	} {
+		l.receive(from(info(1), 1, Message{Updates: []Update{u}}))
+	}
+	require.Equal(t, uint64(5), l.Malformed())
+	require.Len(t, l.Members(), members)
+}
+
+// TestWireFormat guards against messages that change on the wire.
+func TestWireFormat(t *testing.T) {
+	msg := from(info(1), 3, Message{
+		Updates: []Update{statementOf(info(2), 1, Leaving)}, Links: []ZoneLink{{Zone: "b", Version: 2}},
+		Entries: &Entries{
+			Zones:   []ZoneDigest{{Zone: "b", Hash: 1<<63 + 1, ContactAgeMS: -1, Summary: &ZoneSummary{Zone: "b", Version: 1}}},
+			Entries: []Entry{{Zone: "b", Node: "n", Hash: 1<<63 + 1}},
+		},
+	})
+	data, err := json.Marshal(msg)
+	require.NoError(t, err)
+	var decoded Message
+	require.NoError(t, json.Unmarshal(data, &decoded))
+	require.Equal(t, msg, decoded)
+}
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -143,6 +143,8 @@
 
 func healthy(k *member) bool { return k.state != Dead && k.state != Suspect }
 
+func suspected(k *member) bool { return k.state == Suspect }
+
 // acceptUpdates takes over the updates of a message, and returns corrections of
 // those that are older than what is known.
 func (m *Machine) acceptUpdates(msg Message) []Update {
