--- a/pkg/distribution/ready.go
+++ b/pkg/distribution/ready.go
@@ -20,6 +20,9 @@
 
 // answer is the last status of a peer since the start of this node.
 type answer struct {
+	// id is the number of the request, so that a late answer does not replace
+	// that to a newer one.
+	id      uint64
 	members []mesh.NodeID
 	status  bool
 }
@@ -46,8 +49,8 @@
 		return
 	}
 	a := r.answers[p.From]
-	if p.Members != nil {
-		a = answer{members: p.Members, status: true}
+	if p.Members != nil && p.ID >= a.id {
+		a = answer{id: p.ID, members: p.Members, status: true}
 	}
 	r.answers[p.From] = a
 	r.known = max(r.known, p.Applied)
