--- a/pkg/distribution/machine_test.go
+++ b/pkg/distribution/machine_test.go
@@ -74,7 +74,9 @@
 	return list
 }
 
-func push(list []Entry) PushReceived { return PushReceived{Push: Push{From: "n0", Root: "n0", Entries: list}} }
+func push(list []Entry) PushReceived {
+	return PushReceived{Push: Push{From: "n0", Root: "n0", Entries: list}}
+}
 
 // TestBufferBounds guards against a buffer without bound and against entries
 // that are trimmed before they are applied.
--- a/pkg/membership/machine_test.go
+++ b/pkg/membership/machine_test.go
@@ -295,7 +295,9 @@
 	members := len(l.Members())
 	l.receive(Message{})
 	for _, u := range []Update{
-		{}, {Node: "x", Session: "s", State: Alive}, {Node: "x", Session: "s", State: "odd"},
+		{},
+		{Node: "x", Session: "s", State: Alive},
+		{Node: "x", Session: "s", State: "odd"},
 		{Node: "x", Session: "s", State: Alive, Detail: &Detail{Info: info(5)}},
 	} {
 		l.receive(from(info(1), 1, Message{Updates: []Update{u}}))
