Lend the appends of idle nodes to nodes that take commands

At 2,500 nodes a share by node count is one append in 36 s, far from an urgent change. A node now also gets its part of half the general appends, shared among the nodes that the log showed to append in the last minute, at most 2/s.

--- a/internal/evaluation/waits.go
+++ b/internal/evaluation/waits.go
@@ -108,11 +108,13 @@
 	row     WaitRow
 	delays  []time.Duration
 	seconds map[int64]int
+	// appended is when each queue appended last.
+	appended map[int]time.Duration
 }
 
 func newWaitBench(load WaitLoad, wait time.Duration, seed uint64) *waitBench {
 	b := &waitBench{
-		load: load, wait: wait, rng: rand.New(rand.NewPCG(seed, 7)), seconds: map[int64]int{},
+		load: load, wait: wait, rng: rand.New(rand.NewPCG(seed, 7)), seconds: map[int64]int{}, appended: map[int]time.Duration{},
 		row: WaitRow{Load: load.Name, Wait: wait},
 	}
 	for n := range entryNodes {
@@ -133,7 +135,7 @@
 }
 
 func benchMesh() pricing.Mesh {
-	return pricing.Mesh{Nodes: benchNodes, Zones: benchZones, FanOut: 4}
+	return pricing.Mesh{Nodes: benchNodes, Zones: benchZones, FanOut: 4, ActiveAuthors: 1}
 }
 
 func (b *waitBench) push(at time.Duration, node int, e pricing.Event) {
@@ -144,6 +146,13 @@
 func (b *waitBench) run() WaitRow {
 	for len(b.events) > 0 {
 		next := heap.Pop(&b.events).(waitEvent)
+		if _, ok := next.event.(pricing.Submitted); ok {
+			mesh := benchMesh()
+			mesh.ActiveAuthors = b.active(next.at, next.node)
+			for _, effect := range b.queues[next.node].Step(pricing.MeshChanged{Now: next.at, Mesh: mesh}) {
+				b.carryOut(next.at, next.node, effect)
+			}
+		}
 		for _, effect := range b.queues[next.node].Step(next.event) {
 			b.carryOut(next.at, next.node, effect)
 		}
@@ -157,10 +166,22 @@
 	return b.row
 }
 
+// active counts the nodes that appended in the last minute, and this one.
+func (b *waitBench) active(now time.Duration, node int) int {
+	count := 1
+	for other, at := range b.appended {
+		if other != node && now-at <= time.Minute {
+			count++
+		}
+	}
+	return count
+}
+
 func (b *waitBench) carryOut(now time.Duration, node int, effect pricing.Effect) {
 	switch e := effect.(type) {
 	case pricing.Append:
 		b.row.Appends++
+		b.appended[node] = now
 		second := int64(now / time.Second)
 		b.seconds[second]++
 		b.row.PeakAppends = max(b.row.PeakAppends, b.seconds[second])
--- a/pkg/pricing/limits_test.go
+++ b/pkg/pricing/limits_test.go
@@ -126,3 +126,23 @@
 	}
 	t.Fatal("no answer after the adapter gave up")
 }
+
+// Guards against nodes that together append more than their bound when each uses
+// the share that idle nodes lend.
+func TestLentShareIsBounded(t *testing.T) {
+	for _, active := range []int{0, 1, 20, 100} {
+		q := pricing.NewQueue(pricing.Config{Author: "n/s", Mesh: pricing.Mesh{Nodes: 2500, Zones: 15, FanOut: 4, ActiveAuthors: active}})
+		count := 0
+		for i := range 600 {
+			now := time.Duration(i) * 100 * time.Millisecond
+			for _, a := range appendsOf(q.Step(pricing.Submitted{Now: now, Change: put(fmt.Sprint(i), fmt.Sprint(i), 0)})) {
+				count++
+				q.Step(pricing.Settled{Now: now, RecordID: a.Record.ID, Outcome: state.Outcome{Code: state.Accepted}})
+			}
+		}
+		perSecond := float64(count-1) / 60
+		require.LessOrEqual(t, perSecond, 2.0)
+		require.LessOrEqual(t, perSecond*float64(max(active, 1)), 35.0+70.0/2500*float64(active))
+		require.Equal(t, active > 0, count > 10)
+	}
+}
--- a/pkg/pricing/price.go
+++ b/pkg/pricing/price.go
@@ -8,6 +8,9 @@
 	Nodes int
 	// Zones is the number of availability zones, at least 1.
 	Zones int
+	// ActiveAuthors is the number of nodes that appended changes of operators in the
+	// last minute, as seen in the log, this node included; 0 if it is not known.
+	ActiveAuthors int
 	// FanOut is the number of children of a node in the distribution tree.
 	FanOut int
 }
@@ -72,7 +75,10 @@
 }
 
 func (m Mesh) normal() Mesh {
-	return Mesh{Nodes: max(m.Nodes, 1), Zones: max(m.Zones, 1), FanOut: max(m.FanOut, 1)}
+	return Mesh{
+		Nodes: max(m.Nodes, 1), Zones: max(m.Zones, 1), FanOut: max(m.FanOut, 1),
+		ActiveAuthors: max(m.ActiveAuthors, 0),
+	}
 }
 
 func (p Price) plus(o Price) Price {
--- a/pkg/pricing/pump.go
+++ b/pkg/pricing/pump.go
@@ -11,14 +11,12 @@
 // pump appends what is due while tokens last, and asks to be woken for the rest.
 func (q *Queue) pump() {
 	q.pumpSystem()
-	for {
+	for len(q.waiting) > 0 && q.general.ready(q.now) <= q.now {
 		leader := q.leader()
 		if leader == nil {
 			break
 		}
-		if !q.general.take(q.now) {
-			break
-		}
+		q.general.take(q.now)
 		q.send(q.gather(leader))
 	}
 	q.wake()
@@ -172,9 +170,13 @@
 		consider(min(q.reserved.ready(q.now), q.general.ready(q.now)))
 	}
 	skipped := q.flying()
+	ready := q.general.ready(q.now)
 	for _, it := range q.waiting {
+		if any && at <= ready {
+			break
+		}
 		if !skipped.conflicts(it.touches) {
-			consider(max(it.due, q.general.ready(q.now)))
+			consider(max(it.due, ready))
 		}
 		skipped.add(it.touches)
 	}
--- a/pkg/pricing/queue.go
+++ b/pkg/pricing/queue.go
@@ -25,6 +25,9 @@
 	SystemAppends = 100
 	// reservedPart of it is kept for claims, steps and renewals.
 	reservedPart = 0.3
+	// maxLentRate bounds, in appends per second, what a node takes of the share of
+	// idle nodes: nodes that start at the same time don't see each other yet.
+	maxLentRate = 2
 	// urgentInRow is how many appends urgent changes may lead in a row while a
 	// patient change is overdue.
 	urgentInRow = 3
@@ -82,10 +85,21 @@
 
 func (q *Queue) setRates() {
 	share := float64(SystemAppends) / float64(q.config.Mesh.Nodes)
-	q.general.setRate(q.now, share*(1-reservedPart))
+	q.general.setRate(q.now, max(share*(1-reservedPart), q.config.Mesh.lentRate()))
 	q.reserved.setRate(q.now, share*reservedPart)
 }
 
+// lentRate is the part of the appends that idle nodes leave to those that take
+// commands. Half of the general appends is shared out to the active nodes, so that
+// as many nodes again may become active before the log shows it.
+func (m Mesh) lentRate() float64 {
+	if m.ActiveAuthors == 0 {
+		return 0
+	}
+	general := SystemAppends * (1 - reservedPart)
+	return min(general/2/float64(m.ActiveAuthors), maxLentRate)
+}
+
 // Waiting returns the number of changes that are neither in flight nor settled.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
