Take one aggregate of evidence per zone and report cuts and silent holders

At full size a zone's first reader sums up its nodes, and two readers may overlap while one is replaced; the same calls would then count twice and inflate the evidence. The holder takes one aggregating source per zone. The report no longer says in progress while a cut waits for its rollback or the holder is silent.

--- a/pkg/rollout/events.go
+++ b/pkg/rollout/events.go
@@ -63,6 +63,11 @@
 	// Sequence grows with each message of the session; older ones are dropped.
 	Sequence uint64
 	Totals   Evidence
+	// Aggregate is set if Totals sums up all nodes of the zone, as its first reader
+	// does at full size. Readers may overlap for a moment, so that the holder takes
+	// one aggregating source per zone until it is silent for EvidenceBound. Totals
+	// that are no aggregate must not be counted in those of another source.
+	Aggregate bool
 }
 
 // LocalEvidence carries what this node counted since its last LocalEvidence.
--- a/pkg/rollout/holder.go
+++ b/pkg/rollout/holder.go
@@ -62,10 +62,12 @@
 	raisedMS  int64
 	sources   map[mesh.NodeID]*source
 	zoneHeard map[mesh.AvailabilityZone]time.Duration
-	heldSince time.Duration
-	pending   Evidence
-	looked    time.Duration
-	judge     Judge
+	// aggregators holds the source that sums up each zone.
+	aggregators map[mesh.AvailabilityZone]mesh.NodeID
+	heldSince   time.Duration
+	pending     Evidence
+	looked      time.Duration
+	judge       Judge
 	// calls and failures of the new version at earlier shares under this claim.
 	calls, failures uint64
 	cut             *Cut
@@ -101,7 +103,8 @@
 	}
 	return &Holder{
 		config: config, sources: map[mesh.NodeID]*source{},
-		zoneHeard: map[mesh.AvailabilityZone]time.Duration{}, pending: Evidence{},
+		zoneHeard:   map[mesh.AvailabilityZone]time.Duration{},
+		aggregators: map[mesh.AvailabilityZone]mesh.NodeID{}, pending: Evidence{},
 	}
 }
 
--- a/pkg/rollout/holder_evidence.go
+++ b/pkg/rollout/holder_evidence.go
@@ -5,6 +5,9 @@
 // evidence takes in the totals of a source. The first message of a session
 // only sets the mark: what it counted before can't be split by time.
 func (h *Holder) evidence(e EvidenceReceived) {
+	if e.Aggregate && !h.aggregates(e) {
+		return
+	}
 	h.zoneHeard[e.Zone] = max(h.zoneHeard[e.Zone], e.Now)
 	src := h.sources[e.Source]
 	if src == nil || src.session != e.Session {
@@ -21,6 +24,19 @@
 	}
 }
 
+// aggregates reports whether the source is the one that sums up its zone.
+func (h *Holder) aggregates(e EvidenceReceived) bool {
+	current, known := h.aggregators[e.Zone]
+	if known && current != e.Source && e.Now-h.zoneHeard[e.Zone] <= EvidenceBound {
+		return false
+	}
+	if current != e.Source {
+		delete(h.sources, e.Source)
+		h.aggregators[e.Zone] = e.Source
+	}
+	return true
+}
+
 // look compares what came in since the last look.
 func (h *Holder) look() {
 	elapsed := h.now - h.looked
--- a/pkg/rollout/report.go
+++ b/pkg/rollout/report.go
@@ -76,7 +76,15 @@
 	if h.rollout.Status == state.RolloutPaused {
 		r.Status, r.Reason = StatusPaused, "paused by an operator"
 	}
+	if h.cut != nil {
+		r.Status = StatusAtRisk
+		r.Reason = fmt.Sprintf("cut by node %s in zone %s, the rollback is not in the log yet: %s", h.cut.Node, h.cut.Zone, h.cut.Reason)
+		return r
+	}
 	if !h.Holding() {
+		if h.now-h.progress >= ClaimAfter {
+			r.Status, r.Reason = StatusWaiting, fmt.Sprintf("the holder %s is silent, another node takes over", h.rollout.Holder)
+		}
 		return r
 	}
 	j := h.judge.Judgement()
