Let a batch change an object twice and start one rollout at most

Cause: two rollouts started by one record got the same id and one was lost; two changes of one service in a batch conflicted with each other; announcements of replaced nodes were kept for ever. Change: pkg/state checks the presumed revision against the batch's own, refuses a second start in a record, and keeps the newest 4,096 announcements. Conclusion: merging of waiting changes can no longer lose or refuse one of them for that reason.

--- a/pkg/state/apply_test.go
+++ b/pkg/state/apply_test.go
@@ -119,6 +119,47 @@
 	require.Equal(t, before, after)
 }
 
+// Guards against a batch that loses one of two rollouts, since the id of a
+// rollout is the revision of its record.
+func TestBatchStartsOneRolloutAtMost(t *testing.T) {
+	l := courier(t)
+	l.put(record.PutService{Name: "finder", Version: "v1"}, 0)
+	l.put(record.PutVersion{Service: "finder", Version: "v2"}, 4)
+	start := func(service string) record.BatchItem {
+		return record.BatchItem{Body: record.StartRollout{Service: service, From: "v1", To: "v2", StartUnixMS: 1, DeadlineUnixMS: 2}}
+	}
+	res := l.append(record.Record{Author: "node-1", Body: record.Batch{Items: []record.BatchItem{start("courier"), start("finder")}}})
+	require.Equal(t, state.Rejected, res.Outcome.Code)
+	require.Empty(t, l.state.Rollouts)
+}
+
+// Guards against a batch that conflicts with itself when two items change the
+// same object, and against one that passes over the change of another author.
+func TestBatchMayChangeAnObjectTwice(t *testing.T) {
+	l := newLog(t)
+	l.put(record.PutService{Name: "courier", Version: "v1"}, 0)
+	versions := func(presumes record.Revision) record.Record {
+		return record.Record{Author: "node-1", Body: record.Batch{Items: []record.BatchItem{
+			{Presumes: presumes, Body: record.PutVersion{Service: "courier", Version: "v2"}},
+			{Presumes: presumes, Body: record.PutVersion{Service: "courier", Version: "v3"}},
+		}}}
+	}
+	require.Equal(t, state.Accepted, l.append(versions(1)).Outcome.Code)
+	require.Equal(t, []string{"v1", "v2", "v3"}, l.state.Services["courier"].Versions)
+	require.Equal(t, state.Conflict, l.append(versions(1)).Outcome.Code)
+}
+
+// Guards against announcements of replaced nodes that fill the state.
+func TestOldAnnouncementsAreDropped(t *testing.T) {
+	l := newLog(t)
+	for i := range 4100 {
+		l.put(record.NodeAnnounced{Node: fmt.Sprintf("n%d", i), Session: "s", RPCAddress: "10.0.0.1:1"}, 0)
+	}
+	require.Len(t, l.state.Nodes, 4096)
+	require.NotContains(t, l.state.Nodes, "n0")
+	require.Contains(t, l.state.Nodes, "n4099")
+}
+
 // Guards against a node that passes over a record which newer nodes apply.
 func TestUnsupportedRecordStopsTheReducer(t *testing.T) {
 	l := courier(t)
--- a/pkg/state/config.go
+++ b/pkg/state/config.go
@@ -28,12 +28,19 @@
 	return true
 }
 
+// presumed reports whether an object is at the revision that its author
+// presumed. An object that an earlier item of the same batch changed is at the
+// revision of the batch; its presumed revision was checked with that item.
+func (s *State) presumed(current, presumes record.Revision) bool {
+	return current == presumes || (current != 0 && current == s.Revision)
+}
+
 func (s *State) putService(rec record.Record, b record.PutService) Outcome {
 	if !ValidName(b.Name) || !ValidName(b.Version) {
 		return rejected(fmt.Sprintf("service %q or version %q is no valid name", b.Name, b.Version))
 	}
 	old, exists := s.Services[b.Name]
-	if old.Revision != rec.Presumes {
+	if !s.presumed(old.Revision, rec.Presumes) {
 		return conflict(fmt.Sprintf("service %q is at revision %d, not %d", b.Name, old.Revision, rec.Presumes), old.Revision)
 	}
 	if exists {
@@ -53,7 +60,7 @@
 	if !ok {
 		return rejected(fmt.Sprintf("service %q does not exist", b.Name))
 	}
-	if svc.Revision != rec.Presumes {
+	if !s.presumed(svc.Revision, rec.Presumes) {
 		return conflict(fmt.Sprintf("service %q is at revision %d, not %d", b.Name, svc.Revision, rec.Presumes), svc.Revision)
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
@@ -76,7 +83,7 @@
 	if !ok {
 		return rejected(fmt.Sprintf("service %q does not exist", b.Service))
 	}
-	if svc.Revision != rec.Presumes {
+	if !s.presumed(svc.Revision, rec.Presumes) {
 		return conflict(fmt.Sprintf("service %q is at revision %d, not %d", b.Service, svc.Revision, rec.Presumes), svc.Revision)
 	}
 	if slices.Contains(svc.Versions, b.Version) {
@@ -93,7 +100,7 @@
 	if !ok || !slices.Contains(svc.Versions, b.Version) {
 		return rejected(fmt.Sprintf("version %q of service %q does not exist", b.Version, b.Service))
 	}
-	if svc.Revision != rec.Presumes {
+	if !s.presumed(svc.Revision, rec.Presumes) {
 		return conflict(fmt.Sprintf("service %q is at revision %d, not %d", b.Service, svc.Revision, rec.Presumes), svc.Revision)
 	}
 	if svc.Weights[b.Version] > 0 {
@@ -116,7 +123,7 @@
 		return rejected(fmt.Sprintf("route %q: prefix %q does not start with /", b.Name, b.Prefix))
 	}
 	old := s.Routes[b.Name]
-	if old.Revision != rec.Presumes {
+	if !s.presumed(old.Revision, rec.Presumes) {
 		return conflict(fmt.Sprintf("route %q is at revision %d, not %d", b.Name, old.Revision, rec.Presumes), old.Revision)
 	}
 	if _, ok := s.Services[b.Service]; !ok {
@@ -136,7 +143,7 @@
 	if !ok {
 		return rejected(fmt.Sprintf("route %q does not exist", b.Name))
 	}
-	if old.Revision != rec.Presumes {
+	if !s.presumed(old.Revision, rec.Presumes) {
 		return conflict(fmt.Sprintf("route %q is at revision %d, not %d", b.Name, old.Revision, rec.Presumes), old.Revision)
 	}
 	delete(s.Routes, b.Name)
--- a/pkg/state/keyslot.go
+++ b/pkg/state/keyslot.go
@@ -66,5 +66,23 @@
 		return rejected(fmt.Sprintf("announcement of node %q lacks a name, session or address", b.Node))
 	}
 	s.Nodes[b.Node] = Node{NodeAnnounced: b, Revision: s.Revision}
+	s.dropOldNodes()
 	return accepted()
 }
+
+// nodesKept bounds the announced nodes. With 480 replacements a day under new
+// names and 2,500 nodes, an announcement is kept for more than three days.
+const nodesKept = 4096
+
+func (s *State) dropOldNodes() {
+	if len(s.Nodes) <= nodesKept {
+		return
+	}
+	oldest := ""
+	for name, n := range s.Nodes {
+		if oldest == "" || n.Revision < s.Nodes[oldest].Revision {
+			oldest = name
+		}
+	}
+	delete(s.Nodes, oldest)
+}
--- a/pkg/state/rollout.go
+++ b/pkg/state/rollout.go
@@ -29,6 +29,9 @@
 	if open, ok := s.OpenRollout(b.Service); ok {
 		return conflict(fmt.Sprintf("rollout %d of service %q is open", open.ID, b.Service), open.Revision)
 	}
+	if other, ok := s.Rollouts[s.Revision]; ok {
+		return rejected(fmt.Sprintf("the record starts a rollout of service %q already; a record starts one at most", other.Service))
+	}
 	if svc.Weights[b.From] != record.FullWeight {
 		return rejected(fmt.Sprintf("version %q of service %q does not carry all traffic", b.From, b.Service))
 	}
