Resolve ties between statements about zones

Change: at the same version reachable holds; full exchanges carry the links both ways, and the view hash covers unreachable zones, so that a difference hurries the next exchange. The log can withdraw an announced node. A retry delay from a peer is bounded.

--- a/pkg/distribution/pull.go
+++ b/pkg/distribution/pull.go
@@ -123,7 +123,8 @@
 	}
 	switch {
 	case r.BusyMS > 0:
-		p.next = max(p.next, m.now+time.Duration(r.BusyMS)*time.Millisecond)
+		retry := time.Duration(min(r.BusyMS, BackoffMax.Milliseconds())) * time.Millisecond
+		p.next = max(p.next, m.now+retry)
 	case m.buffer.have > before && r.Have > m.buffer.have:
 		// The response was cut at its limit.
 		m.pull(r.From, PullRequest{})
--- a/pkg/membership/event.go
+++ b/pkg/membership/event.go
@@ -45,6 +45,12 @@
 	Node mesh.NodeInfo
 }
 
+// NodeExpired is a node that the log no longer names.
+type NodeExpired struct {
+	Now  time.Duration
+	Node mesh.NodeID
+}
+
 // RefreshZones asks a reader of the zone for the newest zone summaries. The
 // answer arrives as a message, normally within one round trip.
 type RefreshZones struct{ Now time.Duration }
@@ -55,4 +61,5 @@
 func (e Leave) now() time.Duration           { return e.Now }
 func (e Applied) now() time.Duration         { return e.Now }
 func (e NodeAnnounced) now() time.Duration   { return e.Now }
+func (e NodeExpired) now() time.Duration     { return e.Now }
 func (e RefreshZones) now() time.Duration    { return e.Now }
--- a/pkg/membership/exchange.go
+++ b/pkg/membership/exchange.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -39,7 +41,9 @@
 	e.next = m.now + m.jitter(ExchangeInterval*3/4, ExchangeInterval*5/4)
 	e.hurried = false
 	for _, id := range m.pick(m.peers(), 1) {
-		m.send(m.table.members[id].detail.Info.RPC, Message{Digest: &Digest{Zones: m.digests(m.cfg.Self.Zone, nil)}})
+		m.send(m.table.members[id].detail.Info.RPC, Message{
+			Digest: &Digest{Zones: m.digests(m.cfg.Self.Zone, nil)}, Links: m.zones.allLinks(true),
+		})
 	}
 }
 
@@ -66,7 +70,8 @@
 	hash       uint64
 }
 
-// view returns a hash over the statements of all members that are not dead.
+// view returns a hash over the statements of all members that are not dead, and
+// over the zones that are unreachable.
 func (m *Machine) view() uint64 {
 	if m.viewed.generation != m.generation {
 		hash := m.statement().hash()
@@ -75,6 +80,11 @@
 				hash ^= k.statement().hash()
 			}
 		}
+		for name, z := range m.zones.all {
+			if !z.link.Reachable {
+				hash ^= xxhash.Sum64String("unreachable/" + string(name))
+			}
+		}
 		m.viewed = cachedView{generation: m.generation, hash: hash}
 	}
 	return m.viewed.hash
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -78,6 +78,8 @@
 		m.applied(e.Revision, e.NACK)
 	case NodeAnnounced:
 		m.joiner.announce(e.Node, m.cfg.Self.ID)
+	case NodeExpired:
+		delete(m.joiner.announced, e.Node)
 	case RefreshZones:
 		m.refreshZones()
 	}
--- a/pkg/membership/machine_test.go
+++ b/pkg/membership/machine_test.go
@@ -306,6 +306,23 @@
 	require.Len(t, l.Members(), members)
 }
 
+// TestLinkTie guards against a zone that stays unreachable at one node because
+// two readers reached the same version at once.
+func TestLinkTie(t *testing.T) {
+	l := newLocal(1)
+	reachable := func() bool { return l.zones.get("b").link.Reachable }
+	say := func(version uint64, ok bool) {
+		l.receive(from(info(1), 1, Message{Links: []ZoneLink{{Zone: "b", Version: version, Reachable: ok}}}))
+	}
+	say(1, false)
+	require.False(t, reachable())
+	say(1, true)
+	say(1, false)
+	require.True(t, reachable())
+	say(2, false)
+	require.False(t, reachable())
+}
+
 // TestWireFormat guards against messages that change on the wire.
 func TestWireFormat(t *testing.T) {
 	msg := from(info(1), 3, Message{
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -46,7 +46,8 @@
 }
 
 // ZoneLink says whether the readers of a zone reach another zone. Of two
-// statements about the same zone the higher version holds.
+// statements about the same zone the higher version holds, and at the same
+// version the one that says reachable.
 type ZoneLink struct {
 	Zone      mesh.AvailabilityZone `json:"zone"`
 	Reachable bool                  `json:"reachable"`
@@ -92,7 +93,7 @@
 // ProbeAnswer answers a probe.
 type ProbeAnswer struct {
 	Sequence uint64 `json:"sequence"`
-	// View is the hash of all zones at the answering node, 0 if the answer is
+	// View is the hash of all members and links at the answering node, 0 if the answer is
 	// passed on for it.
 	View uint64 `json:"view,string,omitempty"`
 }
--- a/pkg/membership/zone.go
+++ b/pkg/membership/zone.go
@@ -219,12 +219,18 @@
 // acceptLinks takes over newer statements about links between zones.
 func (m *Machine) acceptLinks(links []ZoneLink) {
 	for _, l := range links {
-		if wireID(string(l.Zone)) && l.Zone != m.cfg.Self.Zone && l.Version > m.zones.get(l.Zone).link.Version {
+		if wireID(string(l.Zone)) && l.Zone != m.cfg.Self.Zone && l.holdsOver(m.zones.get(l.Zone).link) {
 			m.setLink(l)
 		}
 	}
 }
 
+// holdsOver orders statements about a zone. Two readers may reach the same
+// version at once; then the one that reaches the zone is right.
+func (l ZoneLink) holdsOver(o ZoneLink) bool {
+	return l.Version > o.Version || (l.Version == o.Version && l.Reachable && !o.Reachable)
+}
+
 func (m *Machine) setLink(l ZoneLink) {
 	s := m.zones.get(l.Zone)
 	if s.link.Reachable != l.Reachable {
