Test the key owner with faults over two to four nodes

Random episodes pause, crash, cut off and stop nodes, lose and delay appends, and check single execution, true refusals, stored answers and bounded memory.

--- a/pkg/idempotency/handover.go
+++ b/pkg/idempotency/handover.go
@@ -75,7 +75,7 @@
 		if m.stop.successor == "" {
 			return m.release("")
 		}
-		return []Effect{SendHandover{To: m.stop.successor, Handover: m.handover()}}
+		return []Effect{SendHandover{To: m.stop.successor, Handover: m.handover(now)}}
 	case m.stop.phase == releasing && m.Owned() == 0:
 		m.stop.phase = stopped
 		return []Effect{Stopped{}}
@@ -84,12 +84,12 @@
 	}
 }
 
-func (m *Machine) handover() Handover {
+func (m *Machine) handover(now time.Duration) Handover {
 	h := Handover{From: m.config.Node, Session: m.config.Session}
 	for i := range m.view {
-		// While the successor refuses the keys of an earlier owner, its memory is
-		// not whole, and neither would be that of the node that gets it.
-		if !m.owns(i) || m.slots[i].refuseUntil > m.slots[i].leaseFrom {
+		// While this node refuses the keys of an earlier owner, its memory is not
+		// whole, and neither would be that of its successor.
+		if !m.owns(i) || now < m.slots[i].refuseUntil {
 			continue
 		}
 		s := HandoverSlot{Slot: i, Epoch: m.view[i].Epoch}
--- /dev/null
+++ b/pkg/idempotency/idempotency_test.go
@@ -0,0 +1,239 @@
+package idempotency_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"heathercroft.example/heathercroft/pkg/idempotency"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/state"
+)
+
+// episode runs a number of actions and faults and returns the first violation.
+func episode(pick choose, b breaks, actions int) (*sim, error) {
+	s := newSim(2+pick(3, "nodes"), pick, b)
+	s.advance(time.Duration(pick(3, "settle")) * 30 * time.Second)
+	for range actions {
+		s.act()
+		if s.violated != nil {
+			break
+		}
+	}
+	// Requests that are still on their way arrive last.
+	for len(s.flying) > 0 && s.violated == nil {
+		s.arrive(s.flying[0], s.nodes[s.pick(len(s.nodes), "at")])
+	}
+	return s, s.violated
+}
+
+func (s *sim) act() {
+	n := s.nodes[s.pick(len(s.nodes), "node")]
+	switch s.pick(20, "action") {
+	case 0, 1, 2, 3:
+		s.send(n, s.key(n))
+	case 4, 5, 6:
+		s.repeat(n)
+	case 7, 8, 9:
+		if len(s.flying) > 0 {
+			s.arrive(s.flying[s.pick(len(s.flying), "flight")], n)
+		}
+	case 10:
+		if len(s.flying) > 0 {
+			s.lose(s.flying[s.pick(len(s.flying), "flight")])
+		}
+	case 11, 12:
+		s.advance(simStep)
+	case 13, 14:
+		s.advance([]time.Duration{20 * time.Second, 62 * time.Second, 80 * time.Second, 200 * time.Second}[s.pick(4, "time")])
+	case 15:
+		n.paused = !n.paused
+	case 16:
+		s.restart(n)
+	case 17:
+		s.outage = !s.outage && s.pick(2, "outage") == 0
+		n.offLog = !n.offLog
+	case 18:
+		o := s.nodes[s.pick(len(s.nodes), "other")]
+		pair := [2]int{min(n.index, o.index), max(n.index, o.index)}
+		s.cut[pair] = !s.cut[pair]
+	case 19:
+		if !n.paused {
+			o := s.nodes[s.pick(len(s.nodes), "successor")]
+			s.step(n, idempotency.StopRequested{Now: s.clock(n), Successor: o.id})
+		}
+	}
+}
+
+// key returns a key of a caller, or one minted by a node.
+func (s *sim) key(n *simNode) string {
+	random := fmt.Sprintf("k%d", s.nextID)
+	for i := 0; state.SlotOf(random) >= simSlots; i++ {
+		random = fmt.Sprintf("k%d-%d", s.nextID, i)
+	}
+	if s.pick(4, "minted") == 0 {
+		return idempotency.Mint(n.id, mesh.SessionID(fmt.Sprintf("s%d", n.session)), random)
+	}
+	return random
+}
+
+// repeat sends a recent key again, within the retry horizon of its caller.
+func (s *sim) repeat(n *simNode) {
+	var recent []string
+	for _, tx := range s.order[max(0, len(s.order)-8):] {
+		if s.now-s.first[tx.key] <= idempotency.DefaultHorizon {
+			recent = append(recent, tx.key)
+		}
+	}
+	if len(recent) > 0 {
+		s.send(n, recent[s.pick(len(recent), "key")])
+	}
+}
+
+// Guards against a key that runs twice, a false not-run, an answer of another
+// key and memory over its limit, under pauses, clock drift, lost and late
+// appends, platform outages, partitions, crashes and handovers, in any mix.
+func TestKeysRunAtMostOnce(t *testing.T) {
+	ran, replayed := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(n int, label string) int { return rapid.IntRange(0, n-1).Draw(t, label) }
+		s, err := episode(pick, breaks{}, 120)
+		require.NoError(t, err)
+		for _, tx := range s.order {
+			switch tx.answer {
+			case "ran":
+				ran++
+			case "replayed":
+				replayed++
+			}
+		}
+	})
+	require.Positive(t, ran, "no request ran, so nothing was checked")
+	require.Positive(t, replayed, "no answer was replayed, so nothing was checked")
+}
+
+// Guards against the same violations over a fixed set of longer episodes.
+func TestKeysRunAtMostOnceOverSeeds(t *testing.T) {
+	for seed := range uint64(100) {
+		_, err := episode(seeded(seed), breaks{}, 400)
+		require.NoError(t, err, "seed %d", seed)
+	}
+}
+
+func seeded(seed uint64) choose {
+	r := rand.New(rand.NewPCG(seed, 1))
+	return func(n int, _ string) int { return r.IntN(n) }
+}
+
+// Guards against checks that see nothing: each break of the mechanism must be found.
+func TestChecksSeeBrokenMechanism(t *testing.T) {
+	for name, c := range map[string]struct {
+		broken breaks
+		want   string
+	}{
+		"successor does not wait":      {breaks{noTakeoverWait: true}, "ran twice"},
+		"lost connection is not-run":   {breaks{lossIsNotRun: true}, "answered not-run and ran"},
+		"answer of another request":    {breaks{answersSwapped: true}, "got the stored answer"},
+		"memory shorter than horizon":  {breaks{shortMemory: true}, "ran twice"},
+		"refused request runs":         {breaks{refuseThenRun: true}, "answered not-run and ran"},
+		"limit of keys is not applied": {breaks{unboundedMemory: true}, "remembers"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(400) {
+				if _, err := episode(seeded(seed), c.broken, 400); err != nil {
+					require.ErrorContains(t, err, c.want, "seed %d", seed)
+					return
+				}
+			}
+			t.Fatal("no seed found the break")
+		})
+	}
+}
+
+// scenario returns a settled mesh of two nodes, a key of a caller, and the
+// owner of the key.
+func scenario(b breaks) (s *sim, key string, owner, other *simNode) {
+	s = newSim(2, func(n int, _ string) int { return n - 1 }, b)
+	s.advance(30 * time.Second)
+	key = s.key(s.nodes[0])
+	where, _ := idempotency.Locate(key, &s.nodes[0].state.KeySlots)
+	owner = s.find(where.Node)
+	return s, key, owner, s.nodes[1-owner.index]
+}
+
+func (s *sim) sendAndArrive(n *simNode, key string) string {
+	tx := s.send(n, key)
+	for len(s.flying) > 0 {
+		s.arrive(s.flying[0], n)
+	}
+	return tx.answer
+}
+
+// Guards against an owner that was cut off from the log and goes on after its
+// successor has started; the check must see it if lease and fence are taken out.
+func TestCutOffOwnerStops(t *testing.T) {
+	run := func(b breaks) (before, after string, err error) {
+		s, key, owner, other := scenario(b)
+		owner.offLog = true
+		s.advance(idempotency.DefaultLease + idempotency.DefaultMargin + 10*time.Second)
+		s.advance(2 * idempotency.DefaultHorizon)
+		return s.sendAndArrive(owner, key), s.sendAndArrive(other, key), s.violated
+	}
+	before, after, err := run(breaks{})
+	require.NoError(t, err)
+	require.Equal(t, []string{"not-run", "ran"}, []string{before, after})
+	_, _, err = run(breaks{noLeaseOrFence: true})
+	require.ErrorContains(t, err, "ran twice")
+}
+
+// Guards against a graceful stop after which the successor runs a key again;
+// the check must see it if the handover is empty.
+func TestHandoverKeepsAnswers(t *testing.T) {
+	run := func(b breaks) (string, error) {
+		s, key, owner, other := scenario(b)
+		s.sendAndArrive(owner, key)
+		s.step(owner, idempotency.StopRequested{Now: s.clock(owner), Successor: other.id})
+		s.advance(10 * time.Second)
+		return s.sendAndArrive(other, key), s.violated
+	}
+	answer, err := run(breaks{})
+	require.NoError(t, err)
+	require.Equal(t, "replayed", answer)
+	_, err = run(breaks{emptyHandover: true})
+	require.ErrorContains(t, err, "ran twice")
+}
+
+// Guards against a repeat that runs beside the first request, or that gets an
+// answer before there is one.
+func TestRepeatWaitsForTheFirst(t *testing.T) {
+	s, key, owner, _ := scenario(breaks{})
+	first, second := s.send(owner, key), s.send(owner, key)
+	require.Len(t, s.flying, 1)
+	require.False(t, second.settled)
+	s.arrive(s.flying[0], owner)
+	require.Equal(t, []string{"ran", "replayed"}, []string{first.answer, second.answer})
+}
+
+// Guards against a minted key that another session of its node runs.
+func TestMintedKeyBelongsToOneSession(t *testing.T) {
+	s, _, owner, other := scenario(breaks{})
+	key := idempotency.Mint("node.with.dots", "s1", "r")
+	parsed, ok := idempotency.ParseMinted(key)
+	require.True(t, ok)
+	require.Equal(t, idempotency.MintedKey{Node: "node.with.dots", Session: "s1", Random: "r"}, parsed)
+	key = idempotency.Mint(owner.id, "s1", "r")
+	s.outage = true
+	s.advance(time.Hour)
+	require.Equal(t, "ran", s.sendAndArrive(other, key))
+	require.Equal(t, "replayed", s.sendAndArrive(other, key))
+	s.restart(owner)
+	require.Equal(t, "may-have-run", s.sendAndArrive(other, key))
+	for _, bad := range []string{"hc1.", "hc1.a", "hc1.a.b", "hc1..b.c", "hc1.a..c", "hc1.a.b.", "x"} {
+		_, ok := idempotency.ParseMinted(bad)
+		require.False(t, ok, bad)
+	}
+}
--- a/pkg/idempotency/lease.go
+++ b/pkg/idempotency/lease.go
@@ -169,7 +169,10 @@
 		}
 		if m.owns(i) && m.view[i].Epoch != before[i].Epoch {
 			s.leaseFrom = s.claimedAt
-			m.takeOver(i, record.Epoch(1), e.Now)
+			if s.inherited != nil {
+				m.memory.forgetInheritance(s.inherited)
+				s.inherited = nil
+			}
 			s.refuseUntil = e.Now + m.config.Horizon + m.config.Horizon/driftShare
 		}
 	}
