--- a/pkg/rollout/holder_drive.go
+++ b/pkg/rollout/holder_drive.go
@@ -21,20 +21,20 @@
 // soak tells next to nothing.
 const quietCalls = 10
 
-// maybeClaim claims the rollout if its holder is silent and this node ranks
-// first among the other live candidates.
+// maybeClaim claims the rollout if its holder is silent. The first candidate by
+// rank claims at once, and each further one ClaimAfter later: a live node may be
+// unable to reach the platform. The reducer accepts only one of two claims.
 func (h *Holder) maybeClaim() []Effect {
-	if !h.platformReadable() || (h.rollout.Epoch != 0 && h.now-h.progress < ClaimAfter) {
-		return nil
+	silence := time.Duration(0)
+	if h.rollout.Epoch != 0 {
+		silence = ClaimAfter
 	}
-	var others []mesh.NodeID
-	for _, id := range h.live {
-		if string(id) != h.rollout.Holder {
-			others = append(others, id)
-		}
+	if !h.platformReadable() || h.now-h.progress < silence {
+		return nil
 	}
-	ranked := mesh.RankNodes(fmt.Sprintf("rollout-%d", h.rollout.ID), others)
-	if len(ranked) == 0 || ranked[0] != h.config.Self {
+	others := slices.DeleteFunc(slices.Clone(h.live), func(id mesh.NodeID) bool { return string(id) == h.rollout.Holder })
+	rank := slices.Index(mesh.RankNodes(fmt.Sprintf("rollout-%d", h.rollout.ID), others), h.config.Self)
+	if rank < 0 || h.now-h.progress < silence+time.Duration(rank)*ClaimAfter {
 		return nil
 	}
 	return h.append(record.Record{
