Measure what two nodes add to a call

The test bed can leave its relays out, so that they are not measured, and can start a node without a target.

--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -27,6 +27,12 @@
 	portTarget   = 9000
 )
 
+// firstHost and lastHost bound the last byte of the addresses of members.
+const (
+	firstHost = 10
+	lastHost  = 252
+)
+
 // startTimeout bounds the wait for a process to serve.
 const startTimeout = 20 * time.Second
 
@@ -37,6 +43,9 @@
 	// Bin holds the binaries.
 	Bin     string
 	Network *Network
+	// Direct leaves the relays out, so that a measurement does not include them.
+	// Zones cannot be cut then. It is set before the first start.
+	Direct bool
 
 	run      byte
 	platform *Process
@@ -81,6 +90,22 @@
 	return fmt.Sprintf("127.%d.%d.%d", b.run, zone, host)
 }
 
+// relay passes connections on, unless the bed has no relays.
+func (b *Bed) relay(advertised, listen string) error {
+	if b.Direct {
+		return nil
+	}
+	return b.Network.Relay(advertised, listen)
+}
+
+// platformAddress is where nodes reach the log service.
+func (b *Bed) platformAddress() string {
+	if b.Direct {
+		return address(b.ip(0, 2), portPlatform)
+	}
+	return address(b.ip(0, 3), portPlatform)
+}
+
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
 // PlatformURL is the platform's own URL, which no cut concerns.
@@ -96,7 +121,7 @@
 	if b.platform, err = b.exec("heathercroft-platform", "platform", path); err != nil {
 		return err
 	}
-	if err := b.Network.Relay(address(b.ip(0, 3), portPlatform), listen); err != nil {
+	if err := b.relay(b.platformAddress(), listen); err != nil {
 		return err
 	}
 	return WaitFor(startTimeout, func() error { return get(b.PlatformURL() + "/control") })
@@ -108,15 +133,20 @@
 // ControlPlatform switches faults of the log service.
 func (b *Bed) ControlPlatform(body any) error { return Post(b.PlatformURL()+"/control", body, nil) }
 
-// Start starts a node and the target beside it, and waits for neither.
+// Start starts a node and the target beside it, and waits for neither. A member
+// without a service has no target.
 func (b *Bed) Start(o MemberOptions) (*Member, error) {
+	host, err := b.nextHost(o.ZoneID)
+	if err != nil {
+		return nil, err
+	}
 	m := &Member{
 		Name: o.Name, Zone: o.Zone, ZoneID: o.ZoneID, Service: o.Service, Version: o.Version,
-		bed: b, host: byte(10 + 2*len(b.nodes)),
+		bed: b, host: host,
 	}
 	b.nodes = append(b.nodes, m)
 	for _, port := range []int{portRPC, portCall} {
-		if err := b.Network.Relay(address(m.advertisedIP(), port), address(m.ip(), port)); err != nil {
+		if err := b.relay(address(m.advertisedIP(), port), address(m.ip(), port)); err != nil {
 			return nil, err
 		}
 	}
@@ -129,9 +159,27 @@
 	if err := m.StartNode(); err != nil {
 		return nil, err
 	}
+	if o.Service == "" {
+		return m, nil
+	}
 	return m, m.StartTarget()
 }
 
+// nextHost returns the address byte of the next member of a zone. Each member
+// takes two addresses.
+func (b *Bed) nextHost(zone byte) (byte, error) {
+	host := firstHost
+	for _, m := range b.nodes {
+		if m.ZoneID == zone {
+			host += 2
+		}
+	}
+	if host > lastHost {
+		return 0, errors.Newf("zone %d has no address left", zone)
+	}
+	return byte(host), nil
+}
+
 func (m *Member) nodeSettings(o MemberOptions) string {
 	var out bytes.Buffer
 	ip, advertised := m.ip(), m.advertisedIP()
@@ -139,7 +187,7 @@
 	fmt.Fprintf(&out, "[listen]\ncaller = %q\nrpc = %q\ncall = %q\nadmin = %q\noutbound = %q\n", address(ip, portCaller),
 		address(ip, portRPC), address(ip, portCall), address(ip, portAdmin), address(ip, portOutbound))
 	fmt.Fprintf(&out, "[advertise]\nrpc = %q\ncall = %q\n", address(advertised, portRPC), address(advertised, portCall))
-	fmt.Fprintf(&out, "[platform]\nurl = %q\n", "http://"+address(m.bed.ip(0, 3), portPlatform))
+	fmt.Fprintf(&out, "[platform]\nurl = %q\n", "http://"+m.bed.platformAddress())
 	out.WriteString("[peers]\nseeds = [")
 	for _, s := range o.Seeds {
 		fmt.Fprintf(&out, "%q, ", address(s.advertisedIP(), portRPC))
@@ -177,8 +225,14 @@
 	return err
 }
 
-func (m *Member) ip() string           { return m.bed.ip(m.ZoneID, m.host) }
-func (m *Member) advertisedIP() string { return m.bed.ip(m.ZoneID, m.host+1) }
+func (m *Member) ip() string { return m.bed.ip(m.ZoneID, m.host) }
+
+func (m *Member) advertisedIP() string {
+	if m.bed.Direct {
+		return m.ip()
+	}
+	return m.bed.ip(m.ZoneID, m.host+1)
+}
 
 // CallerURL is where callers reach the node.
 func (m *Member) CallerURL() string { return "http://" + address(m.ip(), portCaller) }
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -47,6 +47,9 @@
 	return p, nil
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process if it still runs.
 func (p *Process) Signal(sig syscall.Signal) error {
 	p.mu.Lock()
--- /dev/null
+++ b/scripts/bench/main.go
@@ -0,0 +1,85 @@
+// Command bench measures the product and writes tables and figures under
+// docs/figures. Each part can run alone.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"heathercroft.example/heathercroft/internal/bench"
+)
+
+// limit ends a run that hangs.
+const limit = 10 * time.Minute
+
+// options are the flags of all parts.
+type options struct {
+	bin, out string
+	seed     uint64
+}
+
+// part is one benchmark.
+type part struct {
+	name, help string
+	run        func(context.Context, options, *bench.Output) error
+}
+
+func main() {
+	cli := kingpin.New("bench", "Measures the product. Without a part, all of them run.")
+	var o options
+	cli.Flag("bin", "Directory of the binaries.").Default("bin").StringVar(&o.bin)
+	cli.Flag("out", "Directory of the tables and figures.").Default("docs/figures").StringVar(&o.out)
+	cli.Flag("seed", "Seed of the schedules and reducers.").Default("1").Uint64Var(&o.seed)
+	var names []string
+	for _, p := range parts {
+		names = append(names, p.name)
+	}
+	wanted := cli.Arg("part", "Parts: "+strings.Join(names, ", ")+".").Enums(names...)
+	kingpin.MustParse(cli.Parse(os.Args[1:]))
+
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := run(ctx, o, *wanted); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options, wanted []string) error {
+	if err := os.MkdirAll(o.out, 0o755); err != nil {
+		return err
+	}
+	for _, p := range parts {
+		if len(wanted) > 0 && !slices.Contains(wanted, p.name) {
+			continue
+		}
+		start := time.Now()
+		command := fmt.Sprintf("go run ./scripts/bench --seed %d %s", o.seed, p.name)
+		if err := p.run(ctx, o, bench.NewOutput(o.out, command)); err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+		fmt.Printf("%s took %.0f s\n", p.name, time.Since(start).Seconds())
+	}
+	return ctx.Err()
+}
+
+// withDir runs a part with a directory for settings and logs of processes.
+func withDir(run func(dir string) error) error {
+	dir, err := os.MkdirTemp("", "heathercroft-bench-")
+	if err != nil {
+		return err
+	}
+	if err := run(dir); err != nil {
+		return fmt.Errorf("%w (logs in %s)", err, dir)
+	}
+	return os.RemoveAll(dir)
+}
