Remove settings without effect and wire the rest

Cause: most of the keys of heathercroft-node were checked and then ignored; an operator who set one would have been misled. Protocol times must be equal on all nodes, and their bounds are proved for one set of values.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -32,6 +32,7 @@
 	} {
 		expvar.Publish(name, expvar.Func(func() any { return value() }))
 	}
+	expvar.Publish("heathercroft_keys", expvar.Func(func() any { return n.keyVars() }))
 	expvar.Publish("heathercroft_distribution", expvar.Func(func() any { return n.distributionVars() }))
 }
 
@@ -46,6 +47,19 @@
 	MalformedRecords uint64 `json:"malformed_records_total"`
 }
 
+// keyVars are the gauges of the key owner.
+type keyVars struct {
+	OwnedSlots int `json:"owned_slots"`
+	Keys       int `json:"keys"`
+	Bytes      int `json:"bytes"`
+}
+
+func (n *Node) keyVars() keyVars {
+	var v keyVars
+	n.loop.query(func(c *core.Core) { v.OwnedSlots, v.Keys, v.Bytes = c.KeyStats() })
+	return v
+}
+
 func (n *Node) distributionVars() distributionVars {
 	var v distributionVars
 	n.loop.query(func(c *core.Core) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kratos/kratos/v2/transport"
+	"golang.org/x/net/netutil"
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/callpath"
@@ -79,6 +80,7 @@
 		}
 		*l.to = listener
 	}
+	n.listeners.caller = netutil.LimitListener(n.listeners.caller, n.settings.Limits.Connections)
 	return nil
 }
 
--- a/internal/settings/node_check.go
+++ b/internal/settings/node_check.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -12,6 +11,11 @@
 	maxInterval = Duration(10 * time.Minute)
 	minTimeout  = Duration(10 * time.Millisecond)
 	maxTimeout  = Duration(5 * time.Minute)
+	// maxRetention is ten years, longer than any log keeps its records.
+	maxRetention = Duration(10 * 365 * 24 * time.Hour)
+	// clockDrift is the part of a lease that two clocks may drift apart: 1 % each
+	// way, with a reserve.
+	clockDrift = 40
 )
 
 func (n NodeIdentity) problems() []*Problem {
@@ -51,10 +55,8 @@
 	return []*Problem{
 		required("platform.url", p.URL.Address.IsValid()),
 		between("platform.append_timeout", p.AppendTimeout, minTimeout, maxTimeout),
-		between("platform.read_wait", p.ReadWait, 0, maxTimeout),
 		between("platform.read_timeout", p.ReadTimeout, minTimeout, maxTimeout),
-		between("platform.retry_min", p.RetryMin, minTimeout, maxInterval),
-		between("platform.retry_max", p.RetryMax, p.RetryMin, maxInterval),
+		between("platform.retention", p.Retention, 0, maxRetention),
 	}
 }
 
@@ -72,62 +74,14 @@
 	return []*Problem{
 		between("limits.queue_wait", l.QueueWait, 0, Duration(10*time.Second)),
 		between("limits.connections", l.Connections, 1, 1_000_000),
-		between("limits.header_size", l.HeaderSize, 4*KiB, MiB),
-		between("limits.body_size", l.BodySize, 0, 1024*GiB),
 		between("limits.upload_size", l.UploadSize, 1, GiB),
-		between("limits.upload_share", l.UploadShare, 0.01, 1),
-		between("limits.snapshot_transfers", l.SnapshotTransfers, 1, 1000),
-	}
-}
-
-func (r Retry) problems() []*Problem {
-	return []*Problem{
-		between("retry.share", r.Share, 0, 1),
-		between("retry.window", r.Window, Duration(time.Second), maxInterval),
-		between("retry.min_per_second", r.MinPerSecond, 0, 1000),
-		between("retry.max_per_call", r.MaxPerCall, 0, 10),
-		between("retry.min_deadline_left", r.MinDeadlineLeft, 0, Duration(10*time.Second)),
 	}
 }
 
 func (k Keys) problems() []*Problem {
 	return []*Problem{
 		between("keys.lease", k.Lease, Duration(time.Second), Duration(time.Hour)),
-		between("keys.margin", k.Margin, minInterval, Duration(time.Hour)),
+		between("keys.margin", k.Margin, k.Lease/clockDrift, Duration(time.Hour)),
 		between("keys.horizon", k.Horizon, Duration(time.Second), Duration(24*time.Hour)),
-		between("keys.body_size", k.BodySize, 0, 16*MiB),
-	}
-}
-
-func (d Distribution) problems() []*Problem {
-	return []*Problem{
-		between("distribution.fan_out", d.FanOut, 1, 64),
-		between("distribution.pull_interval", d.PullInterval, minInterval, maxInterval),
-		between("distribution.reconnect_min", d.ReconnectMin, minTimeout, maxInterval),
-		between("distribution.reconnect_max", d.ReconnectMax, d.ReconnectMin, maxInterval),
-	}
-}
-
-func (m Membership) problems() []*Problem {
-	out := []*Problem{
-		between("membership.probe_interval", m.ProbeInterval, minInterval, maxInterval),
-		between("membership.probe_timeout", m.ProbeTimeout, minTimeout, m.ProbeInterval),
-		between("membership.indirect_probes", m.IndirectProbes, 0, 16),
-		between("membership.damping_changes", m.DampingChanges, 1, 1000),
-		between("membership.announcement_kept", m.AnnouncementKept, Duration(time.Minute), Duration(24*time.Hour)),
 	}
-	for _, d := range []struct {
-		key   string
-		value Duration
-	}{
-		{"suspicion", m.Suspicion},
-		{"full_exchange", m.FullExchange},
-		{"zone_exchange", m.ZoneExchange},
-		{"target_silence", m.TargetSilence},
-		{"damping_window", m.DampingWindow},
-		{"damping_duration", m.DampingDuration},
-	} {
-		out = append(out, between(fmt.Sprintf("membership.%s", d.key), d.value, minInterval, maxInterval))
-	}
-	return out
 }
