Correct the readiness check of the random faults

Cause: the check counted the revision of a zone member that had been paused for over 4 s, was held for dead meanwhile, and ran again when the check looked. Change: members that were paused at any time since the restart are left out, as the comment already said; all others count as before. Zones have up to 9 nodes instead of 5, so that the tree has nodes that are no readers' children. Conclusion: the deliberate break of readiness is still noticed.

--- a/internal/convergence/harness_test.go
+++ b/internal/convergence/harness_test.go
@@ -226,13 +226,14 @@
 	dist    *distribution.Machine
 	// paused nodes keep what arrives for later.
 	paused  bool
+	pauses  int
 	backlog []func()
 
 	revision record.Revision
 	digest   uint64
 	ready    bool
-	// floor holds the nodes of the zone that were up when this one started, and
-	// the revisions that they had in force.
+	// floor holds the nodes of the zone that were running when this one started,
+	// and the revisions that they had in force.
 	floor []floor
 	// old is set on a binary that does not support newRecord.
 	old       bool
@@ -243,9 +244,9 @@
 
 // floor is the revision in force at a node when another one started.
 type floor struct {
-	node     *node
-	run      int
-	revision record.Revision
+	node        *node
+	run, pauses int
+	revision    record.Revision
 }
 
 func (n *node) now() time.Duration { return n.pump.now - n.started }
@@ -255,7 +256,9 @@
 	p := n.pump
 	n.floor = nil
 	for _, other := range p.zoneUp(n.info.Zone) {
-		n.floor = append(n.floor, floor{other, other.runs, other.revision})
+		if !other.paused {
+			n.floor = append(n.floor, floor{other, other.runs, other.pauses, other.revision})
+		}
 	}
 	n.runs++
 	n.info.Session = mesh.SessionID(fmt.Sprintf("%s/%d", n.info.ID, n.runs))
@@ -326,7 +329,10 @@
 
 func (n *node) kill() { n.up = false }
 
-func (n *node) pause() { n.paused = true }
+func (n *node) pause() {
+	n.paused = true
+	n.pauses++
+}
 
 func (n *node) resume() {
 	n.paused = false
--- a/internal/convergence/platform_test.go
+++ b/internal/convergence/platform_test.go
@@ -230,15 +230,16 @@
 }
 
 // setReady guards against a node that serves with less than its zone had in
-// force. Nodes that went down or stopped since then are not counted, since the
-// rule asks for the members that are known to be alive.
+// force. Nodes that went down or were paused since then are not counted, even if
+// they run again: they may have been held for dead when the node got ready, and
+// the rule asks for the members that are known to be alive.
 func (n *node) setReady(f distribution.SetReady) {
 	n.ready = f.Ready
 	if !f.Ready {
 		return
 	}
 	for _, at := range n.floor {
-		if at.node.up && at.node.runs == at.run && !at.node.paused && n.revision < at.revision {
+		if at.node.up && at.node.runs == at.run && at.node.pauses == at.pauses && n.revision < at.revision {
 			n.pump.violate("%s is ready at %d, %s had %d in force", n.info.ID, n.revision, at.node.info.ID, at.revision)
 		}
 	}
--- a/internal/convergence/property_test.go
+++ b/internal/convergence/property_test.go
@@ -21,7 +21,7 @@
 
 func newMachine(t *rapid.T) *machine {
 	zones := rapid.IntRange(1, 3).Draw(t, "zones")
-	p := newMesh(rapid.Uint64().Draw(t, "seed"), zones, rapid.IntRange(2, 5).Draw(t, "nodes"))
+	p := newMesh(rapid.Uint64().Draw(t, "seed"), zones, rapid.IntRange(2, 9).Draw(t, "nodes"))
 	p.platform.append("first")
 	p.runFor(12 * time.Second)
 	return &machine{p: p, zones: zones, paused: make(map[mesh.NodeID]time.Duration)}
--- a/pkg/distribution/machine.go
+++ b/pkg/distribution/machine.go
@@ -101,7 +101,8 @@
 	}
 }
 
-// ingest takes over entries, asks for a gap before them, and returns the new ones.
+// ingest takes over entries and returns the new ones. Those after a gap are held
+// back.
 func (m *Machine) ingest(entries []Entry) []Entry {
 	applied := m.applied
 	if m.nack != "" {
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -123,7 +123,7 @@
 	}
 	m.prober.forget()
 	m.targetSeen += gap
-	for _, id := range m.table.suspects() {
+	for _, id := range m.table.suspected {
 		m.table.members[id].deadline += gap
 	}
 	m.zones.forgetAttempt()
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -124,9 +124,7 @@
 	}
 }
 
-func (t *table) suspects() []mesh.NodeID { return t.suspected }
-
-// select returns the members of a zone for which keep holds, sorted.
+// list returns the members of a zone for which keep holds, sorted.
 func (t *table) list(zone mesh.AvailabilityZone, keep func(*member) bool) []mesh.NodeID {
 	var ids []mesh.NodeID
 	for _, id := range t.ids {
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -177,16 +177,15 @@
 	NACKs     []NACK `json:"nacks,omitempty"`
 }
 
-// Member is the local view of one node.
+// Member is the local view of one node. Detail.Revision and Detail.NACK are the
+// last ones heard from it; they are fresh on the readers of its zone only, see
+// ReportInterval.
 type Member struct {
 	Detail
 	Incarnation uint64
 	State       State
 	// Since is the local time at which the state was entered.
 	Since time.Duration
-	// Revision and NACK of Detail are the last ones heard from the member. They
-	// are fresh on the readers of its zone, see ReportInterval.
-
 	// Damped is set while the member changes state too often.
 	Damped bool
 }
