Project the completion along the remaining steps

The early warning took the calls that a pass lacks as if the present share stayed for ever, so that at night every rollout was at risk from the start. It now follows the plan: calls gather faster at the later shares, and the rule for low traffic opens the last quarter. A rate of calls is known from 8 calls on.

--- a/internal/evaluation/machines.go
+++ b/internal/evaluation/machines.go
@@ -30,7 +30,8 @@
 	sentAt   time.Duration
 	now      time.Duration
 	unixMS   int64
-	appends  int
+	// warnedAt is when the holder first reported the rollout as at risk.
+	warnedAt time.Duration
 	// queue holds the effects of the last tick: they take one tick to arrive.
 	queue []rollout.Effect
 }
@@ -123,6 +124,8 @@
 
 func (m *machines) reason() string { return m.state.Rollouts[m.id].Reason }
 
+func (m *machines) warned() time.Duration { return m.warnedAt }
+
 // step gives an event to one cutter. A cut is in force at once.
 func (m *machines) step(node int, e rollout.Event) {
 	for _, effect := range m.cutters[node].Step(e) {
@@ -142,6 +145,10 @@
 		res := m.append(e.Record)
 		m.take(m.holder.Step(rollout.AppendSettled{Now: m.now, ID: e.Record.ID, Outcome: res.Outcome}))
 		m.changed()
+	case rollout.PublishStatus:
+		if e.Report.Status == rollout.StatusAtRisk && m.warnedAt == 0 {
+			m.warnedAt = m.now
+		}
 	case rollout.NotifyCut:
 		for n := range m.cutters {
 			m.step(n, rollout.CutNoticed{Now: m.now, Cut: e.Cut})
@@ -172,6 +179,5 @@
 	if err != nil {
 		panic(fmt.Sprintf("reducer stopped: %v", err))
 	}
-	m.appends++
 	return res
 }
--- a/internal/evaluation/method.go
+++ b/internal/evaluation/method.go
@@ -29,6 +29,9 @@
 	result() Result
 	// reason says why a version was taken back.
 	reason() string
+	// warned is when the operators were first told that the rollout is at risk,
+	// 0 if never.
+	warned() time.Duration
 }
 
 // Method names a way to decide.
--- a/internal/evaluation/ramp.go
+++ b/internal/evaluation/ramp.go
@@ -79,3 +79,5 @@
 func (r *ramp) result() Result { return r.end }
 
 func (r *ramp) reason() string { return "" }
+
+func (r *ramp) warned() time.Duration { return 0 }
--- a/internal/evaluation/run.go
+++ b/internal/evaluation/run.go
@@ -42,6 +42,8 @@
 	Took time.Duration
 	// Reason is why the version was taken back.
 	Reason string
+	// Warned is when the rollout was first reported as at risk, 0 if never.
+	Warned time.Duration
 }
 
 // Run replays all scenarios with all methods. The rows are in the same order for
@@ -99,6 +101,7 @@
 	row.Result = method.result()
 	row.Took = now
 	row.Reason = method.reason()
+	row.Warned = method.warned()
 	row.InTime = row.Result == Done && now <= s.Duration
 	row.Harmed, row.NewFailed = w.harmed, w.newFailed
 }
--- a/internal/evaluation/summary.go
+++ b/internal/evaluation/summary.go
@@ -107,14 +107,14 @@
 	out := csv.NewWriter(w)
 	records := [][]string{{
 		"profile", "method", "kind", "number", "service", "duration_s", "result", "in_time", "took_s",
-		"harmed_calls", "new_failed_calls", "failure_rate", "slow_factor", "reason",
+		"harmed_calls", "new_failed_calls", "failure_rate", "slow_factor", "warned_s", "reason",
 	}}
 	for _, r := range rows {
 		records = append(records, []string{
 			r.Profile, r.Method, string(r.Scenario.Kind), strconv.Itoa(r.Number), r.Scenario.Service.Name,
 			fmt.Sprint(r.Scenario.Duration.Seconds()), string(r.Result), strconv.FormatBool(r.InTime),
 			fmt.Sprint(r.Took.Seconds()), strconv.Itoa(r.Harmed), strconv.Itoa(r.NewFailed),
-			fmt.Sprintf("%.3f", r.Scenario.FailureRate), fmt.Sprintf("%.2f", r.Scenario.SlowFactor), r.Reason,
+			fmt.Sprintf("%.3f", r.Scenario.FailureRate), fmt.Sprintf("%.2f", r.Scenario.SlowFactor), fmt.Sprint(r.Warned.Seconds()), r.Reason,
 		})
 	}
 	return errors.Wrap(out.WriteAll(records), "write replays")
--- a/pkg/rollout/holder_drive.go
+++ b/pkg/rollout/holder_drive.go
@@ -98,18 +98,11 @@
 // dueUnixMS is when the present share may be left: at its planned time, or if the
 // rollout is late, after the shortest soak.
 func (h *Holder) dueUnixMS() int64 {
-	weight := h.rollout.Weight
-	planned := h.plan.CompleteUnixMS
-	part := finalPart
-	if next, ok := h.plan.Next(weight); ok {
-		planned = next.AtUnixMS
-		part = catchUpPart
-		if h.tooQuiet() {
-			planned = 0
-		}
+	if h.tooQuiet() {
+		soak := time.Duration(float64(h.plan.Soak(h.rollout.Weight)) * catchUpPart)
+		return h.raisedMS + soak.Milliseconds()
 	}
-	soak := time.Duration(float64(h.plan.Soak(weight)) * part)
-	return max(planned, h.raisedMS+soak.Milliseconds())
+	return h.plannedEnd(h.rollout.Weight, h.raisedMS)
 }
 
 // tooQuiet reports that the planned soak would gather next to no calls at a share
--- a/pkg/rollout/holder_evidence.go
+++ b/pkg/rollout/holder_evidence.go
@@ -69,9 +69,16 @@
 	}
 }
 
+// rateCalls and rateSeconds are what a rate needs to be known: a rate from a
+// single call at night is off by its own size.
+const (
+	rateCalls   = 8
+	rateSeconds = 10
+)
+
 // perSecond returns the rate, or 0 if it is not known yet.
 func (r *evidenceRate) perSecond() float64 {
-	if r.seconds < 10 {
+	if r.seconds < rateSeconds || r.calls < rateCalls {
 		return 0
 	}
 	return r.calls / r.seconds
--- a/pkg/rollout/lowtraffic.go
+++ b/pkg/rollout/lowtraffic.go
@@ -30,8 +30,7 @@
 	if clean >= cleanCalls && j.Calls >= cleanAtShare {
 		return fmt.Sprintf("low traffic: no failure in %d calls", clean), true
 	}
-	late := float64(h.unixMS-h.rollout.StartUnixMS) >= lowTrafficFrom*float64(h.rollout.DeadlineUnixMS-h.rollout.StartUnixMS)
-	if late && next != 0 && next <= lowTrafficWeight {
+	if h.unixMS >= h.lateUnixMS() && next != 0 && next <= lowTrafficWeight {
 		return fmt.Sprintf("low traffic: no failure in only %d calls, the share stays at most %d bp", clean, lowTrafficWeight), true
 	}
 	return "", false
--- a/pkg/rollout/report.go
+++ b/pkg/rollout/report.go
@@ -103,7 +103,7 @@
 // warn turns the status to at risk if the remaining steps do not fit before the
 // deadline at the present rate of evidence.
 func (h *Holder) warn(r *Report, j Judgement) {
-	expected, known := h.expectedUnixMS(j)
+	expected, known := h.project(j)
 	r.ExpectedUnixMS = expected
 	switch {
 	case !known:
@@ -116,41 +116,3 @@
 		}
 	}
 }
-
-// expectedUnixMS projects the completion from the remaining soaks and the calls
-// that each remaining share needs. It returns false if no calls arrive.
-func (h *Holder) expectedUnixMS(j Judgement) (unixMS int64, known bool) {
-	at := max(h.unixMS, h.dueUnixMS())
-	perSecond := h.rate.perSecond()
-	if h.now-h.heldSince >= rateMemory && perSecond == 0 {
-		return 0, false
-	}
-	at = max(at, h.unixMS+waitMS(h.cleanNeeded(j), perSecond, h.rollout.Weight))
-	weight := h.rollout.Weight
-	for {
-		next, more := h.plan.Next(weight)
-		if !more {
-			return at, true
-		}
-		soak, part := h.plan.Soak(next.Weight), catchUpPart
-		if next.Weight == record.FullWeight {
-			part = finalPart
-		}
-		soakMS := int64(float64(soak.Milliseconds()) * part)
-		planned := h.plan.CompleteUnixMS
-		if after, ok := h.plan.Next(next.Weight); ok {
-			planned = after.AtUnixMS
-		}
-		at = max(planned, at+max(soakMS, waitMS(cleanAtShare, perSecond, next.Weight)))
-		weight = next.Weight
-	}
-}
-
-// waitMS is how long it takes to see a number of calls of the new version.
-func waitMS(calls uint64, perSecond float64, weight record.BasisPoints) int64 {
-	if perSecond == 0 || weight == 0 {
-		return 0
-	}
-	share := float64(weight) / float64(record.FullWeight)
-	return int64(1000 * float64(calls) / (perSecond * share))
-}
