--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,7 +64,7 @@
 		{`horizon = "5m"`, `horizon = "25h"`, `key "keys.horizon": 25h0m0s is not between 1s and 24h0m0s`},
 		{`level = "info"`, `level = "loud"`, `key "log.level": `},
 		{`["10.1.0.12:7001"`, `["10.1.0.11:7001"`, `key "peers.seeds": seed 1, 10.1.0.11:7001, is this node itself`},
-		{`[drain]`, `[drain`, `n.toml:5`},
+		{`[drain]`, `[drain`, `n.toml:41`},
 		{`[drain]`, `[[drain]]`, `drain`},
 	} {
 		text := uncommented(example(t, "node.toml"))
