--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -85,6 +85,8 @@
 	config JudgeConfig
 	all    *routeProcesses
 	routes map[string]*routeProcesses
+	// names holds the keys of routes in order.
+	names  []string
 	strata map[stratumKey]*stratumState
 	past   *referenceTest
 	// raised and oldRaised count since the last raise of the share.
@@ -94,7 +96,9 @@
 	raisedZones map[mesh.AvailabilityZone]Counts
 	weight      record.BasisPoints
 	condemned   *Judgement
-	buffer      []float64
+	// suspicion is the strongest evidence at the last look.
+	suspicion float64
+	buffer    []float64
 }
 
 // stratumState is what earlier blocks tell about one route and zone.
@@ -145,6 +149,7 @@
 	for _, st := range b.Strata {
 		if s.routes[st.Route] == nil {
 			s.routes[st.Route] = newRouteProcesses()
+			s.names = slices.Sorted(maps.Keys(s.routes))
 		}
 	}
 	s.all.open(part)
@@ -223,7 +228,7 @@
 // on the whole service, half spread over its routes.
 func (s *Sequential) evidence(value func(*routeProcesses) float64) (total float64, worstRoute string) {
 	worst, sum := 0.0, 0.0
-	for _, route := range slices.Sorted(maps.Keys(s.routes)) {
+	for _, route := range s.names {
 		v := value(s.routes[route])
 		sum += v
 		if v > worst {
@@ -250,7 +255,11 @@
 	}
 	failures, failureRoute := s.failureEvidence()
 	latency, latencyRoute := s.latencyEvidence()
-	pastFailures, pastLatency := s.past.failureEvidence(), s.past.latencyEvidence()
+	pastFailures, pastLatency := 1.0, 1.0
+	if s.weight == record.FullWeight {
+		pastFailures, pastLatency = s.past.failureEvidence(), s.past.latencyEvidence()
+	}
+	s.suspicion = max(failures, latency, pastFailures, pastLatency)
 	if (failures+latency+pastFailures+pastLatency)/4 < 1/s.config.FalseAlarm {
 		return
 	}
@@ -273,7 +282,7 @@
 	if s.condemned != nil {
 		return *s.condemned
 	}
-	return PassRule(s.comparable(), s.oldRaised, s.suspicion())
+	return PassRule(s.comparable(), s.oldRaised, s.suspicion)
 }
 
 // comparable returns the calls that the pass rule rests on. At full weight the
@@ -295,9 +304,3 @@
 	}
 	return sum
 }
-
-func (s *Sequential) suspicion() float64 {
-	failures, _ := s.failureEvidence()
-	latency, _ := s.latencyEvidence()
-	return max(failures, latency, s.past.failureEvidence(), s.past.latencyEvidence())
-}
