--- a/pkg/rollout/pass.go
+++ b/pkg/rollout/pass.go
@@ -6,6 +6,18 @@
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
+// The pass rule: the new version must have served enough calls under its present
+// share that a failure rate passMargin above the old version's would have shown,
+// and the evidence against it must be low.
+const (
+	passCalls  = 60
+	passMargin = 0.05
+	passLevel  = 0.05
+	// passEvidence is the evidence above which a version is too suspicious to
+	// pass, though it is far from being condemned.
+	passEvidence = 20
+)
+
 // PassRule decides whether the calls of both versions under the present share are
 // enough for a pass. suspicion is the evidence against the new version, 1 if there
 // is none. The verdict is Undecided or Passed; the rule never condemns.
--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -35,18 +35,6 @@
 // minReference is how many calls of the old version a latency bound needs.
 const minReference = 20
 
-// The pass rule: the new version must have served enough calls under its present
-// share that a failure rate passMargin above the old version's would have shown,
-// and the evidence against it must be low.
-const (
-	passCalls  = 60
-	passMargin = 0.05
-	passLevel  = 0.05
-	// passEvidence is the evidence above which a version is too suspicious to
-	// pass, though it is far from being condemned.
-	passEvidence = 20
-)
-
 // routeProcesses gathers the evidence of one scope: one route, or all.
 type routeProcesses struct {
 	failures *eProcess
@@ -101,20 +89,6 @@
 	buffer    []float64
 }
 
-// stratumState is what earlier blocks tell about one route and zone.
-type stratumState struct {
-	exposure exposure
-	// reference holds the old version's latency.
-	reference Histogram
-	tables    tables
-}
-
-type stratumKey struct{ route, zone string }
-
-func compareStrata(a, b stratumKey) int {
-	return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.zone, b.zone))
-}
-
 // NewSequential returns the product's judge.
 func NewSequential(config JudgeConfig) Judge {
 	return &Sequential{
@@ -169,61 +143,6 @@
 	s.decide()
 }
 
-func (s *Sequential) observeStratum(st Stratum, b Block) {
-	key := stratumKey{st.Route, string(st.Zone)}
-	state := s.strata[key]
-	if state == nil {
-		state = &stratumState{}
-		s.strata[key] = state
-	}
-	state.exposure.observe(b.Weight, st.New.Calls, st.Old.Calls)
-	part := state.exposure.part()
-	scopes := []*routeProcesses{s.all, s.routes[st.Route]}
-	ratios := logRatios(st.New.Failures, st.Old.Failures, part, failureOmegas, failureNull)
-	for _, r := range scopes {
-		r.failures.observe(ratios)
-	}
-	// The bounds come from earlier blocks only: a bound that depends on the
-	// calls it sorts would bias the test.
-	if state.reference.Total() >= minReference && b.Weight < record.FullWeight {
-		s.observeLatency(st, state, b.Elapsed)
-	}
-	s.observePast(st, state, b)
-	state.reference.merge(&st.Old.Latency)
-	s.raised.Merge(st.New)
-	s.oldRaised.Merge(st.Old)
-	zone := s.raisedZones[st.Zone]
-	zone.Merge(st.New)
-	s.raisedZones[st.Zone] = zone
-}
-
-// observePast compares with the old version's earlier calls at full weight, and
-// learns from them before.
-func (s *Sequential) observePast(st Stratum, state *stratumState, b Block) {
-	slowOld, slowNew, base := uint64(0), uint64(0), 0.0
-	if total := state.reference.Total(); total >= minReference {
-		bucket, _ := state.reference.Quantile(pastQuantile)
-		base = float64(state.reference.Above(bucket)+1) / float64(total+2)
-		slowOld, slowNew = st.Old.Latency.Above(bucket), st.New.Latency.Above(bucket)
-	}
-	if b.Weight < record.FullWeight {
-		s.past.learn(st, float64(slowOld), base, b.Elapsed)
-		return
-	}
-	s.past.compare(st, slowNew, base)
-}
-
-func logRatios(newMarked, oldMarked uint64, part float64, omegas []float64, null float64) []float64 {
-	ratios := make([]float64, len(omegas))
-	if newMarked+oldMarked == 0 {
-		return ratios
-	}
-	for i, omega := range omegas {
-		ratios[i] = logRatio(newMarked, oldMarked, part, omega, null)
-	}
-	return ratios
-}
-
 // evidence returns the mean of the processes, which is again an e-process: half
 // on the whole service, half spread over its routes.
 func (s *Sequential) evidence(value func(*routeProcesses) float64) (total float64, worstRoute string) {
