Refuse instead of aborting when an answer breaks before its body

Cause: stream wrote the header of an answer before it read the body, but nothing was flushed until the first part of the body. When the node or target that answered was killed in between, the handler was aborted, and the caller saw a reset connection without any answer. Ruled out: a broken relay (the connection between caller and node A was reset by node A itself).

Change: the first part of the body is read before the header is written. If it fails, the caller gets 502 may-have-run (504 after its deadline).

The row 'answer has no body' of TestRefusalsSayTheTruth fails before (EOF) and passes after.

--- a/internal/callpath/deliver.go
+++ b/internal/callpath/deliver.go
@@ -53,9 +53,21 @@
 // stream copies the answer and ends it. It returns false if the answer was cut
 // short or the receiver left. capture gets the body as well, unless it is nil;
 // with capture, the answer is read to its end even if the receiver left.
+//
+// An answer that breaks before its first byte of body becomes a refusal: its
+// header has not been sent, and an abort would leave the receiver without any answer.
 func (n *Node) stream(c *call, a *answer, capture *capturedBody) bool {
+	buffer := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buffer)
+	count, err := a.resp.Body.Read(buffer[:])
+	if count == 0 && err != nil && err != io.EOF {
+		a.end(false)
+		n.addLoad(c)
+		n.refuseCall(c, brokenBeforeBody(c, err))
+		return true
+	}
 	n.writeHeader(c, a.resp)
-	complete, delivered := n.copyBody(c, a.resp, capture)
+	complete, delivered := n.copyBody(c, a.resp, capture, buffer[:], count, err)
 	if complete && delivered {
 		writeTrailers(c.w.Header(), a.resp)
 	}
@@ -66,6 +78,13 @@
 	return complete && delivered
 }
 
+func brokenBeforeBody(c *call, err error) *Refusal {
+	if c.ctx.Err() != nil {
+		return endedEarly(c, true).refusal
+	}
+	return MayHaveRun(CodeConnectionLost, "the answer broke off before its body: "+err.Error())
+}
+
 func (n *Node) writeHeader(c *call, resp *http.Response) {
 	h := c.w.Header()
 	for name, values := range resp.Header {
@@ -100,15 +119,13 @@
 }
 
 // copyBody streams the body and flushes what has arrived. complete is set if
-// the body was read to its end, delivered if the receiver got all of it.
-func (n *Node) copyBody(c *call, resp *http.Response, capture *capturedBody) (complete, delivered bool) {
-	buffer := copyBuffers.Get().(*[copyBytes]byte)
-	defer copyBuffers.Put(buffer)
+// the body was read to its end, delivered if the receiver got all of it. count
+// and err are the result of the first read.
+func (n *Node) copyBody(c *call, resp *http.Response, capture *capturedBody, buffer []byte, count int, err error) (complete, delivered bool) {
 	control := http.NewResponseController(c.w)
 	delivered = true
 	total := int64(0)
-	for {
-		count, err := resp.Body.Read(buffer[:])
+	for ; ; count, err = resp.Body.Read(buffer) {
 		total += int64(count)
 		if count > 0 {
 			n.metrics.responseBytes.Add(int64(count))
--- a/internal/callpath/failure_test.go
+++ b/internal/callpath/failure_test.go
@@ -58,6 +58,7 @@
 		"target drops GET":    {drop, "GET", "/courier", nil, 502, "may-have-run", "connection-lost"},
 		"answer is no HTTP":   {rawTarget(t, answerWith("what\r\n\r\n")), "POST", "/courier", nil, 502, "may-have-run", "connection-lost"},
 		"answer has no end":   {rawTarget(t, answerWith("HTTP/1.1 200 OK\r\n\r\npart")), "POST", "/courier", nil, 502, "may-have-run", "bad-answer"},
+		"answer has no body":  {rawTarget(t, answerWith("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")), "POST", "/courier", nil, 502, "may-have-run", "connection-lost"},
 		"answer is silent":    {rawTarget(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }), "POST", "/courier", nil, 504, "may-have-run", "silent-connection"},
 		"deadline passes":     {rawTarget(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }), "POST", "/courier", []string{callpath.HeaderDeadline, "50"}, 504, "may-have-run", "deadline"},
 	} {
