--- a/test/process/calls_test.go
+++ b/test/process/calls_test.go
@@ -79,7 +79,7 @@
 }
 
 // executions counts over all targets how often each key and each request ran.
-func (m *mesh) executions() (keys, requests map[string]int) {
+func (m *fleet) executions() (keys, requests map[string]int) {
 	m.t.Helper()
 	keys, requests = map[string]int{}, map[string]int{}
 	for _, member := range m.Members() {
--- a/test/process/mesh_test.go
+++ b/test/process/fleet_test.go
@@ -32,8 +32,8 @@
 	configStream = "heathercroft"
 )
 
-// mesh is a running set of nodes and targets.
-type mesh struct {
+// fleet is a running set of nodes and targets.
+type fleet struct {
 	*testbed.Bed
 	t     *testing.T
 	seeds []*testbed.Member
@@ -42,12 +42,12 @@
 	loads     int
 }
 
-// newMesh starts the platform. Its logs are kept if the test fails.
-func newMesh(t *testing.T, nodeExtra string) *mesh {
+// newFleet starts the platform. Its logs are kept if the test fails.
+func newFleet(t *testing.T, nodeExtra string) *fleet {
 	t.Helper()
 	running <- struct{}{}
 	t.Cleanup(func() { <-running })
-	m := &mesh{t: t, nodeExtra: nodeExtra}
+	m := &fleet{t: t, nodeExtra: nodeExtra}
 	// Another run on this machine may use the same loopback addresses.
 	for range 5 {
 		dir, err := os.MkdirTemp("", "heathercroft-"+strings.ReplaceAll(t.Name(), "/", "-")+"-")
@@ -64,7 +64,7 @@
 	return nil
 }
 
-func (m *mesh) end() {
+func (m *fleet) end() {
 	m.Close()
 	if m.t.Failed() {
 		m.t.Log("settings and logs:", m.Dir)
@@ -74,7 +74,7 @@
 }
 
 // add starts count members of a version in each of the zones 1 to zones.
-func (m *mesh) add(service, version string, zones, count int) {
+func (m *fleet) add(service, version string, zones, count int) {
 	m.t.Helper()
 	for zone := 1; zone <= zones; zone++ {
 		for i := range count {
@@ -91,7 +91,7 @@
 	}
 }
 
-func (m *mesh) waitReady() {
+func (m *fleet) waitReady() {
 	m.t.Helper()
 	for _, member := range m.Members() {
 		require.NoError(m.t, member.WaitReady(generous))
@@ -100,7 +100,7 @@
 
 // configure creates services with version v1, each with a route of its name,
 // and waits until calls through every node are answered.
-func (m *mesh) configure(services ...string) {
+func (m *fleet) configure(services ...string) {
 	m.t.Helper()
 	m.waitReady()
 	var changes []string
@@ -118,7 +118,7 @@
 	}
 }
 
-func (m *mesh) member(name string) *testbed.Member {
+func (m *fleet) member(name string) *testbed.Member {
 	m.t.Helper()
 	for _, member := range m.Members() {
 		if member.Name == name {
@@ -129,7 +129,7 @@
 	return nil
 }
 
-func (m *mesh) zone(id byte) []*testbed.Member {
+func (m *fleet) zone(id byte) []*testbed.Member {
 	var members []*testbed.Member
 	for _, member := range m.Members() {
 		if member.ZoneID == id {
@@ -140,7 +140,7 @@
 }
 
 // cut separates a zone from the zones 0 (the platform) to others.
-func (m *mesh) cut(zone byte, others int) {
+func (m *fleet) cut(zone byte, others int) {
 	for other := byte(0); other <= byte(others); other++ {
 		if other != zone {
 			m.Network.Cut(zone, other)
@@ -148,7 +148,7 @@
 	}
 }
 
-func (m *mesh) heal(zone byte, others int) {
+func (m *fleet) heal(zone byte, others int) {
 	for other := byte(0); other <= byte(others); other++ {
 		if other != zone {
 			m.Network.Heal(zone, other)
@@ -156,17 +156,17 @@
 	}
 }
 
-func (m *mesh) platform(control map[string]any) {
+func (m *fleet) platform(control map[string]any) {
 	m.t.Helper()
 	require.NoError(m.t, m.ControlPlatform(control))
 }
 
-func (m *mesh) fault(member *testbed.Member, control map[string]any) {
+func (m *fleet) fault(member *testbed.Member, control map[string]any) {
 	m.t.Helper()
 	require.NoError(m.t, member.ControlTarget(control))
 }
 
-func (m *mesh) command(at *testbed.Member, command string) (query.Reply, int) {
+func (m *fleet) command(at *testbed.Member, command string) (query.Reply, int) {
 	m.t.Helper()
 	reply, code, err := at.Command(command)
 	require.NoError(m.t, err, command)
@@ -174,7 +174,7 @@
 }
 
 // log reads the whole stream of decisions from the platform.
-func (m *mesh) log() []logclient.Entry {
+func (m *fleet) log() []logclient.Entry {
 	m.t.Helper()
 	client := logclient.New(m.PlatformURL(), &http.Client{Timeout: 10 * time.Second})
 	var entries []logclient.Entry
@@ -191,7 +191,7 @@
 }
 
 // reduce applies the log as a node does and returns the outcome of each record.
-func (m *mesh) reduce() (*state.State, []state.Result) {
+func (m *fleet) reduce() (*state.State, []state.Result) {
 	m.t.Helper()
 	return reduce(m.t, m.log())
 }
@@ -209,7 +209,7 @@
 }
 
 // events returns the timeline of a node's present session.
-func (m *mesh) events(member *testbed.Member) []timeline.Event {
+func (m *fleet) events(member *testbed.Member) []timeline.Event {
 	m.t.Helper()
 	var all []timeline.Event
 	for {
@@ -236,7 +236,7 @@
 }
 
 // waitRevision waits until all members have applied a revision.
-func (m *mesh) waitRevision(want record.Revision, limit time.Duration, members ...*testbed.Member) {
+func (m *fleet) waitRevision(want record.Revision, limit time.Duration, members ...*testbed.Member) {
 	m.t.Helper()
 	require.NoError(m.t, testbed.WaitFor(limit, func() error {
 		for _, member := range members {
@@ -253,7 +253,7 @@
 }
 
 // load starts the load generator at the given nodes.
-func (m *mesh) load(nodes []*testbed.Member, rate float64, duration time.Duration, more string) *testbed.Load {
+func (m *fleet) load(nodes []*testbed.Member, rate float64, duration time.Duration, more string) *testbed.Load {
 	m.t.Helper()
 	urls := func(members []*testbed.Member, url func(*testbed.Member) string) string {
 		var list []string
@@ -270,7 +270,7 @@
 	return l
 }
 
-func (m *mesh) report(l *testbed.Load) load.Report {
+func (m *fleet) report(l *testbed.Load) load.Report {
 	m.t.Helper()
 	r, err := l.Wait()
 	require.NoError(m.t, err)
@@ -288,7 +288,7 @@
 }
 
 // logText returns what a process wrote to its log.
-func (m *mesh) logText(name string) string {
+func (m *fleet) logText(name string) string {
 	m.t.Helper()
 	data, err := os.ReadFile(filepath.Join(m.Dir, name+".log"))
 	require.NoError(m.t, err)
--- a/test/process/keyed_test.go
+++ b/test/process/keyed_test.go
@@ -23,9 +23,9 @@
 	zoneCount   = 3
 )
 
-// keyedMesh starts six nodes in three zones and waits until every key slot has an owner.
-func keyedMesh(t *testing.T) *mesh {
-	m := newMesh(t, keySettings)
+// keyedFleet starts six nodes in three zones and waits until every key slot has an owner.
+func keyedFleet(t *testing.T) *fleet {
+	m := newFleet(t, keySettings)
 	m.add("courier", "v1", zoneCount, 2)
 	m.configure("courier")
 	require.NoError(t, testbed.WaitFor(generous, func() error {
@@ -41,7 +41,7 @@
 }
 
 // keysOf returns keys that a member owns by the log.
-func (m *mesh) keysOf(member *testbed.Member, prefix string, count int) []string {
+func (m *fleet) keysOf(member *testbed.Member, prefix string, count int) []string {
 	m.t.Helper()
 	s, _ := m.reduce()
 	var keys []string
@@ -56,7 +56,7 @@
 }
 
 // owner returns a member of a zone that owns at least one slot.
-func (m *mesh) owner(zone byte) *testbed.Member {
+func (m *fleet) owner(zone byte) *testbed.Member {
 	m.t.Helper()
 	s, _ := m.reduce()
 	for _, member := range m.zone(zone) {
@@ -93,7 +93,7 @@
 	return &all
 }
 
-func (m *mesh) others(member *testbed.Member) []*testbed.Member {
+func (m *fleet) others(member *testbed.Member) []*testbed.Member {
 	var list []*testbed.Member
 	for _, other := range m.Members() {
 		if other != member {
@@ -104,7 +104,7 @@
 }
 
 // waitOwnedBy waits until the slots of the keys belong to other sessions than before.
-func (m *mesh) waitTakenOver(keys []string, before state.State) {
+func (m *fleet) waitTakenOver(keys []string, before state.State) {
 	m.t.Helper()
 	require.NoError(m.t, testbed.WaitFor(generous, func() error {
 		s, _ := m.reduce()
@@ -117,7 +117,7 @@
 	}))
 }
 
-func (m *mesh) requireKept(l *attempts) {
+func (m *fleet) requireKept(l *attempts) {
 	m.t.Helper()
 	keys, requests := m.executions()
 	l.mu.Lock()
@@ -133,7 +133,7 @@
 // after its lease and executes, or lets execute, what a successor may run too (G7).
 func TestPausedKeyOwnerDoesNotRunAKeyTwice(t *testing.T) {
 	t.Parallel()
-	m := keyedMesh(t)
+	m := keyedFleet(t)
 	victim := m.owner(1)
 	keys := m.keysOf(victim, "paused", keysAtOnce)
 	before, _ := m.reduce()
@@ -154,7 +154,7 @@
 }
 
 // keysOfSlots returns new keys in the slots of other keys.
-func (m *mesh) keysOfSlots(prefix string, like []string, count int) []string {
+func (m *fleet) keysOfSlots(prefix string, like []string, count int) []string {
 	slots := map[int]bool{}
 	for _, key := range like {
 		slots[state.SlotOf(key)] = true
@@ -170,7 +170,7 @@
 }
 
 // requireKeyedService demands that new keys of all slots run again.
-func (m *mesh) requireKeyedService(prefix string) {
+func (m *fleet) requireKeyedService(prefix string) {
 	m.t.Helper()
 	for i := range 10 {
 		n := 0
@@ -189,7 +189,7 @@
 // keys which the killed owner may have run (G7), and against one that never serves.
 func TestKilledKeyOwnerDoesNotRunAKeyTwice(t *testing.T) {
 	t.Parallel()
-	m := keyedMesh(t)
+	m := keyedFleet(t)
 	victim := m.owner(2)
 	keys := m.keysOf(victim, "killed", keysAtOnce)
 	before, _ := m.reduce()
@@ -211,7 +211,7 @@
 // both sides of a cut (G7).
 func TestCutOffKeyOwnerDoesNotRunAKeyTwice(t *testing.T) {
 	t.Parallel()
-	m := keyedMesh(t)
+	m := keyedFleet(t)
 	victim := m.owner(3)
 	keys := m.keysOf(victim, "cut", keysAtOnce)
 	before, _ := m.reduce()
@@ -234,7 +234,7 @@
 // graceful stop: a repeat must get the first answer without a second execution (G7, G9).
 func TestStoppedKeyOwnerHandsOver(t *testing.T) {
 	t.Parallel()
-	m := keyedMesh(t)
+	m := keyedFleet(t)
 	victim := m.owner(1)
 	others := m.others(victim)
 	keys := m.keysOf(victim, "handed", 6)
