Test keyed calls, special answers and the connection pool

A key's digest held the host, so a repeat through another node was refused as key-mismatch: the host is out. The HTTP/2 server removes Expect, so a target's refusal came after the body: nodes now name who asked in their own header.

--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -117,7 +117,9 @@
 	if c.inherited, ok = smallNumber(r.Header.Get(HeaderAttempt)); !ok {
 		return nil, NotRun(CodeBadRequest, HeaderAttempt+" is not a number from 0 to 999")
 	}
-	c.callerExpects = strings.EqualFold(r.Header.Get("Expect"), "100-continue") && r.Header.Get(HeaderExpect) == ""
+	// The HTTP/2 server removes Expect, so nodes tell each other who asked.
+	c.callerExpects = r.Header.Get(HeaderExpect) == expectCaller ||
+		r.Header.Get(HeaderExpect) == "" && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	if !safe(r.Method) {
 		if len(r.Header[HeaderKey]) > 1 || len(r.Header.Get(HeaderKey)) > maxKeyLength {
 			return nil, NotRun(CodeBadRequest, HeaderKey+" is given twice or is over 256 bytes")
--- a/internal/callpath/headers.go
+++ b/internal/callpath/headers.go
@@ -40,7 +40,7 @@
 	HeaderFence = "Heathercroft-Key-Fence"
 	// HeaderBody is "none" on a request between nodes that has no body.
 	HeaderBody = "Heathercroft-Body"
-	// HeaderExpect is "node" if the sending node, not the caller, asked for a 100 response.
+	// HeaderExpect says who asked for a 100 response: the caller or the sending node.
 	HeaderExpect = "Heathercroft-Expect"
 )
 
@@ -50,6 +50,12 @@
 	HopTarget = "target"
 )
 
+// Values of HeaderExpect.
+const (
+	expectCaller = "caller"
+	expectNode   = "node"
+)
+
 // bodyNone is the value of HeaderBody.
 const bodyNone = "none"
 
--- a/internal/callpath/keyed.go
+++ b/internal/callpath/keyed.go
@@ -125,9 +125,10 @@
 }
 
 // digestOf identifies what a key was used for. The body is not part of it,
-// since it is not known before the request runs.
+// since it is not known before the request runs, and neither is the host, since
+// callers may address the nodes by their addresses.
 func digestOf(r *http.Request) uint64 {
-	return xxhash.Sum64String(r.Method + "\x00" + r.Host + "\x00" + r.URL.RequestURI())
+	return xxhash.Sum64String(r.Method + "\x00" + r.URL.RequestURI())
 }
 
 // String returns the kind's name for metrics.
--- /dev/null
+++ b/internal/callpath/pool_test.go
@@ -0,0 +1,86 @@
+package callpath
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a connection that is used again while a second answer to the
+// last request is buffered above it.
+func TestPoolSkipsConnectionsWithStrayAnswers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(conn)
+		}
+	}()
+	p := newPool(DefaultSettings())
+	t.Cleanup(p.close)
+	for i := range 2000 {
+		conn, err := p.get(context.Background(), l.Addr().String(), false)
+		require.NoError(t, err)
+		path := "/" + strconv.Itoa(i)
+		req, err := http.NewRequest("GET", "http://"+l.Addr().String()+path, nil)
+		require.NoError(t, err)
+		resp, err := conn.client.RoundTrip(req)
+		if err != nil {
+			// A stray answer that was noticed in time costs the connection only.
+			p.put(conn, false)
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, path, string(body))
+		p.put(conn, true)
+	}
+}
+
+func answerTwice(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(req.URL.Path), req.URL.Path)
+		_, _ = io.WriteString(conn, one+one)
+	}
+}
+
+// Guards against uploads that take all slots or all places in the queue.
+func TestUploadsLeaveSlotsForOthers(t *testing.T) {
+	l := &limiter{}
+	l.resize(4)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 2 {
+		require.Nil(t, l.acquire(ctx, true, 0))
+	}
+	require.Equal(t, CodeDeadline, l.acquire(ctx, true, DefaultSettings().QueueTimeout).Code)
+	require.Equal(t, CodeQueueTimeout, l.acquire(context.Background(), true, 0).Code)
+	for range 2 {
+		require.Nil(t, l.acquire(ctx, false, 0))
+	}
+	inFlight, slots := l.load()
+	require.Equal(t, []int{4, 4}, []int{inFlight, slots})
+	l.release(true)
+	require.Nil(t, l.acquire(ctx, false, 0), "a slot that an upload gave back")
+	for range 3 {
+		l.release(false)
+	}
+}
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -136,10 +136,12 @@
 			req.Body = emptyBody{}
 			req.Header[HeaderBody] = []string{bodyNone}
 		}
-	} else if n.isUpload(req.ContentLength) && !c.callerExpects {
+	} else if c.callerExpects {
+		req.Header[HeaderExpect] = []string{expectCaller}
+	} else if n.isUpload(req.ContentLength) {
 		// The other node can then refuse before the body is consumed.
 		req.Header["Expect"] = []string{"100-continue"}
-		req.Header[HeaderExpect] = []string{"node"}
+		req.Header[HeaderExpect] = []string{expectNode}
 	}
 	mark(req.Header)
 	resp, err := n.peers.RoundTrip(req)
@@ -207,8 +209,9 @@
 	if trailers {
 		h["Te"] = []string{"trailers"}
 	}
-	if !c.callerExpects {
-		delete(h, "Expect")
+	delete(h, "Expect")
+	if c.callerExpects {
+		h["Expect"] = []string{"100-continue"}
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		// Without this, net/http would add its own.
