--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,103 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"heathercroft.example/heathercroft/pkg/retry"
+)
+
+func always() bool { return true }
+
+// Guards against a decision that differs from the table of the design.
+func TestDecisionTable(t *testing.T) {
+	const (
+		repeat = retry.Retry
+		notRun = retry.RefuseNotRun
+		maybe  = retry.RefuseMayHaveRun
+	)
+	for _, c := range []struct {
+		outcome                               retry.Outcome
+		get, post, consumed, keyed, keyedBody retry.Action
+	}{
+		{retry.NotSent, repeat, repeat, notRun, repeat, notRun},
+		{retry.ConnectionRefused, repeat, repeat, notRun, repeat, notRun},
+		{retry.RefusedByNode, repeat, repeat, notRun, repeat, notRun},
+		{retry.RefusedByTarget, repeat, repeat, notRun, notRun, notRun},
+		{retry.ResetBeforeWrite, repeat, repeat, notRun, repeat, notRun},
+		{retry.ResetAfterWrite, repeat, maybe, maybe, maybe, maybe},
+		{retry.TimedOut, repeat, maybe, maybe, maybe, maybe},
+		{retry.MayHaveRun, repeat, maybe, maybe, maybe, maybe},
+		{retry.Answered, retry.Deliver, retry.Deliver, retry.Deliver, retry.Deliver, retry.Deliver},
+		{retry.ShortBody, retry.Abort, retry.Abort, retry.Abort, retry.Abort, retry.Abort},
+	} {
+		decide := func(method string, consumed, keyed bool) retry.Action {
+			return retry.Decide(retry.Attempt{Outcome: c.outcome, Method: method, BodyConsumed: consumed, Keyed: keyed, TimeLeft: time.Second}, always)
+		}
+		require.Equal(t, c.get, decide("GET", false, false), "GET %s", c.outcome)
+		require.Equal(t, c.post, decide("POST", false, false), "POST %s", c.outcome)
+		require.Equal(t, c.consumed, decide("PUT", true, false), "consumed PUT %s", c.outcome)
+		require.Equal(t, c.keyed, decide("PUT", false, true), "keyed PUT %s", c.outcome)
+		require.Equal(t, c.keyedBody, decide("PUT", true, true), "keyed consumed PUT %s", c.outcome)
+	}
+}
+
+// Guards against retries over a limit, and a refusal that claims not-run for an
+// attempt that may have run, in any combination.
+func TestDecisionsKeepTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := retry.Attempt{
+			Outcome:      retry.Outcome(rapid.IntRange(0, 9).Draw(t, "outcome")),
+			Method:       rapid.SampledFrom([]string{"GET", "POST", "PATCH", "PUT"}).Draw(t, "method"),
+			BodyConsumed: rapid.Bool().Draw(t, "consumed"), Keyed: rapid.Bool().Draw(t, "keyed"),
+			Retries: rapid.IntRange(0, 3).Draw(t, "retries"), Inherited: rapid.IntRange(0, 3).Draw(t, "inherited"),
+			TimeLeft: time.Duration(rapid.IntRange(-5, 20).Draw(t, "left")) * time.Millisecond,
+		}
+		allowed := rapid.Bool().Draw(t, "allowed")
+		switch retry.Decide(a, func() bool { return allowed }) {
+		case retry.Retry:
+			require.True(t, allowed && !a.BodyConsumed && a.Retries+a.Inherited < retry.MaxRetries && a.TimeLeft >= retry.MinTimeLeft)
+			require.True(t, a.Outcome.NotRun() || !a.Keyed && a.Inherited == 0 && retry.Idempotent(a.Method))
+		case retry.RefuseNotRun:
+			require.True(t, a.Outcome.NotRun())
+		}
+	})
+}
+
+// Guards against a budget that lets retries through beyond its share, or keeps
+// old calls.
+func TestBudget(t *testing.T) {
+	b := &retry.Budget{}
+	for range 100 {
+		b.Call(0)
+	}
+	granted := func(now time.Duration) int {
+		n := 0
+		for b.Allow(now) {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, 20, granted(0))
+	require.Equal(t, 3, granted(time.Second), "the minimum of the next second")
+	require.Equal(t, 3, granted(retry.BudgetWindow+5*time.Second), "old calls no longer count")
+	require.Equal(t, 3, granted(10*time.Hour))
+}
+
+// Guards against a deadline that grows on its way.
+func TestDeadlineHeader(t *testing.T) {
+	left, ok, err := retry.ParseDeadline(retry.FormatDeadline(1999 * time.Microsecond))
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.Equal(t, time.Millisecond, left)
+	_, ok, err = retry.ParseDeadline("")
+	require.NoError(t, err)
+	require.False(t, ok)
+	for _, bad := range []string{"-1", "1.5", "x", "86400001", "99999999999999999999"} {
+		_, _, err := retry.ParseDeadline(bad)
+		require.ErrorIs(t, err, retry.ErrBadDeadline, bad)
+	}
+}
