Count what a source of evidence saw before its first report

Cause: the holder takes the first report of a source as a mark only, and a node without a target of the service reports only once it has counted a call. At night the calls of that first report may be all. Change: the first holder of a rollout compares first reports with nothing counted; a successor still takes them as a mark, since they can't be split by time. Conclusion: sparse evidence reaches the comparison.

--- a/internal/core/rollouts.go
+++ b/internal/core/rollouts.go
@@ -47,6 +47,9 @@
 	interval time.Duration
 	reported time.Duration
 	sources  map[mesh.NodeID]time.Duration
+	// first is set if this node is the first holder, so that all that sources
+	// counted belongs to shares that it has seen.
+	first bool
 }
 
 func newRollouts(cfg Config, rng *rand.Rand) rollouts {
@@ -80,6 +83,7 @@
 		if h.revision == r.Revision {
 			continue
 		}
+		h.first = r.Holder == string(c.cfg.Self.ID) && (h.rollout.Epoch == 0 || h.first)
 		h.revision, h.rollout = r.Revision, r
 		event := rollout.RolloutChanged{Now: c.time.Now, UnixMS: c.time.UnixMS, Rollout: r, Revision: c.state.Revision}
 		c.stepHolder(h, rollout.ZonesChanged{Now: c.time.Now, Zones: c.rolloutZones(r)})
@@ -201,6 +205,13 @@
 	if h == nil {
 		return
 	}
+	if _, known := h.sources[r.Source]; !known && h.first {
+		// A source counts from the start of the rollout and reports once it has
+		// counted a call, so its first report is compared with nothing counted.
+		c.stepHolder(h, rollout.EvidenceReceived{
+			Now: c.time.Now, Source: r.Source, Session: r.Session, Zone: r.Zone, Totals: rollout.Evidence{},
+		})
+	}
 	h.sources[r.Source] = c.time.Now
 	c.stepHolder(h, rollout.EvidenceReceived{
 		Now: c.time.Now, Source: r.Source, Session: r.Session, Zone: r.Zone, Sequence: r.Sequence, Totals: r.Totals,
