Contact the zone whose last exchange is the oldest

Cause: each reader went through the other zones in a fixed turn of its own, so that a zone that was cut off could wait for a whole round. Change: exchanges opened by the other side count as a turn.

--- a/pkg/membership/exchange.go
+++ b/pkg/membership/exchange.go
@@ -141,6 +141,7 @@
 		return
 	}
 	m.acceptDigests(from.Zone, d.Zones)
+	m.zones.get(from.Zone).exchanged = m.now
 	mine := m.digests(from.Zone, d.Zones)
 	answer := &Entries{Zones: mine}
 	for _, zone := range differing(mine, d.Zones) {
--- a/pkg/membership/zone.go
+++ b/pkg/membership/zone.go
@@ -16,10 +16,12 @@
 	// failures counts the exchanges of this node without answer in a row.
 	failures int
 	// tried is when this node last opened an exchange.
-	tried   time.Duration
-	link    ZoneLink
-	sent    int
-	summary ZoneSummary
+	tried time.Duration
+	// exchanged is when the zone last opened an exchange with this node.
+	exchanged time.Duration
+	link      ZoneLink
+	sent      int
+	summary   ZoneSummary
 }
 
 // attempt is an exchange with another zone without answer so far.
@@ -30,10 +32,8 @@
 
 // zones is the state of the exchange between zones.
 type zones struct {
-	all  map[mesh.AvailabilityZone]*zone
-	next time.Duration
-	// last is the zone whose turn was last.
-	last     mesh.AvailabilityZone
+	all      map[mesh.AvailabilityZone]*zone
+	next     time.Duration
 	attempts []attempt
 	// news are the own zone's members whose statement other zones need.
 	news     map[mesh.NodeID]bool
@@ -137,14 +137,25 @@
 	if len(others) == 0 {
 		return
 	}
-	i, _ := slices.BinarySearch(others, z.last+"\x00")
-	z.last = others[i%len(others)]
-	m.contactZone(z.last)
-	if again, ok := m.failingZone(others); ok && again != z.last {
+	next := m.nextZone(others)
+	m.contactZone(next)
+	if again, ok := m.failingZone(others); ok && again != next {
 		m.contactZone(again)
 	}
 }
 
+// nextZone returns the zone whose last exchange with this node, opened by
+// either side, is the oldest. Counting those of the other side halves the time
+// until a zone that is cut off is tried.
+func (m *Machine) nextZone(others []mesh.AvailabilityZone) mesh.AvailabilityZone {
+	order := slices.Clone(others)
+	m.rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	return slices.MinFunc(order, func(a, b mesh.AvailabilityZone) int {
+		x, y := m.zones.get(a), m.zones.get(b)
+		return cmp.Compare(max(x.exchanged, x.tried), max(y.exchanged, y.tried))
+	})
+}
+
 // otherZones returns the zones with members, except the own one. A zone whose
 // members are all dead is tried as long as these are remembered.
 func (m *Machine) otherZones() []mesh.AvailabilityZone {
