Run the long convergence tests in parallel

Cause: the tests took 21.6 s beside other work on the same machine, the limit is 20 s. Change: the four long tests run in parallel; each has its own virtual clock, so the verdicts do not depend on it.

--- a/internal/convergence/cost_test.go
+++ b/internal/convergence/cost_test.go
@@ -45,6 +45,7 @@
 // TestMembershipCost guards against a cost per node that grows with the zone.
 // Members report a new revision every 8 s, as on a day with 11,000 changes.
 func TestMembershipCost(t *testing.T) {
+	t.Parallel()
 	small, _ := measureCost(t, 40)
 	large, highest := measureCost(t, 167)
 	require.Less(t, large, 1.25*small, "mean cost at 167 members against 40")
--- a/internal/convergence/focus_test.go
+++ b/internal/convergence/focus_test.go
@@ -105,7 +105,10 @@
 
 // TestConvergence guards against a reader or relay whose death delays a change
 // beyond the bound.
-func TestConvergence(t *testing.T) { measureConvergence(t, 40, 2) }
+func TestConvergence(t *testing.T) {
+	t.Parallel()
+	measureConvergence(t, 40, 2)
+}
 
 // BenchmarkConvergence prints the distributions for the sizes of the design.
 func BenchmarkConvergence(b *testing.B) {
@@ -190,6 +193,7 @@
 // TestLeaving guards against a leaving target that gets new work for over 3 s,
 // with up to a tenth of the messages lost.
 func TestLeaving(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{10, 167} {
 		p := withTargets(t, 11, size)
 		for at, drop := range []float64{0, 0.02, 0.1} {
@@ -214,6 +218,7 @@
 // TestDeadNode guards against dead nodes that stay in use, and against live
 // ones that are taken for dead by a lossy network.
 func TestDeadNode(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{10, 167} {
 		p := withTargets(t, 5, size)
 		p.faults.drop = 0.01
