--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -1,6 +1,7 @@
 package callpath
 
 import (
+	"expvar"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,8 @@
 	src io.Reader
 	// unblock makes a pending read of src return.
 	unblock func()
+	// total counts the bytes of all bodies.
+	total *expvar.Int
 
 	mu   sync.Mutex
 	head []byte
@@ -30,8 +33,8 @@
 	current atomic.Pointer[attemptBody]
 }
 
-func newRequestBody(src io.Reader, unblock func()) *requestBody {
-	return &requestBody{src: src, unblock: unblock}
+func newRequestBody(src io.Reader, total *expvar.Int, unblock func()) *requestBody {
+	return &requestBody{src: src, total: total, unblock: unblock}
 }
 
 // consumed reports whether the body can no longer be read from the start.
@@ -81,6 +84,7 @@
 func (b *requestBody) read(p []byte) int {
 	n, err := b.src.Read(p)
 	if n > 0 {
+		b.total.Add(int64(n))
 		room := replayBytes - len(b.head)
 		if b.passed.Load() || n > room {
 			b.passed.Store(true)
--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -93,7 +93,7 @@
 		_ = control.EnableFullDuplex()
 	}
 	c := &call{req: r, w: w, id: r.Header.Get(HeaderRequestID), target: r.Header.Get(HeaderTarget)}
-	c.body = newRequestBody(r.Body, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	c.body = newRequestBody(r.Body, &n.metrics.requestBytes, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	if headerSize(r.Header)+len(r.RequestURI) > n.settings.MaxHeaderBytes {
 		return nil, NotRun(CodeHeaderTooLarge, "the header is over "+strconv.Itoa(n.settings.MaxHeaderBytes)+" bytes")
 	}
--- a/internal/callpath/http_test.go
+++ b/internal/callpath/http_test.go
@@ -1,8 +1,10 @@
 package callpath_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -13,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/callpath"
+	"heathercroft.example/heathercroft/pkg/retry"
 )
 
 // Guards against answers without a body that hang or gain one, lost trailers
@@ -127,6 +130,45 @@
 	}
 }
 
+// Guards against a node that waits for the rest of a body after the target has
+// answered.
+func TestEarlyAnswerEndsTheUpload(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("node-a", "", fastSettings())
+	b := m.add("node-b", rawTarget(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, conn)
+		}
+	}), fastSettings())
+	for _, entry := range []*testNode{a, b} {
+		reader, writer := io.Pipe()
+		req, err := http.NewRequest("POST", entry.caller.URL+"/courier", reader)
+		require.NoError(t, err)
+		go func() { _, _ = writer.Write([]byte("start")) }()
+		require.Equal(t, http.StatusRequestEntityTooLarge, roundTrip(req).status)
+		_ = writer.Close()
+	}
+}
+
+// Guards against evidence of services that nobody watches, and against counting
+// an amended attempt twice.
+func TestEvidenceCountsWatchedServices(t *testing.T) {
+	e := callpath.NewEvidence()
+	sample := callpath.Sample{Service: "courier", Version: "v2", Route: "r", Zone: "casa-a", Status: 200, Latency: time.Millisecond}
+	e.Record(sample)
+	e.Watch([]string{"courier"})
+	e.Record(sample)
+	sample.Outcome, sample.Amends = retry.ShortBody, true
+	e.Record(sample)
+	sample.Outcome, sample.Amends = retry.RefusedByNode, false
+	e.Record(sample)
+	got := e.Snapshot()[callpath.EvidenceKey{Service: "courier", Version: "v2", Route: "r", Zone: "casa-a"}]
+	require.Equal(t, []uint64{2, 1, 2}, []uint64{got.Calls, got.Failures, got.Latency[4]})
+	e.Watch(nil)
+	require.Empty(t, e.Snapshot())
+}
+
 type countingReader struct {
 	io.Reader
 	count int
--- a/internal/callpath/keyed_test.go
+++ b/internal/callpath/keyed_test.go
@@ -68,10 +68,7 @@
 		case idempotency.Replay:
 			return callpath.KeyGrant{Replay: &callpath.StoredAnswer{Status: e.Answer.Status, Header: e.Answer.Header, Body: e.Answer.Body}}
 		case idempotency.Refuse:
-			if e.MayHaveRun {
-				return callpath.KeyGrant{Refusal: callpath.MayHaveRun(callpath.CodeKeyUnknownOutcome, string(e.Reason))}
-			}
-			return callpath.KeyGrant{Refusal: callpath.NotRun(callpath.CodeKeyMismatch, string(e.Reason))}
+			return callpath.KeyGrant{Refusal: callpath.KeyRefusal(e)}
 		}
 	case <-ctx.Done():
 	}
@@ -91,10 +88,7 @@
 func (k *testKeys) CheckFence(key string, f callpath.Fence) *callpath.Refusal {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.machine.FenceView().Check(key, idempotency.Fence{Slot: f.Slot, Epoch: f.Epoch}, time.Since(k.start)) != idempotency.FencePass {
-		return callpath.NotRun(callpath.CodeFenced, "fenced")
-	}
-	return nil
+	return callpath.FenceRefusal(k.machine.FenceView().Check(key, idempotency.Fence{Slot: f.Slot, Epoch: f.Epoch}, time.Since(k.start)))
 }
 
 func keyedMesh(t *testing.T, address string) (*testMesh, func(random string) string) {
