--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	go build -o $(BIN)/ ./cmd/...
 
 test:
-	./scripts/test.sh
+	go run ./scripts/runtests ./...
 
 lint:
 	./.ci/run
--- a/cmd/heathercroft-node/main.go
+++ b/cmd/heathercroft-node/main.go
@@ -20,12 +20,12 @@
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s := settings.DefaultNode()
+	if *check {
+		os.Exit(settings.Check(os.Stdout, os.Stderr, *path, &s))
+	}
 	if err := settings.Load(*path, &s); err != nil {
 		app.Fail(app.ExitBadSettings, err)
 	}
-	if *check {
-		return
-	}
 	logger := app.NewLogger(os.Stdout, "heathercroft-node", s.Log.Level).With("node", string(s.Node.ID), "zone", string(s.Node.Zone))
 	n, err := node.New(s, logger)
 	if err != nil {
--- a/cmd/heathercroft-platform/main.go
+++ b/cmd/heathercroft-platform/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
 
@@ -21,15 +20,14 @@
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s := platform.DefaultSettings()
+	if *check {
+		os.Exit(settings.Check(os.Stdout, os.Stderr, *path, s))
+	}
 	if *path != "" {
 		if err := settings.Load(*path, s); err != nil {
 			app.Fail(app.ExitBadSettings, err)
 		}
 	}
-	if *check {
-		fmt.Println("settings are valid")
-		return
-	}
 	logger := app.NewLogger(os.Stdout, "heathercroft-platform", slog.LevelInfo)
 	if err := platform.Run(context.Background(), s, logger); err != nil {
 		app.Fail(app.ExitFailure, err)
--- a/cmd/heathercroft-target/main.go
+++ b/cmd/heathercroft-target/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
 
@@ -21,13 +20,12 @@
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s := target.DefaultSettings()
+	if *check {
+		os.Exit(settings.Check(os.Stdout, os.Stderr, *path, s))
+	}
 	if err := settings.Load(*path, s); err != nil {
 		app.Fail(app.ExitBadSettings, err)
 	}
-	if *check {
-		fmt.Println("settings are valid")
-		return
-	}
 	logger := app.NewLogger(os.Stdout, "heathercroft-target", slog.LevelInfo)
 	if err := target.Run(context.Background(), s, logger); err != nil {
 		app.Fail(app.ExitFailure, err)
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -171,43 +172,15 @@
 	if view == nil {
 		return callpath.NotRun(callpath.CodeNotReady, "the owners of keys are not known yet")
 	}
-	switch view.fence.Check(key, idempotency.Fence(fence), k.loop.now()) {
-	case idempotency.FencePass:
-		return nil
-	case idempotency.FenceOld:
-		return callpath.NotRun(callpath.CodeFenced, "the key's slot has a newer owner")
-	default:
-		return callpath.NotRun(callpath.CodeFenced, "this node's view of the log is too old to check the key's owner")
-	}
-}
-
-func storedAnswer(a idempotency.Answer) *callpath.StoredAnswer {
-	return &callpath.StoredAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Oversized: a.Oversized}
+	return callpath.FenceRefusal(view.fence.Check(key, idempotency.Fence(fence), k.loop.now()))
 }
 
-// keyRefusals gives the code and the message of each reason.
-var keyRefusals = map[idempotency.Reason]struct {
-	code    callpath.Code
-	message string
-}{
-	idempotency.ReasonNotOwner:    {callpath.CodeNoOwner, "this node does not own the key's slot"},
-	idempotency.ReasonLeaseLapsed: {callpath.CodeLeaseLapsed, "the owner of the key's slot could not renew its lease"},
-	idempotency.ReasonTakeover:    {callpath.CodeKeyUnknownOutcome, "an earlier owner without stored results may have run the key"},
-	idempotency.ReasonUnknown:     {callpath.CodeKeyUnknownOutcome, "an earlier request with the key may have run"},
-	idempotency.ReasonMismatch:    {callpath.CodeKeyMismatch, "the key was used for another request"},
-	idempotency.ReasonFull:        {callpath.CodeKeyMemoryFull, "the owner cannot remember more keys"},
-	idempotency.ReasonStopping:    {callpath.CodeDraining, "the owner of the key's slot stops"},
-	idempotency.ReasonWaiters:     {callpath.CodeQueueFull, "too many repeats of the key wait"},
-	idempotency.ReasonSessionGone: {callpath.CodeKeyUnknownOutcome, "the node session that minted the key is gone"},
+// mint returns a key that this node session owns for ever.
+func (k *keyOwners) mint() string {
+	self := k.loop.node.self
+	return idempotency.Mint(self.ID, self.Session, rand.Text())
 }
 
-func keyRefusal(reason idempotency.Reason, mayHaveRun bool) *callpath.Refusal {
-	r, ok := keyRefusals[reason]
-	if !ok {
-		panic("key refusal without a code: " + string(reason))
-	}
-	if mayHaveRun {
-		return callpath.MayHaveRun(r.code, r.message)
-	}
-	return callpath.NotRun(r.code, r.message)
+func storedAnswer(a idempotency.Answer) *callpath.StoredAnswer {
+	return &callpath.StoredAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Oversized: a.Oversized}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -14,6 +14,7 @@
 	"heathercroft.example/heathercroft/internal/callpath"
 	"heathercroft.example/heathercroft/internal/core"
 	"heathercroft.example/heathercroft/internal/rpc"
+	"heathercroft.example/heathercroft/pkg/idempotency"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/routing"
 	"heathercroft.example/heathercroft/pkg/timeline"
@@ -185,7 +186,7 @@
 		case core.KeyReplay:
 			l.keys.deliver(effect.ID, callpath.KeyGrant{Replay: storedAnswer(effect.Answer)})
 		case core.KeyRefuse:
-			l.keys.deliver(effect.ID, callpath.KeyGrant{Refusal: keyRefusal(effect.Reason, effect.MayHaveRun)})
+			l.keys.deliver(effect.ID, callpath.KeyGrant{Refusal: callpath.KeyRefusal(idempotency.Refuse(effect))})
 		case core.PublishKeys:
 			l.keys.publish(l.core, effect.Members)
 		case core.KeysReleased:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	callServer := app.HTTPServer(n.listeners.call, n.calls.NodeHandler())
 	callpath.ConfigureServer(callServer.Server)
-	callerServer := app.HTTPServer(n.listeners.caller, n.calls.CallHandler())
+	callerServer := app.HTTPServer(n.listeners.caller, n.callerHandler())
 	callpath.ConfigureServer(callerServer.Server)
 	n.publishMetrics()
 	return app.Run(ctx, app.Options{
@@ -135,6 +135,21 @@
 // releaseLimit bounds the wait for the release of key slots, which needs the platform.
 const releaseLimit = 8 * time.Second
 
+// mintPath is where callers get keys that this node owns for ever.
+const mintPath = "/heathercroft/v1/keys"
+
+// callerHandler serves calls, and keys on a path of its own.
+func (n *Node) callerHandler() http.Handler {
+	calls, mint := n.calls.CallHandler(), callpath.MintHandler(n.loop.keys.mint)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == mintPath {
+			mint.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
 // stopTimeout bounds the closing of the listeners after the drain.
 const stopTimeout = 5 * time.Second
 
