Let an unreachable zone have its turn

Change: exchanges opened by the other side do not count for a marked zone. A test of this rule fails without the change.

--- a/pkg/membership/machine_test.go
+++ b/pkg/membership/machine_test.go
@@ -323,6 +323,29 @@
 	require.False(t, reachable())
 }
 
+// TestUnreachableTurn guards against a zone that stays marked because its own
+// exchanges keep it from having its turn.
+func TestUnreachableTurn(t *testing.T) {
+	l := newLocal(1)
+	nodes := []mesh.NodeInfo{info(7), info(8)}
+	nodes[0].Zone, nodes[1].Zone = "b", "c"
+	for _, node := range nodes {
+		l.receive(from(node, 1, Message{Updates: []Update{statementOf(node, 1, Alive)}}))
+	}
+	l.receive(from(info(1), 1, Message{Links: []ZoneLink{{Zone: "b", Version: 1}}}))
+	opened := 0
+	for range 10 {
+		l.receive(from(nodes[0], 1, Message{Digest: &Digest{}}))
+		effects, _ := l.run(time.Second)
+		for _, s := range sends(effects) {
+			if s.To == nodes[0].RPC && s.Message.Digest != nil {
+				opened++
+			}
+		}
+	}
+	require.Positive(t, opened)
+}
+
 // TestWireFormat guards against messages that change on the wire.
 func TestWireFormat(t *testing.T) {
 	msg := from(info(1), 3, Message{
--- a/pkg/membership/zone.go
+++ b/pkg/membership/zone.go
@@ -146,16 +146,23 @@
 
 // nextZone returns the zone whose last exchange with this node, opened by
 // either side, is the oldest. Counting those of the other side halves the time
-// until a zone that is cut off is tried.
+// until a zone that is cut off is tried. They do not count for a zone that is
+// marked unreachable, since only an answer to this node ends the mark.
 func (m *Machine) nextZone(others []mesh.AvailabilityZone) mesh.AvailabilityZone {
 	order := slices.Clone(others)
 	m.rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	return slices.MinFunc(order, func(a, b mesh.AvailabilityZone) int {
-		x, y := m.zones.get(a), m.zones.get(b)
-		return cmp.Compare(max(x.exchanged, x.tried), max(y.exchanged, y.tried))
+		return cmp.Compare(m.zones.get(a).turn(), m.zones.get(b).turn())
 	})
 }
 
+func (z *zone) turn() time.Duration {
+	if !z.link.Reachable {
+		return z.tried
+	}
+	return max(z.exchanged, z.tried)
+}
+
 // otherZones returns the zones with members, except the own one. A zone whose
 // members are all dead is tried as long as these are remembered.
 func (m *Machine) otherZones() []mesh.AvailabilityZone {
