Guard informational responses and end the wait for a closed connection

An attempt that is over can no longer write informational responses. Adds tests for callers that leave and for the fence.

--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/retry"
@@ -40,6 +41,8 @@
 	target string
 	// callerExpects is set if the caller itself waits for a 100 response.
 	callerExpects bool
+	// informing guards w against informational responses of an attempt that is over.
+	informing sync.Mutex
 	// mayHaveRun is set once an attempt may have run, so that no later refusal
 	// may say not-run.
 	mayHaveRun bool
@@ -215,6 +218,10 @@
 		}
 		tried[i] = choice.Endpoint
 		last = n.attempt(c, route, choice, i)
+		if last.code() == CodeCrashing {
+			// Another endpoint would refuse too, or crash.
+			return last
+		}
 		c.mayHaveRun = c.mayHaveRun || !last.outcome.NotRun() && last.outcome != retry.Answered
 		action := retry.Decide(retry.Attempt{
 			Outcome: last.outcome, Method: c.req.Method, BodyConsumed: c.body.consumed(),
--- a/internal/callpath/conn.go
+++ b/internal/callpath/conn.go
@@ -27,11 +27,13 @@
 	wrote atomic.Bool
 	// reading is set while a read waits for bytes, so nothing is buffered above.
 	reading atomic.Bool
-	entered chan struct{}
+	closed  atomic.Bool
+	// changed gets a token when reading or closed is set.
+	changed chan struct{}
 }
 
 func watch(conn net.Conn, silence time.Duration) *watchedConn {
-	c := &watchedConn{Conn: conn, entered: make(chan struct{}, 1)}
+	c := &watchedConn{Conn: conn, changed: make(chan struct{}, 1)}
 	c.limit.Store(int64(silence))
 	return c
 }
@@ -54,9 +56,9 @@
 	defer timer.Stop()
 	for {
 		select {
-		case <-c.entered:
-			if c.reading.Load() {
-				return true
+		case <-c.changed:
+			if c.closed.Load() || c.reading.Load() {
+				return !c.closed.Load()
 			}
 		case <-timer.C:
 			return c.reading.Load()
@@ -68,10 +70,7 @@
 func (c *watchedConn) Read(p []byte) (int, error) {
 	_ = c.SetReadDeadline(time.Now().Add(time.Duration(c.limit.Load())))
 	c.reading.Store(true)
-	select {
-	case c.entered <- struct{}{}:
-	default:
-	}
+	c.signal()
 	n, err := c.Conn.Read(p)
 	c.reading.Store(false)
 	if n > 0 && !c.wrote.Load() {
@@ -86,3 +85,17 @@
 	_ = c.SetDeadline(time.Now().Add(time.Duration(c.limit.Load())))
 	return c.Conn.Write(p)
 }
+
+// Close implements net.Conn.
+func (c *watchedConn) Close() error {
+	c.closed.Store(true)
+	c.signal()
+	return c.Conn.Close()
+}
+
+func (c *watchedConn) signal() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strconv"
 	"strings"
@@ -127,7 +128,9 @@
 }
 
 func (n *Node) try(c *call, conn *targetConn, addr string, attempt int) (a *answer, again bool) {
-	ctx := c.trace1xx()
+	inform, over := c.informer()
+	defer over()
+	ctx := httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{Got1xxResponse: inform})
 	req := n.outbound(ctx, c, addr, attempt)
 	if req.Body == nil {
 		req.Body = http.NoBody
--- a/internal/callpath/keyed_test.go
+++ b/internal/callpath/keyed_test.go
@@ -16,6 +16,7 @@
 	"heathercroft.example/heathercroft/internal/callpath"
 	"heathercroft.example/heathercroft/pkg/idempotency"
 	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/state"
 )
 
 // testKeys runs one key owner; its keys are minted, so that it needs no log.
@@ -168,3 +169,50 @@
 	require.Equal(t, int64(1), calls.Load(), "a byte reached the target, so no node may send it again")
 	require.Equal(t, "ran", m.do(m.nodes["node-a"], "POST", "/courier", "charge", callpath.HeaderKey, mint("r")).body)
 }
+
+// Guards against a key that is left unknown, or runs again, because its caller
+// left while the target worked.
+func TestKeyedRequestOutlivesItsCaller(t *testing.T) {
+	var runs atomic.Int64
+	begun, release := make(chan struct{}), make(chan struct{})
+	m, mint := keyedMesh(t, target(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		close(begun)
+		<-release
+		_, _ = io.WriteString(w, "charged")
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", m.nodes["node-a"].caller.URL+"/courier", nil)
+	require.NoError(t, err)
+	req.Header.Set(callpath.HeaderKey, mint("r"))
+	go func() {
+		<-begun
+		cancel()
+	}()
+	require.Error(t, roundTrip(req).err)
+	close(release)
+	require.Equal(t, "charged", m.do(m.nodes["node-b"], "POST", "/courier", "", callpath.HeaderKey, mint("r")).body)
+	require.Equal(t, int64(1), runs.Load())
+}
+
+// Guards against a keyed request that passes a node which cannot tell the owner
+// of the key, or that comes without a fence.
+func TestFenceStopsRequestBeforeTheTarget(t *testing.T) {
+	var runs atomic.Int64
+	m, _ := keyedMesh(t, target(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	slot := state.SlotOf("charge")
+	for fence, reason := range map[string]string{
+		"": "bad-request", "x/1": "bad-request", "1": "bad-request",
+		fmt.Sprintf("%d/9", slot+1): "fenced", fmt.Sprintf("%d/9", slot): "view-unconfirmed",
+	} {
+		req, err := http.NewRequest("POST", m.nodes["node-b"].peer.URL+"/courier", nil)
+		require.NoError(t, err)
+		req.Header.Set(callpath.HeaderHop, callpath.HopTarget)
+		req.Header.Set(callpath.HeaderTarget, "courier/v1")
+		req.Header.Set(callpath.HeaderKey, "charge")
+		req.Header.Set(callpath.HeaderFence, fence)
+		got := roundTrip(req)
+		require.Equal(t, []string{reason, "not-run"}, []string{got.header.Get(callpath.HeaderReason), got.header.Get(callpath.HeaderOutcome)}, fence)
+	}
+	require.Zero(t, runs.Load())
+}
--- a/internal/callpath/refusal.go
+++ b/internal/callpath/refusal.go
@@ -49,7 +49,6 @@
 	CodeKeyMemoryFull     Code = "key-memory-full"     // 503: the owner cannot remember more keys
 	CodeKeyMismatch       Code = "key-mismatch"        // 422: the key was used for another request
 	CodeKeyUnknownOutcome Code = "key-unknown-outcome" // 409: an earlier request with the key may have run
-	CodeKeyExpired        Code = "key-expired"         // 410: the key is older than the retry horizon
 	CodeCanceled          Code = "canceled"            // 499: the caller left
 )
 
@@ -67,7 +66,6 @@
 	CodeDepth:             http.StatusLoopDetected,
 	CodeKeyMismatch:       http.StatusUnprocessableEntity,
 	CodeKeyUnknownOutcome: http.StatusConflict,
-	CodeKeyExpired:        http.StatusGone,
 	CodeCanceled:          statusCanceled,
 }
 
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -122,10 +123,12 @@
 // did not answer a ping.
 func (n *Node) send(c *call, to netip.AddrPort, retries int, mark func(http.Header)) (a *answer, silent bool) {
 	var connected, wrote atomic.Bool
+	inform, over := c.informer()
+	defer over()
 	trace := &httptrace.ClientTrace{
 		GotConn:          func(httptrace.GotConnInfo) { connected.Store(true) },
 		WroteHeaderField: func(string, []string) { wrote.Store(true) },
-		Got1xxResponse:   c.forward1xx,
+		Got1xxResponse:   inform,
 	}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(c.ctx, trace))
 	req := n.outbound(ctx, c, to.String(), c.inherited+retries)
@@ -242,30 +245,38 @@
 	return req.WithContext(ctx)
 }
 
-// forward1xx passes an informational response on, but for 100, which the
-// server sends by itself when the body is read.
-func (c *call) forward1xx(code int, header textproto.MIMEHeader) error {
-	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
+// informer returns a function that passes informational responses on until over
+// is called, but for 100, which the server sends by itself when the body is read.
+func (c *call) informer() (inform func(int, textproto.MIMEHeader) error, over func()) {
+	ended := false
+	inform = func(code int, header textproto.MIMEHeader) error {
+		c.informing.Lock()
+		defer c.informing.Unlock()
+		if !ended && code != http.StatusContinue && code != http.StatusSwitchingProtocols {
+			c.writeInformation(code, header)
+		}
 		return nil
 	}
+	over = func() {
+		c.informing.Lock()
+		defer c.informing.Unlock()
+		ended = true
+	}
+	return inform, over
+}
+
+// writeInformation writes an informational response and leaves the header of
+// the final one as it was.
+func (c *call) writeInformation(code int, header textproto.MIMEHeader) {
 	h := c.w.Header()
 	saved := h.Clone()
-	for name, values := range header {
-		h[name] = values
-	}
+	maps.Copy(h, header)
 	removeHopByHop(h)
 	c.w.WriteHeader(code)
 	clear(h)
-	for name, values := range saved {
-		h[name] = values
-	}
-	return nil
+	maps.Copy(h, saved)
 }
 
 func (n *Node) isUpload(length int64) bool {
 	return length < 0 || length > n.settings.UploadBytes
 }
-
-func (c *call) trace1xx() context.Context {
-	return httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{Got1xxResponse: c.forward1xx})
-}
