--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := bin
 
-.PHONY: build test lint demo clean
+.PHONY: build test lint demo clean bench bench-%
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -16,3 +16,11 @@
 
 demo: build
 	go run ./scripts/demo --bin $(BIN)
+
+# All measures in under 10 minutes; results go to docs/figures.
+bench: build
+	go run ./scripts/bench --bin $(BIN)
+
+# One part: calls, bytes, convergence, memory, recovery, pricing or rollouts.
+bench-%: build
+	go run ./scripts/bench --bin $(BIN) $*
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"slices"
 	"strings"
 	"time"
@@ -37,6 +38,7 @@
 	cli.Flag("bin", "Directory of the binaries.").Default("bin").StringVar(&o.bin)
 	cli.Flag("out", "Directory of the tables and figures.").Default("docs/figures").StringVar(&o.out)
 	cli.Flag("seed", "Seed of the schedules and reducers.").Default("1").Uint64Var(&o.seed)
+	cpu := cli.Flag("cpuprofile", "File for a CPU profile of this process.").String()
 	var names []string
 	for _, p := range parts {
 		names = append(names, p.name)
@@ -48,6 +50,12 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if *cpu != "" {
+		file, err := os.Create(*cpu)
+		cli.FatalIfError(err, "create CPU profile")
+		cli.FatalIfError(pprof.StartCPUProfile(file), "start CPU profile")
+		defer pprof.StopCPUProfile()
+	}
 	if err := run(ctx, o, *wanted); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
