--- a/scripts/bench/parts.go
+++ b/scripts/bench/parts.go
@@ -61,5 +61,5 @@
 func rollouts(ctx context.Context, o options, out *bench.Output) error {
 	return evaluation.Report(ctx, evaluation.Config{
 		Seed: o.seed, Good: 10, Bad: 10, Workers: 2, Profiles: evaluation.Profiles(""), Methods: evaluation.Methods(""),
-	}, out.Dir, os.Stdout)
+	}, out.Dir, os.Stdout, nil)
 }
