Write timeline events to the log in the form that the collector reads

Cause: the node's log lines held the kind and fields of an event, but not its session and sequence, so that the timeline could not be rebuilt from log files. Change: the log line carries the whole event; a confirmed append is an event too. The test that reads the log follows the new form.

--- a/internal/core/append.go
+++ b/internal/core/append.go
@@ -11,6 +11,7 @@
 	"heathercroft.example/heathercroft/pkg/pricing"
 	"heathercroft.example/heathercroft/pkg/record"
 	"heathercroft.example/heathercroft/pkg/state"
+	"heathercroft.example/heathercroft/pkg/timeline"
 )
 
 const (
@@ -94,6 +95,7 @@
 	case e.Offset > 0:
 		p.mayHaveRun = true
 		p.next = c.time.Now + appendSeen
+		c.emit(Note{Kind: timeline.KindAppended, Revision: e.Offset, Fields: map[string]string{"id": e.ID}})
 		c.head = max(c.head, uint64(e.Offset))
 		return
 	case !e.NotRun:
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,9 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -247,14 +245,11 @@
 	l.record(n.Kind, uint64(n.Revision), n.Fields)
 }
 
-// record adds an event to the timeline and writes it to the log.
+// record adds an event to the timeline and writes it to the log, from which it
+// can be collected as well.
 func (l *loop) record(kind timeline.Kind, revision uint64, fields map[string]string) {
-	l.node.recorder.Record(kind, revision, fields)
-	args := []any{"event", string(kind), "revision", revision}
-	for _, key := range slices.Sorted(maps.Keys(fields)) {
-		args = append(args, key, fields[key])
-	}
-	l.node.logger.Info("event", args...)
+	e := l.node.recorder.Record(kind, revision, fields)
+	l.node.logger.Info(string(kind), timeline.LogAttr(e))
 }
 
 // send delivers a message; the answer only confirms the receipt, so that a
--- a/test/process/change_test.go
+++ b/test/process/change_test.go
@@ -18,14 +18,15 @@
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/record"
 	"heathercroft.example/heathercroft/pkg/state"
+	"heathercroft.example/heathercroft/pkg/timeline"
 )
 
 // applied is one record that a node process applied, as its log tells.
 type applied struct {
-	Event    string `json:"event"`
-	Revision uint64 `json:"revision"`
-	ID       string `json:"id"`
-	Outcome  string `json:"outcome"`
+	Event    string
+	Revision uint64
+	ID       string
+	Outcome  string
 }
 
 // history returns what each run of a node process applied, in order, from its
@@ -39,9 +40,12 @@
 	lines := bufio.NewScanner(bytes.NewReader(data[from:]))
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
-		var a applied
-		if json.Unmarshal(lines.Bytes(), &a) == nil {
-			list = append(list, a)
+		var line struct {
+			Event *timeline.Event `json:"event"`
+		}
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event != nil {
+			e := line.Event
+			list = append(list, applied{string(e.Kind), e.Revision, e.Fields["id"], e.Fields["outcome"]})
 		}
 	}
 	return list
