Suspect only unanswered requests of crashes and eject targets that refuse connections

Cause: each request in flight at a crash counted as a suspect. Two crashes within 10 min refused the zone's most frequent request in the whole zone for 10 min. Ruled out: an equal fingerprint by a hash collision (the fingerprint of the other request was reported by both nodes). Change: a request is not suspected if the target has answered an equal one, and the query is part of the fingerprint, since two searches on one path are not equal.

Cause: a refusal 'unreachable' by the node beside a target that refuses connections was booked neither for nor against the endpoint, so that calls went on to go there until the announcement stopped 3 s later, and used up the retry budget. Change: it is ejected at once, like a target that drains or is gone. TestTargetThatRefusesConnectionsIsEjected fails without the change.

--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -95,6 +95,15 @@
 	return b.start(n)
 }
 
+// trySeen is seen without a wait for a read that is pending.
+func (b *requestBody) trySeen(n int) ([]byte, bool) {
+	if !b.mu.TryLock() {
+		return nil, false
+	}
+	defer b.mu.Unlock()
+	return b.start(n), true
+}
+
 func (b *requestBody) start(n int) []byte { return b.head[:min(n, len(b.head))] }
 
 // read reads from src and keeps what fits into head.
--- a/internal/callpath/crash.go
+++ b/internal/callpath/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,14 +21,18 @@
 	crashWindow = 5 * time.Second
 	// maxFingerprints bounds the memory; beyond it the oldest is dropped.
 	maxFingerprints = 1024
+	// answeredSlots is the size of the table of answered fingerprints, 8 KiB. Two
+	// fingerprints in one slot replace each other.
+	answeredSlots = 1024
 )
 
-// Fingerprint identifies equal requests: method, path, and key or start of the body.
+// Fingerprint identifies equal requests: method, path with query, and key or
+// start of the body.
 type Fingerprint uint64
 
-func fingerprintOf(method, path, key string, head []byte) Fingerprint {
+func fingerprintOf(method, uri, key string, head []byte) Fingerprint {
 	h := xxhash.New()
-	_, _ = h.WriteString(method + "\x00" + path + "\x00" + key + "\x00")
+	_, _ = h.WriteString(method + "\x00" + uri + "\x00" + key + "\x00")
 	if key == "" {
 		_, _ = h.Write(head)
 	}
@@ -41,6 +46,10 @@
 	// broken holds requests whose connection broke and that may prove a crash.
 	broken  []brokenRequest
 	crashes map[Fingerprint]crashRecord
+	// answered holds fingerprints that the present target has answered. An equal
+	// request that was in flight when the target crashed is not suspected:
+	// otherwise two crashes would refuse the most frequent requests of the zone.
+	answered [answeredSlots]atomic.Uint64
 }
 
 type brokenRequest struct {
@@ -74,15 +83,24 @@
 	var found []Fingerprint
 	seen := map[Fingerprint]bool{}
 	for _, b := range g.broken {
-		if now-b.at <= crashWindow && !seen[b.fingerprint] {
+		answered := g.answered[b.fingerprint%answeredSlots].Load() == uint64(b.fingerprint)
+		if now-b.at <= crashWindow && !seen[b.fingerprint] && !answered {
 			seen[b.fingerprint] = true
 			found = append(found, b.fingerprint)
 		}
 	}
 	g.broken = nil
+	for i := range g.answered {
+		g.answered[i].Store(0)
+	}
 	return found
 }
 
+// targetAnswered remembers a request that the target answered completely.
+func (g *crashGuard) targetAnswered(f Fingerprint) {
+	g.answered[f%answeredSlots].Store(uint64(f))
+}
+
 // count adds a crash anywhere in the zone.
 func (g *crashGuard) count(f Fingerprint, now time.Duration) {
 	g.mu.Lock()
@@ -133,7 +151,7 @@
 	if c.key == "" {
 		head = c.body.peek(fingerprintBytes)
 	}
-	if !n.crash.blocked(fingerprintOf(c.req.Method, c.req.URL.Path, c.key, head), now) {
+	if !n.crash.blocked(fingerprintOf(c.req.Method, c.req.URL.RequestURI(), c.key, head), now) {
 		return nil
 	}
 	return MayHaveRun(CodeCrashing, "equal requests crashed targets; refused for 10 min")
@@ -142,7 +160,15 @@
 // noteBroken remembers the fingerprint of a request whose connection broke.
 func (n *Node) noteBroken(c *call) {
 	head := c.body.seen(fingerprintBytes)
-	n.crash.connectionBroke(fingerprintOf(c.req.Method, c.req.URL.Path, c.key, head), n.deps.Now())
+	n.crash.connectionBroke(fingerprintOf(c.req.Method, c.req.URL.RequestURI(), c.key, head), n.deps.Now())
+}
+
+// noteAnswered remembers the fingerprint of a request that was answered, unless
+// its body is still being read.
+func (n *Node) noteAnswered(c *call) {
+	if head, ok := c.body.trySeen(fingerprintBytes); ok {
+		n.crash.targetAnswered(fingerprintOf(c.req.Method, c.req.URL.RequestURI(), c.key, head))
+	}
 }
 
 // TargetGone tells the call path that the local target's announcement stopped
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -152,7 +152,9 @@
 	a.timing = targetTiming{known: true, elapsed: n.deps.Now() - started, fresh: !conn.reused}
 	a.then(func(complete bool) {
 		n.pool.put(conn, complete)
-		if !complete && c.ctx.Err() == nil {
+		if complete {
+			n.noteAnswered(c)
+		} else if c.ctx.Err() == nil {
 			n.noteBroken(c)
 		}
 	})
--- a/internal/callpath/failure_test.go
+++ b/internal/callpath/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -381,3 +382,48 @@
 	require.Equal(t, "crashing-request", m.do(a, "POST", "/courier", "poison").header.Get(callpath.HeaderReason))
 	require.Equal(t, "connection-lost", m.do(a, "POST", "/courier", "other").header.Get(callpath.HeaderReason))
 }
+
+// Guards against a refusal of requests that were only in flight when a target
+// crashed: an equal one was answered before, so it is not what crashes targets.
+func TestAnsweredRequestIsNotSuspectedOfCrash(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("node-a", "", fastSettings())
+	var crash atomic.Bool
+	b := m.add("node-b", target(t, func(w http.ResponseWriter, _ *http.Request) {
+		if crash.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "ok")
+	}), fastSettings())
+	for range callpath.CrashLimit {
+		crash.Store(false)
+		require.Equal(t, http.StatusOK, m.do(a, "POST", "/courier", "common").status)
+		crash.Store(true)
+		for _, body := range []string{"common", "poison"} {
+			require.Equal(t, "connection-lost", m.do(a, "POST", "/courier", body).header.Get(callpath.HeaderReason))
+		}
+		b.TargetGone()
+		require.Len(t, <-b.events.crashed, 1)
+	}
+	crash.Store(false)
+	require.Equal(t, http.StatusOK, m.do(a, "POST", "/courier", "common").status)
+	require.Equal(t, "crashing-request", m.do(a, "POST", "/courier", "poison").header.Get(callpath.HeaderReason))
+}
+
+// Guards against calls that keep going to a target that refuses connections,
+// until its announcement stops 3 s later.
+func TestTargetThatRefusesConnectionsIsEjected(t *testing.T) {
+	m := newMesh(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	a := m.add("node-a", "", fastSettings())
+	m.add("node-b", closed.Addr().String(), fastSettings())
+	m.add("node-c", target(t, ok), fastSettings())
+	for range 50 {
+		require.Equal(t, http.StatusOK, m.do(a, "POST", "/courier", "").status)
+	}
+	retries, err := strconv.Atoi(a.Metrics().Var().(*expvar.Map).Get("retries_total").String())
+	require.NoError(t, err)
+	require.LessOrEqual(t, retries, 2)
+}
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -83,7 +83,8 @@
 }
 
 // bookHealth counts what speaks for or against the endpoint. A target that
-// leaves or is gone is taken out at once, before membership has told.
+// leaves, is gone or refuses its node's connections is taken out at once, before
+// membership has told.
 func (n *Node) bookHealth(e *routing.Endpoint, a *answer, silent bool, now time.Duration) {
 	ejected := false
 	switch a.outcome {
@@ -95,7 +96,8 @@
 			e.Succeeded(now)
 		}
 	case retry.RefusedByNode:
-		if code := a.code(); code == CodeDraining || code == CodeNoTarget {
+		switch a.code() {
+		case CodeDraining, CodeNoTarget, CodeUnreachable:
 			ejected = e.Silent(now)
 		}
 	case retry.ConnectionRefused, retry.ResetAfterWrite, retry.ResetBeforeWrite, retry.MayHaveRun, retry.TimedOut:
