--- a/test/process/calls_test.go
+++ b/test/process/calls_test.go
@@ -32,7 +32,8 @@
 
 var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-// post sends one request with its own request id. An empty key sends none.
+// post sends one request with its own request id. An empty key or a deadline of 0
+// sends none.
 func post(member *testbed.Member, path, key string, deadline time.Duration, header http.Header) attempt {
 	a := attempt{key: key, id: fmt.Sprintf("attempt-%d", ids.Add(1)), node: member.Name}
 	req, err := http.NewRequest(http.MethodPost, member.CallerURL()+path, strings.NewReader("umbrella"))
@@ -44,13 +45,18 @@
 		req.Header[name] = values
 	}
 	req.Header.Set(target.HeaderRequestID, a.id)
-	req.Header.Set(target.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
+	if deadline > 0 {
+		req.Header.Set(target.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
+	}
 	if key != "" {
 		req.Header.Set(target.HeaderIdempotencyKey, key)
 	}
 	// A node that is paused answers nothing, so the caller has its own bound.
 	client := *caller
-	client.Timeout = deadline + time.Second
+	client.Timeout = time.Minute
+	if deadline > 0 {
+		client.Timeout = deadline + time.Second
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		a.err = err
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -39,7 +39,9 @@
 	seeds []*testbed.Member
 	// nodeExtra is appended to the settings of each node.
 	nodeExtra string
-	loads     int
+	// targetExtra is appended to the settings of each target that is added.
+	targetExtra string
+	loads       int
 }
 
 // newFleet starts the platform. Its logs are kept if the test fails.
@@ -80,7 +82,8 @@
 		for i := range count {
 			o := testbed.MemberOptions{
 				Name: fmt.Sprintf("%s-%s-%d-%d", service, version, zone, i), Zone: fmt.Sprintf("zone-%d", zone),
-				ZoneID: byte(zone), Service: service, Version: version, Seeds: m.seeds, NodeExtra: m.nodeExtra,
+				ZoneID: byte(zone), Service: service, Version: version, Seeds: m.seeds,
+				NodeExtra: m.nodeExtra, TargetExtra: m.targetExtra,
 			}
 			member, err := m.Start(o)
 			require.NoError(m.t, err)
