--- a/internal/convergence/zone_test.go
+++ b/internal/convergence/zone_test.go
@@ -63,6 +63,29 @@
 	t.Logf("reachable known in %v", took)
 }
 
+// TestSplitZone guards against the halves of a zone that hold each other for dead
+// for ever after a cut inside the zone.
+func TestSplitZone(t *testing.T) {
+	for seed := range uint64(5) {
+		p := settled(t, 50+seed, 1, 10)
+		half := make(map[*node]bool)
+		for _, n := range p.up()[:5] {
+			half[n] = true
+		}
+		p.filter = func(from, to *node, msg any) (any, bool) { return msg, half[from] == half[to] }
+		p.runFor(40 * time.Second)
+		require.Len(t, p.up()[0].missing(), 5)
+		last := p.platform.append("during the cut")
+		p.runFor(9 * time.Second)
+		require.Empty(t, p.behind(last), "each half has readers")
+		p.filter = nil
+		took, ok := p.runUntil(time.Minute, p.complete)
+		require.True(t, ok)
+		t.Logf("whole again in %v", took)
+		require.Empty(t, p.violations)
+	}
+}
+
 // TestSummary guards against an in-force report that hides a node that lags or
 // cannot apply a record.
 func TestSummary(t *testing.T) {
