Take the latency bounds of quiet zones from all zones of the route

At night a route with a tenth of the calls gathered 20 old calls in one zone only after hours, and was not compared until then.

--- a/pkg/rollout/latencytables.go
+++ b/pkg/rollout/latencytables.go
@@ -34,9 +34,9 @@
 
 // observeLatency adds the calls of a stratum to its tables and weighs them once
 // they are complete.
-func (s *Sequential) observeLatency(st Stratum, state *stratumState, elapsed time.Duration) {
+func (s *Sequential) observeLatency(st Stratum, state *stratumState, reference *Histogram, elapsed time.Duration) {
 	for i, q := range latencyQuantiles {
-		bucket, _ := state.reference.Quantile(q)
+		bucket, _ := reference.Quantile(q)
 		state.tables.list[i].add(table{
 			newCalls: st.New.Latency.Total(), newMarked: st.New.Latency.Above(bucket),
 			oldCalls: st.Old.Latency.Total(), oldMarked: st.Old.Latency.Above(bucket),
--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -35,10 +35,16 @@
 // minReference is how many calls of the old version a latency bound needs.
 const minReference = 20
 
+// minRouteReference is the same for the calls of a route in all zones. Any bound
+// is valid; a poor one only costs power.
+const minRouteReference = 8
+
 // routeProcesses gathers the evidence of one scope: one route, or all.
 type routeProcesses struct {
 	failures *eProcess
 	latency  []*eProcess
+	// reference holds the old version's latency in all zones.
+	reference Histogram
 	// tables holds calls of zones with too few of them for a table of their own.
 	tables tables
 }
--- a/pkg/rollout/stratum.go
+++ b/pkg/rollout/stratum.go
@@ -37,11 +37,13 @@
 	}
 	// The bounds come from earlier blocks only: a bound that depends on the
 	// calls it sorts would bias the test.
-	if state.reference.Total() >= minReference && b.Weight < record.FullWeight {
-		s.observeLatency(st, state, b.Elapsed)
+	route := s.routes[st.Route]
+	if reference, ok := state.bounds(route); ok && b.Weight < record.FullWeight {
+		s.observeLatency(st, state, reference, b.Elapsed)
 	}
 	s.observePast(st, state, b)
 	state.reference.merge(&st.Old.Latency)
+	route.reference.merge(&st.Old.Latency)
 	s.raised.Merge(st.New)
 	s.oldRaised.Merge(st.Old)
 	zone := s.raisedZones[st.Zone]
@@ -49,6 +51,15 @@
 	s.raisedZones[st.Zone] = zone
 }
 
+// bounds returns the latencies that the bounds of a stratum come from: its own,
+// or those of its route while it has few, as at night.
+func (st *stratumState) bounds(route *routeProcesses) (*Histogram, bool) {
+	if st.reference.Total() >= minReference {
+		return &st.reference, true
+	}
+	return &route.reference, route.reference.Total() >= minRouteReference
+}
+
 // observePast compares with the old version's earlier calls at full weight, and
 // learns from them before.
 func (s *Sequential) observePast(st Stratum, state *stratumState, b Block) {
