--- a/internal/evaluation/plot.go
+++ b/internal/evaluation/plot.go
@@ -29,7 +29,8 @@
 	p := plot.New()
 	p.Title.Text = profile + ": rollouts by method"
 	p.Y.Label.Text = "% of versions"
-	p.Y.Min, p.Y.Max = 0, 115
+	// The room above 100 % is for the legend.
+	p.Y.Min, p.Y.Max = 0, 140
 	p.Legend.Top = true
 	p.Legend.Left = true
 	p.NominalX("bad taken back", "good done in time", "good taken back")
