Rank nodes for key slots only when a claim is due

Ranking 2,500 nodes took 0.7 ms on a busy machine; a tick ranked them for each of 64 slots. In steady state no slot is ranked now. Adds a test for bytes that arrive before their request.

--- a/internal/callpath/pool_test.go
+++ b/internal/callpath/pool_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -84,3 +85,25 @@
 		l.release(false)
 	}
 }
+
+// Guards against bytes that arrive before a request was written and are taken
+// for its answer.
+func TestBytesBeforeTheRequestAreRefused(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close() })
+	conn := watch(near, time.Second)
+	go func() { _, _ = far.Write([]byte("HTTP/1.1 200 OK\r\n")) }()
+	_, err := conn.Read(make([]byte, 64))
+	require.ErrorIs(t, err, errStrayAnswer)
+	go func() { _, _ = io.CopyN(io.Discard, far, 4) }()
+	_, err = conn.Write([]byte("GET "))
+	require.NoError(t, err)
+	go func() { _, _ = far.Write([]byte("HTTP/1.1 200 OK\r\n")) }()
+	n, err := conn.Read(make([]byte, 64))
+	require.NoError(t, err)
+	require.Positive(t, n)
+	conn.allow(time.Second)
+	go func() { _, _ = far.Write([]byte("HTTP/1.1 200 OK\r\n")) }()
+	_, err = conn.Read(make([]byte, 64))
+	require.ErrorIs(t, err, errStrayAnswer)
+}
--- a/pkg/idempotency/lease.go
+++ b/pkg/idempotency/lease.go
@@ -57,10 +57,6 @@
 	if slot.Released && slot.Successor == string(m.config.Node) {
 		return true
 	}
-	rank := slices.Index(mesh.RankNodes("key-slot/"+strconv.Itoa(i), m.live), m.config.Node)
-	if rank < 0 {
-		return false
-	}
 	from := max(s.seen, m.started)
 	if slot.Epoch != 0 && !slot.Released {
 		from += m.config.Lease + m.config.Margin
@@ -69,6 +65,14 @@
 			return false
 		}
 	}
+	if now < from {
+		return false
+	}
+	// Ranking all nodes cost 0.7 ms at 2,500 nodes when measured, so it comes last.
+	rank := slices.Index(mesh.RankNodes("key-slot/"+strconv.Itoa(i), m.live), m.config.Node)
+	if rank < 0 {
+		return false
+	}
 	if slot.Released {
 		rank++
 	}
