--- a/pkg/idempotency/lease.go
+++ b/pkg/idempotency/lease.go
@@ -64,7 +64,11 @@
 			return false
 		}
 	}
-	// The rank takes a hash of each live node, so it comes after the cheap checks.
+	if now < from {
+		return false
+	}
+	// The rank takes a hash of each live node, 64 times a second while no slot has
+	// an owner, so it comes last.
 	rank, ok := mesh.Rank("key-slot/"+strconv.Itoa(i), m.config.Node, m.live)
 	if !ok {
 		return false
