--- a/internal/bench/convergence.go
+++ b/internal/bench/convergence.go
@@ -136,6 +136,7 @@
 func (s *Simulation) resetCounters() {
 	for _, n := range s.nodes {
 		n.bytes, n.messages, n.peak, n.inSecond = 0, 0, 0, 0
+		clear(n.traffic)
 	}
 	l := s.log
 	l.appends, l.refused, l.reads, l.snapshotReads, l.snapshotParts, l.bytes, l.peakReads = 0, 0, 0, 0, 0, 0, 0
--- a/internal/bench/simnode.go
+++ b/internal/bench/simnode.go
@@ -35,6 +35,8 @@
 	bytes, messages int64
 	second          int64
 	inSecond, peak  int64
+	// traffic counts messages by kind.
+	traffic map[string]traffic
 }
 
 func (n *simNode) now() time.Duration { return n.sim.now - n.started }
@@ -49,6 +51,13 @@
 	n.peak = max(n.peak, n.inSecond)
 }
 
+// countMessage counts a message that was sent or received, and its receipt.
+func (n *simNode) countMessage(kind string, size int) {
+	n.count(size + answerBytes)
+	v := n.traffic[kind]
+	n.traffic[kind] = traffic{v.bytes + int64(size) + answerBytes, v.messages + 1}
+}
+
 // start runs a new session without memory of the former one.
 func (n *simNode) start() {
 	s := n.sim
--- a/internal/bench/simulation.go
+++ b/internal/bench/simulation.go
@@ -84,7 +84,7 @@
 func (s *Simulation) add(zone, i int) {
 	number := len(s.nodes)
 	rpc := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(zone), byte(i >> 8), byte(i)}), 7001)
-	n := &simNode{sim: s, service: fmt.Sprintf("service-%03d", number%s.services), info: mesh.NodeInfo{
+	n := &simNode{sim: s, traffic: map[string]traffic{}, service: fmt.Sprintf("service-%03d", number%s.services), info: mesh.NodeInfo{
 		ID: mesh.NodeID(fmt.Sprintf("zone-%02d-node-%03d", zone, i)), Zone: zoneName(zone),
 		Region: mesh.Region(fmt.Sprintf("region-%d", zone%regions)), RPC: rpc, Call: netip.AddrPortFrom(rpc.Addr(), 7002),
 	}}
@@ -148,13 +148,13 @@
 	if to == nil || !to.up || !s.connected(from, to) {
 		return
 	}
-	size := messageBytes(e)
-	from.count(size + answerBytes)
+	size, kind := messageBytes(e), kindOf(e)
+	from.countMessage(kind, size)
 	from.messages++
 	event := eventOf(e)
 	s.schedule(s.delay(from, to), func() {
 		if to.up {
-			to.count(size + answerBytes)
+			to.countMessage(kind, size)
 			to.step(event)
 		}
 	})
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -10,6 +10,7 @@
 	"runtime/pprof"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -46,7 +47,7 @@
 	wanted := cli.Arg("part", "Parts: "+strings.Join(names, ", ")+".").Enums(names...)
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
