--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -18,7 +17,6 @@
 	"heathercroft.example/heathercroft/internal/testbed"
 	"heathercroft.example/heathercroft/pkg/record"
 	"heathercroft.example/heathercroft/pkg/state"
-	"heathercroft.example/heathercroft/pkg/timeline"
 )
 
 const (
@@ -211,24 +209,6 @@
 	return s, results
 }
 
-// events returns the timeline of a node's present session.
-func (m *fleet) events(member *testbed.Member) []timeline.Event {
-	m.t.Helper()
-	var all []timeline.Event
-	for {
-		after := uint64(0)
-		if len(all) > 0 {
-			after = all[len(all)-1].Sequence
-		}
-		var batch timeline.Batch
-		require.NoError(m.t, testbed.Get(fmt.Sprintf("%s%s?after=%d", member.AdminURL(), timeline.EventsPath, after), &batch))
-		if len(batch.Events) == 0 {
-			return all
-		}
-		all = append(all, batch.Events...)
-	}
-}
-
 // revision returns the revision that a node has applied.
 func revision(member *testbed.Member) (uint64, error) {
 	var a struct {
@@ -289,11 +269,3 @@
 	require.Zero(t, r.Node.Truncated, "cut short: %+v", r.Node)
 	require.Zero(t, r.Duplicated, "run twice: %+v", r.Duplicates)
 }
-
-// logText returns what a process wrote to its log.
-func (m *fleet) logText(name string) string {
-	m.t.Helper()
-	data, err := os.ReadFile(filepath.Join(m.Dir, name+".log"))
-	require.NoError(m.t, err)
-	return string(data)
-}
