End a stalled upload when the target's connection is lost

net/http waits for a pending read of the request body when a connection breaks, and the crash fingerprint waited for the same read: a silent caller held the call, its slot and the drain for ever. The read is now ended when the connection closes, and the start of a body is kept under its own lock.

--- a/internal/callpath/answer.go
+++ b/internal/callpath/answer.go
@@ -1,6 +1,7 @@
 package callpath
 
 import (
+	"context"
 	"net/http"
 
 	"heathercroft.example/heathercroft/pkg/retry"
@@ -11,6 +12,9 @@
 	outcome retry.Outcome
 	resp    *http.Response
 	refusal *Refusal
+	// cancel ends the request on the connection to another node. Closing the body
+	// would otherwise wait for a caller that is silent in the middle of its body.
+	cancel context.CancelFunc
 	// ended is called once, after the body was read or given up. It is told
 	// whether the body was complete.
 	ended func(complete bool)
@@ -35,6 +39,9 @@
 
 // end reports the end of the body. Further calls do nothing.
 func (a *answer) end(complete bool) {
+	if a.cancel != nil {
+		a.cancel()
+	}
 	if a.resp != nil {
 		_ = a.resp.Body.Close()
 	}
--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -25,9 +25,14 @@
 	// total counts the bytes of all bodies.
 	total *expvar.Int
 
-	mu   sync.Mutex
-	head []byte
-	err  error
+	// reading is held while src is read, which can last as long as the caller
+	// is silent. mu guards the fields below and is never held that long.
+	reading sync.Mutex
+	mu      sync.Mutex
+	head    []byte
+	err     error
+	// offset is how many bytes of src have been read.
+	offset int
 	// passed is set once bytes beyond head were read.
 	passed  atomic.Bool
 	current atomic.Pointer[attemptBody]
@@ -51,50 +56,73 @@
 // may not be read after its handler returned.
 func (b *requestBody) end() {
 	b.current.Store(nil)
-	if !b.mu.TryLock() {
+	if !b.reading.TryLock() {
 		b.unblock()
-		b.mu.Lock()
+		b.reading.Lock()
 	}
+	defer b.reading.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.err = errAttemptOver
-	b.mu.Unlock()
+}
+
+// abort ends the present attempt's reads. net/http waits for a pending one when
+// the connection to the target is lost, and the caller may stay silent for long.
+// A body whose read had to be ended cannot be sent again.
+func (b *requestBody) abort() {
+	b.current.Store(nil)
+	if b.reading.TryLock() {
+		b.reading.Unlock()
+		return
+	}
+	b.passed.Store(true)
+	b.unblock()
 }
 
 // peek returns up to n bytes of the start, n at most replayBytes. It waits for
 // them, or for the end of the body.
 func (b *requestBody) peek(n int) []byte {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for len(b.head) < n && b.err == nil && !b.passed.Load() {
-		var buf [4096]byte
-		b.read(buf[:min(len(buf), n-len(b.head))])
+	var buf [4096]byte
+	for {
+		b.mu.Lock()
+		head, done := b.start(n), b.err != nil || b.passed.Load()
+		b.mu.Unlock()
+		if len(head) >= n || done {
+			return head
+		}
+		b.reading.Lock()
+		b.read(buf[:min(len(buf), n-len(head))])
+		b.reading.Unlock()
 	}
-	return b.start(n)
 }
 
-// seen returns up to n bytes of the start as far as they were read already.
+// seen returns up to n bytes of the start as far as they were read already. It
+// does not wait for the caller.
 func (b *requestBody) seen(n int) []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.start(n)
 }
 
+// start returns a part of head. Bytes of head never change once written.
 func (b *requestBody) start(n int) []byte { return b.head[:min(n, len(b.head))] }
 
-// read reads from src and keeps what fits into head.
-func (b *requestBody) read(p []byte) int {
+// read reads from src and keeps what fits into head. reading must be held.
+func (b *requestBody) read(p []byte) (int, error) {
 	n, err := b.src.Read(p)
-	if n > 0 {
-		b.total.Add(int64(n))
-		room := replayBytes - len(b.head)
-		if b.passed.Load() || n > room {
-			b.passed.Store(true)
-		}
-		b.head = append(b.head, p[:min(n, max(room, 0))]...)
+	b.total.Add(int64(n))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.offset += n
+	room := replayBytes - len(b.head)
+	if n > room {
+		b.passed.Store(true)
 	}
+	b.head = append(b.head, p[:min(n, room)]...)
 	if err != nil {
 		b.err = err
 	}
-	return n
+	return n, err
 }
 
 // attemptBody is the body as one attempt sends it.
@@ -105,26 +133,42 @@
 
 // Read implements io.Reader.
 func (a *attemptBody) Read(p []byte) (int, error) {
+	if n, err := a.again(p); n > 0 || err != nil {
+		return n, err
+	}
+	b := a.body
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	// An earlier attempt's read may have ended meanwhile.
+	if n, err := a.again(p); n > 0 || err != nil {
+		return n, err
+	}
+	n, err := b.read(p)
+	a.pos += n
+	if n > 0 {
+		return n, nil
+	}
+	return 0, err
+}
+
+// again serves what was read before. It returns 0 and nil if src must be read.
+func (a *attemptBody) again(p []byte) (int, error) {
 	b := a.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.current.Load() != a {
+	switch {
+	case b.current.Load() != a:
 		return 0, errAttemptOver
-	}
-	if a.pos < len(b.head) {
+	case a.pos < len(b.head):
 		n := copy(p, b.head[a.pos:])
 		a.pos += n
 		return n, nil
-	}
-	if b.err != nil {
+	case a.pos < b.offset:
+		// Bytes beyond head went to an earlier attempt.
+		return 0, errAttemptOver
+	default:
 		return 0, b.err
 	}
-	n := b.read(p)
-	a.pos += n
-	if n > 0 {
-		return n, nil
-	}
-	return 0, b.err
 }
 
 // Close implements io.Closer. The inbound body is closed by its server.
--- a/internal/callpath/conn.go
+++ b/internal/callpath/conn.go
@@ -30,6 +30,8 @@
 	closed  atomic.Bool
 	// changed gets a token when reading or closed is set.
 	changed chan struct{}
+	// lost is called once if the connection is closed during a request.
+	lost atomic.Pointer[func()]
 }
 
 func watch(conn net.Conn, silence time.Duration) *watchedConn {
@@ -41,6 +43,7 @@
 // allow sets how long nothing may move, and forgets the previous request.
 func (c *watchedConn) allow(silence time.Duration) {
 	c.wrote.Store(false)
+	c.lost.Store(nil)
 	c.limit.Store(int64(silence))
 	_ = c.SetReadDeadline(time.Now().Add(silence))
 }
@@ -90,7 +93,11 @@
 func (c *watchedConn) Close() error {
 	c.closed.Store(true)
 	c.signal()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if lost := c.lost.Swap(nil); lost != nil {
+		(*lost)()
+	}
+	return err
 }
 
 func (c *watchedConn) signal() {
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -135,6 +135,8 @@
 	if req.Body == nil {
 		req.Body = http.NoBody
 	}
+	lost := c.body.abort
+	conn.raw.lost.Store(&lost)
 	resp, err := conn.client.RoundTrip(req)
 	if err != nil {
 		wrote := conn.raw.wrote.Load()
--- a/internal/callpath/failure_test.go
+++ b/internal/callpath/failure_test.go
@@ -380,3 +380,23 @@
 	require.Equal(t, "crashing-request", m.do(a, "POST", "/courier", "poison").header.Get(callpath.HeaderReason))
 	require.Equal(t, "connection-lost", m.do(a, "POST", "/courier", "other").header.Get(callpath.HeaderReason))
 }
+
+// Guards against a node that waits for a silent caller before it tells that the
+// target's connection broke in the middle of an upload.
+func TestLostTargetEndsAStalledUpload(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("node-a", "", fastSettings())
+	b := m.add("node-b", rawTarget(t, func(conn net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+	}), fastSettings())
+	for _, entry := range []*testNode{a, b} {
+		reader, writer := io.Pipe()
+		req, err := http.NewRequest("POST", entry.caller.URL+"/courier", reader)
+		require.NoError(t, err)
+		go func() { _, _ = writer.Write([]byte("start")) }()
+		got := roundTrip(req)
+		require.NoError(t, got.err)
+		require.Equal(t, "may-have-run", got.header.Get(callpath.HeaderOutcome), got.body)
+		_ = writer.Close()
+	}
+}
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -153,7 +153,7 @@
 		return n.sendFailed(c, err, connected.Load(), wrote.Load())
 	}
 	a = classify(resp)
-	a.then(func(bool) { cancel() })
+	a.cancel = cancel
 	return a, false
 }
 
