--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -141,6 +141,8 @@
 		req.Body = http.NoBody
 	}
 	started := n.deps.Now()
+	lost := c.body.abort
+	conn.raw.lost.Store(&lost)
 	resp, err := conn.client.RoundTrip(req)
 	if err != nil {
 		wrote := conn.raw.wrote.Load()
