--- a/internal/bench/output.go
+++ b/internal/bench/output.go
@@ -99,6 +99,25 @@
 	if err := w.WriteAll(append([][]string{t.Columns}, t.Rows...)); err != nil {
 		return errors.Wrap(err, "encode CSV")
 	}
+	if err := o.write(t.Name+".csv", text.String()); err != nil {
+		return err
+	}
+	if err := o.Conditions(t); err != nil {
+		return err
+	}
+	fmt.Printf("%s (%s)\n%s", t.Name, t.Subject, text.String())
+	for name, fit := range t.Fits {
+		fmt.Printf("fit %s: slope %.4g, intercept %.4g, R2 %.3f\n", name, fit.Slope, fit.Intercept, fit.R2)
+	}
+	return nil
+}
+
+func (o *Output) write(name, content string) error {
+	return errors.Wrap(os.WriteFile(filepath.Join(o.Dir, name), []byte(content), fileMode), "write result")
+}
+
+// Conditions writes the conditions of a run as JSON without its rows.
+func (o *Output) Conditions(t *Table) error {
 	data, err := json.MarshalIndent(meta{
 		Command: o.Command, Subject: t.Subject, Rows: len(t.Rows), Seed: t.Seed,
 		Started: o.started.UTC().Format(time.RFC3339), Cores: runtime.NumCPU(),
@@ -107,16 +126,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode conditions")
 	}
-	for ext, content := range map[string]string{".csv": text.String(), ".json": string(data) + "\n"} {
-		if err := os.WriteFile(filepath.Join(o.Dir, t.Name+ext), []byte(content), fileMode); err != nil {
-			return errors.Wrap(err, "write table")
-		}
-	}
-	fmt.Printf("%s (%s)\n%s", t.Name, t.Subject, text.String())
-	for name, fit := range t.Fits {
-		fmt.Printf("fit %s: slope %.4g, intercept %.4g, R2 %.3f\n", name, fit.Slope, fit.Intercept, fit.R2)
-	}
-	return nil
+	return o.write(t.Name+".json", string(data)+"\n")
 }
 
 // Series is one line of a figure.
--- a/scripts/bench/parts.go
+++ b/scripts/bench/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"time"
@@ -67,9 +68,18 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	return evaluation.Report(ctx, evaluation.Config{
-		Seed: o.seed, Good: 10, Bad: 10, Workers: 2, Profiles: evaluation.Profiles(""), Methods: evaluation.Methods(""),
+	const versions = 10
+	err := evaluation.Report(ctx, evaluation.Config{
+		Seed: o.seed, Good: versions, Bad: versions, Workers: 2,
+		Profiles: evaluation.Profiles(""), Methods: evaluation.Methods(""),
 	}, dir, os.Stdout)
+	if err != nil {
+		return err
+	}
+	return out.Conditions(&bench.Table{
+		Name: "rollouts", Subject: "internal/evaluation: rollout reducers with generated calls, virtual time", Seed: o.seed,
+		Notes: []string{fmt.Sprintf("%d good and %d bad versions for each profile and method", versions, versions)},
+	})
 }
 
 func traffic(ctx context.Context, o options, out *bench.Output) error {
