--- a/internal/bench/pricing.go
+++ b/internal/bench/pricing.go
@@ -56,7 +56,7 @@
 func pricingRun(c PricingConfig, perDay float64, wait time.Duration) pricingResult {
 	s := NewSimulation(c.Seed, c.Zones, c.PerZone)
 	s.submitter = s.nodes[0]
-	s.Run(settleTime)
+	s.Run(shortSettle)
 	s.resetCounters()
 	if perDay > 0 {
 		s.changeAt(perDay, c.Window, wait)
--- a/internal/bench/processes.go
+++ b/internal/bench/processes.go
@@ -58,6 +58,7 @@
 			"bytes are counted at the sockets of the node, rpc and platform, both directions",
 			"in force: from the first node that applied a record to each node; the append and the first read are not included; wall clocks of one machine",
 			"random seeds of the nodes are not fixed",
+			fmt.Sprintf("measured %s after the last node was ready", c.Settle),
 		},
 	}
 	var x, bytes, cpu, rss []float64
--- a/internal/bench/recovery.go
+++ b/internal/bench/recovery.go
@@ -45,7 +45,7 @@
 			return ctx.Err()
 		}
 		s := NewSimulation(c.Seed, c.Zones, c.PerZone)
-		s.Run(settleTime)
+		s.Run(shortSettle)
 		s.changeAt(10*planChanges, f.lasts, 0)
 		f.begin(s)
 		s.Run(f.lasts)
