--- a/test/process/change_test.go
+++ b/test/process/change_test.go
@@ -131,10 +131,12 @@
 			require.NoError(t, restarted.Node.Terminate(generous))
 			boundaries[restarted.Name] = m.logSize(restarted.Name)
 			require.NoError(t, restarted.StartNode())
+			m.requireReadyAt(restarted, last)
 		}
 		if i == 11 {
 			boundaries[killed.Name] = m.logSize(killed.Name)
 			require.NoError(t, killed.StartNode())
+			m.requireReadyAt(killed, last)
 		}
 		reply, _ := m.command(via[i%len(via)], fmt.Sprintf("put route r%d prefix \"/r%d\" to courier within 1s", i, i))
 		require.Contains(t, []query.Status{query.StatusDone, query.StatusUnknown, query.StatusInProgress}, reply.Status, reply.Reason)
@@ -154,6 +156,18 @@
 	}
 }
 
+// requireReadyAt demands that a node serves only from a revision on.
+func (m *fleet) requireReadyAt(member *testbed.Member, least record.Revision) {
+	m.t.Helper()
+	require.NoError(m.t, testbed.WaitFor(generous, func() error {
+		got, err := revision(member)
+		if err == nil {
+			require.GreaterOrEqual(m.t, got, uint64(least), "%s serves an older revision", member.Name)
+		}
+		return err
+	}))
+}
+
 // change sends a command under an id and returns the reply.
 func (m *fleet) change(at *testbed.Member, id, command string) query.Reply {
 	m.t.Helper()
--- a/test/process/leave_test.go
+++ b/test/process/leave_test.go
@@ -23,15 +23,24 @@
 	target string
 }
 
+// failure is one call without a whole answer of a target.
+type failure struct {
+	start  time.Time
+	reason string
+}
+
 // callers sends reads through the given nodes until stopped.
 type callers struct {
 	mu     sync.Mutex
 	visits []visit
-	failed []string
+	failed []failure
 	stop   chan struct{}
 	group  sync.WaitGroup
 }
 
+// listenerClosing is the time before the end of a process in which it closes its listeners.
+const listenerClosing = 200 * time.Millisecond
+
 // callersPause is the time between two calls of one caller.
 const callersPause = 15 * time.Millisecond
 
@@ -74,7 +83,7 @@
 		if resp != nil {
 			reason = resp.Header.Get("Heathercroft-Reason")
 		}
-		c.failed = append(c.failed, fmt.Sprintf("%s through %s: status %d %s %v", start.Format("05.000"), member.Name, status, reason, err))
+		c.failed = append(c.failed, failure{start, fmt.Sprintf("through %s: status %d %s %v", member.Name, status, reason, err)})
 		return
 	}
 	c.visits = append(c.visits, visit{start, a.Target})
@@ -156,6 +165,7 @@
 			m.fault(victim, map[string]any{"health": "ok", "load_factor": 0.0, "report_lag_ms": 5000})
 			m.platform(map[string]any{"outage": "unavailable"})
 			run := startCallers(others, "/courier")
+			through := startCallers([]*testbed.Member{victim, victim, victim}, "/courier")
 			type uploaded struct {
 				target string
 				err    error
@@ -163,7 +173,8 @@
 			uploads := make(chan uploaded, 12)
 			for i := range cap(uploads) {
 				go func() {
-					to, err := slowUpload(others[i%2], 6*time.Second)
+					// Some enter the mesh through the node that leaves.
+					to, err := slowUpload([]*testbed.Member{others[0], others[1], victim}[i%3], 6*time.Second)
 					uploads <- uploaded{to, err}
 				}()
 			}
@@ -181,10 +192,20 @@
 			}
 			require.NotZero(t, atVictim, "no upload was at the leaving target")
 			require.NoError(t, <-stopped)
+			ended := time.Now()
 			t.Logf("%d uploads at the leaving target, stopped after %s", atVictim, time.Since(leaving).Round(time.Millisecond))
 			time.Sleep(time.Second)
 			run.end()
+			through.end()
 			require.Empty(t, run.failed)
+			require.NotZero(t, len(through.visits))
+			for _, f := range through.failed {
+				// A connection that is made in the instant at which the stopping node closes
+				// its listener is closed by the kernel; no request on it has begun.
+				if f.start.Before(ended.Add(-listenerClosing)) || f.start.After(ended) {
+					require.Regexp(t, "status 503 draining|connect: connection refused", f.reason)
+				}
+			}
 			require.NotZero(t, len(run.visits))
 			require.Zero(t, lateVisits(run.visits, victim.Name, leaving.Add(leavingLimit)))
 			t.Logf("%d calls, %d of them at the leaving target after it was told", len(run.visits), lateVisits(run.visits, victim.Name, leaving))
