Keep or announce the end of a connection whose request body was not read

Cause: net/http reads the rest of an unread body after the handler has returned. With full duplex its end starts the wait for the next request, and the server then panics with 'invalid concurrent Body.Read call' and closes the connection without a word. All keyed calls that were answered without an execution (replays, refusals for the lack of an owner) met this; the caller's next request on the connection got no answer. Ruled out: the faults injected by the test (the nodes that lost answers were never paused, killed or stopped) and the drain.

Change: a refusal and a stored answer first read the rest of a small body, for at most 50 ms; if the end of the body is not seen, the answer announces that the connection closes. Streamed answers do the latter only, since the target may still be reading.

TestConnectionSurvivesUnreadBody fails before (unexpected EOF).

--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -39,22 +39,28 @@
 // consumed reports whether the body can no longer be read from the start.
 func (b *requestBody) consumed() bool { return b.passed.Load() }
 
-// serverDiscards is how much of an unread body the server reads by itself to
-// keep a connection of HTTP/1.1 usable; beyond it the server closes it.
-const serverDiscards = 256 << 10
+// finish reads the rest of the body and reports whether its end was seen. It
+// gives up at once while another read is pending.
+func (b *requestBody) finish() bool {
+	if !b.mu.TryLock() {
+		return false
+	}
+	defer b.mu.Unlock()
+	var buf [4096]byte
+	for b.err == nil {
+		b.read(buf[:])
+	}
+	return b.err == io.EOF
+}
 
-// closesConnection reports whether the server will close the connection if the
-// answer is sent now, since too much of the body has not been read.
-func (b *requestBody) closesConnection(length int64) bool {
+// ended reports whether the end of the body was seen, and how much was read.
+func (b *requestBody) ended() (ended bool, count int64) {
 	if !b.mu.TryLock() {
 		// A read is pending, so the end has not been seen.
-		return length < 0 || length >= serverDiscards
+		return false, 0
 	}
 	defer b.mu.Unlock()
-	if b.err != nil {
-		return false
-	}
-	return length < 0 || length-b.count >= serverDiscards
+	return b.err == io.EOF, b.count
 }
 
 // attempt ends the previous attempt's reads and starts again from the first byte.
--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -63,6 +63,9 @@
 	defer n.inFlight.leave()
 	c, refusal := n.newCall(w, r)
 	if refusal != nil {
+		if r.ProtoMajor == 1 && r.ContentLength != 0 {
+			w.Header()["Connection"] = []string{"close"}
+		}
 		n.refuse(w, refusal)
 		return
 	}
@@ -239,19 +242,43 @@
 
 // refuseCall answers a call with a refusal by this node.
 func (n *Node) refuseCall(c *call, r *Refusal) {
-	n.announceClose(c)
+	n.announceClose(c, c.finishBody())
 	n.refuse(c.w, r)
 }
 
 // announceClose tells the sender that the connection ends with this answer.
 // Without it, the sender's next request meets a connection that is being closed
-// and gets no answer.
-func (n *Node) announceClose(c *call) {
-	if c.req.ProtoMajor == 1 && (n.inFlight.isDraining() || c.body.closesConnection(c.req.ContentLength)) {
+// and gets no answer. reusable is false if the end of the request's body was not seen.
+func (n *Node) announceClose(c *call, reusable bool) {
+	if c.req.ProtoMajor == 1 && (n.inFlight.isDraining() || !reusable) {
 		c.w.Header()["Connection"] = []string{"close"}
 	}
 }
 
+// bodyFinishLimit bounds the wait for the rest of a small body that nobody read.
+const bodyFinishLimit = 50 * time.Millisecond
+
+// finishBody reads what is left of a small body and reports whether the
+// connection can be used again. net/http closes a connection of HTTP/1 without a
+// word if the handler answers before the end of the body: its own read of the
+// rest starts the wait for the next request too early, and it panics
+// ("invalid concurrent Body.Read call").
+func (c *call) finishBody() bool {
+	ended, count := c.body.ended()
+	switch length := c.req.ContentLength; {
+	case c.req.ProtoMajor != 1 || length == 0 || ended:
+		return true
+	case length < 0 || length-count > replayBytes || c.req.Header.Get("Expect") != "":
+		return false
+	}
+	control := http.NewResponseController(c.w)
+	if control.SetReadDeadline(time.Now().Add(bodyFinishLimit)) != nil {
+		return false
+	}
+	finished := c.body.finish()
+	return control.SetReadDeadline(time.Time{}) == nil && finished
+}
+
 // refuse answers with a refusal by this node.
 func (n *Node) refuse(w http.ResponseWriter, r *Refusal) {
 	out := *r
--- a/internal/callpath/deliver.go
+++ b/internal/callpath/deliver.go
@@ -96,7 +96,9 @@
 		delete(h, HeaderTargetTime)
 		h[HeaderRequestID] = []string{c.id}
 	}
-	n.announceClose(c)
+	// The target may still be reading the rest, so it is not read here.
+	ended, _ := c.body.ended()
+	n.announceClose(c, ended || c.req.ContentLength == 0)
 	for name := range resp.Trailer {
 		h.Add("Trailer", name)
 	}
@@ -186,6 +188,7 @@
 	}
 	h[HeaderReplayed] = []string{"true"}
 	h[HeaderRequestID] = []string{c.id}
+	n.announceClose(c, c.finishBody())
 	if s.Status != http.StatusNoContent && s.Status != http.StatusNotModified {
 		h["Content-Length"] = []string{strconv.Itoa(len(s.Body))}
 	}
--- a/internal/callpath/failure_test.go
+++ b/internal/callpath/failure_test.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -427,3 +428,37 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, retries, 2)
 }
+
+// Guards against a connection of HTTP/1 that breaks without a word after an
+// answer that came before the request's body was read: the caller's next request
+// on it would get no answer.
+func TestConnectionSurvivesUnreadBody(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("node-a", "", fastSettings())
+	var panics atomic.Int64
+	a.caller.Config.ErrorLog = log.New(countingWriter{&panics}, "", 0)
+	conn, err := net.Dial("tcp", a.caller.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for _, path := range []string{"/other", "/courier", "/other"} {
+		_, err := io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nContent-Length: 5\r\n\r\nhello")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(in, nil)
+		require.NoError(t, err, path)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "not-run", resp.Header.Get(callpath.HeaderOutcome))
+		require.False(t, resp.Close, path)
+	}
+	require.Zero(t, panics.Load())
+}
+
+// countingWriter counts writes of a server's error log.
+type countingWriter struct{ count *atomic.Int64 }
+
+// Write implements io.Writer.
+func (w countingWriter) Write(p []byte) (int, error) {
+	w.count.Add(1)
+	return len(p), nil
+}
