--- a/test/process/keyed_test.go
+++ b/test/process/keyed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -262,3 +263,43 @@
 	}
 	m.requireKept(l)
 }
+
+// faultsSeed makes the order of faults repeatable.
+const faultsSeed = 11
+
+// TestKeyedLoadUnderFaults guards against a second execution, a mixed up or a
+// short answer when nodes pause, die, stop and are cut off in turn under keyed
+// load whose calls are repeated through other nodes (G5, G6, G7).
+func TestKeyedLoadUnderFaults(t *testing.T) {
+	t.Parallel()
+	m := keyedFleet(t)
+	via := []*testbed.Member{m.zone(1)[0], m.zone(2)[0], m.zone(3)[0]}
+	run := m.load(via, 120, 20*time.Second, "paths = [\"/courier\"]\ndeadline = \"4s\"\n[mix]\nread = 0.1\nkeyed = 0.8\nupload = 0.1\nupload_bytes = 100000\nconcurrent_share = 0.3\nrepeat_share = 0.3")
+	random := rand.New(rand.NewPCG(faultsSeed, 0))
+	victims := []*testbed.Member{m.zone(1)[1], m.zone(2)[1], m.zone(3)[1]}
+	for begun := time.Now(); time.Since(begun) < 18*time.Second; time.Sleep(300 * time.Millisecond) {
+		victim := victims[random.IntN(len(victims))]
+		switch random.IntN(4) {
+		case 0:
+			require.NoError(t, victim.Node.Pause())
+			time.Sleep(time.Duration(500+random.IntN(5000)) * time.Millisecond)
+			require.NoError(t, victim.Node.Continue())
+		case 1:
+			victim.Node.Kill()
+			time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+			require.NoError(t, victim.StartNode())
+		case 2:
+			require.NoError(t, victim.Node.Terminate(generous))
+			require.NoError(t, victim.StartNode())
+		default:
+			zone := byte(1 + random.IntN(zoneCount))
+			m.cut(zone, zoneCount)
+			time.Sleep(time.Duration(500+random.IntN(4000)) * time.Millisecond)
+			m.heal(zone, zoneCount)
+		}
+	}
+	report := m.report(run)
+	t.Logf("%+v %+v", report.Node, report.Duplicates)
+	requireClean(t, report)
+	m.requireKeyedService("after-faults")
+}
