--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/retry"
@@ -40,6 +41,8 @@
 	target string
 	// callerExpects is set if the caller itself waits for a 100 response.
 	callerExpects bool
+	// informing guards w against informational responses of an attempt that is over.
+	informing sync.Mutex
 	// mayHaveRun is set once an attempt may have run, so that no later refusal
 	// may say not-run.
 	mayHaveRun bool
@@ -99,7 +102,7 @@
 		_ = control.EnableFullDuplex()
 	}
 	c := &call{req: r, w: w, id: r.Header.Get(HeaderRequestID), target: r.Header.Get(HeaderTarget)}
-	c.body = newRequestBody(r.Body, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	c.body = newRequestBody(r.Body, &n.metrics.requestBytes, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	if headerSize(r.Header)+len(r.RequestURI) > n.settings.MaxHeaderBytes {
 		return nil, NotRun(CodeHeaderTooLarge, "the header is over "+strconv.Itoa(n.settings.MaxHeaderBytes)+" bytes")
 	}
@@ -123,7 +126,9 @@
 	if c.inherited, ok = smallNumber(r.Header.Get(HeaderAttempt)); !ok {
 		return nil, NotRun(CodeBadRequest, HeaderAttempt+" is not a number from 0 to 999")
 	}
-	c.callerExpects = strings.EqualFold(r.Header.Get("Expect"), "100-continue") && r.Header.Get(HeaderExpect) == ""
+	// The HTTP/2 server removes Expect, so nodes tell each other who asked.
+	c.callerExpects = r.Header.Get(HeaderExpect) == expectCaller ||
+		r.Header.Get(HeaderExpect) == "" && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	if !safe(r.Method) {
 		if len(r.Header[HeaderKey]) > 1 || len(r.Header.Get(HeaderKey)) > maxKeyLength {
 			return nil, NotRun(CodeBadRequest, HeaderKey+" is given twice or is over 256 bytes")
@@ -219,6 +224,10 @@
 		}
 		tried[i] = choice.Endpoint
 		last = n.attempt(c, route, choice, i)
+		if last.code() == CodeCrashing {
+			// Another endpoint would refuse too, or crash.
+			return last
+		}
 		c.mayHaveRun = c.mayHaveRun || !last.outcome.NotRun() && last.outcome != retry.Answered
 		action := retry.Decide(retry.Attempt{
 			Outcome: last.outcome, Method: c.req.Method, BodyConsumed: c.body.consumed(),
@@ -255,28 +264,19 @@
 	}
 }
 
-// bodyFinishLimit bounds the wait for the rest of a small body that nobody read.
-const bodyFinishLimit = 50 * time.Millisecond
-
 // finishBody reads what is left of a small body and reports whether the
 // connection can be used again. net/http closes a connection of HTTP/1 without a
 // word if the handler answers before the end of the body: its own read of the
 // rest starts the wait for the next request too early, and it panics
 // ("invalid concurrent Body.Read call").
 func (c *call) finishBody() bool {
-	ended, count := c.body.ended()
-	switch length := c.req.ContentLength; {
-	case c.req.ProtoMajor != 1 || length == 0 || ended:
+	if c.req.ProtoMajor != 1 || c.req.ContentLength == 0 {
 		return true
-	case length < 0 || length-count > replayBytes || c.req.Header.Get("Expect") != "":
-		return false
 	}
-	control := http.NewResponseController(c.w)
-	if control.SetReadDeadline(time.Now().Add(bodyFinishLimit)) != nil {
-		return false
+	if c.req.Header.Get("Expect") != "" {
+		return c.body.ended()
 	}
-	finished := c.body.finish()
-	return control.SetReadDeadline(time.Time{}) == nil && finished
+	return c.body.finish(c.req.ContentLength, http.NewResponseController(c.w).SetReadDeadline)
 }
 
 // refuse answers with a refusal by this node.
--- a/internal/callpath/deliver.go
+++ b/internal/callpath/deliver.go
@@ -97,8 +97,7 @@
 		h[HeaderRequestID] = []string{c.id}
 	}
 	// The target may still be reading the rest, so it is not read here.
-	ended, _ := c.body.ended()
-	n.announceClose(c, ended || c.req.ContentLength == 0)
+	n.announceClose(c, c.req.ContentLength == 0 || c.body.ended())
 	for name := range resp.Trailer {
 		h.Add("Trailer", name)
 	}
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strconv"
 	"strings"
@@ -132,12 +133,16 @@
 }
 
 func (n *Node) try(c *call, conn *targetConn, addr string, attempt int) (a *answer, again bool) {
-	ctx := c.trace1xx()
+	inform, over := c.informer()
+	defer over()
+	ctx := httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{Got1xxResponse: inform})
 	req := n.outbound(ctx, c, addr, attempt)
 	if req.Body == nil {
 		req.Body = http.NoBody
 	}
 	started := n.deps.Now()
+	lost := c.body.abort
+	conn.raw.lost.Store(&lost)
 	resp, err := conn.client.RoundTrip(req)
 	if err != nil {
 		wrote := conn.raw.wrote.Load()
