--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -45,24 +46,42 @@
 // consumed reports whether the body can no longer be read from the start.
 func (b *requestBody) consumed() bool { return b.passed.Load() }
 
-// serverDiscards is how much of an unread body the server reads by itself to
-// keep a connection of HTTP/1.1 usable; beyond it the server closes it.
-const serverDiscards = 256 << 10
-
-// closesConnection reports whether the server will close the connection if the
-// answer is sent now: too much of the body has not been read, or a read is
-// pending, which has to be ended by a deadline that the connection keeps.
-func (b *requestBody) closesConnection(length int64) bool {
+// ended reports whether the end of the body was seen. While a read is pending,
+// it was not.
+func (b *requestBody) ended() bool {
 	if !b.reading.TryLock() {
-		return true
+		return false
 	}
 	defer b.reading.Unlock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.err != nil {
-		return b.err != io.EOF
+	return b.err == io.EOF
+}
+
+// finishLimit bounds the wait for the rest of a small body that nobody read.
+const finishLimit = 50 * time.Millisecond
+
+// finish reads what is left of a small body and reports whether its end was seen.
+// It gives up at once while a read is pending or if much is left.
+func (b *requestBody) finish(length int64, setDeadline func(time.Time) error) bool {
+	if !b.reading.TryLock() {
+		return false
+	}
+	defer b.reading.Unlock()
+	b.mu.Lock()
+	err, left := b.err, length-int64(b.offset)
+	b.mu.Unlock()
+	if err != nil {
+		return err == io.EOF
+	}
+	if length < 0 || left > replayBytes || setDeadline(time.Now().Add(finishLimit)) != nil {
+		return false
+	}
+	var buf [4096]byte
+	for err == nil {
+		_, err = b.read(buf[:])
 	}
-	return length < 0 || length-int64(b.offset) >= serverDiscards
+	return setDeadline(time.Time{}) == nil && err == io.EOF
 }
 
 // attempt ends the previous attempt's reads and starts again from the first byte.
