--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -43,7 +43,9 @@
 // Guards against wrong units of memory and lost directions of traffic.
 func TestParseStatusAndIO(t *testing.T) {
 	var u Usage
-	require.NoError(t, parseStatus([]byte("VmPeak: 9 kB\nVmRSS:\t  12 kB\n"), &u))
+	require.NoError(t, parseStatus([]byte("VmPeak: 9 kB\nVmRSS:\t  12 kB\nRssAnon:\t 5 kB\n"), &u))
+	require.EqualValues(t, 5<<10, u.Anonymous)
+	require.Error(t, parseStatus([]byte("VmRSS:\t  12 kB\n"), &u))
 	require.EqualValues(t, 12<<10, u.RSS)
 	require.NoError(t, parseIO([]byte("rchar: 3\nwchar: 4\nsyscr: 9\n"), &u))
 	require.EqualValues(t, 7, u.IO)
--- a/internal/bench/calls.go
+++ b/internal/bench/calls.go
@@ -193,9 +193,9 @@
 	return list, nil
 }
 
-// since returns the usage after an earlier reading; RSS stays the present one.
+// since returns the usage after an earlier reading; memory stays the present one.
 func (u Usage) since(before Usage) Usage {
-	return Usage{CPU: u.CPU - before.CPU, RSS: u.RSS, IO: u.IO - before.IO}
+	return Usage{CPU: u.CPU - before.CPU, RSS: u.RSS, Anonymous: u.Anonymous, IO: u.IO - before.IO}
 }
 
 func (m callMeasure) row(t *Table, rate float64, run int) {
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -20,6 +20,8 @@
 	CPU time.Duration
 	// RSS is the resident memory in bytes.
 	RSS int64
+	// Anonymous is the part of RSS that is no file, such as the binary.
+	Anonymous int64
 	// IO is the bytes read and written by system calls, sockets included.
 	IO int64
 }
@@ -60,8 +62,12 @@
 }
 
 func parseStatus(data []byte, u *Usage) error {
-	kib, err := field(data, "VmRSS:")
-	u.RSS = kib << 10
+	rss, err := field(data, "VmRSS:")
+	if err != nil {
+		return err
+	}
+	anonymous, err := field(data, "RssAnon:")
+	u.RSS, u.Anonymous = rss<<10, anonymous<<10
 	return err
 }
 
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -240,6 +241,9 @@
 // AdminURL is where operators reach the node.
 func (m *Member) AdminURL() string { return "http://" + address(m.ip(), portAdmin) }
 
+// RPC is where other nodes reach the node, without a relay.
+func (m *Member) RPC() netip.AddrPort { return netip.MustParseAddrPort(address(m.ip(), portRPC)) }
+
 // TargetURL is the target's own URL.
 func (m *Member) TargetURL() string { return "http://" + address(m.ip(), portTarget) }
 
--- a/scripts/bench/parts.go
+++ b/scripts/bench/parts.go
@@ -17,6 +17,7 @@
 	{"convergence", "convergence and control bytes of reducers as the mesh grows", convergence},
 	{"traffic", "control bytes of reducers by message and role", traffic},
 	{"memory", "memory and CPU of a reducer as members, endpoints, services and routes grow", memory},
+	{"plansize", "memory and CPU of one process that knows the plan's members", planSize},
 	{"recovery", "time and cost of recovery from a herd, an outage and a cut", recovery},
 	{"pricing", "what waiting changes save", pricingPart},
 	{"rollouts", "good versions done in time and bad versions taken back", rollouts},
@@ -87,3 +88,11 @@
 		Zones: []int{2, 15}, PerZone: []int{40, 6}, Settle: 4 * time.Minute, Window: 30 * time.Second, Seed: o.seed,
 	}, out)
 }
+
+func planSize(ctx context.Context, o options, out *bench.Output) error {
+	return withDir(func(dir string) error {
+		return bench.PlanSize(ctx, bench.PlanSizeConfig{
+			Bin: o.bin, Dir: dir, Members: []int{156, 312, 625, 1250, 2500}, Settle: 6 * time.Second, Window: 4 * time.Second,
+		}, out)
+	})
+}
