Keep a tenth of the calls at the old version until the end of a rollout

Cause: TestHolderDiesAndPauses (process level, beside other load) ended with a good version taken back as slower at full weight. At full weight no old calls are left, so that a machine that slows down can't be told from a fault. Ruled out: the holder's death itself (the rollout went on under the new holder). Change: the plan soaks at 90 % from 75 % of the time and at full weight from 95 %. Conclusion: detection is kept and the last long soak has a control; the model holds no machine-wide trouble, so the gain is not shown by it.

--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -22,7 +22,10 @@
 }
 
 // stepShape gives the end of each soak as a part of the time to the completion.
-// The small shares get the longer soaks, since they gather evidence slowly.
+// The small shares get the longer soaks, since they gather evidence slowly. The
+// last long soak leaves a tenth of the calls to the old version: without them,
+// trouble common to both versions can't be told from a fault of the new one. The
+// soak at full weight is short for the same reason.
 var stepShape = []struct {
 	weight record.BasisPoints
 	from   float64
@@ -31,7 +34,8 @@
 	{500, 0.15},
 	{2500, 0.40},
 	{5000, 0.60},
-	{record.FullWeight, 0.75},
+	{9000, 0.75},
+	{record.FullWeight, 0.95},
 }
 
 // completionPart is the part of the rollout's time by which it is completed;
