--- a/scripts/bench/parts.go
+++ b/scripts/bench/parts.go
@@ -75,7 +75,10 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	const versions = 5
+	versions := 5
+	if o.alone {
+		versions = 10
+	}
 	err := evaluation.Report(ctx, evaluation.Config{
 		Seed: o.seed, Good: versions, Bad: versions, Workers: 2,
 		Profiles: evaluation.Profiles(""), Methods: evaluation.Methods(""),
