--- a/internal/callpath/headers.go
+++ b/internal/callpath/headers.go
@@ -32,6 +32,9 @@
 	HeaderReplayed = "Heathercroft-Replayed"
 	// HeaderLoad is in-flight/slots of the target, set by its node.
 	HeaderLoad = "Heathercroft-Load"
+	// HeaderTargetTime is the time the target took, set by its node for the
+	// comparison of versions: microseconds/state of the connection and target.
+	HeaderTargetTime = "Heathercroft-Target-Time"
 	// HeaderHop is HopOwner or HopTarget on requests between nodes.
 	HeaderHop = "Heathercroft-Hop"
 	// HeaderTarget is service/version that the sending node expects at the target.
@@ -40,7 +43,7 @@
 	HeaderFence = "Heathercroft-Key-Fence"
 	// HeaderBody is "none" on a request between nodes that has no body.
 	HeaderBody = "Heathercroft-Body"
-	// HeaderExpect is "node" if the sending node, not the caller, asked for a 100 response.
+	// HeaderExpect says who asked for a 100 response: the caller or the sending node.
 	HeaderExpect = "Heathercroft-Expect"
 )
 
@@ -50,6 +53,12 @@
 	HopTarget = "target"
 )
 
+// Values of HeaderExpect.
+const (
+	expectCaller = "caller"
+	expectNode   = "node"
+)
+
 // bodyNone is the value of HeaderBody.
 const bodyNone = "none"
 
@@ -60,7 +69,7 @@
 }
 
 // nodeOnly are the headers that a target must not be able to set towards a caller.
-var nodeOnly = []string{HeaderReason, HeaderReplayed, HeaderLoad, HeaderHop, HeaderTarget, HeaderFence, HeaderExpect, HeaderBody}
+var nodeOnly = []string{HeaderReason, HeaderReplayed, HeaderLoad, HeaderTargetTime, HeaderHop, HeaderTarget, HeaderFence, HeaderExpect, HeaderBody}
 
 // removeHopByHop removes the headers of one connection, and those that its
 // Connection header names.
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -42,6 +43,9 @@
 		Service: route.Service.Name, Version: choice.Version, Route: route.Name, Zone: e.Zone,
 		Node: e.Node, Outcome: a.outcome, Latency: now - started,
 	}
+	if timing := a.timing; timing.known {
+		sample.Latency, sample.Cold, sample.FreshConnection = timing.elapsed, timing.cold, timing.fresh
+	}
 	if a.resp != nil && a.outcome == retry.Answered {
 		sample.Status = a.resp.StatusCode
 	}
@@ -56,7 +60,7 @@
 			}
 		}
 	})
-	return a
+	return n.prefetch(c, a)
 }
 
 func (n *Node) record(c *call, s Sample) {
@@ -80,7 +84,8 @@
 }
 
 // bookHealth counts what speaks for or against the endpoint. A target that
-// leaves or is gone is taken out at once, before membership has told.
+// leaves, is gone or refuses its node's connections is taken out at once, before
+// membership has told.
 func (n *Node) bookHealth(e *routing.Endpoint, a *answer, silent bool, now time.Duration) {
 	ejected := false
 	switch a.outcome {
@@ -92,7 +97,8 @@
 			e.Succeeded(now)
 		}
 	case retry.RefusedByNode:
-		if code := a.code(); code == CodeDraining || code == CodeNoTarget {
+		switch a.code() {
+		case CodeDraining, CodeNoTarget, CodeUnreachable:
 			ejected = e.Silent(now)
 		}
 	case retry.ConnectionRefused, retry.ResetAfterWrite, retry.ResetBeforeWrite, retry.MayHaveRun, retry.TimedOut:
@@ -122,10 +128,12 @@
 // did not answer a ping.
 func (n *Node) send(c *call, to netip.AddrPort, retries int, mark func(http.Header)) (a *answer, silent bool) {
 	var connected, wrote atomic.Bool
+	inform, over := c.informer()
+	defer over()
 	trace := &httptrace.ClientTrace{
 		GotConn:          func(httptrace.GotConnInfo) { connected.Store(true) },
 		WroteHeaderField: func(string, []string) { wrote.Store(true) },
-		Got1xxResponse:   c.forward1xx,
+		Got1xxResponse:   inform,
 	}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(c.ctx, trace))
 	req := n.outbound(ctx, c, to.String(), c.inherited+retries)
@@ -136,10 +144,12 @@
 			req.Body = emptyBody{}
 			req.Header[HeaderBody] = []string{bodyNone}
 		}
-	} else if n.isUpload(req.ContentLength) && !c.callerExpects {
+	} else if c.callerExpects {
+		req.Header[HeaderExpect] = []string{expectCaller}
+	} else if n.isUpload(req.ContentLength) {
 		// The other node can then refuse before the body is consumed.
 		req.Header["Expect"] = []string{"100-continue"}
-		req.Header[HeaderExpect] = []string{"node"}
+		req.Header[HeaderExpect] = []string{expectNode}
 	}
 	mark(req.Header)
 	resp, err := n.peers.RoundTrip(req)
@@ -148,13 +158,13 @@
 		return n.sendFailed(c, err, connected.Load(), wrote.Load())
 	}
 	a = classify(resp)
-	a.then(func(bool) { cancel() })
+	a.cancel = cancel
 	return a, false
 }
 
 // classify reads what the other node says about the attempt.
 func classify(resp *http.Response) *answer {
-	a := &answer{outcome: retry.Answered, resp: resp}
+	a := &answer{outcome: retry.Answered, resp: resp, timing: parseTiming(resp.Header.Get(HeaderTargetTime))}
 	outcome := Outcome(resp.Header.Get(HeaderOutcome))
 	switch {
 	case resp.Header.Get(HeaderReason) != "" && outcome == OutcomeNotRun:
@@ -207,8 +217,9 @@
 	if trailers {
 		h["Te"] = []string{"trailers"}
 	}
-	if !c.callerExpects {
-		delete(h, "Expect")
+	delete(h, "Expect")
+	if c.callerExpects {
+		h["Expect"] = []string{"100-continue"}
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		// Without this, net/http would add its own.
@@ -239,30 +250,38 @@
 	return req.WithContext(ctx)
 }
 
-// forward1xx passes an informational response on, but for 100, which the
-// server sends by itself when the body is read.
-func (c *call) forward1xx(code int, header textproto.MIMEHeader) error {
-	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
+// informer returns a function that passes informational responses on until over
+// is called, but for 100, which the server sends by itself when the body is read.
+func (c *call) informer() (inform func(int, textproto.MIMEHeader) error, over func()) {
+	ended := false
+	inform = func(code int, header textproto.MIMEHeader) error {
+		c.informing.Lock()
+		defer c.informing.Unlock()
+		if !ended && code != http.StatusContinue && code != http.StatusSwitchingProtocols {
+			c.writeInformation(code, header)
+		}
 		return nil
 	}
+	over = func() {
+		c.informing.Lock()
+		defer c.informing.Unlock()
+		ended = true
+	}
+	return inform, over
+}
+
+// writeInformation writes an informational response and leaves the header of
+// the final one as it was.
+func (c *call) writeInformation(code int, header textproto.MIMEHeader) {
 	h := c.w.Header()
 	saved := h.Clone()
-	for name, values := range header {
-		h[name] = values
-	}
+	maps.Copy(h, header)
 	removeHopByHop(h)
 	c.w.WriteHeader(code)
 	clear(h)
-	for name, values := range saved {
-		h[name] = values
-	}
-	return nil
+	maps.Copy(h, saved)
 }
 
 func (n *Node) isUpload(length int64) bool {
 	return length < 0 || length > n.settings.UploadBytes
 }
-
-func (c *call) trace1xx() context.Context {
-	return httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{Got1xxResponse: c.forward1xx})
-}
--- a/internal/convergence/harness_test.go
+++ b/internal/convergence/harness_test.go
@@ -44,8 +44,8 @@
 type faults struct {
 	drop, duplicate float64
 	delay           time.Duration
-	// cut holds the zones that reach only themselves, dead-ended the zones that
-	// do not reach the platform.
+	// cut holds the zones that reach only themselves, noPlatform those that do
+	// not reach the platform.
 	cut        map[mesh.AvailabilityZone]bool
 	noPlatform map[mesh.AvailabilityZone]bool
 }
@@ -136,14 +136,14 @@
 }
 
 // runUntil lets time pass until a condition holds, and returns how long that
-// took. It gives up after a limit.
+// took to within half a percent of the limit. It gives up after the limit.
 func (p *pump) runUntil(limit time.Duration, holds func() bool) (time.Duration, bool) {
 	start := p.now
 	for !holds() {
 		if p.now-start >= limit {
 			return limit, false
 		}
-		p.runFor(tickInterval / 4)
+		p.runFor(limit / 200)
 	}
 	return p.now - start, true
 }
@@ -157,12 +157,13 @@
 }
 
 // transmit delivers a message between nodes, subject to the faults.
-func (p *pump) transmit(from, to *node, msg any, deliver func(*node)) {
+func (p *pump) transmit(from, to *node, msg any) {
 	if to == nil {
 		return
 	}
 	if p.filter != nil {
-		if _, pass := p.filter(from, to, msg); !pass {
+		var pass bool
+		if msg, pass = p.filter(from, to, msg); !pass {
 			return
 		}
 	}
@@ -181,7 +182,7 @@
 		if p.rng.Float64() < p.faults.drop {
 			continue
 		}
-		p.schedule(p.now+p.latency(), func() { to.handle(func() { deliver(to) }) })
+		p.schedule(p.now+p.latency(), func() { to.handle(func() { to.receive(msg) }) })
 	}
 }
 
@@ -225,13 +226,14 @@
 	dist    *distribution.Machine
 	// paused nodes keep what arrives for later.
 	paused  bool
+	pauses  int
 	backlog []func()
 
 	revision record.Revision
 	digest   uint64
 	ready    bool
-	// floor holds the nodes of the zone that were up when this one started, and
-	// the revisions that they had in force.
+	// floor holds the nodes of the zone that were running when this one started,
+	// and the revisions that they had in force.
 	floor []floor
 	// old is set on a binary that does not support newRecord.
 	old       bool
@@ -242,9 +244,9 @@
 
 // floor is the revision in force at a node when another one started.
 type floor struct {
-	node     *node
-	run      int
-	revision record.Revision
+	node        *node
+	run, pauses int
+	revision    record.Revision
 }
 
 func (n *node) now() time.Duration { return n.pump.now - n.started }
@@ -254,7 +256,9 @@
 	p := n.pump
 	n.floor = nil
 	for _, other := range p.zoneUp(n.info.Zone) {
-		n.floor = append(n.floor, floor{other, other.runs, other.revision})
+		if !other.paused {
+			n.floor = append(n.floor, floor{other, other.runs, other.pauses, other.revision})
+		}
 	}
 	n.runs++
 	n.info.Session = mesh.SessionID(fmt.Sprintf("%s/%d", n.info.ID, n.runs))
@@ -325,7 +329,10 @@
 
 func (n *node) kill() { n.up = false }
 
-func (n *node) pause() { n.paused = true }
+func (n *node) pause() {
+	n.paused = true
+	n.pauses++
+}
 
 func (n *node) resume() {
 	n.paused = false
@@ -355,13 +362,24 @@
 	}
 }
 
+func (n *node) receive(msg any) {
+	switch m := msg.(type) {
+	case membership.Message:
+		n.stepMember(membership.Received{Now: n.now(), Message: m})
+	case distribution.Push:
+		n.stepDist(distribution.PushReceived{Now: n.now(), Push: m})
+	case distribution.PullRequest:
+		n.stepDist(distribution.PullReceived{Now: n.now(), Request: m})
+	case distribution.PullResponse:
+		n.stepDist(distribution.PullAnswered{Now: n.now(), Response: m})
+	}
+}
+
 func (n *node) stepMember(e membership.Event) {
 	for _, effect := range n.member.Step(e) {
 		switch f := effect.(type) {
 		case membership.Send:
-			n.pump.transmit(n, n.pump.byRPC[f.To], f.Message, func(to *node) {
-				to.stepMember(membership.Received{Now: to.now(), Message: f.Message})
-			})
+			n.pump.transmit(n, n.pump.byRPC[f.To], f.Message)
 		case membership.Changed:
 			if !n.pump.membershipOnly {
 				n.stepDist(distribution.MembersChanged{Now: n.now(), Peers: n.peers()})
--- a/internal/core/distribute.go
+++ b/internal/core/distribute.go
@@ -48,12 +48,12 @@
 		c.head = max(c.head, uint64(e.Next)-1)
 	}
 	c.headRead, c.headSeen = c.time.Now, true
+	c.platformAnswered(c.time.Now)
 	sent, ok := c.keys.readSent[e.Read]
 	delete(c.keys.readSent, e.Read)
 	if uint64(c.state.Revision) < c.head {
 		return
 	}
-	c.platformRead()
 	if ok {
 		c.headConfirmed(sent)
 	}
@@ -153,8 +153,14 @@
 	if r.Outcome.Reason != "" {
 		fields["reason"] = r.Outcome.Reason
 	}
-	c.note(KindRecordApplied, fields)
+	if r.Record.Body == nil || r.Record.Body.Kind() != record.KindRenewKeySlots {
+		// Renewals are frequent and decide nothing that an operator looks for.
+		c.note(KindRecordApplied, fields)
+	}
 	c.keysApplied(r)
+	if r.Outcome.Code == state.Accepted && changesRouting(r.Record.Body) {
+		c.tableDirty = true
+	}
 	if r.ID != "" {
 		c.settle(r.ID, r.Outcome)
 	}
@@ -163,6 +169,17 @@
 	}
 }
 
+// changesRouting is false for the frequent records that no route depends on.
+func changesRouting(b record.Body) bool {
+	switch b.(type) {
+	case record.ClaimKeySlot, record.RenewKeySlots, record.ReleaseKeySlots, record.NodeAnnounced,
+		record.ClaimRollout, record.RolloutVerdict, record.CompleteRollout, record.PauseRollout, record.ResumeRollout:
+		return false
+	default:
+		return true
+	}
+}
+
 func (c *Core) nodeAnnounced(b record.NodeAnnounced) {
 	info, ok := nodeInfo(b)
 	if !ok || info.ID == c.cfg.Self.ID {
@@ -183,6 +200,7 @@
 		return
 	}
 	c.state = next
+	c.tableDirty = true
 	c.note(KindSnapshotApplied, nil)
 	for _, n := range next.Nodes {
 		c.nodeAnnounced(n.NodeAnnounced)
@@ -199,12 +217,8 @@
 	c.head = max(c.head, uint64(c.state.Revision))
 	c.stepMembership(membership.Applied{Now: now, Revision: c.state.Revision, NACK: nack})
 	c.rolloutStateChanged()
-	c.emit(PublishTable{})
 	c.emit(Notify{})
 	c.stepDistribution(distribution.Applied{Now: now, Revision: c.state.Revision, NACK: nack})
-	if c.headSeen && uint64(c.state.Revision) >= c.head {
-		c.platformRead()
-	}
 }
 
 // snapshots is the schedule of the snapshot stream.
--- a/internal/evaluation/method.go
+++ b/internal/evaluation/method.go
@@ -27,6 +27,11 @@
 	// tick lets the method act on what it has seen.
 	tick(now time.Duration, unixMS int64)
 	result() Result
+	// reason says why a version was taken back.
+	reason() string
+	// warned is when the operators were first told that the rollout is at risk,
+	// 0 if never.
+	warned() time.Duration
 }
 
 // Method names a way to decide.
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -53,10 +54,16 @@
 	return c
 }
 
-// publish replaces the view after the owners or the members changed.
-func (k *keyOwners) publish(c *core.Core) {
+// publish replaces the view after the owners or, with members set, the nodes changed.
+func (k *keyOwners) publish(c *core.Core, members bool) {
 	fence, slots := c.Keys()
-	view := &keyView{slots: slots, fence: fence, nodes: map[mesh.NodeID]keyNode{}}
+	view := &keyView{slots: slots, fence: fence}
+	if old := k.view.Load(); old != nil && !members {
+		view.nodes = old.nodes
+		k.view.Store(view)
+		return
+	}
+	view.nodes = map[mesh.NodeID]keyNode{}
 	for _, info := range c.LiveNodes() {
 		view.nodes[info.ID] = keyNode{session: info.Session, call: info.Call}
 	}
@@ -165,43 +172,15 @@
 	if view == nil {
 		return callpath.NotRun(callpath.CodeNotReady, "the owners of keys are not known yet")
 	}
-	switch view.fence.Check(key, idempotency.Fence(fence), k.loop.now()) {
-	case idempotency.FencePass:
-		return nil
-	case idempotency.FenceOld:
-		return callpath.NotRun(callpath.CodeFenced, "the key's slot has a newer owner")
-	default:
-		return callpath.NotRun(callpath.CodeFenced, "this node's view of the log is too old to check the key's owner")
-	}
+	return callpath.FenceRefusal(view.fence.Check(key, idempotency.Fence(fence), k.loop.now()))
 }
 
-func storedAnswer(a idempotency.Answer) *callpath.StoredAnswer {
-	return &callpath.StoredAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Oversized: a.Oversized}
+// mint returns a key that this node session owns for ever.
+func (k *keyOwners) mint() string {
+	self := k.loop.node.self
+	return idempotency.Mint(self.ID, self.Session, rand.Text())
 }
 
-// keyRefusals gives the code and the message of each reason.
-var keyRefusals = map[idempotency.Reason]struct {
-	code    callpath.Code
-	message string
-}{
-	idempotency.ReasonNotOwner:    {callpath.CodeNoOwner, "this node does not own the key's slot"},
-	idempotency.ReasonLeaseLapsed: {callpath.CodeLeaseLapsed, "the owner of the key's slot could not renew its lease"},
-	idempotency.ReasonTakeover:    {callpath.CodeKeyUnknownOutcome, "an earlier owner without stored results may have run the key"},
-	idempotency.ReasonUnknown:     {callpath.CodeKeyUnknownOutcome, "an earlier request with the key may have run"},
-	idempotency.ReasonMismatch:    {callpath.CodeKeyMismatch, "the key was used for another request"},
-	idempotency.ReasonFull:        {callpath.CodeKeyMemoryFull, "the owner cannot remember more keys"},
-	idempotency.ReasonStopping:    {callpath.CodeDraining, "the owner of the key's slot stops"},
-	idempotency.ReasonWaiters:     {callpath.CodeQueueFull, "too many repeats of the key wait"},
-	idempotency.ReasonSessionGone: {callpath.CodeKeyUnknownOutcome, "the node session that minted the key is gone"},
-}
-
-func keyRefusal(reason idempotency.Reason, mayHaveRun bool) *callpath.Refusal {
-	r, ok := keyRefusals[reason]
-	if !ok {
-		panic("key refusal without a code: " + string(reason))
-	}
-	if mayHaveRun {
-		return callpath.MayHaveRun(r.code, r.message)
-	}
-	return callpath.NotRun(r.code, r.message)
+func storedAnswer(a idempotency.Answer) *callpath.StoredAnswer {
+	return &callpath.StoredAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Oversized: a.Oversized}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,9 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +12,7 @@
 	"heathercroft.example/heathercroft/internal/callpath"
 	"heathercroft.example/heathercroft/internal/core"
 	"heathercroft.example/heathercroft/internal/rpc"
+	"heathercroft.example/heathercroft/pkg/idempotency"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/routing"
 	"heathercroft.example/heathercroft/pkg/timeline"
@@ -51,6 +50,7 @@
 	table   atomic.Pointer[routing.Table]
 	target  atomic.Pointer[mesh.Target]
 	tracker *routing.Tracker
+	cold    coldStart
 	ready   bool
 	sends   chan struct{}
 
@@ -76,6 +76,7 @@
 		Self: n.self, StartUnixMS: l.start.UnixMilli(), Seeds: seeds, Seed: randomSeed(), Keys: keyConfig(n),
 	})
 	l.keys = newKeyOwners(l)
+	l.cold.now = l.now
 	l.platform = newPlatform(l, platformClient(n.settings.Platform, local), n.settings.Platform)
 	return l
 }
@@ -183,12 +184,13 @@
 		case core.KeyReplay:
 			l.keys.deliver(effect.ID, callpath.KeyGrant{Replay: storedAnswer(effect.Answer)})
 		case core.KeyRefuse:
-			l.keys.deliver(effect.ID, callpath.KeyGrant{Refusal: keyRefusal(effect.Reason, effect.MayHaveRun)})
+			l.keys.deliver(effect.ID, callpath.KeyGrant{Refusal: callpath.KeyRefusal(idempotency.Refuse(effect))})
 		case core.PublishKeys:
-			l.keys.publish(l.core)
+			l.keys.publish(l.core, effect.Members)
 		case core.KeysReleased:
 			l.keys.releasedOnce.Do(func() { close(l.keys.released) })
 		case core.TargetLost:
+			l.cold.reset()
 			l.node.calls.TargetGone()
 		case core.CountCrashes:
 			for _, f := range effect.Report.Fingerprints {
@@ -243,14 +245,11 @@
 	l.record(n.Kind, uint64(n.Revision), n.Fields)
 }
 
-// record adds an event to the timeline and writes it to the log.
+// record adds an event to the timeline and writes it to the log, from which it
+// can be collected as well.
 func (l *loop) record(kind timeline.Kind, revision uint64, fields map[string]string) {
-	l.node.recorder.Record(kind, revision, fields)
-	args := []any{"event", string(kind), "revision", revision}
-	for _, key := range slices.Sorted(maps.Keys(fields)) {
-		args = append(args, key, fields[key])
-	}
-	l.node.logger.Info("event", args...)
+	e := l.node.recorder.Record(kind, revision, fields)
+	l.node.logger.Info(string(kind), timeline.LogAttr(e))
 }
 
 // send delivers a message; the answer only confirms the receipt, so that a
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kratos/kratos/v2/transport"
+	"golang.org/x/net/netutil"
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/callpath"
@@ -56,7 +57,7 @@
 	n.loop = newLoop(n)
 	n.calls = callpath.New(callpath.Deps{
 		Node: n.self.ID, Zone: n.self.Zone, Table: n.loop.table.Load, Target: n.loop.localTarget,
-		Keys: n.loop.keys, Recorder: n.evidence, Events: callEvents{n}, Now: n.loop.now, Logger: logger,
+		Keys: n.loop.keys, Cold: n.loop.cold.count, Recorder: n.evidence, Events: callEvents{n}, Now: n.loop.now, Logger: logger,
 	}, callSettings(s))
 	return n, nil
 }
@@ -79,6 +80,7 @@
 		}
 		*l.to = listener
 	}
+	n.listeners.caller = netutil.LimitListener(n.listeners.caller, n.settings.Limits.Connections)
 	return nil
 }
 
@@ -111,7 +113,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	callServer := app.HTTPServer(n.listeners.call, n.calls.NodeHandler())
 	callpath.ConfigureServer(callServer.Server)
-	callerServer := app.HTTPServer(n.listeners.caller, n.calls.CallHandler())
+	callerServer := app.HTTPServer(n.listeners.caller, n.callerHandler())
 	callpath.ConfigureServer(callerServer.Server)
 	n.publishMetrics()
 	return app.Run(ctx, app.Options{
@@ -133,6 +135,21 @@
 // releaseLimit bounds the wait for the release of key slots, which needs the platform.
 const releaseLimit = 8 * time.Second
 
+// mintPath is where callers get keys that this node owns for ever.
+const mintPath = "/heathercroft/v1/keys"
+
+// callerHandler serves calls, and keys on a path of its own.
+func (n *Node) callerHandler() http.Handler {
+	calls, mint := n.calls.CallHandler(), callpath.MintHandler(n.loop.keys.mint)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == mintPath {
+			mint.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
 // stopTimeout bounds the closing of the listeners after the drain.
 const stopTimeout = 5 * time.Second
 
--- a/pkg/distribution/config.go
+++ b/pkg/distribution/config.go
@@ -41,6 +41,10 @@
 	OutageAfter = 3 * time.Second
 	// FanOut is the number of children in the push tree.
 	FanOut = 4
+	// PushDelay is how long the second reader waits for a push by the first one
+	// before it pushes what it read itself. Pushes by both would double the
+	// bytes of each change.
+	PushDelay = 200 * time.Millisecond
 	// PullInterval is the time between two pulls, with a jitter of ±25 %.
 	PullInterval = 2 * time.Second
 	// ResponseBytes bounds the entries of one response or push.
@@ -56,8 +60,12 @@
 	// TransferTimeout frees the place of a transfer that was never reported done.
 	TransferTimeout = 10 * time.Second
 	// StatusInterval is the time between two status requests of a node that is
-	// not ready to the members of its zone.
+	// not ready to a member of its zone that did not answer.
 	StatusInterval = time.Second
+	// StatusRepeat is the time after which a member that answered is asked again.
+	StatusRepeat = 3 * time.Second
+	// StatusLists is how many members are asked for their list of members.
+	StatusLists = 3
 	// ApplyMax is how many entries are applied at once.
 	ApplyMax = 512
 	// GapRetry is the time between two requests for the same gap.
--- a/pkg/membership/exchange.go
+++ b/pkg/membership/exchange.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -39,16 +41,22 @@
 	e.next = m.now + m.jitter(ExchangeInterval*3/4, ExchangeInterval*5/4)
 	e.hurried = false
 	for _, id := range m.pick(m.peers(), 1) {
-		m.send(m.table.members[id].detail.Info.RPC, Message{Digest: &Digest{Zones: m.digests(m.cfg.Self.Zone, nil)}})
+		m.send(m.table.members[id].detail.Info.RPC, Message{
+			Digest: &Digest{Zones: m.digests(m.cfg.Self.Zone, nil)}, Links: m.zones.allLinks(true),
+		})
 	}
 }
 
-// compareView hurries the next exchange if the views of probed members keep
-// differing from the local one. News explains a difference for a moment only.
+// compareView ends the forwarding of what probed members know, and hurries the
+// next exchange if their views keep differing from the local one. News explains a difference for a moment only.
 func (m *Machine) compareView(theirs uint64) {
 	e := &m.exchange
-	if theirs == 0 || theirs == m.view() {
+	if theirs == 0 {
+		return
+	}
+	if theirs == m.view() {
 		e.mismatches = 0
+		m.rumors.agreed(m.forwardLimit())
 		return
 	}
 	if e.mismatches++; e.mismatches >= ViewMismatches {
@@ -62,7 +70,8 @@
 	hash       uint64
 }
 
-// view returns a hash over the statements of all members that are not dead.
+// view returns a hash over the statements of all members that are not dead, and
+// over the zones that are unreachable.
 func (m *Machine) view() uint64 {
 	if m.viewed.generation != m.generation {
 		hash := m.statement().hash()
@@ -71,6 +80,11 @@
 				hash ^= k.statement().hash()
 			}
 		}
+		for name, z := range m.zones.all {
+			if !z.link.Reachable {
+				hash ^= xxhash.Sum64String("unreachable/" + string(name))
+			}
+		}
 		m.viewed = cachedView{generation: m.generation, hash: hash}
 	}
 	return m.viewed.hash
@@ -127,6 +141,7 @@
 		return
 	}
 	m.acceptDigests(from.Zone, d.Zones)
+	m.zones.get(from.Zone).exchanged = m.now
 	mine := m.digests(from.Zone, d.Zones)
 	answer := &Entries{Zones: mine}
 	for _, zone := range differing(mine, d.Zones) {
--- a/pkg/membership/zone.go
+++ b/pkg/membership/zone.go
@@ -16,10 +16,12 @@
 	// failures counts the exchanges of this node without answer in a row.
 	failures int
 	// tried is when this node last opened an exchange.
-	tried   time.Duration
-	link    ZoneLink
-	sent    int
-	summary ZoneSummary
+	tried time.Duration
+	// exchanged is when the zone last opened an exchange with this node.
+	exchanged time.Duration
+	link      ZoneLink
+	sent      int
+	summary   ZoneSummary
 }
 
 // attempt is an exchange with another zone without answer so far.
@@ -30,10 +32,8 @@
 
 // zones is the state of the exchange between zones.
 type zones struct {
-	all  map[mesh.AvailabilityZone]*zone
-	next time.Duration
-	// last is the zone whose turn was last.
-	last     mesh.AvailabilityZone
+	all      map[mesh.AvailabilityZone]*zone
+	next     time.Duration
 	attempts []attempt
 	// news are the own zone's members whose statement other zones need.
 	news     map[mesh.NodeID]bool
@@ -137,14 +137,32 @@
 	if len(others) == 0 {
 		return
 	}
-	i, _ := slices.BinarySearch(others, z.last+"\x00")
-	z.last = others[i%len(others)]
-	m.contactZone(z.last)
-	if again, ok := m.failingZone(others); ok && again != z.last {
+	next := m.nextZone(others)
+	m.contactZone(next)
+	if again, ok := m.failingZone(others); ok && again != next {
 		m.contactZone(again)
 	}
 }
 
+// nextZone returns the zone whose last exchange with this node, opened by
+// either side, is the oldest. Counting those of the other side halves the time
+// until a zone that is cut off is tried. They do not count for a zone that is
+// marked unreachable, since only an answer to this node ends the mark.
+func (m *Machine) nextZone(others []mesh.AvailabilityZone) mesh.AvailabilityZone {
+	order := slices.Clone(others)
+	m.rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	return slices.MinFunc(order, func(a, b mesh.AvailabilityZone) int {
+		return cmp.Compare(m.zones.get(a).turn(), m.zones.get(b).turn())
+	})
+}
+
+func (z *zone) turn() time.Duration {
+	if !z.link.Reachable {
+		return z.tried
+	}
+	return max(z.exchanged, z.tried)
+}
+
 // otherZones returns the zones with members, except the own one. A zone whose
 // members are all dead is tried as long as these are remembered.
 func (m *Machine) otherZones() []mesh.AvailabilityZone {
@@ -167,7 +185,7 @@
 }
 
 // contactZone opens an exchange with a reader of a zone or, after a failure,
-// with any of its members.
+// with any of its members, that was tried longest ago.
 func (m *Machine) contactZone(name mesh.AvailabilityZone) {
 	s := m.zones.get(name)
 	to := m.readers(name)
@@ -178,7 +196,12 @@
 		to = m.table.list(name, anyState)
 	}
 	s.tried = m.now
-	for _, id := range m.pick(to, 1) {
+	to = m.pick(to, len(to))
+	slices.SortStableFunc(to, func(a, b mesh.NodeID) int {
+		return cmp.Compare(m.table.members[a].tried, m.table.members[b].tried)
+	})
+	for _, id := range to[:min(1, len(to))] {
+		m.table.members[id].tried = m.now
 		m.zones.attempts = append(m.zones.attempts, attempt{zone: name, deadline: m.now + ZoneExchangeInterval})
 		m.send(m.table.members[id].detail.Info.RPC, Message{Digest: &Digest{Zones: m.digests(name, nil)}})
 	}
@@ -214,12 +237,18 @@
 // acceptLinks takes over newer statements about links between zones.
 func (m *Machine) acceptLinks(links []ZoneLink) {
 	for _, l := range links {
-		if wireID(string(l.Zone)) && l.Zone != m.cfg.Self.Zone && l.Version > m.zones.get(l.Zone).link.Version {
+		if wireID(string(l.Zone)) && l.Zone != m.cfg.Self.Zone && l.holdsOver(m.zones.get(l.Zone).link) {
 			m.setLink(l)
 		}
 	}
 }
 
+// holdsOver orders statements about a zone. Two readers may reach the same
+// version at once; then the one that reaches the zone is right.
+func (l ZoneLink) holdsOver(o ZoneLink) bool {
+	return l.Version > o.Version || (l.Version == o.Version && l.Reachable && !o.Reachable)
+}
+
 func (m *Machine) setLink(l ZoneLink) {
 	s := m.zones.get(l.Zone)
 	if s.link.Reachable != l.Reachable {
--- a/pkg/pricing/queue.go
+++ b/pkg/pricing/queue.go
@@ -25,6 +25,9 @@
 	SystemAppends = 100
 	// reservedPart of it is kept for claims, steps and renewals.
 	reservedPart = 0.3
+	// maxLentRate bounds, in appends per second, what a node takes of the share of
+	// idle nodes: nodes that start at the same time don't see each other yet.
+	maxLentRate = 2
 	// urgentInRow is how many appends urgent changes may lead in a row while a
 	// patient change is overdue.
 	urgentInRow = 3
@@ -82,10 +85,21 @@
 
 func (q *Queue) setRates() {
 	share := float64(SystemAppends) / float64(q.config.Mesh.Nodes)
-	q.general.setRate(q.now, share*(1-reservedPart))
+	q.general.setRate(q.now, max(share*(1-reservedPart), q.config.Mesh.lentRate()))
 	q.reserved.setRate(q.now, share*reservedPart)
 }
 
+// lentRate is the part of the appends that idle nodes leave to those that take
+// commands. Half of the general appends is shared out to the active nodes, so that
+// as many nodes again may become active before the log shows it.
+func (m Mesh) lentRate() float64 {
+	if m.ActiveAuthors == 0 {
+		return 0
+	}
+	general := SystemAppends * (1 - reservedPart)
+	return min(general/2/float64(m.ActiveAuthors), maxLentRate)
+}
+
 // Waiting returns the number of changes that are neither in flight nor settled.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
@@ -128,6 +142,8 @@
 		return
 	}
 	it.touches = footprintOf(c.Body)
+	// An operator's batch is all or none, so it shares its record with nobody.
+	it.alone = c.Body.Kind() == record.KindBatch
 	q.rate.observe(q.now, it.size)
 	q.waiting = append(q.waiting, it)
 	q.hasten()
@@ -138,24 +154,42 @@
 
 // refusal returns why a change can't be queued, and sets its size.
 func (q *Queue) refusal(it *item) string {
-	if it.Body == nil || it.Body.Kind() == record.KindBatch {
-		return "a change needs a body that is no batch"
+	if it.Body == nil {
+		return "a change needs a body"
 	}
-	data, err := json.Marshal(it.Body)
+	size, err := bodySize(it.Body)
 	switch {
 	case err != nil:
 		return fmt.Sprintf("the change can't be encoded: %v", err)
-	case len(data) > MaxBatchBytes:
-		return fmt.Sprintf("the change has %d bytes, limit %d", len(data), MaxBatchBytes)
+	case size > MaxBatchBytes:
+		return fmt.Sprintf("the change has %d bytes, limit %d", size, MaxBatchBytes)
 	case len(q.waiting) >= MaxWaiting:
 		return fmt.Sprintf("%d changes wait at this node already", MaxWaiting)
 	case it.Wait > MaxWait:
 		return fmt.Sprintf("the wait is over the limit of %s", MaxWait)
 	}
-	it.size = len(data)
+	it.size = size
 	return ""
 }
 
+// bodySize is the size of an encoded body, and that of all items for a batch.
+func bodySize(b record.Body) (int, error) {
+	batch, ok := b.(record.Batch)
+	if !ok {
+		data, err := json.Marshal(b)
+		return len(data), err
+	}
+	total := 0
+	for _, item := range batch.Items {
+		size, err := bodySize(item.Body)
+		if err != nil {
+			return 0, err
+		}
+		total += size + itemBytes
+	}
+	return total, nil
+}
+
 // hasten moves up the changes that an earlier due one has to follow.
 func (q *Queue) hasten() {
 	newest := q.waiting[len(q.waiting)-1]
--- a/pkg/rollout/holder.go
+++ b/pkg/rollout/holder.go
@@ -18,9 +18,10 @@
 	StatusInterval = 2 * time.Second
 	// AppendRetry is how often an append without a result is asked for again.
 	AppendRetry = 2 * time.Second
-	// PlatformFreshness is how long a read of the log's head confirms that the
-	// platform is readable. Long polls answer at least every few seconds.
-	PlatformFreshness = 5 * time.Second
+	// PlatformFreshness is how long an answer of the platform confirms that it is
+	// readable. A long poll of a reader takes up to 10 s, and its age spreads from
+	// the readers to a zone of 167 members in about eight pulls of 2 s.
+	PlatformFreshness = 30 * time.Second
 	// EvidenceBound is how long a zone's evidence may be missing before no share
 	// is raised any more.
 	EvidenceBound = 5 * time.Second
@@ -62,10 +63,12 @@
 	raisedMS  int64
 	sources   map[mesh.NodeID]*source
 	zoneHeard map[mesh.AvailabilityZone]time.Duration
-	heldSince time.Duration
-	pending   Evidence
-	looked    time.Duration
-	judge     Judge
+	// aggregators holds the source that sums up each zone.
+	aggregators map[mesh.AvailabilityZone]mesh.NodeID
+	heldSince   time.Duration
+	pending     Evidence
+	looked      time.Duration
+	judge       Judge
 	// calls and failures of the new version at earlier shares under this claim.
 	calls, failures uint64
 	cut             *Cut
@@ -87,10 +90,11 @@
 	totals   Evidence
 }
 
-// flight is a record whose result has not been seen.
+// flight is a record whose effect on the rollout has not been seen.
 type flight struct {
-	record record.Record
-	sent   time.Duration
+	record   record.Record
+	sent     time.Duration
+	accepted bool
 }
 
 // NewHolder returns a machine that knows nothing but the rollout's id.
@@ -100,7 +104,8 @@
 	}
 	return &Holder{
 		config: config, sources: map[mesh.NodeID]*source{},
-		zoneHeard: map[mesh.AvailabilityZone]time.Duration{}, pending: Evidence{},
+		zoneHeard:   map[mesh.AvailabilityZone]time.Duration{},
+		aggregators: map[mesh.AvailabilityZone]mesh.NodeID{}, pending: Evidence{},
 	}
 }
 
@@ -216,10 +221,13 @@
 	if h.flight == nil || e.ID != h.flight.record.ID {
 		return
 	}
-	h.flight = nil
-	if e.Outcome.Code != state.Accepted {
-		// The id is spent: its first outcome stands, so a later try needs a new one.
-		h.attempts++
-		h.refusedAt, h.refused = e.Now, true
+	if e.Outcome.Code == state.Accepted {
+		// RolloutChanged follows; until then the record must not be asked for again.
+		h.flight.accepted = true
+		return
 	}
+	// The id is spent: its first outcome stands, so a later try needs a new one.
+	h.flight = nil
+	h.attempts++
+	h.refusedAt, h.refused = e.Now, true
 }
--- a/pkg/rollout/holder_drive.go
+++ b/pkg/rollout/holder_drive.go
@@ -17,20 +17,24 @@
 	finalPart   = 0.25
 )
 
-// maybeClaim claims the rollout if its holder is silent and this node ranks
-// first among the other live candidates.
+// quietCalls is the number of calls of the new version below which a planned
+// soak tells next to nothing.
+const quietCalls = 10
+
+// maybeClaim claims the rollout if its holder is silent. The first candidate by
+// rank claims at once, and each further one ClaimAfter later: a live node may be
+// unable to reach the platform. The reducer accepts only one of two claims.
 func (h *Holder) maybeClaim() []Effect {
-	if !h.platformReadable() || (h.rollout.Epoch != 0 && h.now-h.progress < ClaimAfter) {
-		return nil
+	silence := time.Duration(0)
+	if h.rollout.Epoch != 0 {
+		silence = ClaimAfter
 	}
-	var others []mesh.NodeID
-	for _, id := range h.live {
-		if string(id) != h.rollout.Holder {
-			others = append(others, id)
-		}
+	if !h.platformReadable() || h.now-h.progress < silence {
+		return nil
 	}
-	ranked := mesh.RankNodes(CandidateKey(h.rollout.ID), others)
-	if len(ranked) == 0 || ranked[0] != h.config.Self {
+	others := slices.DeleteFunc(slices.Clone(h.live), func(id mesh.NodeID) bool { return string(id) == h.rollout.Holder })
+	rank := slices.Index(mesh.RankNodes(CandidateKey(h.rollout.ID), others), h.config.Self)
+	if rank < 0 || h.now-h.progress < silence+time.Duration(rank)*ClaimAfter {
 		return nil
 	}
 	return h.append(record.Record{
@@ -94,18 +98,11 @@
 // dueUnixMS is when the present share may be left: at its planned time, or if the
 // rollout is late, after the shortest soak.
 func (h *Holder) dueUnixMS() int64 {
-	weight := h.rollout.Weight
-	planned := h.plan.CompleteUnixMS
-	part := finalPart
-	if next, ok := h.plan.Next(weight); ok {
-		planned = next.AtUnixMS
-		part = catchUpPart
-		if h.tooQuiet() {
-			planned = 0
-		}
+	if h.tooQuiet() {
+		soak := time.Duration(float64(h.plan.Soak(h.rollout.Weight)) * catchUpPart)
+		return h.raisedMS + soak.Milliseconds()
 	}
-	soak := time.Duration(float64(h.plan.Soak(weight)) * part)
-	return max(planned, h.raisedMS+soak.Milliseconds())
+	return h.plannedEnd(h.rollout.Weight, h.raisedMS)
 }
 
 // tooQuiet reports that the planned soak would gather next to no calls at a share
@@ -118,7 +115,7 @@
 		return false
 	}
 	share := float64(h.rollout.Weight) / float64(record.FullWeight)
-	return perSecond*share*h.plan.Soak(h.rollout.Weight).Seconds() < cleanCalls
+	return perSecond*share*h.plan.Soak(h.rollout.Weight).Seconds() < quietCalls
 }
 
 func (h *Holder) step(weight record.BasisPoints) []Effect {
@@ -145,7 +142,7 @@
 // unknown. A record of another kind replaces one in flight.
 func (h *Holder) append(rec record.Record) []Effect {
 	if h.flight != nil && h.flight.record.ID == rec.ID {
-		if h.now-h.flight.sent < AppendRetry {
+		if h.flight.accepted || h.now-h.flight.sent < AppendRetry {
 			return nil
 		}
 		h.flight.sent = h.now
--- a/pkg/rollout/holder_evidence.go
+++ b/pkg/rollout/holder_evidence.go
@@ -5,6 +5,9 @@
 // evidence takes in the totals of a source. The first message of a session
 // only sets the mark: what it counted before can't be split by time.
 func (h *Holder) evidence(e EvidenceReceived) {
+	if e.Aggregate && !h.aggregates(e) {
+		return
+	}
 	h.zoneHeard[e.Zone] = max(h.zoneHeard[e.Zone], e.Now)
 	src := h.sources[e.Source]
 	if src == nil || src.session != e.Session {
@@ -21,6 +24,19 @@
 	}
 }
 
+// aggregates reports whether the source is the one that sums up its zone.
+func (h *Holder) aggregates(e EvidenceReceived) bool {
+	current, known := h.aggregators[e.Zone]
+	if known && current != e.Source && e.Now-h.zoneHeard[e.Zone] <= EvidenceBound {
+		return false
+	}
+	if current != e.Source {
+		delete(h.sources, e.Source)
+		h.aggregators[e.Zone] = e.Source
+	}
+	return true
+}
+
 // look compares what came in since the last look.
 func (h *Holder) look() {
 	elapsed := h.now - h.looked
@@ -53,9 +69,16 @@
 	}
 }
 
+// rateCalls and rateSeconds are what a rate needs to be known: a rate from a
+// single call at night is off by its own size.
+const (
+	rateCalls   = 8
+	rateSeconds = 10
+)
+
 // perSecond returns the rate, or 0 if it is not known yet.
 func (r *evidenceRate) perSecond() float64 {
-	if r.seconds < 10 {
+	if r.seconds < rateSeconds || r.calls < rateCalls {
 		return 0
 	}
 	return r.calls / r.seconds
--- a/pkg/rollout/sequential.go
+++ b/pkg/rollout/sequential.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/record"
 )
 
@@ -18,34 +19,34 @@
 	failureOmegas = []float64{3, 10, 50, 500}
 	// latencyQuantiles of the old version set the bounds above which calls
 	// count as slow: the lower one shows a general slowdown, the tail a partial
-	// one. A rate ratio can't exceed 1/(1-q).
+	// one.
 	latencyQuantiles = []float64{0.75, 0.95}
-	latencyOmegas    = [][]float64{{1.7, 2.5, 3.5}, {2.5, 5, 12}}
-	latencyNulls     = []float64{1.15, 1.3}
+	// latencyOmegas and latencyNulls are odds ratios.
+	latencyOmegas = [][]float64{{2, 5, 15}, {3, 8, 25}}
+	latencyNulls  = []float64{1.2, 1.4}
 )
 
 // pastQuantile is the latency bound at full weight.
 const pastQuantile = 0.95
 
+// minZones is the number of zones with calls from which one may be left out.
+const minZones = 3
+
 // minReference is how many calls of the old version a latency bound needs.
 const minReference = 20
 
-// The pass rule: the new version must have served enough calls under its present
-// share that a failure rate passMargin above the old version's would have shown,
-// and the evidence against it must be low.
-const (
-	passCalls  = 60
-	passMargin = 0.05
-	passLevel  = 0.05
-	// passEvidence is the evidence above which a version is too suspicious to
-	// pass, though it is far from being condemned.
-	passEvidence = 20
-)
+// minRouteReference is the same for the calls of a route in all zones. Any bound
+// is valid; a poor one only costs power.
+const minRouteReference = 8
 
 // routeProcesses gathers the evidence of one scope: one route, or all.
 type routeProcesses struct {
 	failures *eProcess
 	latency  []*eProcess
+	// reference holds the old version's latency in all zones.
+	reference Histogram
+	// tables holds calls of zones with too few of them for a table of their own.
+	tables tables
 }
 
 func newRouteProcesses() *routeProcesses {
@@ -72,31 +73,26 @@
 }
 
 // Sequential compares by mixture likelihood ratios that are valid at any look:
-// rate ratios of failures, and of calls slower than quantiles of the old
-// version's earlier latency, at the same time, zone and route.
+// rate ratios of failures, and odds ratios of calls slower than quantiles of the
+// old version's earlier latency, at the same time, zone and route.
 type Sequential struct {
 	config JudgeConfig
 	all    *routeProcesses
 	routes map[string]*routeProcesses
+	// names holds the keys of routes in order.
+	names  []string
 	strata map[stratumKey]*stratumState
 	past   *referenceTest
 	// raised and oldRaised count since the last raise of the share.
 	raised    Counts
 	oldRaised Counts
-	condemned *Judgement
-}
-
-// stratumState is what earlier blocks tell about one route and zone.
-type stratumState struct {
-	exposure exposure
-	// reference holds the old version's latency.
-	reference Histogram
-}
-
-type stratumKey struct{ route, zone string }
-
-func compareStrata(a, b stratumKey) int {
-	return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.zone, b.zone))
+	// raisedZones holds raised by zone.
+	raisedZones map[mesh.AvailabilityZone]Counts
+	weight      record.BasisPoints
+	condemned   *Judgement
+	// suspicion is the strongest evidence at the last look.
+	suspicion float64
+	buffer    []float64
 }
 
 // NewSequential returns the product's judge.
@@ -104,12 +100,28 @@
 	return &Sequential{
 		config: config, all: newRouteProcesses(),
 		routes: map[string]*routeProcesses{}, strata: map[stratumKey]*stratumState{},
-		past: newReferenceTest(),
+		raisedZones: map[mesh.AvailabilityZone]Counts{},
+		past:        newReferenceTest(),
 	}
 }
 
 // Raised implements Judge.
-func (s *Sequential) Raised() { s.raised, s.oldRaised = Counts{}, Counts{} }
+func (s *Sequential) Raised() {
+	s.raised, s.oldRaised = Counts{}, Counts{}
+	s.raisedZones = map[mesh.AvailabilityZone]Counts{}
+}
+
+// changeWeight drops the incomplete tables: calls under different shares are not
+// of the same time.
+func (s *Sequential) changeWeight(weight record.BasisPoints) {
+	s.weight = weight
+	for _, r := range s.routes {
+		r.tables = tables{}
+	}
+	for _, st := range s.strata {
+		st.tables = tables{}
+	}
+}
 
 // Observe implements Judge.
 func (s *Sequential) Observe(b Block) {
@@ -117,12 +129,17 @@
 	for _, st := range b.Strata {
 		if s.routes[st.Route] == nil {
 			s.routes[st.Route] = newRouteProcesses()
+			s.names = slices.Sorted(maps.Keys(s.routes))
 		}
 	}
 	s.all.open(part)
 	for _, r := range s.routes {
 		r.open(part)
 	}
+	s.age(b.Elapsed)
+	if b.Weight != s.weight {
+		s.changeWeight(b.Weight)
+	}
 	if b.Weight == record.FullWeight {
 		s.past.open(part)
 	}
@@ -132,80 +149,11 @@
 	s.decide()
 }
 
-func (s *Sequential) observeStratum(st Stratum, b Block) {
-	key := stratumKey{st.Route, string(st.Zone)}
-	state := s.strata[key]
-	if state == nil {
-		state = &stratumState{}
-		s.strata[key] = state
-	}
-	state.exposure.observe(b.Weight, st.New.Calls, st.Old.Calls)
-	part := state.exposure.part()
-	scopes := []*routeProcesses{s.all, s.routes[st.Route]}
-	ratios := logRatios(st.New.Failures, st.Old.Failures, part, failureOmegas, failureNull)
-	for _, r := range scopes {
-		r.failures.observe(ratios)
-	}
-	// The bounds come from earlier blocks only: a bound that depends on the
-	// calls it sorts would bias the test.
-	if state.reference.Total() >= minReference {
-		observeLatency(st, &state.reference, part, scopes)
-	}
-	s.observePast(st, state, b)
-	state.reference.merge(&st.Old.Latency)
-	s.raised.Merge(st.New)
-	s.oldRaised.Merge(st.Old)
-}
-
-// observePast compares with the old version's earlier calls at full weight, and
-// learns from them before.
-func (s *Sequential) observePast(st Stratum, state *stratumState, b Block) {
-	slowOld, slowNew, base := uint64(0), uint64(0), 0.0
-	if total := state.reference.Total(); total >= minReference {
-		bucket, _ := state.reference.Quantile(pastQuantile)
-		base = float64(state.reference.Above(bucket)+1) / float64(total+2)
-		slowOld, slowNew = st.Old.Latency.Above(bucket), st.New.Latency.Above(bucket)
-	}
-	if b.Weight < record.FullWeight {
-		s.past.learn(st, float64(slowOld), base, b.Elapsed)
-		return
-	}
-	s.past.compare(st, slowNew, base)
-}
-
-func observeLatency(st Stratum, reference *Histogram, part float64, scopes []*routeProcesses) {
-	total := reference.Total()
-	for i, q := range latencyQuantiles {
-		bucket, _ := reference.Quantile(q)
-		base := float64(reference.Above(bucket)+1) / float64(total+2)
-		fresh := marks{st.New.Latency.Total(), st.New.Latency.Above(bucket)}
-		old := marks{st.Old.Latency.Total(), st.Old.Latency.Above(bucket)}
-		ratios := make([]float64, len(latencyOmegas[i]))
-		for k, omega := range latencyOmegas[i] {
-			ratios[k] = logRatioBoth(fresh, old, part, base, omega, latencyNulls[i])
-		}
-		for _, r := range scopes {
-			r.latency[i].observe(ratios)
-		}
-	}
-}
-
-func logRatios(newMarked, oldMarked uint64, part float64, omegas []float64, null float64) []float64 {
-	ratios := make([]float64, len(omegas))
-	if newMarked+oldMarked == 0 {
-		return ratios
-	}
-	for i, omega := range omegas {
-		ratios[i] = logRatio(newMarked, oldMarked, part, omega, null)
-	}
-	return ratios
-}
-
 // evidence returns the mean of the processes, which is again an e-process: half
 // on the whole service, half spread over its routes.
 func (s *Sequential) evidence(value func(*routeProcesses) float64) (total float64, worstRoute string) {
 	worst, sum := 0.0, 0.0
-	for _, route := range slices.Sorted(maps.Keys(s.routes)) {
+	for _, route := range s.names {
 		v := value(s.routes[route])
 		sum += v
 		if v > worst {
@@ -232,7 +180,11 @@
 	}
 	failures, failureRoute := s.failureEvidence()
 	latency, latencyRoute := s.latencyEvidence()
-	pastFailures, pastLatency := s.past.failureEvidence(), s.past.latencyEvidence()
+	pastFailures, pastLatency := 1.0, 1.0
+	if s.weight == record.FullWeight {
+		pastFailures, pastLatency = s.past.failureEvidence(), s.past.latencyEvidence()
+	}
+	s.suspicion = max(failures, latency, pastFailures, pastLatency)
 	if (failures+latency+pastFailures+pastLatency)/4 < 1/s.config.FalseAlarm {
 		return
 	}
@@ -255,11 +207,25 @@
 	if s.condemned != nil {
 		return *s.condemned
 	}
-	return PassRule(s.raised, s.oldRaised, s.suspicion())
+	return PassRule(s.comparable(), s.oldRaised, s.suspicion)
 }
 
-func (s *Sequential) suspicion() float64 {
-	failures, _ := s.failureEvidence()
-	latency, _ := s.latencyEvidence()
-	return max(failures, latency, s.past.failureEvidence(), s.past.latencyEvidence())
+// comparable returns the calls that the pass rule rests on. At full weight the
+// zone with the highest failure rate is left out if there are others enough:
+// without old calls beside it, its trouble can't be told from a fault.
+func (s *Sequential) comparable() Counts {
+	if s.weight < record.FullWeight || len(s.raisedZones) < minZones {
+		return s.raised
+	}
+	zones := slices.Sorted(maps.Keys(s.raisedZones))
+	worst := slices.MaxFunc(zones, func(a, b mesh.AvailabilityZone) int {
+		return cmp.Compare(rate(s.raisedZones[a]), rate(s.raisedZones[b]))
+	})
+	sum := Counts{}
+	for _, z := range zones {
+		if z != worst {
+			sum.Merge(s.raisedZones[z])
+		}
+	}
+	return sum
 }
--- a/scripts/bench/parts.go
+++ b/scripts/bench/parts.go
@@ -82,7 +82,7 @@
 	err := evaluation.Report(ctx, evaluation.Config{
 		Seed: o.seed, Good: versions, Bad: versions, Workers: 2,
 		Profiles: evaluation.Profiles(""), Methods: evaluation.Methods(""),
-	}, dir, os.Stdout)
+	}, dir, os.Stdout, nil)
 	if err != nil {
 		return err
 	}
