Share the appends of the system among the nodes that make them

Cause: at 2,500 nodes an equal share of the reserved appends is one in 83 s for each node (one in 25 s with the general ones), so that a rollback could wait for 25 s and renewals every 20 s fell behind. An urgent change of an operator waited for 36 s, since the node did not tell the queue who else appends. Change: the reducer counts the authors of the last minute in the log, apart for operators and the system, and the queue shares half of each part among them; the reserved bucket holds four tokens, enough to claim, step, pass and roll back. Figures: TestSystemRecordsOfALargeMeshDoNotWait fails before (the second record waits) and passes after.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,7 @@
 	rollouts     rollouts
 	snapshots    snapshots
 	keys         keys
+	authors      authors
 
 	// distributionBacklog and queueBacklog hold events that effects of the same
 	// machine caused.
@@ -92,6 +93,7 @@
 		fates:        newFates(),
 		rollouts:     newRollouts(cfg, rand.New(source(4))),
 		keys:         newKeys(cfg.Keys),
+		authors:      newAuthors(),
 		addresses:    map[mesh.NodeID]netip.AddrPort{},
 	}
 }
@@ -163,6 +165,7 @@
 	c.stepQueue(pricing.Tick{Now: now})
 	c.tickRollouts()
 	c.tickKeys()
+	c.tickAuthors()
 	c.retryAppends()
 	c.scheduleSnapshot()
 }
@@ -247,9 +250,8 @@
 		})
 	}
 	c.stepDistribution(distribution.MembersChanged{Now: c.time.Now, Peers: peers})
-	c.stepQueue(pricing.MeshChanged{Now: c.time.Now, Mesh: pricing.Mesh{
-		Nodes: len(c.live), Zones: len(zones), FanOut: distribution.FanOut,
-	}})
+	c.authors.mesh = pricing.Mesh{Nodes: len(c.live), Zones: len(zones), FanOut: distribution.FanOut}
+	c.meshChanged()
 	c.tableDirty = true
 	c.rolloutMembersChanged()
 	c.stepKeys(idempotency.MembersChanged{Now: c.time.Now, Live: slices.Clone(c.live)})
--- a/internal/core/distribute.go
+++ b/internal/core/distribute.go
@@ -158,6 +158,7 @@
 		c.note(KindRecordApplied, fields)
 	}
 	c.keysApplied(r)
+	c.authorSeen(r.Record)
 	if r.Outcome.Code == state.Accepted && changesRouting(r.Record.Body) {
 		c.tableDirty = true
 	}
--- a/pkg/pricing/bucket.go
+++ b/pkg/pricing/bucket.go
@@ -11,11 +11,13 @@
 	// rate is in tokens per second.
 	rate float64
 	last time.Duration
+	// depth is the least number of tokens that the bucket holds when full.
+	depth float64
 }
 
-// burst is how many tokens a bucket holds: at most one second's worth, and at
-// least one, since a node of a large mesh gets one token in many seconds.
-func (b *bucket) burst() float64 { return max(1, b.rate) }
+// burst is how many tokens a bucket holds: one second's worth, and at least
+// depth, since a node of a large mesh gets one token in many seconds.
+func (b *bucket) burst() float64 { return max(b.depth, b.rate) }
 
 func (b *bucket) fill(now time.Duration) {
 	if now > b.last {
--- a/pkg/pricing/limits_test.go
+++ b/pkg/pricing/limits_test.go
@@ -146,3 +146,20 @@
 		require.Equal(t, active > 0, count > 10)
 	}
 }
+
+// Guards against a rollback or a renewal that waits for tokens in a large mesh:
+// equal shares of the reserved appends give a node of 2,500 one in 83 s.
+func TestSystemRecordsOfALargeMeshDoNotWait(t *testing.T) {
+	mesh := pricing.Mesh{Nodes: 2500, Zones: 15, FanOut: 4, ActiveAuthors: 2, ActiveSystem: 65}
+	q := pricing.NewQueue(pricing.Config{Author: "n/s", Mesh: mesh})
+	submit := func(now time.Duration, id string) int {
+		return len(appendsOf(q.Step(pricing.SystemSubmitted{Now: now, Record: record.Record{ID: id, Body: record.RollBackRollout{Rollout: 1}}})))
+	}
+	for i, id := range []string{"claim", "step", "verdict", "rollback"} {
+		require.Equal(t, 1, submit(time.Duration(i)*time.Millisecond, id), id)
+	}
+	for i := range 10 {
+		now := time.Minute + time.Duration(i)*20*time.Second
+		require.Equal(t, 1, submit(now, fmt.Sprintf("renewal-%d", i)))
+	}
+}
--- a/pkg/pricing/price.go
+++ b/pkg/pricing/price.go
@@ -11,6 +11,10 @@
 	// ActiveAuthors is the number of nodes that appended changes of operators in the
 	// last minute, as seen in the log, this node included; 0 if it is not known.
 	ActiveAuthors int
+	// ActiveSystem is the number of nodes that appended records of the system in the
+	// last minute, such as owners of key slots and holders of rollouts, this node
+	// included; 0 if it is not known.
+	ActiveSystem int
 	// FanOut is the number of children of a node in the distribution tree.
 	FanOut int
 }
@@ -77,7 +81,7 @@
 func (m Mesh) normal() Mesh {
 	return Mesh{
 		Nodes: max(m.Nodes, 1), Zones: max(m.Zones, 1), FanOut: max(m.FanOut, 1),
-		ActiveAuthors: max(m.ActiveAuthors, 0),
+		ActiveAuthors: max(m.ActiveAuthors, 0), ActiveSystem: max(m.ActiveSystem, 0),
 	}
 }
 
--- a/pkg/pricing/queue.go
+++ b/pkg/pricing/queue.go
@@ -28,6 +28,9 @@
 	// maxLentRate bounds, in appends per second, what a node takes of the share of
 	// idle nodes: nodes that start at the same time don't see each other yet.
 	maxLentRate = 2
+	// reservedDepth lets a node that was idle claim a rollout, step and take it back
+	// at once. With one token at 2,500 nodes, a rollback would wait for up to 25 s.
+	reservedDepth = 4
 	// urgentInRow is how many appends urgent changes may lead in a row while a
 	// patient change is overdue.
 	urgentInRow = 3
@@ -78,26 +81,26 @@
 func NewQueue(config Config) *Queue {
 	config.Mesh = config.Mesh.normal()
 	q := &Queue{config: config, inflight: map[string][]*item{}}
-	q.general.tokens, q.reserved.tokens = 1, 1
+	q.general.depth, q.reserved.depth = 1, reservedDepth
+	q.general.tokens, q.reserved.tokens = 1, reservedDepth
 	q.setRates()
 	return q
 }
 
 func (q *Queue) setRates() {
 	share := float64(SystemAppends) / float64(q.config.Mesh.Nodes)
-	q.general.setRate(q.now, max(share*(1-reservedPart), q.config.Mesh.lentRate()))
-	q.reserved.setRate(q.now, share*reservedPart)
+	q.general.setRate(q.now, max(share*(1-reservedPart), lentRate(1-reservedPart, q.config.Mesh.ActiveAuthors)))
+	q.reserved.setRate(q.now, max(share*reservedPart, lentRate(reservedPart, q.config.Mesh.ActiveSystem)))
 }
 
-// lentRate is the part of the appends that idle nodes leave to those that take
-// commands. Half of the general appends is shared out to the active nodes, so that
-// as many nodes again may become active before the log shows it.
-func (m Mesh) lentRate() float64 {
-	if m.ActiveAuthors == 0 {
+// lentRate is what idle nodes leave to the active ones of a part of the appends.
+// Half of it is shared out, so that as many nodes again may become active before
+// the log shows it.
+func lentRate(part float64, active int) float64 {
+	if active == 0 {
 		return 0
 	}
-	general := SystemAppends * (1 - reservedPart)
-	return min(general/2/float64(m.ActiveAuthors), maxLentRate)
+	return min(SystemAppends*part/2/float64(active), maxLentRate)
 }
 
 // Waiting returns the number of changes that are neither in flight nor settled.
