--- a/internal/callpath/http_test.go
+++ b/internal/callpath/http_test.go
@@ -15,7 +15,6 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/callpath"
-	"heathercroft.example/heathercroft/pkg/retry"
 )
 
 // Guards against answers without a body that hang or gain one, lost trailers
@@ -151,24 +150,6 @@
 	}
 }
 
-// Guards against evidence of services that nobody watches, and against counting
-// an amended attempt twice.
-func TestEvidenceCountsWatchedServices(t *testing.T) {
-	e := callpath.NewEvidence()
-	sample := callpath.Sample{Service: "courier", Version: "v2", Route: "r", Zone: "casa-a", Status: 200, Latency: time.Millisecond}
-	e.Record(sample)
-	e.Watch([]string{"courier"})
-	e.Record(sample)
-	sample.Outcome, sample.Amends = retry.ShortBody, true
-	e.Record(sample)
-	sample.Outcome, sample.Amends = retry.RefusedByNode, false
-	e.Record(sample)
-	got := e.Snapshot()[callpath.EvidenceKey{Service: "courier", Version: "v2", Route: "r", Zone: "casa-a"}]
-	require.Equal(t, []uint64{2, 1, 2}, []uint64{got.Calls, got.Failures, got.Latency[4]})
-	e.Watch(nil)
-	require.Empty(t, e.Snapshot())
-}
-
 type countingReader struct {
 	io.Reader
 	count int
