Let a node of a large mesh know its own leaving target at once

Cause: found in the read-through: changes of members are merged over 500 ms in meshes of over 32 members, and the local target's state went the same way, so that its node could pass new work to a leaving target for that long. Change: a changed announcement of the local target publishes the table at once. Figures: TestLeavingTargetIsKnownToItsNodeAtOnce fails before and passes after.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -190,6 +190,8 @@
 	if before != nil && before.State == t.State && before.Version == t.Version {
 		return
 	}
+	// The node itself has to know at once, not only after the next merge of members.
+	c.tableDirty = true
 	kind := KindTargetAnnounced
 	if t.State == mesh.TargetLeaving {
 		kind = KindTargetLeaving
--- a/internal/core/plan_bench_test.go
+++ b/internal/core/plan_test.go
@@ -91,6 +91,31 @@
 	}
 }
 
+// Guards against a node of a large mesh that passes new work to its own target
+// after the target said that it leaves, until changes of members are merged.
+func TestLeavingTargetIsKnownToItsNodeAtOnce(t *testing.T) {
+	self := planInfo(0)
+	p := &planNode{tracker: routing.NewTracker(), core: core.New(core.Config{
+		Self: self, StartUnixMS: 1, Seed: 1, Keys: idempotency.DefaultConfig(self.ID, self.Session),
+	})}
+	for i := 1; i < 100; i++ {
+		p.announce(i, 1)
+	}
+	p.step(core.Tick{})
+	announce := func(s mesh.TargetState) []core.Effect {
+		p.now += time.Millisecond
+		return p.core.Step(core.Time{Now: p.now, UnixMS: 1}, core.TargetAnnounced{Target: mesh.Target{
+			Service: "courier", Version: "v1", Address: netip.MustParseAddrPort("10.0.0.1:9000"), Slots: 1, State: s,
+		}})
+	}
+	require.Contains(t, announce(mesh.TargetServing), core.Effect(core.PublishTable{}))
+	require.NotContains(t, announce(mesh.TargetServing), core.Effect(core.PublishTable{}))
+	require.Contains(t, announce(mesh.TargetLeaving), core.Effect(core.PublishTable{}))
+	target, ok := p.core.Target()
+	require.True(t, ok)
+	require.Equal(t, mesh.TargetLeaving, target.State)
+}
+
 // BenchmarkRenewalAtPlanSize is the cost of the most frequent record, with a
 // routing table for 450 services and 2,500 endpoints.
 func BenchmarkRenewalAtPlanSize(b *testing.B) {
