Decide changes that were reported as unknown once their record is read back

Cause: found in the read-through: after an append was given up, a later reading of its record did not change what the node said of the change. Change: the node keeps which changes an uncertain record carries and takes in its outcome; the list is dropped when the record is settled or certainly not run. Figures: TestUnknownChangeIsDecidedLater fails before (unknown) and passes after. Conclusion: show change tells the truth later also at the node that gave up.

--- a/internal/core/append.go
+++ b/internal/core/append.go
@@ -123,7 +123,6 @@
 func (c *Core) giveUp(id string, p *pendingAppend) {
 	delete(c.appends.pending, id)
 	c.fates.gaveUp(id, p.mayHaveRun)
-	c.fates.settled(id)
 	c.note(KindAppendGaveUp, map[string]string{"id": id, "reason": p.reason})
 	c.stepQueue(pricing.GaveUp{Now: c.time.Now, RecordID: id, Reason: p.reason})
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -91,6 +91,27 @@
 	requireConverged(t, m)
 }
 
+// Guards against a change that stays unknown after its record was read back.
+func TestUnknownChangeIsDecidedLater(t *testing.T) {
+	m := newMesh(t, 10, 1, 1)
+	m.run(10 * time.Second)
+	m.log.lost = 1
+	m.tampered = func(e core.Event) core.Event {
+		if page, ok := e.(core.LogPage); ok {
+			return core.LogFailed{Read: page.Read, Reason: "hidden from the node"}
+		}
+		return e
+	}
+	m.nodes[0].submit("change-1", record.PutService{Name: "courier", Version: "v1"}, 0)
+	m.run(45 * time.Second)
+	require.Equal(t, core.StageUnknown, m.nodes[0].core.Fate("change-1").Stage)
+	m.tampered, m.log.lost = nil, 0
+	m.run(inForceBound)
+	fate := m.nodes[0].core.Fate("change-1")
+	require.Equal(t, core.StageDecided, fate.Stage)
+	require.Equal(t, state.Accepted, fate.Outcome.Code)
+}
+
 // Guards against two operators at different nodes who both believe that they won.
 func TestRacingOperatorsAreToldTheWinner(t *testing.T) {
 	m := newMesh(t, 4, 2, 2)
--- a/internal/core/distribute.go
+++ b/internal/core/distribute.go
@@ -273,7 +273,7 @@
 // settle passes the outcome of a record to the parts that asked for it.
 func (c *Core) settle(id string, o state.Outcome) {
 	c.appends.settled(id)
-	c.fates.settled(id)
+	c.fates.settled(id, o)
 	c.settleRollouts(id, o)
 	c.stepQueue(pricing.Settled{Now: c.time.Now, RecordID: id, Outcome: o})
 }
--- a/internal/core/fate.go
+++ b/internal/core/fate.go
@@ -97,6 +97,7 @@
 
 func (f *fates) gaveUp(recordID string, mayHaveRun bool) {
 	if !mayHaveRun {
+		delete(f.carriers, recordID)
 		return
 	}
 	for _, id := range f.carriers[recordID] {
@@ -104,8 +105,16 @@
 	}
 }
 
-// settled forgets which changes a record carried.
-func (f *fates) settled(recordID string) { delete(f.carriers, recordID) }
+// settled takes in the outcome of a record that was read back. Changes that were
+// reported as unknown before are decided by it.
+func (f *fates) settled(recordID string, o state.Outcome) {
+	for _, id := range f.carriers[recordID] {
+		if fate, ok := f.byID[id]; ok && fate.Stage == StageUnknown {
+			fate.Stage, fate.Outcome, fate.Reason = StageDecided, o, o.Reason
+		}
+	}
+	delete(f.carriers, recordID)
+}
 
 // answered stores the end of a change. A change whose attempts were all refused
 // by the platform is known not to have run.
