Draw a record that many nodes apply as one column of the timeline

Cause: the picture of a demo run with 2,000 events was 92,236 pixels wide. Change: events of the same kind and revision that follow each other in different processes share a column. Conclusion: order is kept, and no mark hides another (test).

--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -176,3 +176,17 @@
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
+
+// Guards against marks that hide each other, and against an effect that is drawn
+// to the left of its cause.
+func TestColumnsKeepOrderAndHideNothing(t *testing.T) {
+	at := func(process string, kind timeline.Kind, revision uint64) timeline.Event {
+		return timeline.Event{Process: process, Kind: kind, Revision: revision}
+	}
+	events := []timeline.Event{
+		at("a", "appended", 5), at("a", "record-applied", 5), at("b", "record-applied", 5), at("c", "record-applied", 5),
+		at("b", "record-applied", 5), at("c", "member-state", 0), at("a", "member-state", 0), at("a", "record-applied", 6),
+	}
+	require.Equal(t, []int{0, 1, 1, 1, 2, 3, 4, 5}, columnsOf(events))
+	require.Empty(t, columnsOf(nil))
+}
--- a/internal/collector/svg.go
+++ b/internal/collector/svg.go
@@ -31,8 +31,8 @@
 // palette holds colors that can be told apart by most people with color blindness.
 var palette = []string{"#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9", "#000000", "#999933"}
 
-// picture is an SVG document with a lane for each process and a column for each
-// event in merged order, so that causes stand to the left of effects.
+// picture is an SVG document with a lane for each process and columns in merged
+// order, so that causes stand to the left of effects.
 type picture struct {
 	buf    bytes.Buffer
 	lanes  map[string]int
@@ -45,7 +45,12 @@
 	events = events[left:]
 	p := &picture{lanes: map[string]int{}, colors: map[timeline.Kind]string{}}
 	p.assign(events)
-	width := max(minWidth, leftMargin+columnWidth*(len(events)+1))
+	columns := columnsOf(events)
+	width := leftMargin + 2*columnWidth
+	if len(columns) > 0 {
+		width += columnWidth * columns[len(columns)-1]
+	}
+	width = max(minWidth, width)
 	height := topMargin + laneHeight*len(p.lanes) + legendLine*(len(p.colors)+2)
 	p.printf(`<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" viewBox="0 0 %d %d" font-family="sans-serif" font-size="12">`, width, height, width, height)
 	p.printf(`<rect width="100%%" height="100%%" fill="#ffffff"/>`)
@@ -57,7 +62,7 @@
 	p.text(10, 22, "start", 14, title)
 	p.drawLanes(width)
 	for i, e := range events {
-		p.drawEvent(i, e)
+		p.drawEvent(columns[i], e)
 	}
 	p.drawLegend()
 	p.printf("</svg>\n")
@@ -65,6 +70,26 @@
 	return err
 }
 
+// columnsOf gives each event a column. Events of the same kind and revision that
+// follow each other in different processes share one, so that a record that many
+// nodes apply is one column of marks.
+func columnsOf(events []timeline.Event) []int {
+	columns := make([]int, len(events))
+	taken := map[string]bool{}
+	for i, e := range events {
+		if i > 0 {
+			columns[i] = columns[i-1]
+			before := events[i-1]
+			if e.Revision == 0 || e.Kind != before.Kind || e.Revision != before.Revision || taken[e.Process] {
+				columns[i]++
+				clear(taken)
+			}
+		}
+		taken[e.Process] = true
+	}
+	return columns
+}
+
 // assign gives each process a lane and each kind a color, both in order of name.
 func (p *picture) assign(events []timeline.Event) {
 	for _, e := range events {
