Put callers that come back too late behind those that can be in time

Cause: a caller that came back after its objective had passed went before new ones with its whole deadline as limit. Ruled out: processor time (0.15 of a core at most) and the queue's estimates. Change: the rank of late callers is behind all others, and they run only while nobody waits. Reads of the store are longer and coalesced, the status feed is read while a move is open, calls of targets are known by the request in progress, and repeats that they make are counted in the budget.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -207,9 +207,11 @@
 
 const announceKey = "announcement"
 
-// announce writes the announcement to the store if others would act on the change.
+// announce writes the announcement to the store once the node has started and
+// when its target is another one. Other changes go from node to node: the store
+// only tells who is there, and each write is read by all.
 func (c *Control) announce(t Time) {
-	same := c.announced.Sequence > 0 && c.announced.Leaving == c.self.Leaving && sameTarget(c.announced.Target, c.self.Target)
+	same := c.announced.Sequence > 0 && targetID(c.announced) == targetID(c.self)
 	if same || c.writing[announceKey] || t.Now < c.nextAnnounce {
 		return
 	}
@@ -218,6 +220,13 @@
 	c.emit(Announce{Announcement: c.self})
 }
 
+func targetID(a directory.Announcement) string {
+	if a.Target == nil {
+		return ""
+	}
+	return a.Target.ID
+}
+
 func (c *Control) written(t Time, e WriteEnded) {
 	delete(c.writing, e.Key)
 	if e.Key == announceKey {
@@ -356,7 +365,7 @@
 
 func (c *Control) view(t Time) {
 	v := &View{
-		Config: c.config, Target: c.self.Target, Stopping: c.stopping,
+		Config: c.config, Target: c.self.Target, Stopping: c.stopping, Moves: c.movesNeedReports(),
 		Endpoints: map[string]*ServiceEndpoints{}, Calls: map[mesh.NodeID]directory.Announcement{},
 	}
 	for _, a := range append(c.dir.All(), c.self) {
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -71,6 +71,21 @@
 	return false
 }
 
+// movesNeedReports reports whether a move is open or the report on it is not as
+// it should be.
+func (c *Control) movesNeedReports() bool {
+	for service, m := range c.moves {
+		if m.move.Open() || c.statuses[service] != m.report() {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *moveState) report() Status {
+	return Status{Service: m.move.Service, Version: m.move.Version, State: statusOf(m.move.Phase)}
+}
+
 // place adds an endpoint to its part of the service.
 func (c *Control) place(s *ServiceEndpoints, e balance.Endpoint) {
 	m, ok := c.moves[e.Service]
@@ -232,7 +247,7 @@
 	if !m.recorded || !c.current[StatusFeed] {
 		return
 	}
-	want := Status{Service: service, Version: m.move.Version, State: statusOf(m.move.Phase)}
+	want := m.report()
 	if c.statuses[service] == want {
 		m.statusSince = 0
 		return
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -17,6 +17,8 @@
 	Endpoints map[string]*ServiceEndpoints
 	// Calls are the addresses of the nodes.
 	Calls map[mesh.NodeID]directory.Announcement
+	// Moves is set while a move is open or its report may be due.
+	Moves bool
 	// Stopping is set once the node stops.
 	Stopping bool
 }
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -35,23 +35,26 @@
 	// notReadyRetryAfter is for a node without configuration, which gets one within seconds.
 	notReadyRetryAfter = 300 * time.Millisecond
 	// budgetCaution is the part of the shared budget of second sends that nodes
-	// use: calls that a repeated run makes count too and are not seen here.
-	budgetCaution = 0.5
+	// use: the window of the budget slides over requests that are not counted yet.
+	budgetCaution = 0.75
 )
 
 // call is one request of a caller.
 type call struct {
-	id     string
-	w      http.ResponseWriter
-	r      *http.Request
-	route  *published.Route
+	id    string
+	w     http.ResponseWriter
+	r     *http.Request
+	route *published.Route
+	// inner is set for calls that the local target makes for a request in
+	// progress, repeat if that request was sent before.
 	inner  bool
+	repeat bool
 	header http.Header
 	body   *payload
 	// arrived, deadline and useful are on the node's clock. After deadline the
 	// caller gets a final answer; an answer after useful is late.
 	arrived, deadline, useful time.Duration
-	returning                 bool
+	standing                  admission.Standing
 	service                   string
 	need                      time.Duration
 	tried                     []mesh.NodeID
@@ -103,13 +106,19 @@
 	c := &call{
 		id: id, w: w, r: r, route: route, header: forwardable(r.Header), body: body,
 		arrived: arrived, deadline: arrived + left, service: route.Part(n.splits.next(route.Name)),
-		inner: n.isInner(route),
 	}
+	parent, inner := n.running.parent(n.headers.Parent(id))
+	c.inner, c.repeat = inner, parent.Repeat
 	n.prepare(c)
 	ctx, cancel := context.WithTimeout(r.Context(), c.deadline-n.clock.now())
 	defer cancel()
 	n.metrics.requests.Add(1)
 	n.budget(c.service).Call(arrived)
+	if c.repeat {
+		// The call is a repeat too, and cannot be refused without losing the work
+		// that the repeated request has done.
+		n.budget(c.service).Spend(arrived)
+	}
 	n.rates.count(c.service, arrived)
 	n.deliver(ctx, c, n.attempts(ctx, c))
 }
@@ -122,12 +131,12 @@
 	}
 	c.need = n.needs.get(c.route.Name, objective/3)
 	first, returning := n.returns.take(fingerprint(c.r), c.arrived)
-	c.returning = returning
 	c.useful = c.arrived + objective - hopTime
 	if returning {
+		c.standing = admission.Returning
 		c.useful = first + objective - hopTime
 		if c.useful-c.arrived < c.need {
-			// The objective has passed, but the caller still waits.
+			c.standing = admission.Late
 			c.useful = c.arrived + time.Duration(float64(c.deadline-c.arrived)*lateUse)
 		}
 	}
@@ -265,7 +274,8 @@
 	now := n.clock.now()
 	h := hop{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
-		Rank:       int(admission.RankOf(c.inner, c.route.Priority, c.returning)),
+		Rank:       int(admission.RankOf(c.inner, c.route.Priority, c.standing)),
+		Repeat:     c.repeat || c.arrivals > 0,
 		TimeLeftMS: milliseconds(c.deadline - now), UsefulMS: milliseconds(c.useful - now), NeedMS: milliseconds(c.need),
 	}
 	x := &exchange{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: c.body}
@@ -342,7 +352,7 @@
 	first := c.arrived
 	n.returns.refused(fingerprint(c.r), first, n.clock.now()+left)
 	n.logger.Info("call_refused", "request", c.id, "route", c.route.Name, "service", c.service, "reason", res.reason,
-		"tries", len(c.tried), "wait_ms", res.wait.Milliseconds(), "returning", c.returning, "inner", c.inner,
+		"tries", len(c.tried), "wait_ms", res.wait.Milliseconds(), "standing", int(c.standing), "inner", c.inner,
 		"held_ms", (n.clock.now() - c.arrived).Milliseconds())
 	n.refuse(c.w, c.id, res.reason, after)
 }
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -20,10 +20,16 @@
 var errNoConfig = errors.New("this node has no configuration")
 
 const (
-	// pollWait is how long a read waits for records. A connection may go silent
-	// for good, and a configuration must be in force within 2 s once the store is
-	// reached again, so that reads are short.
-	pollWait = 2 * time.Second
+	// operatorWait and meshWait are how long a read waits for records. Each read is
+	// paid for. A connection that went silent is found by keep-alive probes; a read
+	// that the store itself forgot ends with its wait.
+	operatorWait = 4 * time.Second
+	meshWait     = 20 * time.Second
+	// debounce is the pause after news, so that a series of changes is read at
+	// once. A configuration must be in force within 2 s.
+	debounce = 300 * time.Millisecond
+	// statusPoll is the time between two looks whether a move needs its report.
+	statusPoll = 100 * time.Millisecond
 	// pollMargin is how much longer than the wait an answer may take.
 	pollMargin = 700 * time.Millisecond
 	// snapshotTimeout bounds one read of the newest records.
@@ -41,6 +47,11 @@
 	known, failing := false, false
 	pause := storeRetryMin
 	for n.ctx.Err() == nil {
+		if f == control.StatusFeed && !n.view.Load().Moves {
+			known = false
+			time.Sleep(statusPoll)
+			continue
+		}
 		events, next, err := n.read(f, position, known)
 		if errors.Is(err, ErrPositionLost) {
 			n.logger.Info("store_position_lost", "feed", int(f), "position", position)
@@ -70,6 +81,9 @@
 			n.step(control.FeedCurrent{Feed: f})
 		}
 		position = next
+		if len(events) > 0 {
+			time.Sleep(debounce)
+		}
 	}
 }
 
@@ -79,9 +93,13 @@
 		defer cancel()
 		return n.store.Snapshot(ctx, f)
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, pollWait+pollMargin)
+	wait := meshWait
+	if f == control.OperatorFeed {
+		wait = operatorWait
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, wait+pollMargin)
 	defer cancel()
-	return n.store.Follow(ctx, f, position, pollWait)
+	return n.store.Follow(ctx, f, position, wait)
 }
 
 func (n *Node) announce(a directory.Announcement) {
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -87,6 +87,8 @@
 	e.header.Set(n.headers.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	e.header.Set(n.headers.Target, h.Target)
 	e.header.Set(n.headers.CallerService, h.Caller)
+	n.running.byID.Store(h.ID, h)
+	defer n.running.byID.Delete(h.ID)
 	started := n.clock.now()
 	reply, outcome, err := n.target.do(ctx, e)
 	took := n.clock.now() - started
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"heathercroft.example/heathercroft/pkg/published"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
@@ -144,6 +143,17 @@
 	return b.(*retry.Budget)
 }
 
-// isInner reports whether a route serves calls that targets make for requests in
-// progress.
-func (n *Node) isInner(route *published.Route) bool { return route.Priority == 0 }
+// running is what runs at the local target, by request id.
+type running struct{ byID sync.Map }
+
+// parent returns the request at the local target for which a call is made.
+func (r *running) parent(id string) (hop, bool) {
+	if id == "" {
+		return hop{}, false
+	}
+	h, ok := r.byID.Load(id)
+	if !ok {
+		return hop{}, false
+	}
+	return h.(hop), true
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -46,6 +46,7 @@
 	returns *returns
 	splits  *splits
 	rates   *rates
+	running running
 	budgets sync.Map
 
 	counters *rpc.Counters
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -51,6 +51,9 @@
 	Signature string
 	// NotRun is set on answers of targets that did not run the request.
 	NotRun string
+	// Parent returns the id of the request for which a target makes a call, or
+	// nothing if the id does not tell.
+	Parent func(id string) string
 }
 
 // Store is the platform's store. All calls may fail; a failed write may still
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -8,19 +8,39 @@
 // Rank orders waiting requests; lower ranks run first.
 type Rank int
 
+// Standing is how a request came to the door.
+type Standing int
+
+// The standings.
+const (
+	// New requests come for the first time.
+	New Standing = iota
+	// Returning requests were told to come back and can still be answered within
+	// their objective.
+	Returning
+	// Late requests were told to come back and have missed their objective.
+	Late
+)
+
+// lateRank is behind all requests that can still make their objective.
+const lateRank = 1 << 20
+
 // RankOf returns the rank of a request. Calls that a target makes for a request
 // in progress come first, since refusing them wastes the work already done.
 // Among requests of the same priority, those that were told to come back are
-// ahead of new ones.
-func RankOf(inner bool, priority int, returning bool) Rank {
-	if inner {
+// ahead of new ones. Late ones come last: under load, each of them would make
+// a request late that is not yet, and so all that follow.
+func RankOf(inner bool, priority int, s Standing) Rank {
+	switch {
+	case inner:
 		return 0
+	case s == Late:
+		return Rank(lateRank + max(priority, 0))
+	case s == Returning:
+		return Rank(1 + 2*max(priority, 0))
+	default:
+		return Rank(2 + 2*max(priority, 0))
 	}
-	r := Rank(2 + 2*max(priority, 0))
-	if returning {
-		r--
-	}
-	return r
 }
 
 // Request asks for a slot of the target.
@@ -123,7 +143,7 @@
 		return t, Run, 0
 	}
 	wait := q.WaitFor(r.Rank)
-	if now+wait+r.Need > r.Finish {
+	if now+wait+r.Need > r.Finish || r.Rank >= lateRank && len(q.waiting) > 0 {
 		return nil, Refuse, wait
 	}
 	at, _ := slices.BinarySearchFunc(q.waiting, r.Rank, func(w *Ticket, rank Rank) int {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -64,6 +64,13 @@
 	return true
 }
 
+// Spend counts a retry that was made without asking.
+func (b *Budget) Spend(now time.Duration) {
+	b.mu.Lock()
+	b.advance(now).retries++
+	b.mu.Unlock()
+}
+
 func (b *Budget) sums() (calls, retries int) {
 	for _, k := range b.buckets {
 		calls += k.calls
