Let in what can be answered in time at the pace of this target

Cause: the door took the average time of all targets as the time at this one, so that half of what slow targets let in came late; and half of all waits and executions take longer than expected. Change: the expected time is scaled by the pace of the target, with margins; repeats are kept for calls, whose callers cannot come back.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -35,8 +35,14 @@
 	// notReadyRetryAfter is for a node without configuration, which gets one within seconds.
 	notReadyRetryAfter = 300 * time.Millisecond
 	// budgetCaution is the part of the shared budget of second sends that nodes
-	// use: the window of the budget slides over requests that are not counted yet.
-	budgetCaution = 0.75
+	// use: its window slides over requests that are not counted yet.
+	budgetCaution = 0.9
+	// slackCaution is the part of the fixed slack: a node that restarts does not
+	// know what it has spent.
+	slackCaution = 0.5
+	// newcomerPart is the part of the budget that requests may use whose callers
+	// can come back instead.
+	newcomerPart = 0.5
 )
 
 // call is one request of a caller.
@@ -234,7 +240,13 @@
 	}
 	s := n.settings
 	nodes := float64(max(len(n.view.Load().Calls), 1))
-	ok := n.budget(c.service).AllowPart(n.clock.now(), budgetCaution*s.RetryRatio, budgetCaution*s.RetrySlack/nodes)
+	share, slack := budgetCaution*s.RetryRatio, slackCaution*s.RetrySlack/nodes
+	if !c.inner && c.standing == admission.New && c.failure == nil {
+		// The caller of a request that certainly did not run can come back, which
+		// costs nothing of the budget; a call of a target cannot.
+		share, slack = share*newcomerPart, slack*newcomerPart
+	}
+	ok := n.budget(c.service).AllowPart(n.clock.now(), share, slack)
 	if !ok {
 		n.metrics.budgetRefusals.Add(1)
 	}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -46,7 +46,7 @@
 // Request asks for a slot of the target.
 type Request struct {
 	Rank Rank
-	// Need is the expected time at the target.
+	// Need is the expected time at a target of average pace.
 	Need time.Duration
 	// Finish is the latest useful time of the answer, on the clock of the calls.
 	Finish time.Duration
@@ -85,6 +85,14 @@
 	maxPace = 20.0
 )
 
+const (
+	// waitMargin and needMargin are how much longer than expected a wait and an
+	// execution may take for a request to be let in: half of all take longer
+	// than expected, and a late answer is worth little.
+	waitMargin = 1.5
+	needMargin = 1.2
+)
+
 // Queue is the admission of one target. It is not safe for concurrent use.
 type Queue struct {
 	slots   int
@@ -143,7 +151,7 @@
 		return t, Run, 0
 	}
 	wait := q.WaitFor(r.Rank)
-	if now+wait+r.Need > r.Finish || r.Rank >= lateRank && len(q.waiting) > 0 {
+	if now+time.Duration(waitMargin*float64(wait)+needMargin*float64(q.expected(r))) > r.Finish || r.Rank >= lateRank && len(q.waiting) > 0 {
 		return nil, Refuse, wait
 	}
 	at, _ := slices.BinarySearchFunc(q.waiting, r.Rank, func(w *Ticket, rank Rank) int {
@@ -156,6 +164,11 @@
 	return t, Wait, wait
 }
 
+// expected is how long this target takes for the request.
+func (q *Queue) expected(r Request) time.Duration {
+	return time.Duration(float64(r.Need) * q.pace)
+}
+
 func (q *Queue) start(t *Ticket, now time.Duration) {
 	q.running++
 	t.running, t.started = true, now
@@ -194,7 +207,7 @@
 func (q *Queue) Expire(now time.Duration) []*Ticket {
 	var late []*Ticket
 	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
-		if now+t.Need <= t.Finish {
+		if now+q.expected(t.Request) <= t.Finish {
 			return false
 		}
 		late = append(late, t)
