Leave idle connections open until a stopping node passes nothing on

Cause: turning keep-alive off closes idle connections at once. Ruled out: the drain of the target; the loss is on the caller's connection. Change: from the notice on, answers end their connections; when nothing is in flight, the node passes nothing on any more, and only then closes.

--- /dev/null
+++ b/internal/sidecar/answer_test.go
@@ -0,0 +1,185 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/internal/control"
+)
+
+// Guards the whole path: an answer of a target must reach the caller unchanged.
+func TestAnswerReachesTheCallerUnchanged(t *testing.T) {
+	nodes := newMesh(t, 2)
+	nodes[0].Step(control.TargetLeft{ID: "target-0"})
+	status, header, body := nodes[0].call(t, http.MethodGet, "/read/x?y=1", "r1")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "answer of target-1", body)
+	require.Equal(t, "by target-1", header.Get("X-Signature"))
+	require.Equal(t, "r1", header.Get("X-Id"))
+	require.Zero(t, nodes[0].target.runs.Load(), "a target that left must not get a request")
+}
+
+// hijack answers with raw bytes and closes the connection if close is set.
+func hijack(t *testing.T, raw string, closes bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		require.NoError(t, err)
+		_, _ = io.WriteString(conn, raw)
+		if closes {
+			_ = conn.Close()
+		}
+	}
+}
+
+// Guards against answers that are not the target's whole answer to this request.
+func TestSpoiltAnswersAreNotDelivered(t *testing.T) {
+	for name, raw := range map[string]string{
+		"truncated":      "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: 100\r\n\r\nshort",
+		"unsigned":       "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok",
+		"no answer":      "\x00\x01garbage of %s\r\n\r\n",
+		"id of no one":   "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+		"another's only": "HTTP/1.1 200 OK\r\nX-Id: other-%s\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newMesh(t, 1)[0]
+			n.target.serve(func(w http.ResponseWriter, r *http.Request) {
+				text := raw
+				if name != "id of no one" {
+					text = fmt.Sprintf(raw, r.Header.Get("X-Id"))
+				}
+				hijack(t, text, true)(w, r)
+			})
+			status, _, body := n.call(t, http.MethodPost, "/write/x", "r1")
+			require.Equal(t, http.StatusBadGateway, status, body)
+			require.EqualValues(t, 1, n.target.runs.Load(), "a request that may have run must not run again")
+		})
+	}
+}
+
+// Guards against a late second answer being taken for the next request's.
+func TestAnswerOfAnEarlierRequestIsSkipped(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	n.target.serve(func(w http.ResponseWriter, r *http.Request) {
+		hijack(t, "HTTP/1.1 200 OK\r\nX-Id: earlier\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nold"+
+			"HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nnew", true)(w, r)
+	})
+	status, _, body := n.call(t, http.MethodPost, "/write/x", "r1")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "new", body)
+}
+
+// Guards the promise of a refusal: what a target says it did not run is tried
+// elsewhere, or refused as not run.
+func TestRefusalOfTheTargetIsNotRun(t *testing.T) {
+	nodes := newMesh(t, 2)
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	nodes[0].target.serve(refuse)
+	nodes[1].target.serve(refuse)
+	status, header, _ := nodes[0].call(t, http.MethodPost, "/write/x", "r1")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Empty(t, header.Get("X-Signature"))
+}
+
+// Guards at-most-once execution: a connection lost after the request was sent
+// proves nothing, so only requests that may run twice are sent again.
+func TestLostAnswerIsRepeatedOnlyOnSafeRoutes(t *testing.T) {
+	nodes := newMesh(t, 2)
+	for _, n := range nodes {
+		n.target.serve(hijack(t, "", true))
+	}
+	status, _, _ := nodes[0].call(t, http.MethodPost, "/write/x", "r1")
+	require.Equal(t, http.StatusBadGateway, status)
+	require.EqualValues(t, 1, nodes[0].target.runs.Load()+nodes[1].target.runs.Load())
+	status, _, _ = nodes[0].call(t, http.MethodGet, "/read/x", "r2")
+	require.Equal(t, http.StatusBadGateway, status)
+	require.EqualValues(t, 3, nodes[0].target.runs.Load()+nodes[1].target.runs.Load())
+}
+
+// Guards against work for callers that left: the target's connection must end.
+func TestWorkEndsWhenTheCallerLeaves(t *testing.T) {
+	nodes := newMesh(t, 2)
+	nodes[0].Step(control.TargetLeft{ID: "target-0"})
+	began, ended := make(chan struct{}), make(chan struct{})
+	nodes[1].target.serve(func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	conn, err := net.Dial("tcp", nodes[0].outbound.Listener.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: shop.test\r\nX-Id: r1\r\nX-Left: 2000\r\n\r\n")
+	require.NoError(t, err)
+	<-began
+	require.NoError(t, conn.Close())
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the target still works half a second after the caller left")
+	}
+}
+
+// Guards against requests that cross a planned stop: idle connections stay open
+// until the node no longer passes requests on, and then none is passed on.
+func TestStopKeepsIdleConnectionsAndPassesNothingOnAfterwards(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	conn, err := net.Dial("tcp", n.outbound.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	send := func(id string) (*http.Response, error) {
+		_, err := io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: shop.test\r\nX-Id: "+id+"\r\nX-Left: 2000\r\n\r\n")
+		require.NoError(t, err)
+		return http.ReadResponse(reader, nil)
+	}
+	resp, err := send("r1")
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, n.drain(t.Context()))
+	runs := n.target.runs.Load()
+	_, err = send("r2")
+	require.Error(t, err, "a closed node must not answer")
+	require.Equal(t, runs, n.target.runs.Load(), "a closed node must not pass a request on")
+}
+
+// Guards against refusals with 404 by a node that knows no configuration yet.
+func TestNodeWithoutConfigurationRefusesAsNotRun(t *testing.T) {
+	n := newTestNode(t, 0)
+	status, header, _ := n.call(t, http.MethodGet, "/read/x", "r1")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+}
+
+// Guards against smuggling: a target gets one request for each of the caller's.
+func TestChunkedBodyIsFramedAnew(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	inside := "GET /read/smuggled HTTP/1.1\r\nHost: shop.test\r\nX-Id: evil\r\n\r\n"
+	got := make(chan string, 2)
+	n.target.serve(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		got <- r.Method + string(data)
+		w.Header().Set("X-Signature", "s")
+	})
+	conn, err := net.Dial("tcp", n.outbound.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /write/x HTTP/1.1\r\nHost: shop.test\r\nX-Id: r1\r\nX-Left: 2000\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(inside), inside)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "POST"+inside, <-got)
+	require.EqualValues(t, 1, n.target.runs.Load())
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -73,6 +73,14 @@
 func (n *Node) serveOutbound(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	if n.closed.Load() {
+		// The listeners close, and with them this connection. A request that is
+		// passed on now would lose its answer.
+		panic(http.ErrAbortHandler)
+	}
+	if n.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	arrived := n.clock.now()
 	id := r.Header.Get(n.headers.RequestID)
 	if id != "" {
--- /dev/null
+++ b/internal/sidecar/mesh_test.go
@@ -0,0 +1,186 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/internal/rpc"
+	"heathercroft.example/heathercroft/pkg/canary"
+	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/published"
+)
+
+// testHeaders are names that only these tests use.
+var testHeaders = Headers{
+	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", CallerService: "X-Caller",
+	Signature: "X-Signature", NotRun: "X-Not-Run",
+	Parent: func(id string) string { before, _, _ := strings.Cut(id, "/"); return before },
+}
+
+// fakeStore answers that nothing is there and keeps nothing.
+type fakeStore struct{}
+
+func (fakeStore) Snapshot(context.Context, control.Feed) ([]control.Event, uint64, error) {
+	return nil, 0, nil
+}
+
+func (fakeStore) Follow(ctx context.Context, _ control.Feed, from uint64, _ time.Duration) ([]control.Event, uint64, error) {
+	<-ctx.Done()
+	return nil, from, ctx.Err()
+}
+
+func (fakeStore) Announce(context.Context, directory.Announcement) error    { return nil }
+func (fakeStore) RecordMove(context.Context, canary.Move, uint64) error     { return nil }
+func (fakeStore) WriteStatus(context.Context, control.Status, uint64) error { return nil }
+
+// fakeTarget is a target whose handler a test may replace.
+type fakeTarget struct {
+	*httptest.Server
+	id      string
+	runs    atomic.Int64
+	mu      sync.Mutex
+	handler http.HandlerFunc
+}
+
+func newFakeTarget(t *testing.T, id string) *fakeTarget {
+	f := &fakeTarget{id: id}
+	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.runs.Add(1)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		f.mu.Lock()
+		h := f.handler
+		f.mu.Unlock()
+		if h != nil {
+			h(w, r)
+			return
+		}
+		w.Header().Set("X-Signature", "by "+id)
+		_, _ = io.WriteString(w, "answer of "+id)
+	}))
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeTarget) serve(h http.HandlerFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handler = h
+}
+
+// testNode is a node with its outbound listener and its target.
+type testNode struct {
+	*Node
+	target   *fakeTarget
+	outbound *httptest.Server
+}
+
+func listen(t *testing.T, handler http.Handler) *httptest.Server {
+	s := httptest.NewUnstartedServer(handler)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.Config.Protocols = protocols
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func addressOf(t *testing.T, s *httptest.Server) netip.AddrPort {
+	a, err := netip.ParseAddrPort(s.Listener.Addr().String())
+	require.NoError(t, err)
+	return a
+}
+
+// newMesh starts nodes of the service "shop" that know each other and the configuration.
+func newMesh(t *testing.T, count int) []*testNode {
+	nodes := make([]*testNode, count)
+	for i := range nodes {
+		nodes[i] = newTestNode(t, i)
+	}
+	config := testConfig()
+	require.NoError(t, config.Prepare())
+	for i, n := range nodes {
+		n.Step(control.ConfigPublished{Config: config})
+		n.Step(control.HeartbeatReceived{Heartbeat: directory.Heartbeat{
+			ID: n.target.id, Address: n.settings.Target.String(), Service: "shop", Version: "v1", Slots: 4, Sequence: 1, Born: 1,
+		}})
+		for j, other := range nodes {
+			if i != j {
+				other.Step(control.PeerStateReceived{State: n.state()})
+			}
+		}
+	}
+	return nodes
+}
+
+func testConfig() *published.Config {
+	return &published.Config{
+		Version:  1,
+		Services: map[string]published.Service{"shop": {Name: "shop"}},
+		Routes: []published.Route{
+			{
+				Name: "read", Host: "shop.test", Prefix: "/read/", Kind: published.Safe, Timeout: 2 * time.Second,
+				Objective: time.Second, MaxAttempts: 2, Parts: []published.Part{{Service: "shop", Weight: 1}},
+			},
+			{
+				Name: "write", Host: "shop.test", Prefix: "/write/", Kind: published.NonIdempotent, Timeout: 2 * time.Second,
+				Objective: time.Second, MaxAttempts: 2, Parts: []published.Part{{Service: "shop", Weight: 1}},
+			},
+		},
+		Limits: published.Limits{BodyBytes: 1 << 20},
+	}
+}
+
+func newTestNode(t *testing.T, i int) *testNode {
+	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
+	var n *Node
+	inbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.serveInbound(w, r) }))
+	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.serveOutbound(w, r) }))
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n = New(Settings{
+		Node: mesh.NodeID(fmt.Sprintf("node-%d", i)), Zone: "a", Target: addressOf(t, target.Server), Service: "shop",
+		Inbound: addressOf(t, inbound), Outbound: addressOf(t, outbound),
+		Peers:     netip.MustParseAddrPort(peers.Addr().String()),
+		Heartbeat: time.Minute, Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+	}, testHeaders, fakeStore{}, slog.New(slog.DiscardHandler))
+	server := rpc.NewServer(peers, peerHandler{n}, n.counters)
+	go func() { _ = server.Start(context.Background()) }()
+	t.Cleanup(func() {
+		_ = server.Stop(context.Background())
+		n.cancel()
+		n.rpc.Close()
+		n.peers.CloseIdleConnections()
+	})
+	return &testNode{Node: n, target: target, outbound: outbound}
+}
+
+// call sends a request to the node's outbound listener.
+func (n *testNode) call(t *testing.T, method, path, id string) (status int, header http.Header, body string) {
+	req, err := http.NewRequestWithContext(t.Context(), method, n.outbound.URL+path, nil)
+	require.NoError(t, err)
+	req.Host = "shop.test"
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Left", "2000")
+	resp, err := n.outbound.Client().Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, resp.Header, string(data)
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -53,9 +53,10 @@
 	ends     [3]atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
-	servers  []*http.Server
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// closing makes each answer end its connection; closed refuses to read more.
+	closing, closed atomic.Bool
+	ctx             context.Context
+	cancel          context.CancelFunc
 }
 
 // New composes a node. registry serves the heartbeats of the local target.
@@ -115,9 +116,6 @@
 		server.HTTP2 = &http.HTTP2Config{
 			MaxReceiveBufferPerStream: peerWindow, MaxReceiveBufferPerConnection: peerConnWindow,
 		}
-		if l.address == n.settings.Outbound {
-			n.servers = append(n.servers, server.Server)
-		}
 		servers = append(servers, server)
 	}
 	listener, err := net.Listen("tcp", n.settings.Peers.String())
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -13,6 +13,8 @@
 	readinessNotice = 2300 * time.Millisecond
 	// drainPoll is the time between two looks at the requests in flight.
 	drainPoll = 20 * time.Millisecond
+	// quietTime without a request ends the drain early.
+	quietTime = 500 * time.Millisecond
 	// stopMargin of the grace period is left for the end of the process.
 	stopMargin = 500 * time.Millisecond
 	// stopTimeout bounds the closing of the listeners after the drain.
@@ -27,13 +29,18 @@
 	n.step(control.Stopping{})
 	n.logger.Info("stopping", "in_flight", n.inFlight.Load())
 	time.Sleep(min(readinessNotice, n.settings.Grace/2))
-	for _, s := range n.servers {
-		s.SetKeepAlivesEnabled(false)
-	}
+	// From here on each answer ends its connection. Idle connections stay open: a
+	// request may be on its way on each of them.
+	n.closing.Store(true)
 	end := started + n.settings.Grace - stopMargin
-	for n.inFlight.Load() > 0 && n.clock.now() < end {
+	quietSince := n.clock.now()
+	for now := quietSince; now < end && now-quietSince < quietTime; now = n.clock.now() {
+		if n.inFlight.Load() > 0 {
+			quietSince = now
+		}
 		time.Sleep(drainPoll)
 	}
+	n.closed.Store(true)
 	n.logger.Info("stopped", "in_flight", n.inFlight.Load())
 	return nil
 }
