Test the decisions of the sidecar without a network

Cause: the packages of the sidecar had no tests of their own. New connections carry what must not run twice where the old ones were idle: a target may have forgotten them. Seeds are asked while the store tells of no other node. Rounds of gossip grow with the mesh.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,11 +15,12 @@
 	// TickInterval is the time between two ticks. It bounds how late evidence is
 	// looked at during a move.
 	TickInterval = canary.EvidenceInterval
-	// gossipFanout is how many nodes get the state of a node at a time.
+	// gossipFanout is how many nodes get the state of a node in a round, and
+	// gossipPart the part of the mesh where that is more. Each exchange goes both
+	// ways, so that two nodes hear of each other every 2.5 s or faster.
 	gossipFanout = 4
-	// gossipInterval is the time between two rounds. With 12 nodes, each hears of
-	// each other one about every 1.5 s, well under the time after which a
-	// silent node is passed over.
+	gossipPart   = 10
+	// gossipInterval is the time between two rounds.
 	gossipInterval = 500 * time.Millisecond
 	// moveGossipInterval is the interval while a move is open: a bad version must be out
 	// 5 s after its fiftieth bad answer.
@@ -31,8 +32,9 @@
 	// rankDelay is how much later each further node in the order writes what any
 	// node may write, so that one write is usual and the loss of a node costs little.
 	rankDelay = 200 * time.Millisecond
-	// aliveWithin is how long ago a node was heard of to count as alive.
-	aliveWithin = 4 * time.Second
+	// aliveWithin is how long ago a node was heard of to count as alive: two
+	// rounds through the mesh.
+	aliveWithin = 5 * time.Second
 )
 
 // Options are what the settings say of a node.
@@ -333,7 +335,7 @@
 	}
 	state := c.State(t)
 	to := make([]mesh.NodeID, 0, gossipFanout)
-	for range min(gossipFanout, len(all)) {
+	for range min(max(gossipFanout, len(all)/gossipPart), len(all)) {
 		c.rounds++
 		to = append(to, all[c.rounds%uint64(len(all))].Node)
 	}
@@ -377,9 +379,7 @@
 			Node: a.Node, Zone: a.Zone, Service: a.Target.Service, Version: a.Target.Version,
 			Target: a.Target.ID, Slots: a.Target.Slots, Cold: a.Target.ColdUntil > t.UnixMS,
 		}
-		if a.Node != c.self.Node {
-			e.Silent = c.dir.SilentFor(a.Node, t.Now)
-		}
+		e.Silent = a.Node != c.self.Node && c.dir.SilentFor(a.Node, t.Now) > aliveWithin
 		s, ok := v.Endpoints[e.Service]
 		if !ok {
 			s = &ServiceEndpoints{}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -295,10 +295,11 @@
 	h := hop{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
 		Rank:       int(admission.RankOf(c.inner, c.route.Priority, c.standing)),
+		Repeatable: c.route.Kind.Repeatable(),
 		Repeat:     c.repeat || c.arrivals > 0,
 		TimeLeftMS: milliseconds(c.deadline - now), UsefulMS: milliseconds(c.useful - now), NeedMS: milliseconds(c.need),
 	}
-	x := &exchange{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: c.body}
+	x := &exchange{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: c.body, repeatable: c.route.Kind.Repeatable()}
 	var res result
 	if e.Node == n.settings.Node {
 		res = n.runLocal(ctx, h, x)
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -28,6 +28,8 @@
 	Route   string `json:"route"`
 	Caller  string `json:"caller"`
 	Rank    int    `json:"rank"`
+	// Repeatable is set if the request may be sent again after a failure.
+	Repeatable bool `json:"repeatable,omitempty"`
 	// Repeat is set if the request may have run before, or belongs to one that may have.
 	Repeat bool `json:"repeat,omitempty"`
 	// TimeLeftMS is the time until the final answer, UsefulMS the time in which
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -39,7 +39,7 @@
 	if problem != nil {
 		return
 	}
-	e := &exchange{method: r.Method, host: r.Host, uri: h.URI, header: forwardable(r.Header), body: body}
+	e := &exchange{method: r.Method, host: r.Host, uri: h.URI, header: forwardable(r.Header), body: body, repeatable: h.Repeatable}
 	res := n.runLocal(ctx, h, e)
 	if r.Context().Err() != nil {
 		return
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -126,6 +126,7 @@
 	n.metrics.publish()
 	n.logger.Info("started", "node", string(n.settings.Node), "zone", string(n.settings.Zone), "service", n.settings.Service)
 	go n.ticks()
+	go n.seek()
 	for _, f := range []control.Feed{control.OperatorFeed, control.MeshFeed, control.StatusFeed} {
 		go n.follow(f)
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"heathercroft.example/heathercroft/internal/control"
@@ -92,3 +93,34 @@
 	n.metrics.configFetches.Add(1)
 	n.step(control.ConfigPublished{Config: &c})
 }
+
+// seedInterval is the time between two calls of the seeds while no other node is known.
+const seedInterval = 500 * time.Millisecond
+
+// seek asks the seeds for their state while the store has told of no other node.
+// Seeds may be stale or down; all nodes use the same port for messages.
+func (n *Node) seek() {
+	for n.ctx.Err() == nil && len(n.settings.Seeds) > 0 {
+		if len(n.view.Load().Calls) > 1 {
+			return
+		}
+		for _, seed := range n.settings.Seeds {
+			n.ask(netip.AddrPortFrom(seed.Addr(), n.settings.Peers.Port()))
+		}
+		time.Sleep(seedInterval)
+	}
+}
+
+func (n *Node) ask(seed netip.AddrPort) {
+	if seed == n.settings.Peers {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, stateTimeout)
+	defer cancel()
+	var answer control.PeerState
+	if err := n.rpc.Call(ctx, seed, methodState, n.state(), &answer); err != nil {
+		n.logger.Debug("seed_not_reached", "address", seed.String(), "error", err.Error())
+		return
+	}
+	n.step(control.PeerStateReceived{State: answer})
+}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -26,6 +26,10 @@
 	// targetIdle is how long a connection to the target is kept without use unless
 	// the target names a shorter time.
 	targetIdle = 5 * time.Second
+	// unsafeIdle is how long a connection may be idle to carry a request that must
+	// not run twice. A target may have forgotten the connection without a word, and
+	// a reset after the request was sent proves nothing.
+	unsafeIdle = 200 * time.Millisecond
 	// keepAliveMargin is left before the end that the target names, so that no
 	// request meets a connection that it is about to close.
 	keepAliveMargin = 500 * time.Millisecond
@@ -45,6 +49,8 @@
 	method, host, uri string
 	header            http.Header
 	body              *payload
+	// repeatable is set if the request may be sent again after a failure.
+	repeatable bool
 }
 
 // reply is a whole answer.
@@ -71,7 +77,9 @@
 	reader *bufio.Reader
 	// expires is when the connection is no longer used.
 	expires time.Duration
-	wrote   bool
+	// used is when the last exchange ended.
+	used  time.Duration
+	wrote bool
 }
 
 // Write implements io.Writer and notes that the target may have seen the request.
@@ -83,7 +91,7 @@
 // do sends one request and reads the whole answer. The outcome tells whether
 // the target may have run it.
 func (c *targetClient) do(ctx context.Context, e *exchange) (*reply, retry.Outcome, error) {
-	conn, err := c.get(ctx)
+	conn, err := c.get(ctx, e.repeatable)
 	if err != nil {
 		return nil, retry.ConnectionRefused, err
 	}
@@ -93,6 +101,7 @@
 		keep = false
 	}
 	if keep {
+		conn.used = c.now()
 		c.put(conn)
 	} else {
 		_ = conn.Close()
@@ -121,12 +130,18 @@
 	}
 }
 
-func (c *targetClient) get(ctx context.Context) (*targetConn, error) {
+func (c *targetClient) get(ctx context.Context, repeatable bool) (*targetConn, error) {
 	for {
 		conn := c.pop()
 		if conn == nil {
 			break
 		}
+		idle := c.now() - conn.used
+		if !repeatable && idle > unsafeIdle {
+			// The others have been idle for longer: keep them for other requests.
+			c.put(conn)
+			break
+		}
 		if c.now() < conn.expires && conn.reader.Buffered() == 0 && quiet(conn.Conn) {
 			conn.wrote = false
 			return conn, nil
--- /dev/null
+++ b/pkg/admission/queue_test.go
@@ -0,0 +1,102 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"heathercroft.example/heathercroft/pkg/admission"
+)
+
+const ms = time.Millisecond
+
+// Guards against a target that gets more requests at once than it has slots, and
+// against tickets that are lost or run twice, whatever comes in which order.
+func TestSlotsAreNeverExceededAndNoTicketIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		q := admission.NewQueue(slots)
+		var now time.Duration
+		running, waiting := map[*admission.Ticket]bool{}, map[*admission.Ticket]bool{}
+		start := func(tickets []*admission.Ticket) {
+			for _, k := range tickets {
+				require.True(t, waiting[k], "only a waiting ticket may be started")
+				delete(waiting, k)
+				running[k] = true
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "pause")) * ms
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				k, verdict, _ := q.Arrive(admission.Request{
+					Rank: admission.RankOf(rapid.Bool().Draw(t, "inner"), rapid.IntRange(0, 3).Draw(t, "priority"),
+						admission.Standing(rapid.IntRange(0, 2).Draw(t, "standing"))),
+					Need: 20 * ms, Finish: now + time.Duration(rapid.IntRange(0, 500).Draw(t, "finish"))*ms,
+				}, now)
+				switch verdict {
+				case admission.Run:
+					running[k] = true
+				case admission.Wait:
+					waiting[k] = true
+				}
+			case 1:
+				for k := range running {
+					delete(running, k)
+					start(q.Done(k, true, now))
+					break
+				}
+			case 2:
+				for k := range waiting {
+					require.True(t, q.Withdraw(k))
+					delete(waiting, k)
+					break
+				}
+			case 3:
+				for _, k := range q.Expire(now) {
+					require.True(t, waiting[k])
+					delete(waiting, k)
+				}
+			}
+			require.Equal(t, len(running), q.Running())
+			require.Equal(t, len(waiting), q.Waiting())
+			require.LessOrEqual(t, q.Running(), slots)
+		}
+	})
+}
+
+// Guards the order at the door: calls for requests in progress, then by priority
+// and callers that were told to come back, those that are late anyway last.
+func TestRankOrder(t *testing.T) {
+	order := []admission.Rank{
+		admission.RankOf(true, 9, admission.Late),
+		admission.RankOf(false, 0, admission.Returning),
+		admission.RankOf(false, 0, admission.New),
+		admission.RankOf(false, 1, admission.Returning),
+		admission.RankOf(false, 1, admission.New),
+		admission.RankOf(false, 0, admission.Late),
+		admission.RankOf(false, 1, admission.Late),
+	}
+	require.IsIncreasing(t, order)
+}
+
+// Guards against a request that is let in at a slow target by the average time
+// of all targets, and then answered late.
+func TestSlowTargetLetsInByItsOwnPace(t *testing.T) {
+	q := admission.NewQueue(1)
+	var now time.Duration
+	for range 200 {
+		k, verdict, _ := q.Arrive(admission.Request{Rank: 2, Need: 50 * ms, Finish: now + time.Second}, now)
+		require.Equal(t, admission.Run, verdict)
+		now += 100 * ms
+		q.Done(k, true, now)
+	}
+	require.InDelta(t, 2, q.Pace(), 0.1)
+	_, verdict, _ := q.Arrive(admission.Request{Rank: 2, Need: 50 * ms, Finish: now + 220*ms}, now)
+	require.Equal(t, admission.Run, verdict)
+	_, verdict, wait := q.Arrive(admission.Request{Rank: 2, Need: 50 * ms, Finish: now + 220*ms}, now)
+	require.Equal(t, admission.Refuse, verdict, "100 ms of wait and 100 ms of work leave no margin")
+	require.InDelta(t, 100, wait.Milliseconds(), 10)
+}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -18,8 +18,8 @@
 	Slots  int
 	// Cold is set while the target is slow after its start.
 	Cold bool
-	// Silent is how long nothing was heard of the node.
-	Silent time.Duration
+	// Silent is set if nothing was heard of the node for several rounds of gossip.
+	Silent bool
 }
 
 // Report is the load of a target as its node counts it.
@@ -56,9 +56,6 @@
 	// is passed over; it doubles up to unreachableMax while that goes on.
 	unreachableFor = 500 * time.Millisecond
 	unreachableMax = 4 * time.Second
-	// silentAfter is how long a node may be silent before its targets are chosen
-	// only if no other is left. Nodes exchange their state every second or faster.
-	silentAfter = 4 * time.Second
 	// silentCost sets targets of silent nodes behind all others.
 	silentCost = 5.0
 	// maxPace bounds the pace, so that a target that was very slow is tried again.
@@ -146,7 +143,7 @@
 		cost += crossZoneCost + crossZoneByteCost*float64(r.Bytes)
 	}
 	cost += failureWeight * s.failing(now)
-	if e.Silent > silentAfter {
+	if e.Silent {
 		cost += silentCost
 	}
 	return cost
--- /dev/null
+++ b/pkg/balance/balance_test.go
@@ -0,0 +1,116 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+const ms = time.Millisecond
+
+func endpoint(node mesh.NodeID, zone mesh.AvailabilityZone) balance.Endpoint {
+	return balance.Endpoint{Node: node, Zone: zone, Service: "s", Version: "v1", Target: "t-" + string(node), Slots: 10}
+}
+
+func request() balance.Request {
+	return balance.Request{Need: 100 * ms, Objective: 300 * ms, Bytes: 1000}
+}
+
+func fixed() float64 { return 0.5 }
+
+// Guards against traffic between zones while the own zone answers well in time.
+func TestOwnZoneFirst(t *testing.T) {
+	b := balance.New("a")
+	c, ok := b.Choose([]balance.Endpoint{endpoint("far", "b"), endpoint("near", "a")}, request(), 0, fixed)
+	require.True(t, ok)
+	require.EqualValues(t, "near", c.Endpoint.Node)
+}
+
+// Guards the pattern "zone moved": callers of one zone must not wait at home
+// while other zones have free slots.
+func TestSpillsOverWhenTheWaitAtHomeIsLong(t *testing.T) {
+	b := balance.New("a")
+	near, far := endpoint("near", "a"), endpoint("far", "b")
+	b.Reported(near, balance.Report{Running: 10, Waiting: 20, Mean: 100 * ms, Pace: 1}, 0)
+	c, ok := b.Choose([]balance.Endpoint{far, near}, request(), 0, fixed)
+	require.True(t, ok)
+	require.EqualValues(t, "far", c.Endpoint.Node)
+}
+
+// Guards the pattern "slow half": targets that answer twice as slowly get less,
+// but those that were slow long ago get work again.
+func TestSlowTargetsGetLess(t *testing.T) {
+	b := balance.New("a")
+	slow, fast := endpoint("slow", "a"), endpoint("fast", "a")
+	b.Reported(slow, balance.Report{Running: 2, Mean: 200 * ms, Pace: 2}, 0)
+	b.Reported(fast, balance.Report{Running: 2, Mean: 100 * ms, Pace: 1}, 0)
+	c, _ := b.Choose([]balance.Endpoint{slow, fast}, request(), 0, fixed)
+	require.EqualValues(t, "fast", c.Endpoint.Node)
+}
+
+// Guards the pattern "partly failing": a target that fails a part of its
+// requests while its health is good is passed over, and tried again later.
+func TestPartlyFailingTargetIsPassedOverAndTriedAgain(t *testing.T) {
+	b := balance.New("a")
+	grey, sound := endpoint("grey", "a"), endpoint("sound", "b")
+	for range 3 {
+		b.Answered(grey, true, 0)
+	}
+	c, _ := b.Choose([]balance.Endpoint{grey, sound}, request(), 0, fixed)
+	require.EqualValues(t, "sound", c.Endpoint.Node)
+	c, _ = b.Choose([]balance.Endpoint{grey, sound}, request(), 30*time.Second, fixed)
+	require.EqualValues(t, "grey", c.Endpoint.Node)
+}
+
+// Guards the pattern "cold targets": new targets get work from the start.
+func TestColdTargetGetsWork(t *testing.T) {
+	b := balance.New("a")
+	cold, warm := endpoint("cold", "a"), endpoint("warm", "a")
+	cold.Cold = true
+	b.Reported(warm, balance.Report{Running: 10, Waiting: 12, Mean: 100 * ms, Pace: 1}, 0)
+	c, _ := b.Choose([]balance.Endpoint{cold, warm}, request(), 0, fixed)
+	require.EqualValues(t, "cold", c.Endpoint.Node)
+}
+
+// Guards against attempts at a node that was just found unreachable, and against
+// giving it up for good.
+func TestUnreachableNodeIsTriedAgain(t *testing.T) {
+	b := balance.New("a")
+	e := endpoint("n", "a")
+	b.Unreachable(e, 0)
+	_, ok := b.Choose([]balance.Endpoint{e}, request(), 100*ms, fixed)
+	require.False(t, ok)
+	_, ok = b.Choose([]balance.Endpoint{e}, request(), time.Second, fixed)
+	require.True(t, ok)
+}
+
+// Guards against a second attempt at the same node, and a silent node before a live one.
+func TestTriedAndSilentNodes(t *testing.T) {
+	b := balance.New("a")
+	silent, live := endpoint("silent", "a"), endpoint("live", "b")
+	silent.Silent = true
+	c, _ := b.Choose([]balance.Endpoint{silent, live}, request(), 0, fixed)
+	require.EqualValues(t, "live", c.Endpoint.Node)
+	r := request()
+	r.Tried = []mesh.NodeID{"live"}
+	c, ok := b.Choose([]balance.Endpoint{silent, live}, r, 0, fixed)
+	require.True(t, ok, "a silent node is better than none")
+	require.EqualValues(t, "silent", c.Endpoint.Node)
+}
+
+// Guards the memory: endpoints that went are forgotten once they are idle.
+func TestRetainKeepsWhatIsInUse(t *testing.T) {
+	b := balance.New("a")
+	e := endpoint("n", "a")
+	b.Begin(e)
+	b.Retain(nil)
+	b.End(e)
+	b.Unreachable(e, 0)
+	b.Retain(nil)
+	_, ok := b.Choose([]balance.Endpoint{e}, request(), 0, fixed)
+	require.True(t, ok, "the state of a forgotten endpoint starts anew")
+}
--- /dev/null
+++ b/pkg/published/config_test.go
@@ -0,0 +1,73 @@
+package published_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"heathercroft.example/heathercroft/pkg/published"
+)
+
+func route(name, host, prefix string, parts ...published.Part) published.Route {
+	return published.Route{
+		Name: name, Host: host, Prefix: prefix, Kind: published.Safe, Timeout: time.Second, Parts: parts,
+	}
+}
+
+func config(routes ...published.Route) *published.Config {
+	return &published.Config{
+		Version: 1, Routes: routes,
+		Services: map[string]published.Service{"a": {Name: "a"}, "b": {Name: "b"}},
+	}
+}
+
+// Guards against a shorter prefix or another host winning.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	a := published.Part{Service: "a", Weight: 1}
+	c := config(route("short", "h.test", "/x/", a), route("long", "h.test", "/x/y/", a), route("other", "i.test", "/x/y/z/", a))
+	require.NoError(t, c.Prepare())
+	require.Equal(t, "long", c.Lookup("H.test:80", "/x/y/z/1").Name)
+	require.Equal(t, "short", c.Lookup("h.test", "/x/yy/1").Name)
+	require.Nil(t, c.Lookup("h.test", "/x"), "a prefix ends with a slash")
+	require.Nil(t, c.Lookup("unknown.test", "/x/y/"))
+}
+
+// Guards against a configuration that is applied in part: one bad route spoils all.
+func TestBadConfigurationsAreRefusedWhole(t *testing.T) {
+	good := route("good", "h.test", "/x/", published.Part{Service: "a", Weight: 1})
+	for name, change := range map[string]func(*published.Route){
+		"no host":         func(r *published.Route) { r.Host = "" },
+		"prefix":          func(r *published.Route) { r.Prefix = "/x" },
+		"kind":            func(r *published.Route) { r.Kind = "odd" },
+		"timeout":         func(r *published.Route) { r.Timeout = 0 },
+		"no service":      func(r *published.Route) { r.Parts = nil },
+		"unknown service": func(r *published.Route) { r.Parts = []published.Part{{Service: "c", Weight: 1}} },
+		"negative weight": func(r *published.Route) { r.Parts = []published.Part{{Service: "a", Weight: -1}} },
+		"no weight":       func(r *published.Route) { r.Parts = []published.Part{{Service: "a"}} },
+		"same prefix":     func(r *published.Route) { r.Prefix = "/x/" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bad := route("bad", "h.test", "/y/", published.Part{Service: "a", Weight: 1})
+			change(&bad)
+			require.ErrorContains(t, config(good, bad).Prepare(), "bad")
+		})
+	}
+	require.Error(t, (&published.Config{}).Prepare(), "a configuration without a version")
+}
+
+// Guards against a split that does not follow its weights.
+func TestPartsFollowTheirWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := rapid.IntRange(0, 100).Draw(t, "weight")
+		r := route("r", "h.test", "/x/", published.Part{Service: "a", Weight: w}, published.Part{Service: "b", Weight: 100 - w})
+		count := 0
+		for i := range 1000 {
+			if r.Part(float64(i)/1000) == "a" {
+				count++
+			}
+		}
+		require.InDelta(t, w*10, count, 1)
+	})
+}
