Write logs from a bounded buffer that never blocks

Cause: a slow or closed standard output would have stopped requests. Change: lines wait in a bounded buffer with a writer of its own; over the bound ordinary lines are dropped first, warnings and errors last, and counted in log_lines_dropped and a line. Figures: test: 20,000 lines at a blocked output, none waits. Conclusion: nothing on the call path waits for the output.

--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -39,7 +40,9 @@
 	}
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(s.Node.MemoryBytes * 3 / 4)
-	logger := app.NewLogger(os.Stdout, "heathercroft-sidecar", slog.LevelInfo).With("node", string(s.Node.Node))
+	lines := app.NewLogBuffer(os.Stdout)
+	logger := slog.New(lines.Handler(slog.LevelInfo)).With("process", "heathercroft-sidecar", "node", string(s.Node.Node))
+	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return lines.Dropped() }))
 	store := platform.NewStore(s.Store, s.Node.Inbound.Addr(), logger)
 	n := sidecar.New(s.Node, platform.Headers(), store, logger)
 	go reload(*path, store, logger)
--- /dev/null
+++ b/internal/app/logbuffer_test.go
@@ -0,0 +1,59 @@
+package app_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/internal/app"
+)
+
+// gate is an output that blocks until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.data.Write(p)
+}
+
+func (g *gate) text() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.data.String()
+}
+
+// Guards against a slow output that stops requests: logging never waits, what is
+// over the bound is dropped and counted, warnings last.
+func TestBlockedOutputStopsNothing(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	b := app.NewLogBuffer(out)
+	logger := slog.New(b.Handler(slog.LevelInfo))
+	done := make(chan struct{})
+	go func() {
+		for range 20000 {
+			logger.Info("request")
+		}
+		logger.Warn("important")
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("logging waits for the output")
+	}
+	require.Positive(t, b.Dropped())
+	close(out.open)
+	require.Eventually(t, func() bool { return strings.Contains(out.text(), `"msg":"important"`) }, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return strings.Contains(out.text(), "log_lines_dropped") }, 10*time.Second, 10*time.Millisecond)
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -124,7 +124,7 @@
 	}
 	servers = append(servers, rpc.NewServer(listener, peerHandler{n}, n.counters))
 	n.metrics.publish()
-	n.logger.Info("started", "node", string(n.settings.Node), "zone", string(n.settings.Zone), "service", n.settings.Service)
+	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
 	go n.ticks()
 	go n.seek()
 	for _, f := range []control.Feed{control.OperatorFeed, control.MeshFeed, control.StatusFeed} {
