Let a stopping node serve as the last resort of its service

Cause: the targets of a stopping node were out at once. Change: targets of stopping nodes come after all others until the node closes. Conclusion: nodes that start while the store is silent stay unknown until it is back, since nothing else tells of them; a question in docs.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -62,6 +62,7 @@
 	load      LoadCounted
 	evidence  canary.Evidence
 	stopping  bool
+	closing   bool
 	rounds    uint64
 
 	nextGossip, nextAnnounce, nextFetch time.Duration
@@ -122,6 +123,9 @@
 	case Stopping:
 		c.stopping = true
 		c.refresh(t)
+	case Closing:
+		c.closing = true
+		c.refresh(t)
 	}
 	return c.effects
 }
@@ -184,6 +188,9 @@
 // refresh brings the node's own announcement up to date and spreads a change.
 func (c *Control) refresh(t Time) {
 	target := c.local.Target(t.Now, t.UnixMS)
+	if target != nil && c.closing {
+		target.Serving = false
+	}
 	if sameTarget(target, c.self.Target) && c.self.Leaving == c.stopping && c.self.Sequence > 0 {
 		return
 	}
@@ -372,13 +379,14 @@
 	}
 	for _, a := range append(c.dir.All(), c.self) {
 		v.Calls[a.Node] = a
-		if a.Target == nil || !a.Target.Serving || a.Leaving && a.Node != c.self.Node {
+		if a.Target == nil || !a.Target.Serving {
 			continue
 		}
 		e := balance.Endpoint{
 			Node: a.Node, Zone: a.Zone, Service: a.Target.Service, Version: a.Target.Version,
 			Target: a.Target.ID, Slots: a.Target.Slots, Cold: a.Target.ColdUntil > t.UnixMS,
 		}
+		e.Leaving = a.Leaving && a.Node != c.self.Node
 		e.Silent = a.Node != c.self.Node && c.dir.SilentFor(a.Node, t.Now) > aliveWithin
 		s, ok := v.Endpoints[e.Service]
 		if !ok {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -60,8 +60,10 @@
 		Key string
 		OK  bool
 	}
-	// Stopping says that the node stops.
+	// Stopping says that the node stops: its target is chosen only if no other is
+	// left. Closing says that the node takes no more requests for it.
 	Stopping struct{}
+	Closing  struct{}
 )
 
 func (Tick) event()              {}
@@ -79,6 +81,7 @@
 func (LoadCounted) event()       {}
 func (WriteEnded) event()        {}
 func (Stopping) event()          {}
+func (Closing) event()           {}
 
 // Feed is a stream of records of the store.
 type Feed int
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -29,6 +29,7 @@
 	n.step(control.Stopping{})
 	n.logger.Info("stopping", "in_flight", n.inFlight.Load())
 	time.Sleep(min(readinessNotice, n.settings.Grace/2))
+	n.step(control.Closing{})
 	// From here on each answer ends its connection. Idle connections stay open: a
 	// request may be on its way on each of them.
 	n.closing.Store(true)
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -20,6 +20,8 @@
 	Cold bool
 	// Silent is set if nothing was heard of the node for several rounds of gossip.
 	Silent bool
+	// Leaving is set while the node stops but still takes requests.
+	Leaving bool
 }
 
 // Report is the load of a target as its node counts it.
@@ -56,8 +58,8 @@
 	// is passed over; it doubles up to unreachableMax while that goes on.
 	unreachableFor = 500 * time.Millisecond
 	unreachableMax = 4 * time.Second
-	// silentCost sets targets of silent nodes behind all others.
-	silentCost = 5.0
+	// lastResortCost sets targets of silent and stopping nodes behind all others.
+	lastResortCost = 5.0
 	// maxPace bounds the pace, so that a target that was very slow is tried again.
 	maxPace = 8.0
 )
@@ -143,8 +145,8 @@
 		cost += crossZoneCost + crossZoneByteCost*float64(r.Bytes)
 	}
 	cost += failureWeight * s.failing(now)
-	if e.Silent {
-		cost += silentCost
+	if e.Silent || e.Leaving {
+		cost += lastResortCost
 	}
 	return cost
 }
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -102,6 +102,20 @@
 	require.EqualValues(t, "silent", c.Endpoint.Node)
 }
 
+// Guards the pattern "last one stops": while a service's only target is beside
+// a node that stops, that node still gets its requests.
+func TestStoppingNodeIsTheLastResort(t *testing.T) {
+	b := balance.New("a")
+	stopping, far := endpoint("stopping", "a"), endpoint("far", "b")
+	stopping.Leaving = true
+	c, ok := b.Choose([]balance.Endpoint{stopping, far}, request(), 0, fixed)
+	require.True(t, ok)
+	require.EqualValues(t, "far", c.Endpoint.Node)
+	c, ok = b.Choose([]balance.Endpoint{stopping}, request(), 0, fixed)
+	require.True(t, ok)
+	require.EqualValues(t, "stopping", c.Endpoint.Node)
+}
+
 // Guards the memory: endpoints that went are forgotten once they are idle.
 func TestRetainKeepsWhatIsInUse(t *testing.T) {
 	b := balance.New("a")
