Keep the last target of a service reachable during a stop and under resets

Cause: a stopping node gave its target up after 2.3 s even as the last one; a reset connection counted as a target that does not listen and took it out for a second; an entry of a node that went stayed, although its address was used again. Ruled out: directories that differ: the entries were those of machines that left. Change: a node closes when it was quiet or near the end of its grace; only a refused connection counts as broken; an address belongs to the node that started last.

--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/pkg/admission"
 	"heathercroft.example/heathercroft/pkg/balance"
@@ -132,7 +135,11 @@
 		return
 	case retry.ConnectionRefused, retry.ResetBeforeWrite:
 		res.reason = "target-unreachable"
-		n.step(control.TargetBroken{})
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			// Nothing listens there any more. A reset only says that the target has too
+			// many connections at the moment.
+			n.step(control.TargetBroken{})
+		}
 	case retry.TimedOut:
 		res.reason = "no-answer"
 	default:
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -15,6 +15,8 @@
 	drainPoll = 20 * time.Millisecond
 	// quietTime without a request ends the drain early.
 	quietTime = 500 * time.Millisecond
+	// closeTime is left for the requests in flight after the last one was taken.
+	closeTime = 1200 * time.Millisecond
 	// stopMargin of the grace period is left for the end of the process.
 	stopMargin = 500 * time.Millisecond
 	// stopTimeout bounds the closing of the listeners after the drain.
@@ -29,19 +31,27 @@
 	n.step(control.Stopping{})
 	n.logger.Info("stopping", "in_flight", n.inFlight.Load())
 	time.Sleep(min(readinessNotice, n.settings.Grace/2))
-	n.step(control.Closing{})
 	// From here on each answer ends its connection. Idle connections stay open: a
 	// request may be on its way on each of them.
 	n.closing.Store(true)
 	end := started + n.settings.Grace - stopMargin
-	quietSince := n.clock.now()
-	for now := quietSince; now < end && now-quietSince < quietTime; now = n.clock.now() {
+	n.waitQuiet(quietTime, end-closeTime)
+	n.step(control.Closing{})
+	n.waitQuiet(0, end)
+	n.closed.Store(true)
+	n.logger.Info("stopped", "in_flight", n.inFlight.Load())
+	return nil
+}
+
+// waitQuiet waits until nothing was in flight for a time, at most until the end.
+func (n *Node) waitQuiet(quiet, end time.Duration) {
+	since := n.clock.now()
+	for now := since; now < end; now = n.clock.now() {
 		if n.inFlight.Load() > 0 {
-			quietSince = now
+			since = now
+		} else if now-since >= quiet {
+			return
 		}
 		time.Sleep(drainPoll)
 	}
-	n.closed.Store(true)
-	n.logger.Info("stopped", "in_flight", n.inFlight.Load())
-	return nil
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -70,6 +70,9 @@
 	if a.Node == "" || !a.Call.IsValid() {
 		return false
 	}
+	if !d.claim(a) {
+		return false
+	}
 	m, ok := d.members[a.Node]
 	if !ok {
 		d.members[a.Node] = &member{Announcement: a, heard: now}
@@ -83,6 +86,21 @@
 	return true
 }
 
+// claim settles which node an address belongs to: addresses of nodes that went
+// are used again, and the node that started last has it.
+func (d *Directory) claim(a Announcement) bool {
+	for id, m := range d.members {
+		if id == a.Node || m.Call != a.Call {
+			continue
+		}
+		if m.Start > a.Start {
+			return false
+		}
+		delete(d.members, id)
+	}
+	return true
+}
+
 // Heard marks a node as alive. It is called for messages of the node itself.
 func (d *Directory) Heard(id mesh.NodeID, now time.Duration) {
 	if m, ok := d.members[id]; ok {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -114,6 +114,20 @@
 	})
 }
 
+// Guards against requests to a node that went, at an address that is used again.
+func TestAddressBelongsToTheNodeThatStartedLast(t *testing.T) {
+	call := netip.MustParseAddrPort("10.0.0.1:1")
+	older := directory.Announcement{Node: "old", Start: 1, Call: call}
+	newer := directory.Announcement{Node: "new", Start: 2, Call: call}
+	for _, order := range [][]directory.Announcement{{older, newer}, {newer, older}} {
+		d := directory.New()
+		for _, a := range order {
+			d.Learn(a, 0)
+		}
+		require.Equal(t, []directory.Announcement{newer}, d.All())
+	}
+}
+
 // Guards the memory: nodes that went for good are dropped.
 func TestSilentNodesExpire(t *testing.T) {
 	d := directory.New()
