--- /dev/null
+++ b/internal/control/mesh_test.go
@@ -0,0 +1,337 @@
+package control
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/canary"
+	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/published"
+)
+
+// testMesh runs reducers against a store in memory, step by step on one clock.
+type testMesh struct {
+	t     *testing.T
+	now   time.Duration
+	nodes []*testMember
+	// store holds the newest value of each key, and how many records there are.
+	announcements map[mesh.NodeID]directory.Announcement
+	moves         map[string]canary.Move
+	statuses      map[string]Status
+	meshEnd       int
+	statusEnd     int
+	storeDown     bool
+	// cut holds nodes that reach no other node.
+	cut map[mesh.NodeID]bool
+	// written counts the final states written for a service.
+	written []Status
+}
+
+type testMember struct {
+	*Control
+	id   mesh.NodeID
+	dead bool
+	view *View
+	// seen is how many records of the store the node has read.
+	meshSeen, statusSeen int
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1000)
+}
+
+func newTestMesh(t *testing.T, versions ...string) *testMesh {
+	m := &testMesh{
+		t: t, announcements: map[mesh.NodeID]directory.Announcement{}, moves: map[string]canary.Move{},
+		statuses: map[string]Status{}, cut: map[mesh.NodeID]bool{},
+	}
+	for i, version := range versions {
+		m.start(i, version)
+	}
+	m.run(2 * time.Second)
+	return m
+}
+
+func (m *testMesh) start(i int, version string) *testMember {
+	id := mesh.NodeID(fmt.Sprintf("node-%d", i))
+	n := &testMember{id: id, Control: New(Options{
+		Self:    directory.Announcement{Node: id, Zone: "a", Start: m.now.Milliseconds(), RPC: address(i), Call: address(i)},
+		Address: address(i).String(), Service: "s", Heartbeat: time.Hour, Seed: uint64(i),
+	})}
+	m.nodes = append(m.nodes, n)
+	m.step(n, HeartbeatReceived{directory.Heartbeat{
+		ID: fmt.Sprintf("t-%d", i), Address: address(i).String(), Service: "s", Version: version, Slots: 4, Sequence: 1, Born: 1,
+	}})
+	for _, f := range []Feed{OperatorFeed, MeshFeed, StatusFeed} {
+		m.step(n, FeedCurrent{f})
+	}
+	return n
+}
+
+func (m *testMesh) time() Time { return Time{Now: m.now, UnixMS: m.now.Milliseconds()} }
+
+func (m *testMesh) member(id mesh.NodeID) *testMember {
+	for _, n := range m.nodes {
+		if n.id == id && !n.dead {
+			return n
+		}
+	}
+	return nil
+}
+
+func (m *testMesh) step(n *testMember, e Event) {
+	for _, effect := range n.Step(m.time(), e) {
+		m.carryOut(n, effect)
+	}
+}
+
+func (m *testMesh) carryOut(n *testMember, effect Effect) {
+	switch e := effect.(type) {
+	case PublishView:
+		n.view = e.View
+	case Announce:
+		ok := !m.storeDown
+		if ok {
+			m.announcements[n.id] = e.Announcement
+			m.meshEnd++
+		}
+		m.step(n, WriteEnded{announceKey, ok})
+	case RecordMove:
+		ok := !m.storeDown && n.meshSeen == m.meshEnd
+		if ok {
+			m.moves[e.Move.Service] = e.Move
+			m.meshEnd++
+		}
+		m.step(n, WriteEnded{moveKeyPrefix + e.Move.Service, ok})
+	case WriteStatus:
+		ok := !m.storeDown && n.statusSeen == m.statusEnd
+		if ok {
+			m.statuses[e.Status.Service] = e.Status
+			m.statusEnd++
+			m.written = append(m.written, e.Status)
+		}
+		m.step(n, WriteEnded{statusKeyPrefix + e.Status.Service, ok})
+	case SendState:
+		for _, id := range e.To {
+			if other := m.member(id); other != nil && !m.cut[n.id] && !m.cut[id] {
+				m.step(other, PeerStateReceived{e.State})
+				m.step(n, PeerStateReceived{other.State(m.time())})
+			}
+		}
+	case FetchConfig:
+		if other := m.member(e.From.Node); other != nil && other.Config() != nil && !m.cut[n.id] {
+			m.step(n, ConfigPublished{other.Config()})
+		}
+	}
+}
+
+// read lets a node catch up with the store.
+func (m *testMesh) read(n *testMember) {
+	if m.storeDown {
+		return
+	}
+	if n.meshSeen < m.meshEnd {
+		n.meshSeen = m.meshEnd
+		for _, a := range m.announcements {
+			m.step(n, Announced{a})
+		}
+		for _, move := range m.moves {
+			m.step(n, MoveRecorded{move})
+		}
+	}
+	if n.statusSeen < m.statusEnd {
+		n.statusSeen = m.statusEnd
+		for _, s := range m.statuses {
+			m.step(n, StatusRead{s})
+		}
+	}
+}
+
+func (m *testMesh) run(d time.Duration) { m.runWith(d, nil) }
+
+// runWith advances the clock, with traffic that is called once a tick.
+func (m *testMesh) runWith(d time.Duration, traffic func()) {
+	for end := m.now + d; m.now < end; m.now += TickInterval {
+		if traffic != nil {
+			traffic()
+		}
+		for _, n := range m.nodes {
+			if !n.dead {
+				m.read(n)
+				m.step(n, Tick{})
+			}
+		}
+	}
+}
+
+// answers counts answers at the targets of a version.
+func (m *testMesh) answers(version string, count int, failed bool) {
+	for _, n := range m.nodes {
+		if n.dead || n.self.Target == nil || n.self.Target.Version != version {
+			continue
+		}
+		for range count {
+			m.step(n, TargetAnswered{Route: "r", Failed: failed, Took: 50 * time.Millisecond})
+		}
+	}
+}
+
+func (m *testMesh) order(version string, number uint64) {
+	o := canary.Order{Service: "s", Version: version, Number: number, Duration: 10 * time.Second}
+	for _, n := range m.nodes {
+		if !n.dead {
+			m.step(n, MoveOrdered{o})
+		}
+	}
+}
+
+// Guards discovery: nodes find each other through the store alone.
+func TestNodesFindEachOther(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1", "v1", "v1", "v1")
+	for _, n := range m.nodes {
+		require.Len(t, n.view.Endpoints["s"].Old, 6, "%s", n.id)
+	}
+}
+
+// Guards against work for a target that said that it leaves: it is out for all
+// nodes before its confirmation goes out, or at the next message.
+func TestLeavingTargetIsOutEverywhereAtOnce(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1")
+	m.step(m.nodes[0], TargetLeft{ID: "t-0"})
+	for _, n := range m.nodes {
+		require.Len(t, n.view.Endpoints["s"].Old, 2, "%s", n.id)
+	}
+}
+
+// Guards against a move that is completed late, or reported falsely.
+func TestGoodVersionIsCompletedByItsDeadline(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v2", "v2")
+	m.order("v2", 1)
+	m.runWith(10*time.Second, func() {
+		m.answers("v1", 5, false)
+		m.answers("v2", 1, false)
+	})
+	require.Equal(t, StatusCompleted, m.statuses["s"].State)
+	require.Equal(t, []StatusState{StatusActive, StatusCompleted}, states(m.written))
+	for _, n := range m.nodes {
+		require.Len(t, n.view.Endpoints["s"].Old, 2)
+		require.Equal(t, "v2", n.view.Endpoints["s"].Old[0].Version)
+	}
+}
+
+func states(list []Status) []StatusState {
+	var out []StatusState
+	for _, s := range list {
+		out = append(out, s.State)
+	}
+	return out
+}
+
+// Guards the exposure to a bad version: nothing goes there soon after its fault
+// shows, on any node, also while the store is down.
+func TestBadVersionIsCutWithoutTheStore(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v2", "v2")
+	m.order("v2", 1)
+	m.run(time.Second)
+	m.storeDown = true
+	m.runWith(3*time.Second, func() {
+		m.answers("v1", 5, false)
+		m.answers("v2", 1, true)
+	})
+	for _, n := range m.nodes {
+		require.Zero(t, n.view.Endpoints["s"].NewShare, "%s", n.id)
+		require.Empty(t, n.view.Endpoints["s"].New, "%s", n.id)
+	}
+	m.storeDown = false
+	m.run(3 * time.Second)
+	require.Equal(t, StatusReverted, m.statuses["s"].State)
+}
+
+// Guards a move whose nodes die: any node carries it on from the store.
+func TestMoveSurvivesTheLossOfNodes(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1", "v2", "v2")
+	m.order("v2", 1)
+	traffic := func() {
+		m.answers("v1", 5, false)
+		m.answers("v2", 1, false)
+	}
+	m.runWith(3*time.Second, traffic)
+	m.nodes[0].dead, m.nodes[1].dead = true, true
+	m.runWith(12*time.Second, traffic)
+	require.Equal(t, StatusCompleted, m.statuses["s"].State)
+}
+
+// Guards decided moves: a node that starts later and reads the order again must
+// not begin the move anew.
+func TestDecidedMoveIsNotRepeated(t *testing.T) {
+	m := newTestMesh(t, "v1", "v2")
+	m.order("v2", 1)
+	m.runWith(3*time.Second, func() {
+		m.answers("v1", 5, false)
+		m.answers("v2", 2, true)
+	})
+	require.Equal(t, StatusReverted, m.statuses["s"].State)
+	late := m.start(7, "v1")
+	m.read(late)
+	m.step(late, MoveOrdered{canary.Order{Service: "s", Version: "v2", Number: 1, Duration: 10 * time.Second}})
+	m.run(15 * time.Second)
+	require.Equal(t, StatusReverted, m.statuses["s"].State)
+	require.Empty(t, late.view.Endpoints["s"].New)
+}
+
+// Guards a second order for a service that was reverted before.
+func TestNewOrderBeginsAnew(t *testing.T) {
+	m := newTestMesh(t, "v1", "v2")
+	m.order("v2", 1)
+	m.runWith(3*time.Second, func() {
+		m.answers("v1", 5, false)
+		m.answers("v2", 2, true)
+	})
+	require.Equal(t, StatusReverted, m.statuses["s"].State)
+	m.start(8, "v3")
+	m.run(2 * time.Second)
+	m.order("v3", 2)
+	m.runWith(12*time.Second, func() {
+		m.answers("v1", 5, false)
+		m.answers("v3", 2, false)
+	})
+	require.Equal(t, Status{Service: "s", Version: "v3", State: StatusCompleted}, m.statuses["s"])
+}
+
+// Guards the configuration: it only ever gets newer, and nodes that the store
+// turns away get it from others.
+func TestConfigurationIsMonotonicAndSpreads(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1")
+	config := func(v published.Version) *published.Config {
+		c := &published.Config{Version: v}
+		require.NoError(t, c.Prepare())
+		return c
+	}
+	m.step(m.nodes[0], ConfigPublished{config(5)})
+	m.step(m.nodes[0], ConfigPublished{config(3)})
+	require.EqualValues(t, 5, m.nodes[0].Config().Version)
+	m.run(2 * time.Second)
+	for _, n := range m.nodes {
+		require.EqualValues(t, 5, n.Config().Version, "%s", n.id)
+	}
+}
+
+// Guards a node that is cut off: it goes on with what it knows.
+func TestCutOffNodeGoesOn(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1")
+	m.cut["node-0"] = true
+	m.run(20 * time.Second)
+	require.Len(t, m.nodes[0].view.Endpoints["s"].Old, 2)
+	silent := 0
+	for _, e := range m.nodes[0].view.Endpoints["s"].Old {
+		if e.Silent {
+			silent++
+		}
+	}
+	require.Equal(t, 1, silent, "the other node is only a last resort")
+}
