--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,14 +17,14 @@
 	TickInterval = canary.EvidenceInterval
 	// gossipFanout is how many nodes get the state of a node in a round, and
 	// gossipPart the part of the mesh where that is more. Each exchange goes both
-	// ways, so that two nodes hear of each other every 2.5 s or faster.
+	// ways, so that two nodes hear of each other every 5 s or faster.
 	gossipFanout = 4
 	gossipPart   = 10
 	// gossipInterval is the time between two rounds.
-	gossipInterval = 500 * time.Millisecond
+	gossipInterval = time.Second
 	// moveGossipInterval is the interval while a move is open: a bad version must be out
 	// 5 s after its fiftieth bad answer.
-	moveGossipInterval = 250 * time.Millisecond
+	moveGossipInterval = 500 * time.Millisecond
 	// announceRetry is the time between two writes of the announcement.
 	announceRetry = 500 * time.Millisecond
 	// fetchAfter is how long a node waits for the store to give it a configuration
@@ -36,9 +36,9 @@
 	// rankDelay is how much later each further node in the order writes what any
 	// node may write, so that one write is usual and the loss of a node costs little.
 	rankDelay = 200 * time.Millisecond
-	// aliveWithin is how long ago a node was heard of to count as alive: two
-	// rounds through the mesh.
-	aliveWithin = 5 * time.Second
+	// aliveWithin is how long ago a node was heard of to count as alive: over one
+	// round through the mesh.
+	aliveWithin = 6 * time.Second
 )
 
 // Options are what the settings say of a node.
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -51,7 +51,7 @@
 	// crossZoneCost and crossZoneByteCost are the cost of a request to another
 	// zone and of each byte of it, on the same scale. Traffic between zones is paid for.
 	crossZoneCost     = 0.02
-	crossZoneByteCost = 2.5e-6
+	crossZoneByteCost = 5e-6
 	// coldPace is how much slower a target is after its start.
 	coldPace = 2.0
 	// jitter is the part of the cost that is random, so that many nodes with the
