Choose targets by what their links can still carry

Ruled out: processor time (0.08 of a core at most). Change: nodes report which part of their link is in use; the choice counts it, and the bytes that this node has on the way. A series of configurations is read as newest records until it ends.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -136,6 +136,7 @@
 		left = min(left, fromMilliseconds(given))
 	}
 	body, err := n.readBody(w, r, left)
+	n.link.received(body.length())
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		n.rejected(r, id, http.StatusRequestTimeout, "body-unread: "+err.Error())
@@ -304,7 +305,7 @@
 	defer n.balanceMu.Unlock()
 	choice, ok := n.balancer.Choose(endpoints, request, now, rand.Float64)
 	if ok {
-		n.balancer.Begin(choice.Endpoint)
+		n.balancer.Begin(choice.Endpoint, c.body.length())
 	}
 	return choice.Endpoint, ok
 }
@@ -380,7 +381,7 @@
 	now := n.clock.now()
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
-	n.balancer.End(e)
+	n.balancer.End(e, c.body.length())
 	if res.reported {
 		n.balancer.Reported(e, res.report, now)
 	}
@@ -488,6 +489,7 @@
 	if method == http.MethodHead {
 		return
 	}
+	n.link.sent(int64(len(r.body)))
 	if _, err := w.Write(r.body); err != nil {
 		n.metrics.writeErrors.Add(1)
 	}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// newest waits for the rest of a series of changes and reads only the newest
-// record of each key. For a single change it only waits.
+// newest reads only the newest record of each key until a series of changes has
+// ended. For a single change it only waits.
 func (n *Node) newest(f control.Feed, position uint64, series bool) (uint64, error) {
 	if f == control.MeshFeed && n.view.Load().Moves {
 		// A conditional write needs the present end of the feed.
@@ -112,16 +112,22 @@
 		time.Sleep(debounce)
 		return position, nil
 	}
-	time.Sleep(seriesDebounce)
-	events, next, err := n.read(f, 0, false)
-	if err != nil {
-		return position, err
-	}
-	n.ends[f].Store(next)
-	for _, e := range events {
-		n.step(e)
+	for n.ctx.Err() == nil {
+		time.Sleep(seriesDebounce)
+		events, next, err := n.read(f, 0, false)
+		if err != nil {
+			return position, err
+		}
+		n.ends[f].Store(next)
+		if next == position {
+			break
+		}
+		position = next
+		for _, e := range events {
+			n.step(e)
+		}
 	}
-	return next, nil
+	return position, nil
 }
 
 func (n *Node) read(f control.Feed, position uint64, known bool) ([]control.Event, uint64, error) {
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -81,6 +81,7 @@
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = []string{""}
 	}
+	n.link.sent(x.body.length())
 	resp, err := n.peers.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return n.forwardFailed(ctx, h, e, err, connected.Load(), wrote.Load())
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -49,6 +49,7 @@
 	Waiting int     `json:"waiting"`
 	Pace    float64 `json:"pace"`
 	MeanMS  float64 `json:"mean_ms"`
+	LinkUse float64 `json:"link_use,omitempty"`
 	// TookMS is the time at the target.
 	TookMS float64 `json:"took_ms,omitempty"`
 }
@@ -83,7 +84,7 @@
 func (r result) hopReply() hopReply {
 	h := hopReply{
 		Reason: r.reason, WaitMS: milliseconds(r.wait), Running: r.report.Running, Waiting: r.report.Waiting,
-		Pace: r.report.Pace, MeanMS: milliseconds(r.report.Mean), TookMS: milliseconds(r.took),
+		Pace: r.report.Pace, MeanMS: milliseconds(r.report.Mean), LinkUse: r.report.LinkUse, TookMS: milliseconds(r.took),
 	}
 	switch {
 	case r.outcome == retry.Answered:
@@ -105,7 +106,7 @@
 	}
 	r := result{
 		reason: in.Reason, wait: fromMilliseconds(in.WaitMS), took: fromMilliseconds(in.TookMS), reported: true,
-		report: balance.Report{Running: in.Running, Waiting: in.Waiting, Pace: in.Pace, Mean: fromMilliseconds(in.MeanMS)},
+		report: balance.Report{Running: in.Running, Waiting: in.Waiting, Pace: in.Pace, Mean: fromMilliseconds(in.MeanMS), LinkUse: in.LinkUse},
 	}
 	switch in.Outcome {
 	case hopAnswered:
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -42,6 +42,7 @@
 	if problem != nil {
 		return
 	}
+	n.link.received(body.length())
 	e := &exchange{method: r.Method, host: r.Host, uri: h.URI, header: forwardable(r.Header), body: body, repeatable: h.Repeatable}
 	res := n.runLocal(ctx, h, e)
 	if r.Context().Err() != nil {
@@ -64,7 +65,7 @@
 	res := n.tryLocal(ctx, h, e)
 	running, waiting, pace := n.gate.load()
 	res.reported = true
-	res.report = balance.Report{Running: running, Waiting: waiting, Pace: pace, Mean: n.gate.mean()}
+	res.report = balance.Report{Running: running, Waiting: waiting, Pace: pace, Mean: n.gate.mean(), LinkUse: n.link.use()}
 	return res
 }
 
--- /dev/null
+++ b/internal/sidecar/link.go
@@ -0,0 +1,53 @@
+package sidecar
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// linkMeter estimates which part of the machine's link is in use from the
+// bodies that the node receives and sends.
+type linkMeter struct {
+	now  func() time.Duration
+	mbps float64
+
+	mu      sync.Mutex
+	at      time.Duration
+	in, out float64
+}
+
+// linkMemory is the time in which the weight of past bytes falls to a third. A
+// burst of uploads shows within it.
+const linkMemory = 500 * time.Millisecond
+
+func (m *linkMeter) received(bytes int64) { m.add(float64(bytes), 0) }
+
+func (m *linkMeter) sent(bytes int64) { m.add(0, float64(bytes)) }
+
+func (m *linkMeter) add(in, out float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decay()
+	m.in += in
+	m.out += out
+}
+
+func (m *linkMeter) decay() {
+	now := m.now()
+	keep := math.Exp(-float64(now-m.at) / float64(linkMemory))
+	m.in, m.out, m.at = m.in*keep, m.out*keep, now
+}
+
+// use returns the part in use of the busier direction, from 0 to 1.
+func (m *linkMeter) use() float64 {
+	if m.mbps <= 0 {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decay()
+	const bitsPerByte, bitsPerMbit = 8, 1e6
+	perSecond := max(m.in, m.out) / linkMemory.Seconds()
+	return min(perSecond*bitsPerByte/(m.mbps*bitsPerMbit), 1)
+}
--- /dev/null
+++ b/internal/sidecar/link_test.go
@@ -0,0 +1,23 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards the estimate of the link: steady traffic shows as its share, and is
+// forgotten when it ends.
+func TestLinkMeterFollowsTraffic(t *testing.T) {
+	var now time.Duration
+	m := &linkMeter{now: func() time.Duration { return now }, mbps: 10}
+	for range 300 {
+		now += 10 * time.Millisecond
+		m.received(6250)
+	}
+	require.InDelta(t, 0.5, m.use(), 0.03, "625 KB/s are half of 10 Mbit/s")
+	now += 5 * time.Second
+	require.Less(t, m.use(), 0.01)
+	require.Zero(t, (&linkMeter{now: m.now}).use(), "no limit is known")
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -47,6 +47,7 @@
 	splits  *splits
 	rates   *rates
 	running running
+	link    *linkMeter
 	budgets sync.Map
 
 	counters *rpc.Counters
@@ -68,6 +69,7 @@
 		counters: &rpc.Counters{}, peers: newPeerTransport(s.Inbound.Addr().AsSlice()),
 	}
 	n.gate = newGate(n.clock.now)
+	n.link = &linkMeter{now: n.clock.now, mbps: s.LinkMbps}
 	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now}
 	n.rpc = rpc.NewClient(n.counters, s.Inbound.Addr())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -35,6 +35,8 @@
 	Mean time.Duration
 	// Pace is how much longer the target takes than the requests are expected to.
 	Pace float64
+	// LinkUse is the part of the link of the node that is in use, from 0 to 1.
+	LinkUse float64
 }
 
 // Limits and weights of the choice.
@@ -73,6 +75,10 @@
 	reported time.Duration
 	mean     time.Duration
 	pace     float64
+	// ownBytes are on their way to the endpoint from this node; linkUse is what
+	// its node reported.
+	ownBytes int64
+	linkUse  float64
 
 	failures   float64
 	failuresAt time.Duration
@@ -171,16 +177,21 @@
 	if over := load + 1 - slots; over > 0 {
 		wait = time.Duration(over * float64(mean) / slots)
 	}
-	return wait, wait + need + e.transfer(r.Bytes)
+	use := s.linkUse * max(0, 1-age)
+	return wait, wait + need + e.transfer(s.ownBytes+r.Bytes, use)
 }
 
-// transfer is how long the bytes of a request take on the link of the node.
-func (e Endpoint) transfer(bytes int64) time.Duration {
+// minLinkPart is the part of a busy link that a further request can still count on.
+const minLinkPart = 0.05
+
+// transfer is how long bytes take on the link of the node while a part of it is in use.
+func (e Endpoint) transfer(bytes int64, use float64) time.Duration {
 	if e.LinkMbps <= 0 {
 		return 0
 	}
 	const bitsPerByte, bitsPerMbit = 8, 1e6
-	return time.Duration(float64(bytes*bitsPerByte) / (e.LinkMbps * bitsPerMbit) * float64(time.Second))
+	free := e.LinkMbps * max(1-use, minLinkPart)
+	return time.Duration(float64(bytes*bitsPerByte) / (free * bitsPerMbit) * float64(time.Second))
 }
 
 func (s *state) failing(now time.Duration) float64 {
@@ -197,11 +208,20 @@
 	return s
 }
 
-// Begin counts a request that is sent to the endpoint; End must follow.
-func (b *Balancer) Begin(e Endpoint) { b.state(e).own++ }
+// Begin counts a request of so many bytes that is sent to the endpoint; End must
+// follow.
+func (b *Balancer) Begin(e Endpoint, bytes int64) {
+	s := b.state(e)
+	s.own++
+	s.ownBytes += bytes
+}
 
 // End counts the end of a request.
-func (b *Balancer) End(e Endpoint) { b.state(e).own-- }
+func (b *Balancer) End(e Endpoint, bytes int64) {
+	s := b.state(e)
+	s.own--
+	s.ownBytes -= bytes
+}
 
 // Reported takes the load that came with an answer of the endpoint's node.
 func (b *Balancer) Reported(e Endpoint, r Report, now time.Duration) {
@@ -209,6 +229,7 @@
 	s.others = max(0, float64(r.Running+r.Waiting-s.own))
 	s.reported = now
 	s.mean = r.Mean
+	s.linkUse = r.LinkUse
 	if r.Pace > 0 {
 		s.pace = min(r.Pace, maxPace)
 	}
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -130,13 +130,32 @@
 	require.EqualValues(t, "far", c.Endpoint.Node, "0.4 s on the slow link")
 }
 
+// Guards the pattern "slow links": uploads spread when the link of the nearest
+// node is full, by its own report or by what this node sends there.
+func TestBusyLinksArePassedOver(t *testing.T) {
+	r := request()
+	r.Bytes = 50_000
+	near, other := endpoint("near", "a"), endpoint("other", "a")
+	near.LinkMbps, other.LinkMbps = 10, 9
+	b := balance.New("a")
+	c, _ := b.Choose([]balance.Endpoint{near, other}, r, 0, fixed)
+	require.EqualValues(t, "near", c.Endpoint.Node)
+	b.Begin(near, r.Bytes)
+	c, _ = b.Choose([]balance.Endpoint{near, other}, r, 0, fixed)
+	require.EqualValues(t, "other", c.Endpoint.Node, "an upload is on its way")
+	b = balance.New("a")
+	b.Reported(near, balance.Report{Pace: 1, Mean: 100 * ms, LinkUse: 0.9}, 0)
+	c, _ = b.Choose([]balance.Endpoint{near, other}, r, 0, fixed)
+	require.EqualValues(t, "other", c.Endpoint.Node, "the link is reported as busy")
+}
+
 // Guards the memory: endpoints that went are forgotten once they are idle.
 func TestRetainKeepsWhatIsInUse(t *testing.T) {
 	b := balance.New("a")
 	e := endpoint("n", "a")
-	b.Begin(e)
+	b.Begin(e, 0)
 	b.Retain(nil)
-	b.End(e)
+	b.End(e, 0)
 	b.Unreachable(e, 0)
 	b.Retain(nil)
 	_, ok := b.Choose([]balance.Endpoint{e}, request(), 0, fixed)
