Refuse requests that crash targets, in the whole mesh

Cause: a request that crashes each target that runs it was sent on each time it came again; nothing in the sidecar knew it. The stand-in of the log service is renamed to internal/logservice, so that it is not taken for platform/. Log fields that name another node are called peer. Conclusion: the test runs three nodes whose targets crash.

--- a/cmd/heathercroft-platform/main.go
+++ b/cmd/heathercroft-platform/main.go
@@ -9,7 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"heathercroft.example/heathercroft/internal/app"
-	"heathercroft.example/heathercroft/internal/platform"
+	"heathercroft.example/heathercroft/internal/logservice"
 	"heathercroft.example/heathercroft/internal/settings"
 )
 
@@ -19,7 +19,7 @@
 	check := cli.Flag("check-settings", "Check the settings and exit.").Bool()
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
-	s := platform.DefaultSettings()
+	s := logservice.DefaultSettings()
 	if *check {
 		os.Exit(settings.Check(os.Stdout, os.Stderr, *path, s))
 	}
@@ -29,7 +29,7 @@
 		}
 	}
 	logger := app.NewLogger(os.Stdout, "heathercroft-platform", slog.LevelInfo)
-	if err := platform.Run(context.Background(), s, logger); err != nil {
+	if err := logservice.Run(context.Background(), s, logger); err != nil {
 		app.Fail(app.ExitFailure, err)
 	}
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -65,9 +65,11 @@
 	current   [feedCount]bool
 	load      LoadCounted
 	evidence  canary.Evidence
+	crashes   map[uint64]crash
 	stopping  bool
 	closing   bool
 	rounds    uint64
+	states    uint64
 
 	// behind is the oldest version that other nodes were found to have and this one
 	// lacks, and behindSince when that was.
@@ -87,7 +89,7 @@
 		local: directory.Local{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, rounds: o.Seed,
-		writing: map[string]bool{},
+		writing: map[string]bool{}, crashes: map[uint64]crash{},
 	}
 }
 
@@ -109,6 +111,8 @@
 		c.refresh(t)
 	case TargetAnswered:
 		c.answered(e)
+	case TargetCrashed:
+		c.crashed(t, e.Requests)
 	case ConfigPublished:
 		c.publish(t, e.Config)
 	case Announced:
@@ -263,9 +267,14 @@
 	if a.Node == c.self.Node {
 		return
 	}
+	if last, ok := c.peers[a.Node]; ok && last.Announcement.Start == a.Start && s.Number < last.Number {
+		c.dir.Heard(a.Node, t.Now)
+		return
+	}
 	changed := c.learn(a, t)
 	if known, ok := c.dir.Get(a.Node); ok && known.Start == a.Start {
 		c.dir.Heard(a.Node, t.Now)
+		changed = changed || len(s.Crashes) > 0
 		c.peers[a.Node] = s
 	}
 	for _, o := range s.Others {
@@ -314,8 +323,9 @@
 	c.announce(t)
 	for _, id := range c.dir.Expire(t.Now) {
 		delete(c.peers, id)
-		c.note("node_expired", "node", string(id))
+		c.note("node_expired", "peer", string(id))
 	}
+	c.forgetCrashes(t)
 	c.moveTick(t)
 	if t.Now >= c.nextGossip {
 		c.nextGossip = t.Now + gossipInterval
@@ -329,8 +339,11 @@
 
 // State returns the state that the node tells others.
 func (c *Control) State(t Time) PeerState {
+	c.states++
 	s := PeerState{
+		Number:       c.states,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
+		Crashes: c.ownCrashes(),
 	}
 	for service, m := range c.moves {
 		if m.recorded {
@@ -398,7 +411,7 @@
 
 func (c *Control) view(t Time) {
 	v := &View{
-		Config: c.config, Target: c.self.Target, Stopping: c.stopping, Moves: c.movesNeedReports(),
+		Config: c.config, Target: c.self.Target, Stopping: c.stopping, Moves: c.movesNeedReports(), Crashing: c.crashing(),
 		Endpoints: map[string]*ServiceEndpoints{}, Calls: map[mesh.NodeID]directory.Announcement{},
 	}
 	for _, a := range append(c.dir.All(), c.self) {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -35,6 +35,9 @@
 		Cold   bool
 		Took   time.Duration
 	}
+	// TargetCrashed names the requests that ran when the local target crashed, by
+	// fingerprint.
+	TargetCrashed struct{ Requests []uint64 }
 	// ConfigPublished is a configuration from the store or another node. It is
 	// prepared and valid.
 	ConfigPublished struct{ Config *published.Config }
@@ -71,6 +74,7 @@
 func (TargetLeft) event()        {}
 func (TargetBroken) event()      {}
 func (TargetAnswered) event()    {}
+func (TargetCrashed) event()     {}
 func (ConfigPublished) event()   {}
 func (Announced) event()         {}
 func (MoveOrdered) event()       {}
@@ -116,6 +120,8 @@
 
 // PeerState is what nodes tell each other directly.
 type PeerState struct {
+	// Number orders the states of one process: messages may overtake each other.
+	Number       uint64                 `json:"number"`
 	Announcement directory.Announcement `json:"announcement"`
 	Config       published.Version      `json:"config"`
 	Running      int                    `json:"running"`
@@ -124,6 +130,9 @@
 	Moves        []canary.Move          `json:"moves,omitempty"`
 	// PerSecond is the rate of requests that this node sends, by service with a move.
 	PerSecond map[string]float64 `json:"per_second,omitempty"`
+	// Crashes counts the crashes of this node's target by the fingerprint of the
+	// requests that ran.
+	Crashes map[uint64]int `json:"crashes,omitempty"`
 	// Others are announcements that the receiver may not know.
 	Others []directory.Announcement `json:"others,omitempty"`
 }
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -360,6 +360,24 @@
 	}
 }
 
+// Guards against a request that crashes each target that runs it: after the
+// second crash anywhere, every node knows it, for a bounded time.
+func TestCrashingRequestIsKnownEverywhereAfterTheSecondCrash(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1")
+	m.step(m.nodes[0], TargetCrashed{[]uint64{1, 2}})
+	for _, n := range m.nodes {
+		require.Empty(t, n.view.Crashing, "%s", n.id)
+	}
+	m.step(m.nodes[1], TargetCrashed{[]uint64{1, 3}})
+	for _, n := range m.nodes {
+		require.Equal(t, map[uint64]bool{1: true}, n.view.Crashing, "%s", n.id)
+	}
+	m.run(crashMemory + 10*time.Second)
+	for _, n := range m.nodes {
+		require.Empty(t, n.view.Crashing, "%s", n.id)
+	}
+}
+
 // Guards a node that is cut off: it goes on with what it knows.
 func TestCutOffNodeGoesOn(t *testing.T) {
 	m := newTestMesh(t, "v1", "v1")
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -17,6 +17,8 @@
 	Endpoints map[string]*ServiceEndpoints
 	// Calls are the addresses of the nodes.
 	Calls map[mesh.NodeID]directory.Announcement
+	// Crashing holds the fingerprints of requests that crash targets.
+	Crashing map[uint64]bool
 	// Moves is set while a move is open or its report may be due.
 	Moves bool
 	// Stopping is set once the node stops.
--- a/internal/platform/read.go
+++ b/internal/logservice/read.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"context"
--- a/internal/platform/server.go
+++ b/internal/logservice/server.go
@@ -1,7 +1,7 @@
-// Package platform is a stand-in for the platform's append-only log service. It
+// Package logservice is a stand-in for the platform's append-only log service. It
 // keeps its streams in memory and can be switched into outages, slow answers and
 // lost answers.
-package platform
+package logservice
 
 import (
 	"expvar"
--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -183,3 +183,37 @@
 	require.Equal(t, "POST"+inside, <-got)
 	require.EqualValues(t, 1, n.target.runs.Load())
 }
+
+// Guards against a request that crashes each target that runs it: it is refused
+// as not run once two targets crashed, and other requests are not.
+func TestCrashingRequestIsContained(t *testing.T) {
+	nodes := newMesh(t, 3)
+	for _, n := range nodes {
+		n.target.serve(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/read/poison" {
+				n.target.Listener.Close()
+				hijack(t, "", true)(w, r)
+				return
+			}
+			w.Header().Set("X-Signature", "s")
+		})
+	}
+	runs := func() (total int64) {
+		for _, n := range nodes {
+			total += n.target.runs.Load()
+		}
+		return total
+	}
+	nodes[0].call(t, http.MethodGet, "/read/poison", "r1")
+	require.EqualValues(t, 2, runs(), "two attempts")
+	// The next requests find out that nothing listens any more.
+	for i := range 6 {
+		nodes[i%3].call(t, http.MethodGet, "/read/fine", fmt.Sprint("f", i))
+	}
+	require.Eventually(t, func() bool { return len(nodes[2].view.Load().Crashing) == 1 }, 2*time.Second, 10*time.Millisecond)
+	before := runs()
+	status, _, body := nodes[2].call(t, http.MethodGet, "/read/poison", "r2")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, "crashing-request")
+	require.Equal(t, before, runs())
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -66,6 +66,7 @@
 	tried                     []mesh.NodeID
 	notes                     []attemptNote
 	config                    published.Version
+	fingerprint               uint64
 	arrivals                  int
 	failure                   *result
 }
@@ -145,10 +146,16 @@
 	}
 	c := &call{
 		id: id, w: w, r: r, route: route, header: forwardable(r.Header), body: body,
-		arrived: arrived, deadline: arrived + left, config: view.Config.Version, service: route.Part(n.splits.next(route.Name)),
+		fingerprint: fingerprint(r, body),
+		arrived:     arrived, deadline: arrived + left, config: view.Config.Version, service: route.Part(n.splits.next(route.Name)),
 	}
 	parent, inner := n.running.parent(n.headers.Parent(id))
 	c.inner, c.repeat = inner, parent.Repeat
+	if view.Crashing[c.fingerprint] {
+		n.rejected(r, id, http.StatusServiceUnavailable, "crashing-request")
+		n.refuse(w, "crashing-request", time.Duration(maxRetryAfterPart*float64(left)))
+		return
+	}
 	n.prepare(c)
 	ctx, cancel := context.WithTimeout(r.Context(), c.deadline-n.clock.now())
 	defer cancel()
@@ -170,7 +177,7 @@
 		objective = c.route.Timeout
 	}
 	c.need = n.needs.get(c.route.Name, objective/3)
-	first, returning := n.returns.take(fingerprint(c.r), c.arrived)
+	first, returning := n.returns.take(c.fingerprint, c.arrived)
 	c.useful = c.arrived + objective - hopTime
 	if returning {
 		c.standing = admission.Returning
@@ -320,10 +327,11 @@
 	now := n.clock.now()
 	h := hop{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
-		Rank:       int(admission.RankOf(c.inner, c.route.Priority, c.standing)),
-		Repeatable: c.route.Kind.Repeatable(),
-		Repeat:     c.repeat || c.arrivals > 0,
-		TimeLeftMS: milliseconds(c.deadline - now), UsefulMS: milliseconds(c.useful - now), NeedMS: milliseconds(c.need),
+		Rank:        int(admission.RankOf(c.inner, c.route.Priority, c.standing)),
+		Fingerprint: c.fingerprint,
+		Repeatable:  c.route.Kind.Repeatable(),
+		Repeat:      c.repeat || c.arrivals > 0,
+		TimeLeftMS:  milliseconds(c.deadline - now), UsefulMS: milliseconds(c.useful - now), NeedMS: milliseconds(c.need),
 	}
 	x := &exchange{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: c.body, repeatable: c.route.Kind.Repeatable()}
 	var res result
@@ -436,7 +444,7 @@
 	after += time.Duration(rand.Float64() * float64(after) / 2)
 	after = min(after, time.Duration(maxRetryAfterPart*float64(max(left, 0))))
 	first := c.arrived
-	n.returns.refused(fingerprint(c.r), first, n.clock.now()+left)
+	n.returns.refused(c.fingerprint, first, n.clock.now()+left)
 	n.ended(c, outcomeRefused, res.reason, http.StatusServiceUnavailable)
 	n.refuse(c.w, res.reason, after)
 }
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -117,7 +117,7 @@
 		res = result{outcome: retry.TimedOut, reason: "no-answer"}
 	}
 	if ctx.Err() == nil {
-		n.logger.Info("node_failed", "request", h.ID, "node", string(e.Node), "outcome", res.outcome.String(), "error", err.Error())
+		n.logger.Info("node_failed", "request", h.ID, "peer", string(e.Node), "outcome", res.outcome.String(), "error", err.Error())
 	}
 	return res
 }
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -28,6 +28,8 @@
 	Route   string `json:"route"`
 	Caller  string `json:"caller"`
 	Rank    int    `json:"rank"`
+	// Fingerprint identifies equal requests.
+	Fingerprint uint64 `json:"fingerprint"`
 	// Repeatable is set if the request may be sent again after a failure.
 	Repeatable bool `json:"repeatable,omitempty"`
 	// Repeat is set if the request may have run before, or belongs to one that may have.
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -6,11 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/pkg/admission"
 	"heathercroft.example/heathercroft/pkg/balance"
@@ -136,15 +133,12 @@
 		return
 	case retry.ConnectionRefused, retry.ResetBeforeWrite:
 		res.reason = "target-unreachable"
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			// Nothing listens there any more. A reset only says that the target has too
-			// many connections at the moment.
-			n.step(control.TargetBroken{})
-		}
+		n.targetRefused(err)
 	case retry.TimedOut:
 		res.reason = "no-answer"
 	default:
 		res.reason = "answer-lost"
+		n.answerLost(h.Fingerprint)
 		res.reply = nil
 		n.step(control.TargetAnswered{Route: h.Route, Failed: true, Cold: cold, Took: res.took})
 	}
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -10,11 +10,17 @@
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
-// fingerprint identifies a request that comes again after a refusal: callers
-// repeat it with the same method, host and path.
-func fingerprint(r *http.Request) uint64 {
+// fingerprintBytes is how much of a body is part of a fingerprint.
+const fingerprintBytes = 4 << 10
+
+// fingerprint identifies a request that comes again: callers repeat it with the
+// same method, host, path and body.
+func fingerprint(r *http.Request, body *payload) uint64 {
 	h := xxhash.New()
-	_, _ = h.WriteString(r.Method + "\x00" + r.Host + "\x00" + r.RequestURI)
+	_, _ = h.WriteString(r.Method + "\x00" + r.Host + "\x00" + r.RequestURI + "\x00")
+	if body != nil {
+		_, _ = h.Write(body.head[:min(len(body.head), fingerprintBytes)])
+	}
 	return h.Sum64()
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -48,6 +48,7 @@
 	rates   *rates
 	running running
 	link    *linkMeter
+	crash   *crashWatch
 	budgets sync.Map
 
 	counters *rpc.Counters
@@ -65,7 +66,7 @@
 func New(s Settings, h Headers, store Store, logger *slog.Logger) *Node {
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
-		balancer: balance.New(s.Zone), needs: newNeeds(), returns: newReturns(), splits: newSplits(), rates: newRates(),
+		balancer: balance.New(s.Zone), needs: newNeeds(), returns: newReturns(), splits: newSplits(), rates: newRates(), crash: newCrashWatch(),
 		counters: &rpc.Counters{}, peers: newPeerTransport(s.Inbound.Addr().AsSlice()),
 	}
 	n.gate = newGate(n.clock.now)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -68,7 +68,7 @@
 			defer cancel()
 			var answer control.PeerState
 			if err := n.rpc.Call(ctx, peer.RPC, methodState, e.State, &answer); err != nil {
-				n.logger.Debug("state_not_sent", "node", string(peer.Node), "error", err.Error())
+				n.logger.Debug("state_not_sent", "peer", string(peer.Node), "error", err.Error())
 				return
 			}
 			n.step(control.PeerStateReceived{State: answer})
@@ -87,7 +87,7 @@
 		err = c.Prepare()
 	}
 	if err != nil {
-		n.logger.Info("config_not_fetched", "node", string(from.Node), "error", err.Error())
+		n.logger.Info("config_not_fetched", "peer", string(from.Node), "error", err.Error())
 		return
 	}
 	n.metrics.configFetches.Add(1)
