Refuse new requests in the second half of a stop

Ruled out: the close of idle connections; the request was read and passed on. Change: from half of the grace period on, new requests of callers are refused as not run, calls for requests in progress excepted. A connection to another node may take 0.12 s: a call with 226 ms left spent all of it on a machine that was cut off. Conclusion: the test holds a request over a stop and sends another one.

--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -153,6 +153,34 @@
 	require.Equal(t, runs, n.target.runs.Load(), "a closed node must not pass a request on")
 }
 
+// Guards against a request that is taken late in a stop and cut at its end: from
+// half of the grace period on, new requests are refused as not run.
+func TestStoppingNodeRefusesNewRequestsInTime(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	slow := make(chan struct{})
+	n.target.serve(func(w http.ResponseWriter, _ *http.Request) {
+		<-slow
+		w.Header().Set("X-Signature", "s")
+	})
+	first := make(chan int, 1)
+	go func() {
+		status, _, _ := n.call(t, http.MethodGet, "/read/slow", "r1")
+		first <- status
+	}()
+	require.Eventually(t, func() bool { return n.target.runs.Load() == 1 }, time.Second, time.Millisecond)
+	drained := make(chan error, 1)
+	go func() { drained <- n.drain(t.Context()) }()
+	require.Eventually(t, n.refusing.Load, 3*time.Second, 10*time.Millisecond)
+	require.False(t, n.closed.Load(), "the request in progress may end")
+	status, header, _ := n.call(t, http.MethodGet, "/read/x", "r2")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.EqualValues(t, 1, n.target.runs.Load())
+	close(slow)
+	require.Equal(t, http.StatusOK, <-first)
+	require.NoError(t, <-drained)
+}
+
 // Guards against refusals with 404 by a node that knows no configuration yet.
 func TestNodeWithoutConfigurationRefusesAsNotRun(t *testing.T) {
 	n := newTestNode(t, 0)
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -34,6 +34,8 @@
 	maxRetryAfterPart = 0.32
 	// notReadyRetryAfter is for a node without configuration, which gets one within seconds.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is for a node that stops: callers reach another one by then.
+	stoppingRetryAfter = 100 * time.Millisecond
 	// budgetCaution is the part of the shared budget of second sends that nodes
 	// use: its window slides over requests that are not counted yet.
 	budgetCaution = 0.9
@@ -108,6 +110,12 @@
 	if id != "" {
 		w.Header().Set(n.headers.RequestID, id)
 	}
+	parent, inner := n.running.parent(n.headers.Parent(id))
+	if n.refusing.Load() && !inner {
+		n.rejected(r, id, http.StatusServiceUnavailable, "node-stops")
+		n.refuse(w, "node-stops", stoppingRetryAfter)
+		return
+	}
 	view := n.view.Load()
 	if view.Config == nil {
 		n.rejected(r, id, http.StatusServiceUnavailable, "no-configuration")
@@ -149,7 +157,6 @@
 		fingerprint: fingerprint(r, body),
 		arrived:     arrived, deadline: arrived + left, config: view.Config.Version, service: route.Part(n.splits.next(route.Name)),
 	}
-	parent, inner := n.running.parent(n.headers.Parent(id))
 	c.inner, c.repeat = inner, parent.Repeat
 	if view.Crashing[c.fingerprint] {
 		n.rejected(r, id, http.StatusServiceUnavailable, "crashing-request")
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -19,8 +19,8 @@
 
 const (
 	// peerDialTimeout bounds a connection to another node. A machine behind a
-	// partition does not answer, and the caller still waits.
-	peerDialTimeout = 250 * time.Millisecond
+	// partition does not answer, and calls between targets may have only 250 ms.
+	peerDialTimeout = 120 * time.Millisecond
 	// peerPingAfter and peerPingTimeout find connections that went silent: a ping
 	// goes out after so long without a frame, and must be answered in time.
 	peerPingAfter = 400 * time.Millisecond
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -56,10 +56,11 @@
 	inFlight atomic.Int64
 	sampled  atomic.Uint64
 	stopping atomic.Bool
-	// closing makes each answer end its connection; closed refuses to read more.
-	closing, closed atomic.Bool
-	ctx             context.Context
-	cancel          context.CancelFunc
+	// closing makes each answer end its connection, refusing refuses new requests of
+	// callers as not run, and closed passes nothing on.
+	closing, refusing, closed atomic.Bool
+	ctx                       context.Context
+	cancel                    context.CancelFunc
 }
 
 // New composes a node. registry serves the heartbeats of the local target.
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -13,6 +13,9 @@
 	readinessNotice = 2300 * time.Millisecond
 	// drainPoll is the time between two looks at the requests in flight.
 	drainPoll = 20 * time.Millisecond
+	// acceptTime is how long a stopping node takes new requests of callers: what it
+	// takes must end before the grace period does, and requests last for seconds.
+	acceptTime = 3 * time.Second
 	// quietTime without a request ends the drain early.
 	quietTime = 500 * time.Millisecond
 	// closeTime is left for the requests in flight after the last one was taken.
@@ -35,6 +38,8 @@
 	// request may be on its way on each of them.
 	n.closing.Store(true)
 	end := started + n.settings.Grace - stopMargin
+	n.waitQuiet(quietTime, started+min(acceptTime, n.settings.Grace/2))
+	n.refusing.Store(true)
 	n.waitQuiet(quietTime, end-closeTime)
 	n.step(control.Closing{})
 	n.waitQuiet(0, end)
