--- a/pkg/canary/canary_test.go
+++ b/pkg/canary/canary_test.go
@@ -127,3 +127,21 @@
 	require.True(t, m.Next(canary.Reverted).Newer(m))
 	require.False(t, m.Newer(m))
 }
+
+// Guards against a false alarm when a fault of the zone begins: answers of both
+// versions are lost alike from one moment on (incident inc-071d).
+func TestGoodVersionIsNotCondemnedWhenBothBeginToFail(t *testing.T) {
+	for seed := range uint64(20) {
+		v, j := newVersions(seed), canary.NewJudge()
+		for round := range 100 {
+			failing := 0.004
+			if round >= 60 {
+				failing = 0.4
+			}
+			v.answers(v.old, "r1", 10, failing, 0)
+			v.answers(v.current, "r1", 1, failing, 0)
+			bad, reason := j.Observe(v.current, v.old)
+			require.False(t, bad, "seed %d, round %d: %s", seed, round, reason)
+		}
+	}
+}
