Compare a new version with the newest answers of the old one

Ruled out: the recent rate from cumulative counts alone (late by the messages between nodes), a verdict by each node after 1 s on its own evidence. Change: newest answers are kept where they are counted and sent along, at the shift to all nodes; failures raise a suspicion that holds the new version back until the old one has shown whether it fails too.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -65,11 +65,14 @@
 	current   [feedCount]bool
 	load      LoadCounted
 	evidence  canary.Evidence
-	crashes   map[uint64]crash
-	stopping  bool
-	closing   bool
-	rounds    uint64
-	states    uint64
+	// recent are the newest answers of the local target, lately those since the last tick.
+	recent   canary.Recent
+	lately   canary.Counts
+	crashes  map[uint64]crash
+	stopping bool
+	closing  bool
+	rounds   uint64
+	states   uint64
 
 	// behind is the oldest version that other nodes were found to have and this one
 	// lacks, and behindSince when that was.
@@ -157,16 +160,11 @@
 	after := c.self.Target
 	if before == nil || after == nil || before.ID != after.ID || before.Serving != after.Serving {
 		c.note("target_state", "target", h.ID, "service", h.Service, "version", h.Version, "draining", h.Draining)
-		c.evidence = keepEvidence(c.evidence, before, after)
-	}
-}
-
-// keepEvidence drops the counts of an earlier target.
-func keepEvidence(e canary.Evidence, before, after *directory.Target) canary.Evidence {
-	if before != nil && after != nil && before.ID == after.ID {
-		return e
+		if before == nil || after == nil || before.ID != after.ID {
+			// The counts are those of an earlier target.
+			c.evidence, c.recent, c.lately = canary.Evidence{}, canary.Recent{}, canary.Counts{}
+		}
 	}
-	return canary.Evidence{}
 }
 
 func (c *Control) answered(e TargetAnswered) {
@@ -180,6 +178,7 @@
 		counts.TimeMS, counts.Timed = float64(e.Took)/float64(time.Millisecond), 1
 	}
 	c.evidence[e.Route] = c.evidence[e.Route].Add(counts)
+	c.lately = c.lately.Add(counts)
 }
 
 // maxEvidenceRoutes bounds the memory of the evidence; a target has few routes.
@@ -319,6 +318,7 @@
 }
 
 func (c *Control) tick(t Time) {
+	c.recent, c.lately = c.recent.Next(c.lately), canary.Counts{}
 	c.refresh(t)
 	c.announce(t)
 	for _, id := range c.dir.Expire(t.Now) {
@@ -355,6 +355,7 @@
 		s.PerSecond[service] = c.load.PerSecond[service]
 		if c.self.Target != nil && c.self.Target.Service == service {
 			s.Evidence = c.evidence
+			s.Recent = c.recent.Next(c.lately)
 		}
 	}
 	return s
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -127,7 +127,9 @@
 	Running      int                    `json:"running"`
 	Waiting      int                    `json:"waiting"`
 	Evidence     canary.Evidence        `json:"evidence,omitempty"`
-	Moves        []canary.Move          `json:"moves,omitempty"`
+	// Recent are the newest answers of the node's target.
+	Recent canary.Recent `json:"recent,omitzero"`
+	Moves  []canary.Move `json:"moves,omitempty"`
 	// PerSecond is the rate of requests that this node sends, by service with a move.
 	PerSecond map[string]float64 `json:"per_second,omitempty"`
 	// Crashes counts the crashes of this node's target by the fingerprint of the
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -392,3 +392,35 @@
 	}
 	require.Equal(t, 1, silent, "the other node is only a last resort")
 }
+
+// Guards against a good version that is reverted because both versions begin to
+// lose answers just before all traffic moves: what the old targets counted must
+// reach the nodes that judge, although no answer of theirs follows (incident inc-071d).
+func TestFaultOfBothVersionsBeforeTheShiftCondemnsNone(t *testing.T) {
+	var versions []string
+	for i := range 16 {
+		versions = append(versions, []string{"v1", "v1", "v1", "v2"}[i%4])
+	}
+	m := newTestMesh(t, versions...)
+	m.order("v2", 1)
+	answered := 0
+	traffic := func(version string, count int, failing bool) {
+		for range count {
+			answered++
+			m.answers(version, 1, failing && answered%3 == 0)
+		}
+	}
+	m.runWith(6750*time.Millisecond, func() {
+		traffic("v1", 9, false)
+		traffic("v2", 1, false)
+	})
+	m.runWith(10*time.Second-6750*time.Millisecond, func() {
+		if m.moves["s"].Phase == canary.Observing {
+			traffic("v1", 9, true)
+			traffic("v2", 1, true)
+			return
+		}
+		traffic("v2", 12, true)
+	})
+	require.Equal(t, StatusCompleted, m.statuses["s"].State)
+}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -16,8 +16,8 @@
 	// recorded is set once the store holds this state of the move.
 	recorded bool
 	judge    *canary.Judge
-	// cut is set when this node found the new version bad: it sends nothing more
-	// there, before the store knows.
+	// cut is set while this node suspects the new version: it sends nothing there,
+	// before the store knows.
 	cut    bool
 	wanted canary.Phase
 	// wantedSince and statusSince are when a write became due.
@@ -48,8 +48,14 @@
 const confirmTo = 2
 
 // confirm tells the nodes that will write the next phase that this node follows
-// the present one, since the next one may need the word of all.
+// the present one, since the next one may need the word of all. Once all traffic
+// moves, a node beside the old version tells everyone what it counted up to then:
+// nothing later can tell a fault of the new version from one that hit both.
 func (c *Control) confirm(t Time, m canary.Move) {
+	if own := c.self.Target; m.Phase == canary.Shifted && own != nil && own.Service == m.Service && own.Version != m.Version {
+		c.broadcast(t)
+		return
+	}
 	var to []mesh.NodeID
 	for _, id := range mesh.RankNodes(moveKeyPrefix+m.Service, c.alive(t)) {
 		if len(to) < confirmTo && id != c.self.Node {
@@ -155,31 +161,33 @@
 }
 
 func (c *Control) judge(t Time, m *moveState) {
-	current, old := canary.Evidence{}, canary.Evidence{}
-	add := func(target *directory.Target, e canary.Evidence) {
-		if target == nil || target.Service != m.move.Service {
-			return
-		}
-		into := old
-		if target.Version == m.move.Version {
-			into = current
-		}
-		for route, counts := range e {
-			into[route] = into[route].Add(counts)
+	var current, old canary.Answers
+	add := func(target *directory.Target, e canary.Evidence, r canary.Recent) {
+		switch {
+		case target == nil || target.Service != m.move.Service:
+		case target.Version == m.move.Version:
+			current.Add(e, r)
+		default:
+			old.Add(e, r)
 		}
 	}
-	add(c.self.Target, c.evidence)
+	add(c.self.Target, c.evidence, c.recent)
 	for _, p := range c.peers {
-		add(p.Announcement.Target, p.Evidence)
+		add(p.Announcement.Target, p.Evidence, p.Recent)
 	}
-	bad, reason := m.judge.Observe(current, old)
-	if bad && !m.cut {
-		m.cut = true
-		total := current.Total()
-		c.note("version_cut", "service", m.move.Service, "version", m.move.Version, "reason", reason,
-			"answers", total.Answers, "failed", total.Failed)
+	verdict, reason := m.judge.Observe(t.Now, current, old)
+	seen := current.Evidence.Total()
+	if cut := verdict != canary.Sound; cut != m.cut {
+		m.cut = cut
+		kind := "version_cut"
+		if !cut {
+			kind = "version_trusted_again"
+		}
+		c.note(kind, "service", m.move.Service, "version", m.move.Version, "reason", reason,
+			"answers", seen.Answers, "failed", seen.Failed,
+			"recent_failure_rate", current.Recent.FailureRate(), "old_recent_failure_rate", old.Recent.FailureRate())
 	}
-	view := canary.View{UnixMS: t.UnixMS, Bad: m.cut, Seen: current.Total().Answers, Spread: true}
+	view := canary.View{UnixMS: t.UnixMS, Bad: verdict == canary.Bad, Seen: seen.Answers, Spread: true}
 	c.situation(t, m, &view)
 	phase := m.move.Decide(view)
 	if phase != m.wanted {
--- a/pkg/canary/canary_test.go
+++ b/pkg/canary/canary_test.go
@@ -14,10 +14,30 @@
 type versions struct {
 	random       *rand.Rand
 	current, old canary.Evidence
+	looks        [2]look
+	now          time.Duration
+}
+
+// look is what was seen of a version.
+type look struct {
+	total  canary.Counts
+	recent canary.Recent
+}
+
+func (l *look) at(e canary.Evidence) canary.Answers {
+	total := e.Total()
+	l.recent, l.total = l.recent.Next(total.Sub(l.total)), total
+	return canary.Answers{Evidence: e, Recent: l.recent}
 }
 
 func newVersions(seed uint64) *versions {
-	return &versions{rand.New(rand.NewPCG(seed, 7)), canary.Evidence{}, canary.Evidence{}}
+	return &versions{random: rand.New(rand.NewPCG(seed, 7)), current: canary.Evidence{}, old: canary.Evidence{}}
+}
+
+// judge lets a judge look at the evidence.
+func (v *versions) judge(j *canary.Judge) (canary.Verdict, string) {
+	v.now += canary.EvidenceInterval
+	return j.Observe(v.now, v.looks[0].at(v.current), v.looks[1].at(v.old))
 }
 
 func (v *versions) answers(e canary.Evidence, route string, count int, failing, slow float64) {
@@ -53,20 +73,24 @@
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20) {
 				v, j := newVersions(seed), canary.NewJudge()
-				bad, answers := false, 0
-				for round := 0; round < 200 && !bad; round++ {
+				verdict, answers := canary.Sound, 0
+				for round := 0; round < 200 && verdict != canary.Bad; round++ {
 					for _, route := range []string{"r1", "r2"} {
 						failing, slow := 0.004, 0.0
 						if route == fault.route && round >= fault.after {
 							failing, slow = fault.failing, fault.slow
-							answers++
 						}
-						v.answers(v.current, route, 1, failing, slow)
+						if verdict == canary.Sound {
+							v.answers(v.current, route, 1, failing, slow)
+							if route == fault.route && round >= fault.after {
+								answers++
+							}
+						}
 						v.answers(v.old, route, 10, 0.004, 0)
 					}
-					bad, _ = j.Observe(v.current, v.old)
+					verdict, _ = v.judge(j)
 				}
-				require.True(t, bad, "seed %d", seed)
+				require.Equal(t, canary.Bad, verdict, "seed %d", seed)
 				require.LessOrEqual(t, answers, 50, "seed %d", seed)
 			}
 		})
@@ -84,8 +108,8 @@
 				for range 200 {
 					v.answers(v.current, "r1", 1, failing, 0)
 					v.answers(v.old, "r1", 10, failing, 0)
-					bad, reason := j.Observe(v.current, v.old)
-					require.False(t, bad, "seed %d: %s", seed, reason)
+					verdict, reason := v.judge(j)
+					require.Equal(t, canary.Sound, verdict, "seed %d: %s", seed, reason)
 				}
 			}
 		})
@@ -129,19 +153,34 @@
 }
 
 // Guards against a false alarm when a fault of the zone begins: answers of both
-// versions are lost alike from one moment on (incident inc-071d).
+// versions are lost alike from one moment on (incident inc-071d). A suspicion may hold
+// the new version back for a while, and must be dropped.
 func TestGoodVersionIsNotCondemnedWhenBothBeginToFail(t *testing.T) {
-	for seed := range uint64(20) {
-		v, j := newVersions(seed), canary.NewJudge()
-		for round := range 100 {
-			failing := 0.004
-			if round >= 60 {
-				failing = 0.4
+	for name, shift := range map[string]int{"observing": 100, "just before all traffic moves": 61, "as all traffic moves": 60} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				v, j := newVersions(seed), canary.NewJudge()
+				verdict, reason, held := canary.Sound, "", 0
+				for round := range 100 {
+					failing := 0.004
+					if round >= 60 {
+						failing = 0.4
+					}
+					atNew := 1
+					if round >= shift {
+						atNew = 11
+					}
+					if verdict != canary.Sound {
+						atNew = 0
+						held++
+					}
+					v.answers(v.old, "r1", 11-atNew, failing, 0)
+					v.answers(v.current, "r1", atNew, failing, 0)
+					verdict, reason = v.judge(j)
+					require.NotEqual(t, canary.Bad, verdict, "seed %d, round %d: %s", seed, round, reason)
+				}
+				require.Less(t, held, 20, "seed %d: held back for over half of the time", seed)
 			}
-			v.answers(v.old, "r1", 10, failing, 0)
-			v.answers(v.current, "r1", 1, failing, 0)
-			bad, reason := j.Observe(v.current, v.old)
-			require.False(t, bad, "seed %d, round %d: %s", seed, round, reason)
-		}
+		})
 	}
 }
--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -47,6 +47,10 @@
 	// toleratedRate is the least rate of failures that a sound version is allowed,
 	// so that a few lost answers do not condemn it.
 	toleratedRate = 0.04
+	// recentKept is the part of the recent answers that still counts at the next look.
+	// With EvidenceInterval they reach back over half a second, so that trouble which hits
+	// both versions raises the tolerated rate within a few answers.
+	recentKept = 0.6
 	// badEvidence is the logarithm of the likelihood ratio at which a version is
 	// bad: about four failures in a row.
 	badEvidence = 6.0
@@ -57,6 +61,51 @@
 	minTimed = 10
 )
 
+// Verdict is what the evidence says of a new version.
+type Verdict int
+
+// The verdicts.
+const (
+	// Sound: nothing speaks against the new version.
+	Sound Verdict = iota
+	// Suspected: the new version fails more often than the old one did. Nothing more
+	// is sent there until the old version, which then gets all requests, has shown
+	// whether it fails as well.
+	Suspected
+	// Bad: the new version failed and the old one does not.
+	Bad
+)
+
+// A suspicion is confirmed after confirmTime, in which nodes hear of each other during
+// a move, if controlAnswers of the old version came meanwhile; otherwise after
+// maxConfirmTime. A bad version has to be out 5 s after its fiftieth bad answer.
+const (
+	confirmTime    = time.Second
+	maxConfirmTime = 2500 * time.Millisecond
+	controlAnswers = 40
+)
+
+// sharedFault is the part of the new version's failure rate from which on the old
+// version is taken to suffer from the same fault.
+const sharedFault = 0.3
+
+// Answers are what the targets of a version answered: all, and the newest.
+type Answers struct {
+	Evidence Evidence
+	Recent   Recent
+}
+
+// Add adds the answers of another target.
+func (a *Answers) Add(e Evidence, r Recent) {
+	if a.Evidence == nil {
+		a.Evidence = Evidence{}
+	}
+	for route, counts := range e {
+		a.Evidence[route] = a.Evidence[route].Add(counts)
+	}
+	a.Recent = Recent{a.Recent.Answers + r.Answers, a.Recent.Failed + r.Failed}
+}
+
 // Judge compares a new version with the old one by route. It keeps a cumulative
 // sum for each route, so that a fault that starts late is not outweighed by the
 // good answers before it.
@@ -64,9 +113,12 @@
 	last map[string]Counts
 	sums map[string]float64
 	// window holds the newest times of a route.
-	window map[string]Counts
-	bad    bool
-	reason string
+	window  map[string]Counts
+	verdict Verdict
+	reason  string
+	// suspectedAt is when the suspicion began, oldThen the old version's answers up to then.
+	suspectedAt time.Duration
+	oldThen     int
 }
 
 // NewJudge returns a judge without evidence.
@@ -74,31 +126,86 @@
 	return &Judge{last: map[string]Counts{}, sums: map[string]float64{}, window: map[string]Counts{}}
 }
 
-// Observe takes the present totals of both versions and returns the verdict.
-func (j *Judge) Observe(current, old Evidence) (bad bool, reason string) {
-	oldTotal := old.Total()
-	for route, counts := range current {
+// Observe takes the present answers of both versions and returns the verdict. Bad is final.
+func (j *Judge) Observe(now time.Duration, current, old Answers) (Verdict, string) {
+	oldTotal := old.Evidence.Total()
+	for route, counts := range current.Evidence {
 		delta := counts.Sub(j.last[route])
 		j.last[route] = counts
-		j.failures(route, delta, old[route], oldTotal)
-		j.slowness(route, delta, old[route])
+		j.failures(route, delta, max(failureRate(old.Evidence[route]), failureRate(oldTotal), old.Recent.FailureRate()))
+		j.slowness(route, delta, old.Evidence[route])
 	}
-	return j.bad, j.reason
+	if j.verdict == Bad {
+		return j.verdict, j.reason
+	}
+	j.weigh(now, oldTotal.Answers, old.Recent.FailureRate() >= sharedFault*current.Recent.FailureRate())
+	return j.verdict, j.reason
+}
+
+// weigh begins, drops or confirms a suspicion. shared is set if both versions fail.
+func (j *Judge) weigh(now time.Duration, oldAnswers int, shared bool) {
+	route, over := j.over()
+	switch {
+	case shared:
+		j.verdict, j.reason = Sound, ""
+		if over {
+			clear(j.sums)
+		}
+	case j.verdict == Sound && over:
+		j.verdict, j.reason = Suspected, "failures on route "+route
+		j.suspectedAt, j.oldThen = now, oldAnswers
+	case j.verdict == Suspected:
+		waited := now - j.suspectedAt
+		if waited >= maxConfirmTime || waited >= confirmTime && oldAnswers-j.oldThen >= controlAnswers {
+			j.verdict = Bad
+		}
+	}
+}
+
+// over returns the route whose failures are too many, the first by name.
+func (j *Judge) over() (route string, over bool) {
+	for r, sum := range j.sums {
+		if sum >= badEvidence && (!over || r < route) {
+			route, over = r, true
+		}
+	}
+	return route, over
 }
 
-func (j *Judge) failures(route string, delta, old, oldTotal Counts) {
-	rate := max(failureRate(old), failureRate(oldTotal))
-	tolerated := min(max(toleratedRate, 1.5*rate), 0.6)
+// failures compares new answers with the failure rate of the old version.
+func (j *Judge) failures(route string, delta Counts, oldRate float64) {
+	tolerated := min(max(toleratedRate, 1.5*oldRate), 0.6)
 	suspect := max(suspectRate, min(2.5*tolerated, 0.9))
 	onFailure := math.Log(suspect / tolerated)
 	onSuccess := math.Log((1 - suspect) / (1 - tolerated))
 	sum := j.sums[route] + float64(delta.Failed)*onFailure + float64(delta.Answers-delta.Failed)*onSuccess
 	j.sums[route] = max(0, sum)
-	if sum >= badEvidence {
-		j.bad, j.reason = true, "failures on route "+route
+}
+
+// Recent are the newest answers of targets, whatever their route. Older answers count
+// for less with each look that brings new ones.
+type Recent struct {
+	Answers float64 `json:"n"`
+	Failed  float64 `json:"f"`
+}
+
+// Next returns the counts after a look that brought newer answers. Without any the
+// counts stay: once all traffic has moved, the last answers of the old version are
+// the only ones to compare with.
+func (r Recent) Next(newer Counts) Recent {
+	if newer.Answers == 0 {
+		return r
 	}
+	return Recent{r.Answers*recentKept + float64(newer.Answers), r.Failed*recentKept + float64(newer.Failed)}
 }
 
+// recentPriorAnswers keep a single lost answer of a quiet service from hiding a bad
+// version, and are few beside the answers of a busy one.
+const recentPriorAnswers = 8
+
+// FailureRate returns the damped share of failures.
+func (r Recent) FailureRate() float64 { return r.Failed / (r.Answers + recentPriorAnswers) }
+
 // priorAnswers damp the failure rate of an old version with few answers.
 const priorAnswers = 20
 
@@ -118,13 +225,10 @@
 		return
 	}
 	if w.TimeMS/float64(w.Timed) > slowRatio*old.TimeMS/float64(old.Timed) {
-		j.bad, j.reason = true, "slow answers on route "+route
+		j.verdict, j.reason = Bad, "slow answers on route "+route
 	}
 }
 
-// Bad returns the verdict so far.
-func (j *Judge) Bad() bool { return j.bad }
-
 // EvidenceInterval is the time between two looks at the evidence during a move.
 // A bad version must be out 5 s after its fiftieth bad answer.
 const EvidenceInterval = 250 * time.Millisecond
