Tell what changed between versions of a configuration

Diff, Apply and a bounded history are pure; a property test leads any version to any later one over the wire. The check for routes with the same host and prefix no longer compares each pair.

--- a/pkg/published/config.go
+++ b/pkg/published/config.go
@@ -81,19 +81,20 @@
 	if c.Version == 0 {
 		return errors.New("configuration without a version")
 	}
+	type place struct{ host, prefix string }
+	taken := make(map[place]string, len(c.Routes))
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if err := c.check(r); err != nil {
 			return errors.Wrapf(err, "route %q", r.Name)
 		}
-		host := strings.ToLower(r.Host)
-		for _, other := range c.byHost[host] {
-			if other.Prefix == r.Prefix {
-				return errors.Newf("routes %q and %q have the same host and prefix", other.Name, r.Name)
-			}
+		at := place{strings.ToLower(r.Host), r.Prefix}
+		if other, ok := taken[at]; ok {
+			return errors.Newf("routes %q and %q have the same host and prefix", other, r.Name)
 		}
-		c.byHost[host] = append(c.byHost[host], r)
+		taken[at] = r.Name
+		c.byHost[at.host] = append(c.byHost[at.host], r)
 	}
 	return nil
 }
--- /dev/null
+++ b/pkg/published/delta_test.go
@@ -0,0 +1,92 @@
+package published_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"heathercroft.example/heathercroft/pkg/published"
+)
+
+func drawConfig(t *rapid.T, version published.Version) *published.Config {
+	c := &published.Config{Version: version, Services: map[string]published.Service{"a": {Name: "a"}, "b": {Name: "b"}}}
+	if rapid.Bool().Draw(t, "third service") {
+		c.Services["c"] = published.Service{Name: "c", Connections: rapid.IntRange(1, 3).Draw(t, "connections")}
+	}
+	c.Limits.BodyBytes = int64(rapid.IntRange(1, 2).Draw(t, "limit"))
+	for _, i := range rapid.SliceOfDistinct(rapid.IntRange(0, 12), rapid.ID[int]).Draw(t, "routes") {
+		c.Routes = append(c.Routes, published.Route{
+			Name: fmt.Sprint("r", i), Host: "h", Prefix: fmt.Sprintf("/%d/", i), Kind: published.Safe,
+			Timeout:  time.Duration(rapid.IntRange(1, 2).Draw(t, "timeout")) * time.Second,
+			Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
+			Parts:    []published.Part{{Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"), Weight: 1}},
+		})
+	}
+	return c
+}
+
+// Guards against a configuration that differs from the published one because it came
+// as a difference, over several versions and over the wire.
+func TestDeltasLeadToThePublishedConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := &published.History{}
+		first := drawConfig(t, 1)
+		require.NoError(t, first.Prepare())
+		last := first
+		for v := published.Version(2); v < 6; v++ {
+			next := drawConfig(t, v)
+			require.NoError(t, next.Prepare())
+			d, ok := last.Diff(next)
+			require.True(t, ok)
+			history.Add(d)
+			last = next
+		}
+		text, err := json.Marshal(history.From(1))
+		require.NoError(t, err)
+		var deltas []published.Delta
+		require.NoError(t, json.Unmarshal(text, &deltas))
+		got := first
+		for _, d := range deltas {
+			got, err = got.Apply(d)
+			require.NoError(t, err)
+		}
+		require.Equal(t, last.Version, got.Version)
+		require.ElementsMatch(t, last.Routes, got.Routes)
+		require.Equal(t, last.Services, got.Services)
+		require.Equal(t, last.Limits, got.Limits)
+	})
+}
+
+// Guards against a difference that is applied to another version than its base, which
+// would give a configuration that nobody published.
+func TestDeltaFitsItsBaseOnly(t *testing.T) {
+	c := &published.Config{Version: 3, Services: map[string]published.Service{}}
+	require.NoError(t, c.Prepare())
+	_, err := c.Apply(published.Delta{Base: 2, Version: 4})
+	require.Error(t, err)
+	_, err = c.Apply(published.Delta{Base: 3, Version: 3})
+	require.Error(t, err)
+	_, err = c.Apply(published.Delta{Base: 3, Version: 4, Changed: []published.Route{{Name: "r"}}})
+	require.Error(t, err, "the result is validated as a whole")
+	require.EqualValues(t, 3, c.Version)
+}
+
+// Guards the bounds of the history, and against a gap in it.
+func TestHistoryIsBoundedAndHasNoGap(t *testing.T) {
+	h := &published.History{}
+	for v := published.Version(1); v < 100; v++ {
+		h.Add(published.Delta{Base: v, Version: v + 1})
+	}
+	require.Nil(t, h.From(1))
+	require.Len(t, h.From(99), 1)
+	require.Less(t, len(h.From(90)), 12)
+	h.Add(published.Delta{Base: 150, Version: 151})
+	require.Nil(t, h.From(99))
+	require.Len(t, h.From(150), 1)
+	h.Add(published.Delta{Base: 151, Version: 152, Changed: make([]published.Route, 1000)})
+	require.Nil(t, h.From(151))
+}
