Choose targets as their admission decides, and tell what others found out

Change: the choice reckons with the same margins, and tells whether the target is expected to let the request in; nodes known from the store only are silent until heard; two silent nodes of a zone make the zone a last resort until any of it is heard; the node of a target reports its share of failures; requests whose callers can come back leave most of the budget of second sends to calls of targets.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -93,6 +93,13 @@
 	needMargin = 1.2
 )
 
+// WithMargins returns the time that an expected wait and an expected execution have to
+// fit into for a request to be let in. Who chooses a target reckons with the same time:
+// it would otherwise choose a fast one again and again that refuses it.
+func WithMargins(wait, need time.Duration) time.Duration {
+	return time.Duration(waitMargin*float64(wait) + needMargin*float64(need))
+}
+
 // Queue is the admission of one target. It is not safe for concurrent use.
 type Queue struct {
 	slots   int
@@ -151,7 +158,7 @@
 		return t, Run, 0
 	}
 	wait := q.WaitFor(r.Rank)
-	if now+time.Duration(waitMargin*float64(wait)+needMargin*float64(q.expected(r))) > r.Finish || r.Rank >= lateRank && len(q.waiting) > 0 {
+	if now+WithMargins(wait, q.expected(r)) > r.Finish || r.Rank >= lateRank && len(q.waiting) > 0 {
 		return nil, Refuse, wait
 	}
 	at, _ := slices.BinarySearchFunc(q.waiting, r.Rank, func(w *Ticket, rank Rank) int {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/admission"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -37,6 +38,8 @@
 	Pace float64
 	// LinkUse is the part of the link of the node that is in use, from 0 to 1.
 	LinkUse float64
+	// Failing is the share of the newest requests that the target failed or turned away.
+	Failing float64
 }
 
 // Limits and weights of the choice.
@@ -50,6 +53,15 @@
 	// failureWeight is the cost of a certain failure, where 1 is an answer that
 	// comes just at the objective.
 	failureWeight = 2.0
+	// toleratedFailing is the reported share of failures that counts for nothing: some
+	// requests fail at sound targets too.
+	toleratedFailing = 0.1
+	// zoneFailures is how many nodes of another zone have to go silent, with none
+	// answering in between, for the zone to be taken as cut off for zoneMemory. A node
+	// would otherwise lose a request to each node behind the cut. Any message of the zone
+	// ends that, and rounds of gossip reach each zone within a second.
+	zoneFailures = 2
+	zoneMemory   = 6 * time.Second
 	// crossZoneCost and crossZoneByteCost are the cost of a request to another
 	// zone and of each byte of it, on the same scale. Traffic between zones is paid for.
 	crossZoneCost     = 0.02
@@ -63,6 +75,9 @@
 	// is passed over; it doubles up to unreachableMax while that goes on.
 	unreachableFor = 500 * time.Millisecond
 	unreachableMax = 4 * time.Second
+	// refusalCost is added if the target would refuse the request by what is known of its
+	// queue: an answer later than the objective elsewhere is worth more than a refusal.
+	refusalCost = 1.0
 	// lastResortCost sets targets of silent and stopping nodes behind all others.
 	lastResortCost = 5.0
 	// maxPace bounds the pace, so that a target that was very slow is tried again.
@@ -82,6 +97,8 @@
 
 	failures   float64
 	failuresAt time.Duration
+	// reportedFailing is the share of failures that the node of the target reported.
+	reportedFailing float64
 
 	unreachable      int
 	unreachableUntil time.Duration
@@ -97,11 +114,18 @@
 type Balancer struct {
 	zone   mesh.AvailabilityZone
 	states map[key]*state
+	zones  map[mesh.AvailabilityZone]*zoneState
+}
+
+// zoneState holds the nodes of a zone that went silent since one of it was heard.
+type zoneState struct {
+	silent map[mesh.NodeID]bool
+	last   time.Duration
 }
 
 // New returns a balancer for a node of the zone.
 func New(zone mesh.AvailabilityZone) *Balancer {
-	return &Balancer{zone: zone, states: map[key]*state{}}
+	return &Balancer{zone: zone, states: map[key]*state{}, zones: map[mesh.AvailabilityZone]*zoneState{}}
 }
 
 // Request is what is to be sent.
@@ -121,6 +145,8 @@
 	Endpoint Endpoint
 	// Wait is how long the request is expected to wait before it runs.
 	Wait time.Duration
+	// Fits is set if the target is expected to let the request in.
+	Fits bool
 }
 
 // Choose returns the endpoint of the lowest cost. random returns numbers from 0
@@ -138,7 +164,7 @@
 		wait, total := s.expect(e, r, now)
 		cost := b.cost(e, s, r, total, now) * (1 + jitter*random())
 		if cost < bestCost {
-			best, bestCost, found = Choice{e, wait}, cost, true
+			best, bestCost, found = Choice{e, wait, total <= r.Objective}, cost, true
 		}
 	}
 	return best, found
@@ -150,17 +176,20 @@
 func (b *Balancer) cost(e Endpoint, s *state, r Request, total time.Duration, now time.Duration) float64 {
 	x := float64(total) / float64(max(r.Objective, time.Millisecond))
 	cost := 0.02 + x*x*x
+	if x > 1 {
+		cost += refusalCost
+	}
 	if e.Zone != b.zone {
 		cost += crossZoneCost + crossZoneByteCost*float64(r.Bytes)
 	}
 	cost += failureWeight * s.failing(now)
-	if e.Silent || e.Leaving {
+	if e.Silent || e.Leaving || b.cutOff(e.Zone, now) {
 		cost += lastResortCost
 	}
 	return cost
 }
 
-// expect returns the expected wait and the expected time to the answer.
+// expect returns the expected wait, and the time to the answer with the margins of admission.
 func (s *state) expect(e Endpoint, r Request, now time.Duration) (wait, total time.Duration) {
 	pace := s.pace
 	if e.Cold {
@@ -178,7 +207,7 @@
 		wait = time.Duration(over * float64(mean) / slots)
 	}
 	use := s.linkUse * max(0, 1-age)
-	return wait, wait + need + e.transfer(s.ownBytes+r.Bytes, use)
+	return wait, admission.WithMargins(wait, need) + e.transfer(s.ownBytes+r.Bytes, use)
 }
 
 // minLinkPart is the part of a busy link that a further request can still count on.
@@ -194,10 +223,37 @@
 	return time.Duration(float64(bytes*bitsPerByte) / (free * bitsPerMbit) * float64(time.Second))
 }
 
+// failing is what this node and the node of the target know of failures.
 func (s *state) failing(now time.Duration) float64 {
-	return s.failures * math.Exp2(-float64(now-s.failuresAt)/float64(failureMemory))
+	reported := max(0, s.reportedFailing-toleratedFailing) * fade(now-s.reported)
+	return max(s.ownFailing(now), reported)
 }
 
+func (s *state) ownFailing(now time.Duration) float64 { return s.failures * fade(now-s.failuresAt) }
+
+// fade is the weight of failures of an age.
+func fade(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(failureMemory)) }
+
+// cutOff reports whether a zone is taken as cut off from this node.
+func (b *Balancer) cutOff(zone mesh.AvailabilityZone, now time.Duration) bool {
+	z, ok := b.zones[zone]
+	return ok && zone != b.zone && len(z.silent) >= zoneFailures && now-z.last < zoneMemory
+}
+
+// Silent takes a node that gave no sign of life where one was due. A new connection to
+// it may work, so that it counts only for its zone.
+func (b *Balancer) Silent(e Endpoint, now time.Duration) {
+	z, ok := b.zones[e.Zone]
+	if !ok || now-z.last >= zoneMemory {
+		z = &zoneState{silent: map[mesh.NodeID]bool{}}
+		b.zones[e.Zone] = z
+	}
+	z.silent[e.Node], z.last = true, now
+}
+
+// Heard takes a message of any node of the zone.
+func (b *Balancer) Heard(zone mesh.AvailabilityZone) { delete(b.zones, zone) }
+
 func (b *Balancer) state(e Endpoint) *state {
 	k := key{e.Node, e.Target}
 	s, ok := b.states[k]
@@ -230,6 +286,8 @@
 	s.reported = now
 	s.mean = r.Mean
 	s.linkUse = r.LinkUse
+	s.reportedFailing = r.Failing
+	b.Heard(e.Zone)
 	if r.Pace > 0 {
 		s.pace = min(r.Pace, maxPace)
 	}
@@ -242,7 +300,7 @@
 // Answered counts an answer of the target, which failed or not.
 func (b *Balancer) Answered(e Endpoint, failed bool, now time.Duration) {
 	s := b.state(e)
-	f := s.failing(now)
+	f := s.ownFailing(now)
 	if failed {
 		f += failureStep * (1 - f)
 	} else {
--- /dev/null
+++ b/pkg/balance/health.go
@@ -0,0 +1,29 @@
+package balance
+
+import "time"
+
+// healthStep is the weight of one request in the share of failures of a target: about
+// the last 20 count, a second of a busy target.
+const healthStep = 0.05
+
+// Health is the share of the newest requests that a target failed or turned away, as
+// the node beside it counts it. One node sends a target a request a second or fewer, and
+// so finds out late by itself.
+type Health struct {
+	failing float64
+	at      time.Duration
+}
+
+// Note counts a request.
+func (h *Health) Note(failed bool, now time.Duration) {
+	f := h.Failing(now)
+	if failed {
+		f += healthStep * (1 - f)
+	} else {
+		f -= healthStep * f
+	}
+	h.failing, h.at = f, now
+}
+
+// Failing returns the share. It fades, so that a target without requests is tried again.
+func (h *Health) Failing(now time.Duration) float64 { return h.failing * fade(now-h.at) }
--- /dev/null
+++ b/pkg/balance/zone_test.go
@@ -0,0 +1,97 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+func inZone(zone string, count int) []balance.Endpoint {
+	var out []balance.Endpoint
+	for i := range count {
+		id := fmt.Sprintf("%s-%d", zone, i)
+		out = append(out, balance.Endpoint{Node: mesh.NodeID(id), Zone: mesh.AvailabilityZone(zone), Service: "s", Target: id, Slots: 4})
+	}
+	return out
+}
+
+// Guards against a request lost to each node behind a cut between zones (load pattern
+// "zone cut off"): after two silent nodes the whole zone is a last resort, until any
+// node of it is heard.
+func TestZoneThatWentSilentIsPassedOver(t *testing.T) {
+	b := balance.New("a")
+	far, near := inZone("b", 19), inZone("a", 1)
+	// The only near target is full, so that requests go to the other zone.
+	b.Reported(near[0], balance.Report{Running: 4, Waiting: 1, Mean: 200 * time.Millisecond, Pace: 1}, 0)
+	all := append(append([]balance.Endpoint{}, far...), near...)
+	request := balance.Request{Need: 200 * time.Millisecond, Objective: 600 * time.Millisecond}
+	choose := func(now time.Duration) balance.Endpoint {
+		c, ok := b.Choose(all, request, now, func() float64 { return 0 })
+		require.True(t, ok)
+		return c.Endpoint
+	}
+	now := 10 * time.Millisecond
+	lost := 0
+	for ; now < 3*time.Second; now += 100 * time.Millisecond {
+		e := choose(now)
+		if e.Zone == "b" {
+			lost++
+			b.Silent(e, now)
+			b.Answered(e, true, now)
+			continue
+		}
+		b.Reported(e, balance.Report{Running: 4, Waiting: 1, Mean: 200 * time.Millisecond, Pace: 1}, now)
+	}
+	require.Equal(t, 2, lost)
+	b.Heard("b")
+	require.Equal(t, mesh.AvailabilityZone("b"), choose(now).Zone)
+}
+
+// Guards against a zone that is given up because some of its nodes died: others answer
+// in between.
+func TestZoneWithDeadNodesIsNotCutOff(t *testing.T) {
+	b := balance.New("a")
+	far := inZone("b", 5)
+	for i := range 3 {
+		b.Silent(far[i], 0)
+		b.Reported(far[4], balance.Report{Pace: 1}, 0)
+	}
+	near := inZone("a", 1)
+	b.Answered(near[0], true, 0)
+	b.Answered(near[0], true, 0)
+	c, ok := b.Choose(append(far, near...), balance.Request{Need: time.Millisecond, Objective: time.Second}, 0, func() float64 { return 0 })
+	require.True(t, ok)
+	require.Equal(t, mesh.AvailabilityZone("b"), c.Endpoint.Zone)
+}
+
+// Guards against calls to targets that turn many requests away while others take all
+// (load pattern "partly shedding"): the nodes beside them count it, and one report moves
+// the work, where one node alone would need seconds to find each of them.
+func TestReportedFailuresMoveWork(t *testing.T) {
+	b := balance.New("a")
+	targets := inZone("a", 10)
+	var shedding balance.Health
+	for i := range 40 {
+		shedding.Note(i%2 == 0, 0)
+	}
+	for i, e := range targets {
+		r := balance.Report{Pace: 1, Mean: 50 * time.Millisecond}
+		if i < 7 {
+			r.Failing = shedding.Failing(0)
+		}
+		b.Reported(e, r, 0)
+	}
+	random := func() float64 { return 0.5 }
+	for range 3 * 8 {
+		c, ok := b.Choose(targets, balance.Request{Need: 50 * time.Millisecond, Objective: 600 * time.Millisecond}, 0, random)
+		require.True(t, ok)
+		require.Contains(t, []string{"a-7", "a-8", "a-9"}, c.Endpoint.Target)
+		b.Begin(c.Endpoint, 0)
+	}
+	require.Less(t, shedding.Failing(20*time.Second), 0.02, "tried again after a while")
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -66,8 +66,12 @@
 // New returns an empty directory.
 func New() *Directory { return &Directory{members: map[mesh.NodeID]*member{}} }
 
+// unheardFor is the silence of a node that is known from a store or another node only.
+// The store keeps what nodes that went long ago have written.
+const unheardFor = 10 * time.Second
+
 // Learn takes an announcement that may be old, from a store or another node. It
-// reports whether it changed anything.
+// reports whether it changed anything. Only Heard marks a node as alive.
 func (d *Directory) Learn(a Announcement, now time.Duration) bool {
 	if a.Node == "" || !a.Call.IsValid() {
 		return false
@@ -77,14 +81,13 @@
 	}
 	m, ok := d.members[a.Node]
 	if !ok {
-		d.members[a.Node] = &member{Announcement: a, heard: now}
+		d.members[a.Node] = &member{Announcement: a, heard: now - unheardFor}
 		return true
 	}
 	if !a.newer(m.Announcement) {
 		return false
 	}
 	m.Announcement = a
-	m.heard = now
 	return true
 }
 
@@ -122,6 +125,9 @@
 	return gone
 }
 
+// Len returns how many nodes are known.
+func (d *Directory) Len() int { return len(d.members) }
+
 // Get returns the announcement of a node.
 func (d *Directory) Get(id mesh.NodeID) (Announcement, bool) {
 	if m, ok := d.members[id]; ok {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -132,7 +132,21 @@
 func TestSilentNodesExpire(t *testing.T) {
 	d := directory.New()
 	d.Learn(directory.Announcement{Node: "n", Call: netip.MustParseAddrPort("10.0.0.1:1")}, 0)
+	d.Heard("n", 0)
 	require.Empty(t, d.Expire(directory.MemberLifetime))
 	require.Len(t, d.Expire(directory.MemberLifetime+1), 1)
 	require.Empty(t, d.All())
 }
+
+// Guards against a node that is taken for alive because the store still holds what it
+// wrote: after the loss of all machines, a third of the records were of machines that had
+// gone before, and each request sent there waited for a connection.
+func TestNodeKnownFromTheStoreOnlyIsSilent(t *testing.T) {
+	d := directory.New()
+	d.Learn(directory.Announcement{Node: "n", Start: 1, Call: netip.MustParseAddrPort("10.0.0.1:1")}, time.Second)
+	require.Greater(t, d.SilentFor("n", time.Second), 6*time.Second)
+	d.Learn(directory.Announcement{Node: "n", Start: 2, Call: netip.MustParseAddrPort("10.0.0.1:1")}, time.Second)
+	require.Greater(t, d.SilentFor("n", time.Second), 6*time.Second)
+	d.Heard("n", 2*time.Second)
+	require.Zero(t, d.SilentFor("n", 2*time.Second))
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -15,12 +15,16 @@
 	BudgetPerSecond = 3
 )
 
-const bucketCount = int(BudgetWindow / time.Second)
+const bucketCount = 10
 
 // Budget bounds the retries of one service. It is safe for concurrent use.
 type Budget struct {
+	// Window is the time over which calls are counted, BudgetWindow if it is not set. It
+	// must not change after the first call.
+	Window time.Duration
+
 	mu      sync.Mutex
-	second  int64
+	current int64
 	buckets [bucketCount]bucket
 }
 
@@ -64,6 +68,30 @@
 	return true
 }
 
+const (
+	// sharedCaution is the part of the shared budget that nodes use: its window slides
+	// over requests that are not counted yet.
+	sharedCaution = 0.9
+	// slackCaution is the part of the fixed slack: a node that restarts does not know
+	// what it has spent.
+	slackCaution = 0.5
+	// returnerPart is the part of the budget that requests may use whose callers can come
+	// back instead, which costs nothing of it. Calls that targets make for a request in
+	// progress cannot: without a second send the work already done is lost.
+	returnerPart = 0.2
+)
+
+// Part returns the part of a shared budget that each of some nodes may use: a share of
+// its own calls, and slack retries beyond. canReturn is set for a request that certainly
+// did not run and whose caller can be told to come back.
+func Part(ratio, slack float64, nodes int, canReturn bool) (share, ownSlack float64) {
+	share, ownSlack = sharedCaution*ratio, slackCaution*slack/float64(max(nodes, 1))
+	if canReturn {
+		share, ownSlack = share*returnerPart, ownSlack*returnerPart
+	}
+	return share, ownSlack
+}
+
 // Spend counts a retry that was made without asking.
 func (b *Budget) Spend(now time.Duration) {
 	b.mu.Lock()
@@ -81,12 +109,16 @@
 
 // advance clears the buckets that left the window and returns the current one.
 func (b *Budget) advance(now time.Duration) *bucket {
-	second := int64(now / time.Second)
-	if second > b.second {
-		for s := max(b.second+1, second-int64(bucketCount)+1); s <= second; s++ {
-			b.buckets[s%int64(bucketCount)] = bucket{}
+	window := b.Window
+	if window <= 0 {
+		window = BudgetWindow
+	}
+	at := int64(now / (window / bucketCount))
+	if at > b.current {
+		for i := max(b.current+1, at-int64(bucketCount)+1); i <= at; i++ {
+			b.buckets[i%int64(bucketCount)] = bucket{}
 		}
-		b.second = second
+		b.current = at
 	}
-	return &b.buckets[b.second%int64(bucketCount)]
+	return &b.buckets[b.current%int64(bucketCount)]
 }
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -101,3 +102,53 @@
 		require.ErrorIs(t, err, retry.ErrBadDeadline, bad)
 	}
 }
+
+// Guards against calls of targets that fail because requests whose callers can come back
+// spent the shared budget first (load pattern "calls behind requests", at targets that
+// turn half of all away): each refused call loses the work done for its request.
+func TestCallsOfTargetsGetMostOfTheSharedBudget(t *testing.T) {
+	for name, c := range map[string]struct {
+		ratio, slack float64
+		nodes        int
+	}{"12 nodes": {0.2, 56, 12}, "76 nodes": {0.2, 190, 76}} {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			b := &retry.Budget{}
+			sent, refusedCalls, repeatedCalls, repeats := 0, 0, 0, 0
+			for at := time.Duration(0); at < retry.BudgetWindow; at += 20 * time.Millisecond {
+				for i := range 5 {
+					call := i != 0
+					b.Call(at)
+					sent++
+					if random.Float64() < 0.5 {
+						continue
+					}
+					share, slack := retry.Part(c.ratio, c.slack, c.nodes, !call)
+					ok := b.AllowPart(at, share, slack)
+					if ok {
+						repeats++
+					}
+					if call {
+						refusedCalls++
+						if ok {
+							repeatedCalls++
+						}
+					}
+				}
+			}
+			require.LessOrEqual(t, float64(repeats), c.ratio*float64(sent)+c.slack/float64(c.nodes), "the shared budget")
+			require.Greater(t, float64(repeatedCalls), 0.9*float64(repeats))
+			t.Logf("%d of %d refused calls repeated, %d repeats of %d requests", repeatedCalls, refusedCalls, repeats, sent)
+		})
+	}
+}
+
+// Guards the window of the settings: calls older than it count for nothing.
+func TestBudgetWindowIsTheOneOfTheSettings(t *testing.T) {
+	b := &retry.Budget{Window: 4 * time.Second}
+	for range 10 {
+		b.Call(0)
+	}
+	require.True(t, b.AllowPart(3*time.Second, 0.1, 0))
+	require.False(t, b.AllowPart(4100*time.Millisecond, 0.1, 0))
+}
