--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -6,12 +6,15 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/sidecar"
@@ -28,6 +31,7 @@
 func main() {
 	cli := kingpin.New("heathercroft-sidecar", "Carries requests and applies published configurations beside one target instance.")
 	path := cli.Flag("settings", "Settings file of the platform.").Default(platform.Path()).String()
+	advertise := cli.Flag("advertise", "IP address at which other nodes reach this one, if it is not the one at which it listens.").String()
 	check := cli.Flag("check-settings", "Check the settings file and exit.").Bool()
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
@@ -35,6 +39,11 @@
 	if err != nil {
 		app.Fail(app.ExitBadSettings, err)
 	}
+	if *advertise != "" {
+		if s.Node.Advertise, err = netip.ParseAddr(*advertise); err != nil {
+			app.Fail(app.ExitBadSettings, errors.Wrap(err, "--advertise"))
+		}
+	}
 	if *check {
 		return
 	}
@@ -51,11 +60,27 @@
 	}
 }
 
-// reload follows SIGHUP: the address of the store may change while the node runs.
+// settingsPoll is the time between two looks at the settings file, which may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// reload follows SIGHUP and changes of the file: the address of the store may change
+// while the node runs. Settings that cannot be read leave all as it is.
 func reload(path string, store *platform.Store, logger *slog.Logger) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
+	last := modified(path)
+	for {
+		select {
+		case <-signals:
+		case <-poll.C:
+			if modified(path).Equal(last) {
+				continue
+			}
+		}
+		last = modified(path)
 		s, err := platform.Load(path)
 		if err != nil {
 			logger.Error("reload_failed", "error", err.Error())
@@ -65,3 +90,12 @@
 		logger.Info("reloaded", "store", s.Store.String())
 	}
 }
+
+// modified returns when the file was changed, or nothing if it cannot be seen.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -27,9 +27,9 @@
 	moveGossipInterval = 500 * time.Millisecond
 	// announceRetry is the time between two writes of the announcement.
 	announceRetry = 500 * time.Millisecond
-	// fetchAfter is how long a node waits for the store to give it a configuration
-	// that another node has. A configuration takes a tenth of a second on a slow
-	// link, and most nodes get it from the store within a few.
+	// fetchAfter is how long a node that reads the store waits for a configuration
+	// that another node has, and how long others wait for the copy of another node
+	// until they read the store. A configuration takes a tenth of a second on a slow link.
 	fetchAfter = 900 * time.Millisecond
 	// fetchInterval bounds the requests for a newer configuration.
 	fetchInterval = time.Second
@@ -66,13 +66,20 @@
 	load      LoadCounted
 	evidence  canary.Evidence
 	// recent are the newest answers of the local target, lately those since the last tick.
-	recent   canary.Recent
-	lately   canary.Counts
-	crashes  map[uint64]crash
-	stopping bool
-	closing  bool
-	rounds   uint64
-	states   uint64
+	recent    canary.Recent
+	lately    canary.Counts
+	crashes   map[uint64]crash
+	stopping  bool
+	closing   bool
+	storeLost bool
+	// news are announcements from the store that the other nodes may not have read.
+	news []directory.Announcement
+	// readers are the nodes that follow the store for all, as of the last tick.
+	readers []mesh.NodeID
+	// readerTurn picks the reader that this node asks next.
+	readerTurn int
+	rounds     uint64
+	states     uint64
 
 	// behind is the oldest version that other nodes were found to have and this one
 	// lacks, and behindSince when that was.
@@ -120,6 +127,9 @@
 		c.publish(t, e.Config)
 	case Announced:
 		if c.learn(e.Announcement, t) {
+			if c.current[MeshFeed] && c.isReader() {
+				c.news = append(c.news, e.Announcement)
+			}
 			c.view(t)
 		}
 	case MoveOrdered:
@@ -129,7 +139,13 @@
 	case StatusRead:
 		c.statuses[e.Status.Service] = e.Status
 	case FeedCurrent:
+		if e.Feed == MeshFeed && !c.current[e.Feed] {
+			// Those that were read of show by their answers whether they live.
+			c.broadcast(t)
+		}
 		c.current[e.Feed] = true
+	case StoreReached:
+		c.storeReached(t, e.OK)
 	case PeerStateReceived:
 		c.peer(t, e.State)
 	case LoadCounted:
@@ -191,6 +207,9 @@
 	c.config = config
 	c.note("config_in_force", "version", uint64(config.Version), "routes", len(config.Routes))
 	c.view(t)
+	if c.isReader() && c.large() {
+		c.broadcast(t)
+	}
 }
 
 func (c *Control) learn(a directory.Announcement, t Time) bool {
@@ -226,14 +245,20 @@
 	return x == y
 }
 
-const announceKey = "announcement"
+const (
+	announceKey = "announcement"
+	// announceWait is how long a node that started waits for its target before it
+	// announces itself without, which saves a second write. Targets send their first
+	// heartbeat within a second.
+	announceWait = time.Second
+)
 
 // announce writes the announcement to the store once the node has started and
 // when its target is another one. Other changes go from node to node: the store
 // only tells who is there, and each write is read by all.
 func (c *Control) announce(t Time) {
 	same := c.announced.Sequence > 0 && targetID(c.announced) == targetID(c.self)
-	if same || c.writing[announceKey] || t.Now < c.nextAnnounce {
+	if same || c.writing[announceKey] || t.Now < c.nextAnnounce || c.self.Target == nil && t.Now < announceWait {
 		return
 	}
 	c.writing[announceKey] = true
@@ -303,7 +328,8 @@
 	if c.behind <= c.configVersion() {
 		c.behind, c.behindSince = version, t.Now
 	}
-	if t.Now-c.behindSince < fetchAfter || t.Now < c.nextFetch {
+	late := t.Now-c.behindSince >= fetchAfter
+	if !late && c.readsOperator(t) || t.Now < c.nextFetch {
 		return
 	}
 	c.nextFetch = t.Now + fetchInterval
@@ -326,6 +352,7 @@
 		c.note("node_expired", "peer", string(id))
 	}
 	c.forgetCrashes(t)
+	c.chooseReaders(t)
 	c.moveTick(t)
 	if t.Now >= c.nextGossip {
 		c.nextGossip = t.Now + gossipInterval
@@ -343,7 +370,14 @@
 	s := PeerState{
 		Number:       c.states,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
-		Crashes: c.ownCrashes(),
+		Crashes: c.ownCrashes(), StoreLost: c.storeLost,
+	}
+	if c.large() && c.isReader() {
+		for _, a := range c.dir.All() {
+			if c.dir.SilentFor(a.Node, t.Now) > aliveWithin {
+				s.Silent = append(s.Silent, a.Node)
+			}
+		}
 	}
 	for service, m := range c.moves {
 		if m.recorded {
@@ -371,23 +405,44 @@
 	}
 }
 
-// gossip sends the state to a few nodes in turn. A random announcement goes
-// along, so that news reaches nodes that the store turns away.
+// gossip sends the state to a few nodes in turn, and to a reader, whose answer tells
+// whether there is a newer configuration. A random announcement goes along. A reader
+// that has read of new nodes tells all.
 func (c *Control) gossip(t Time) {
 	all := c.dir.All()
 	if len(all) == 0 {
 		return
 	}
 	state := c.State(t)
-	to := make([]mesh.NodeID, 0, gossipFanout)
-	for range min(max(gossipFanout, len(all)/gossipPart), len(all)) {
+	state.Others = append(c.takeNews(), all[(c.rounds*7)%uint64(len(all))])
+	count := min(max(gossipFanout, len(all)/gossipPart), len(all))
+	if len(state.Others) > 1 {
+		count = len(all)
+	}
+	to := make([]mesh.NodeID, 0, count+1)
+	for range count {
 		c.rounds++
 		to = append(to, all[c.rounds%uint64(len(all))].Node)
 	}
+	if len(c.readers) > 0 {
+		c.readerTurn++
+		if r := c.readers[c.readerTurn%len(c.readers)]; r != c.self.Node {
+			to = append(to, r)
+		}
+	}
 	slices.Sort(to)
-	to = slices.Compact(to)
-	state.Others = []directory.Announcement{all[(c.rounds*7)%uint64(len(all))]}
-	c.emit(SendState{To: to, State: state})
+	c.emit(SendState{To: slices.Compact(to), State: state})
+}
+
+// maxNews bounds the announcements in one message.
+const maxNews = 64
+
+// takeNews returns the oldest announcements that are to be passed on.
+func (c *Control) takeNews() []directory.Announcement {
+	count := min(len(c.news), maxNews)
+	out := slices.Clone(c.news[:count])
+	c.news = slices.Delete(c.news, 0, count)
+	return out
 }
 
 // Config returns the configuration in force, or nil.
@@ -399,20 +454,36 @@
 // Announcements returns all that is known of other nodes.
 func (c *Control) Announcements() []directory.Announcement { return c.dir.All() }
 
-// alive returns the other nodes that were heard of lately, and this one.
+// alive returns the other nodes that live, and this one.
 func (c *Control) alive(t Time) []mesh.NodeID {
 	ids := []mesh.NodeID{c.self.Node}
 	for _, a := range c.dir.All() {
-		if !a.Leaving && c.dir.SilentFor(a.Node, t.Now) < aliveWithin {
+		if !a.Leaving && !c.silent(a.Node, t) {
 			ids = append(ids, a.Node)
 		}
 	}
 	return ids
 }
 
+// silent reports whether a node is taken for dead or cut off. In a large mesh two nodes
+// hear of each other directly only each ten seconds or so, but each hears of the readers
+// each second, and a reader hears of all.
+func (c *Control) silent(id mesh.NodeID, t Time) bool {
+	if c.dir.SilentFor(id, t.Now) <= aliveWithin {
+		return false
+	}
+	for _, r := range c.readers {
+		if r != c.self.Node && r != id && c.dir.SilentFor(r, t.Now) < readerCount*gossipInterval+readerSilence && !slices.Contains(c.peers[r].Silent, id) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Control) view(t Time) {
 	v := &View{
-		Config: c.config, Target: c.self.Target, Stopping: c.stopping, Moves: c.movesNeedReports(), Crashing: c.crashing(),
+		Config: c.config, Target: c.self.Target, Stopping: c.stopping, Crashing: c.crashing(),
+		Reader: c.isReader(), ReadsOperator: c.readsOperator(t), MoveOpen: c.moveOpen(), ReportDue: c.movesNeedReports(),
 		Endpoints: map[string]*ServiceEndpoints{}, Calls: map[mesh.NodeID]directory.Announcement{},
 	}
 	for _, a := range append(c.dir.All(), c.self) {
@@ -428,7 +499,7 @@
 			e.LinkMbps = a.LinkMbps
 		}
 		e.Leaving = a.Leaving && a.Node != c.self.Node
-		e.Silent = a.Node != c.self.Node && c.dir.SilentFor(a.Node, t.Now) > aliveWithin
+		e.Silent = a.Node != c.self.Node && c.silent(a.Node, t)
 		s, ok := v.Endpoints[e.Service]
 		if !ok {
 			s = &ServiceEndpoints{}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -51,6 +51,8 @@
 	StatusRead struct{ Status Status }
 	// FeedCurrent says that a feed of the store was read up to its end.
 	FeedCurrent struct{ Feed Feed }
+	// StoreReached says whether the store answers this node.
+	StoreReached struct{ OK bool }
 	// PeerStateReceived is the state of another node.
 	PeerStateReceived struct{ State PeerState }
 	// LoadCounted is the load of the local target.
@@ -81,6 +83,7 @@
 func (MoveRecorded) event()      {}
 func (StatusRead) event()        {}
 func (FeedCurrent) event()       {}
+func (StoreReached) event()      {}
 func (PeerStateReceived) event() {}
 func (LoadCounted) event()       {}
 func (WriteEnded) event()        {}
@@ -94,8 +97,11 @@
 const (
 	// OperatorFeed holds configurations and orders.
 	OperatorFeed Feed = iota
-	// MeshFeed holds what the nodes tell each other through the store.
+	// MeshFeed holds the announcements of the nodes.
 	MeshFeed
+	// MoveFeed holds the states of moves. All nodes follow it while a move is open, and
+	// are not to be woken by each announcement then.
+	MoveFeed
 	// StatusFeed holds the reports on moves.
 	StatusFeed
 	feedCount
@@ -135,6 +141,10 @@
 	// Crashes counts the crashes of this node's target by the fingerprint of the
 	// requests that ran.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
+	// StoreLost is set while the store does not answer the node.
+	StoreLost bool `json:"store_lost,omitempty"`
+	// Silent are the nodes that a reader of a large mesh has not heard of for aliveWithin.
+	Silent []mesh.NodeID `json:"silent,omitempty"`
 	// Others are announcements that the receiver may not know.
 	Others []directory.Announcement `json:"others,omitempty"`
 }
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -67,7 +67,8 @@
 	m.step(n, HeartbeatReceived{directory.Heartbeat{
 		ID: fmt.Sprintf("t-%d", i), Address: address(i).String(), Service: "s", Version: version, Slots: 4, Sequence: 1, Born: 1,
 	}})
-	for _, f := range []Feed{OperatorFeed, MeshFeed, StatusFeed} {
+	m.read(n)
+	for _, f := range []Feed{OperatorFeed, MeshFeed, MoveFeed, StatusFeed} {
 		m.step(n, FeedCurrent{f})
 	}
 	return n
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -128,11 +128,14 @@
 		return
 	}
 	switch {
-	case m.move.Phase == canary.Completed:
+	case m.move.Phase == canary.Completed, !m.recorded && len(s.Old) == 0:
 		if len(s.New) > 0 {
 			s.Old = s.New
 		}
 		s.New, s.NewShare = nil, 0
+	case !m.recorded:
+		// The move may be decided already: nothing goes to a version that may be bad.
+		s.New, s.NewShare = nil, 0
 	case m.cut || m.move.Phase == canary.Reverted:
 		s.New, s.NewShare = nil, 0
 	default:
@@ -236,7 +239,7 @@
 
 // advance records the first state of a move or its next phase.
 func (c *Control) advance(t Time, service string, m *moveState) {
-	if !c.current[MeshFeed] || !c.current[OperatorFeed] || m.move.Number == 0 {
+	if !c.current[MoveFeed] || !c.current[OperatorFeed] || m.move.Number == 0 {
 		return
 	}
 	next := m.move
@@ -271,7 +274,8 @@
 
 // report writes the status that operators read.
 func (c *Control) report(t Time, service string, m *moveState) {
-	if !m.recorded || !c.current[StatusFeed] {
+	rank := c.readerRank()
+	if !m.recorded || !c.current[StatusFeed] || rank >= readerCount {
 		return
 	}
 	want := m.report()
@@ -283,7 +287,7 @@
 		m.statusSince = t.Now
 	}
 	key := statusKeyPrefix + service
-	if c.writing[key] || !c.turn(t, key, m.statusSince) {
+	if c.writing[key] || t.Now-m.statusSince < time.Duration(rank)*rankDelay {
 		return
 	}
 	c.writing[key] = true
--- /dev/null
+++ b/internal/control/readers.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+const (
+	// readerCount is how many nodes of a large mesh follow the store for all. One is
+	// enough, but a reader may be cut off or die at the moment at which it is needed.
+	// Each call of the store is paid for, and with all 76 nodes of a mesh reading, calls
+	// were the largest price of a quiet day.
+	readerCount = 3
+	// smallMesh is the size up to which all nodes follow the store themselves: there
+	// the calls cost less than a hundredth of what the requests are worth.
+	smallMesh = 24
+	// readerSilence is how long a node goes without a word of a reader until it follows
+	// the store itself. It asks one each gossipInterval.
+	readerSilence = 2500 * time.Millisecond
+	// fastLinkMbps is the bandwidth of links over which a reader can pass a
+	// configuration on to many nodes at once.
+	fastLinkMbps = 100
+)
+
+// large reports whether a few nodes read the store for all.
+func (c *Control) large() bool { return c.dir.Len() >= smallMesh }
+
+// chooseReaders settles which nodes follow the store: of those that live and that the
+// store answers, the first in an order that all nodes share, fast links before slow ones.
+func (c *Control) chooseReaders(t Time) {
+	c.readers = nil
+	if !c.large() {
+		return
+	}
+	var able, fast []mesh.NodeID
+	for _, id := range c.alive(t) {
+		mbps, lost := c.self.LinkMbps, c.storeLost
+		if id != c.self.Node {
+			known, _ := c.dir.Get(id)
+			mbps, lost = known.LinkMbps, c.peers[id].StoreLost
+		}
+		if lost {
+			continue
+		}
+		able = append(able, id)
+		if mbps == 0 || mbps >= fastLinkMbps {
+			fast = append(fast, id)
+		}
+	}
+	if len(fast) >= readerCount {
+		able = fast
+	}
+	ranked := mesh.RankNodes("store-reader", able)
+	c.readers = ranked[:min(readerCount, len(ranked))]
+}
+
+// storeReached takes whether the store answers this node. All are told at once if that
+// changes who reads.
+func (c *Control) storeReached(t Time, ok bool) {
+	before := c.isReader()
+	c.storeLost = !ok
+	c.chooseReaders(t)
+	c.view(t)
+	if c.large() && (before || c.isReader()) {
+		c.broadcast(t)
+	}
+}
+
+// isReader reports whether this node follows the store for all.
+func (c *Control) isReader() bool { return c.readerRank() < readerCount }
+
+// readerRank returns the place of this node among the readers. In a small mesh all
+// are the first.
+func (c *Control) readerRank() int {
+	if !c.large() {
+		return 0
+	}
+	for i, id := range c.readers {
+		if id == c.self.Node {
+			return i
+		}
+	}
+	return readerCount
+}
+
+// readsOperator reports whether this node follows the operator's records itself.
+func (c *Control) readsOperator(t Time) bool {
+	if c.isReader() || c.configVersion() == 0 {
+		return true
+	}
+	if c.behind > c.configVersion() && t.Now-c.behindSince >= fetchAfter {
+		return true
+	}
+	for _, id := range c.readers {
+		if c.dir.SilentFor(id, t.Now) < readerSilence {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/readers_test.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+func (m *testMesh) readers() []mesh.NodeID {
+	var out []mesh.NodeID
+	for _, n := range m.nodes {
+		if !n.dead && n.view.Reader {
+			out = append(out, n.id)
+		}
+	}
+	return out
+}
+
+func manyTargets(count int) []string {
+	versions := make([]string, count)
+	for i := range versions {
+		versions[i] = "v1"
+	}
+	return versions
+}
+
+// Guards against a store that each node of a large mesh reads all the time, and
+// against a mesh that no node reads for.
+func TestFewNodesReadForAll(t *testing.T) {
+	m := newTestMesh(t, manyTargets(40)...)
+	first := m.readers()
+	require.Len(t, first, readerCount)
+	for _, id := range first {
+		m.member(id).dead = true
+	}
+	m.run(aliveWithin + 4*time.Second)
+	require.Len(t, m.readers(), readerCount)
+}
+
+// Guards against readers that the store turns away while it serves other nodes.
+func TestReadersThatTheStoreTurnsAwayAreReplaced(t *testing.T) {
+	m := newTestMesh(t, manyTargets(40)...)
+	first := m.readers()
+	for _, id := range first {
+		m.step(m.member(id), StoreReached{OK: false})
+	}
+	m.run(aliveWithin)
+	now := m.readers()
+	require.Len(t, now, readerCount)
+	for _, id := range first {
+		require.NotContains(t, now, id)
+		m.step(m.member(id), StoreReached{OK: true})
+	}
+	// Two nodes hear of each other directly within aliveWithin.
+	m.run(aliveWithin)
+	require.ElementsMatch(t, first, m.readers())
+}
+
+// Guards against a node that only the readers know: one that started while it could
+// read nothing cannot tell the others itself.
+func TestNewNodeIsPassedOnByThoseThatReadOfIt(t *testing.T) {
+	m := newTestMesh(t, manyTargets(40)...)
+	late := directory.Announcement{
+		Node: "late", Zone: "a", Start: 1, Sequence: 1, RPC: address(200), Call: address(200),
+		Target: &directory.Target{ID: "t-late", Service: "s", Version: "v1", Slots: 4, Serving: true},
+	}
+	m.step(m.member(m.readers()[0]), Announced{late})
+	m.run(4 * time.Second)
+	for _, n := range m.nodes {
+		require.Len(t, n.view.Endpoints["s"].Old, 41, "%s", n.id)
+	}
+}
+
+// Guards against live nodes that are passed over in a large mesh, where two nodes
+// exchange messages less often than a silent node is given.
+func TestLiveNodesOfALargeMeshAreNotSilent(t *testing.T) {
+	m := newTestMesh(t, manyTargets(90)...)
+	m.run(10 * time.Second)
+	dead := m.nodes[17]
+	dead.dead = true
+	silent := func() (live, gone int) {
+		for _, n := range m.nodes {
+			for _, e := range n.view.Endpoints["s"].Old {
+				switch {
+				case n == dead || !e.Silent:
+				case e.Node == dead.id:
+					gone++
+				default:
+					live++
+				}
+			}
+		}
+		return live, gone
+	}
+	for range 40 {
+		m.run(TickInterval)
+		live, _ := silent()
+		require.Zero(t, live)
+	}
+	m.run(5 * time.Second)
+	_, gone := silent()
+	require.Equal(t, len(m.nodes)-1, gone, "the dead node is a last resort for all")
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -19,8 +19,12 @@
 	Calls map[mesh.NodeID]directory.Announcement
 	// Crashing holds the fingerprints of requests that crash targets.
 	Crashing map[uint64]bool
-	// Moves is set while a move is open or its report may be due.
-	Moves bool
+	// Reader is set if this node is one of those that follow the store for all.
+	Reader bool
+	// ReadsOperator is set if this node follows the operator's records itself.
+	ReadsOperator bool
+	// MoveOpen is set while a move is open, ReportDue while the report on one may be.
+	MoveOpen, ReportDue bool
 	// Stopping is set once the node stops.
 	Stopping bool
 }
--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/pkg/admission"
+	"heathercroft.example/heathercroft/pkg/retry"
 )
 
 // Guards the whole path: an answer of a target must reach the caller unchanged.
@@ -273,3 +275,24 @@
 	status, _, body := nodes[0].call(t, http.MethodPost, "/write/x", "r1")
 	require.Equal(t, http.StatusGatewayTimeout, status, body)
 }
+
+// Guards against a request whose body broke off between nodes and is taken for one that
+// may have run: the node of the target says that nothing ran.
+func TestBodyThatBreaksOffBetweenNodesIsNotRun(t *testing.T) {
+	nodes := newMesh(t, 2)
+	text, err := json.Marshal(hop{ID: "a1", URI: "/write/1", Target: nodes[1].target.id, Service: "shop", Route: "write", TimeLeftMS: 100, UsefulMS: 100})
+	require.NoError(t, err)
+	body, writer := io.Pipe()
+	t.Cleanup(func() { _ = writer.Close() })
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+nodes[1].settings.Inbound.String()+hopPath, body)
+	require.NoError(t, err)
+	req.Header.Set(hopHeader, string(text))
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	res, err := readHopReply(resp.Header)
+	require.NoError(t, err)
+	require.Equal(t, retry.RefusedByNode, res.outcome)
+	require.Equal(t, "body-unread", res.reason)
+	require.Zero(t, nodes[1].target.runs.Load())
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -40,15 +40,6 @@
 	notReadyRetryAfter = 300 * time.Millisecond
 	// stoppingRetryAfter is for a node that stops: callers reach another one by then.
 	stoppingRetryAfter = 100 * time.Millisecond
-	// budgetCaution is the part of the shared budget of second sends that nodes
-	// use: its window slides over requests that are not counted yet.
-	budgetCaution = 0.9
-	// slackCaution is the part of the fixed slack: a node that restarts does not
-	// know what it has spent.
-	slackCaution = 0.5
-	// newcomerPart is the part of the budget that requests may use whose callers
-	// can come back instead.
-	newcomerPart = 0.5
 )
 
 // call is one request of a caller.
@@ -225,10 +216,13 @@
 func (n *Node) attempts(ctx context.Context, c *call) result {
 	last := result{outcome: retry.NotSent, reason: "no-target"}
 	for len(c.tried) < maxTries && ctx.Err() == nil {
-		endpoint, ok := n.choose(c)
-		if !ok {
+		choice, ok := n.choose(c)
+		if !ok || len(c.tried) > 0 && !choice.Fits && last.reason == reasonQueue {
+			// One refusal confirms what this node expects of the others: asking them too
+			// would hold the caller and load the nodes for nothing.
 			break
 		}
+		endpoint := choice.Endpoint
 		if c.arrivals > 0 && !n.mayRepeat(c) {
 			break
 		}
@@ -272,13 +266,8 @@
 		return false
 	}
 	s := n.settings
-	nodes := float64(max(len(n.view.Load().Calls), 1))
-	share, slack := budgetCaution*s.RetryRatio, slackCaution*s.RetrySlack/nodes
-	if !c.inner && c.standing == admission.New && c.failure == nil {
-		// The caller of a request that certainly did not run can come back, which
-		// costs nothing of the budget; a call of a target cannot.
-		share, slack = share*newcomerPart, slack*newcomerPart
-	}
+	canReturn := !c.inner && c.standing == admission.New && c.failure == nil
+	share, slack := retry.Part(s.RetryRatio, s.RetrySlack, len(n.view.Load().Calls), canReturn)
 	ok := n.budget(c.service).AllowPart(n.clock.now(), share, slack)
 	if !ok {
 		n.metrics.budgetRefusals.Add(1)
@@ -287,10 +276,10 @@
 }
 
 // choose picks the next target of a call.
-func (n *Node) choose(c *call) (balance.Endpoint, bool) {
+func (n *Node) choose(c *call) (balance.Choice, bool) {
 	service, ok := n.view.Load().Endpoints[c.service]
 	if !ok {
-		return balance.Endpoint{}, false
+		return balance.Choice{}, false
 	}
 	endpoints := service.Old
 	if service.NewShare > 0 && len(service.New) > 0 && (service.NewShare >= 1 || rand.Float64() < service.NewShare) {
@@ -302,11 +291,7 @@
 	}
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
-	choice, ok := n.balancer.Choose(endpoints, request, now, rand.Float64)
-	if ok {
-		n.balancer.Begin(choice.Endpoint, c.body.length())
-	}
-	return choice.Endpoint, ok
+	return n.balancer.Choose(endpoints, request, now, rand.Float64)
 }
 
 // answerBytes stands for the size of headers and answer when the cost of another
@@ -316,6 +301,9 @@
 // attempt sends the call to one target and books the result.
 func (n *Node) attempt(ctx context.Context, c *call, e balance.Endpoint) result {
 	c.tried = append(c.tried, e.Node)
+	n.balanceMu.Lock()
+	n.balancer.Begin(e, c.body.length())
+	n.balanceMu.Unlock()
 	now := n.clock.now()
 	h := hop{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
@@ -346,6 +334,9 @@
 	if res.reported {
 		n.balancer.Reported(e, res.report, now)
 	}
+	if res.silent {
+		n.balancer.Silent(e, now)
+	}
 	switch res.outcome {
 	case retry.Answered:
 		n.balancer.Answered(e, res.reply.status >= http.StatusInternalServerError, now)
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -20,11 +20,14 @@
 var errNoConfig = errors.New("this node has no configuration")
 
 const (
-	// operatorWait and meshWait are how long a read waits for records. Each read is
-	// paid for. A connection that went silent is found by keep-alive probes; a read
-	// that the store itself forgot ends with its wait.
-	operatorWait = 4 * time.Second
-	meshWait     = 20 * time.Second
+	// readerWait is how long the reads of the operator's records by the readers wait.
+	// A connection that went silent is found when a read is over, and a configuration
+	// must be in force 2 s after the store has it.
+	readerWait = 3 * time.Second
+	// ownWait is how long those of other nodes wait, and all reads of what nodes write.
+	// Each read is paid for. Without a reader's word, this bounds how long a silent
+	// connection holds a configuration back.
+	ownWait = 20 * time.Second
 	// debounce is the pause after news, so that a series of changes is read at
 	// once. A configuration must be in force within 2 s.
 	debounce = 300 * time.Millisecond
@@ -35,8 +38,12 @@
 	// seriesDebounce, since each record may be a whole configuration.
 	seriesGap      = time.Second
 	seriesDebounce = 800 * time.Millisecond
-	// statusPoll is the time between two looks whether a move needs its report.
-	statusPoll = 100 * time.Millisecond
+	// meshSettled is the time after its start in which a node reads what nodes write only
+	// to find others. Of nodes that start together, each would take itself for a reader
+	// and read each announcement.
+	meshSettled = 3 * time.Second
+	// idlePoll is the time between two looks whether a feed has to be followed.
+	idlePoll = control.TickInterval
 	// pollMargin is how much longer than the wait an answer may take.
 	pollMargin = 700 * time.Millisecond
 	// snapshotTimeout bounds one read of the newest records.
@@ -55,21 +62,28 @@
 	pause := storeRetryMin
 	newsAt := n.clock.now() - seriesGap
 	for n.ctx.Err() == nil {
-		if f == control.StatusFeed && !n.view.Load().Moves {
-			known = false
-			time.Sleep(statusPoll)
+		if !n.follows(f, known) {
+			known = known && f != control.StatusFeed
+			time.Sleep(idlePoll)
 			continue
 		}
+		if f == control.MeshFeed && n.meshStale.Swap(false) {
+			known = false
+		}
 		events, next, err := n.read(f, position, known)
 		if errors.Is(err, ErrPositionLost) {
 			n.logger.Info("store_position_lost", "feed", int(f), "position", position)
 			known = false
 			continue
 		}
+		if errors.Is(err, errReadRestarted) {
+			continue
+		}
 		if err != nil {
 			n.metrics.storeErrors.Add(1)
 			if !failing {
 				n.logger.Warn("store_lost", "feed", int(f), "error", err.Error())
+				n.storeReached(f, false)
 			}
 			failing = true
 			time.Sleep(pause/2 + time.Duration(rand.Int64N(int64(pause))))
@@ -78,6 +92,7 @@
 		}
 		if failing {
 			n.logger.Info("store_regained", "feed", int(f))
+			n.storeReached(f, true)
 		}
 		failing, pause = false, storeRetryMin
 		n.ends[f].Store(next)
@@ -100,10 +115,34 @@
 	}
 }
 
+// follows reports whether this node reads the feed now. What operators and nodes write
+// is read once, and then by those that read for all; the states of moves by all while
+// one is open.
+func (n *Node) follows(f control.Feed, known bool) bool {
+	v := n.view.Load()
+	switch f {
+	case control.MeshFeed:
+		return !known || v.Reader && n.clock.now() > meshSettled || n.meshStale.Load()
+	case control.MoveFeed:
+		return v.MoveOpen
+	case control.StatusFeed:
+		return v.ReportDue && v.Reader
+	default:
+		return !known || v.ReadsOperator
+	}
+}
+
+// storeReached tells whether the store answers, by the feed that all follow.
+func (n *Node) storeReached(f control.Feed, ok bool) {
+	if f == control.OperatorFeed {
+		n.step(control.StoreReached{OK: ok})
+	}
+}
+
 // newest reads only the newest record of each key until a series of changes has
 // ended. For a single change it only waits.
 func (n *Node) newest(f control.Feed, position uint64, series bool) (uint64, error) {
-	if f == control.MeshFeed && n.view.Load().Moves {
+	if f == control.MoveFeed {
 		// A conditional write needs the present end of the feed.
 		time.Sleep(moveDebounce)
 		return position, nil
@@ -136,30 +175,55 @@
 		defer cancel()
 		return n.store.Snapshot(ctx, f)
 	}
-	wait := meshWait
-	if f == control.OperatorFeed {
-		wait = operatorWait
+	wait := ownWait
+	if f == control.OperatorFeed && n.view.Load().Reader {
+		wait = readerWait
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, wait+pollMargin)
 	defer cancel()
-	return n.store.Follow(ctx, f, position, wait)
+	if f != control.OperatorFeed {
+		return n.store.Follow(ctx, f, position, wait)
+	}
+	ctx, restart := context.WithCancelCause(ctx)
+	defer restart(nil)
+	n.restartRead.Store(&restart)
+	events, next, err := n.store.Follow(ctx, f, position, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errReadRestarted) {
+		err = errReadRestarted
+	}
+	return events, next, err
+}
+
+// errReadRestarted ends a read whose connection may have gone silent: another node
+// has a newer configuration.
+var errReadRestarted = errors.New("the read was restarted")
+
+// restartOperatorRead reads the operator's records anew on another connection.
+func (n *Node) restartOperatorRead() {
+	if restart := n.restartRead.Load(); restart != nil {
+		(*restart)(errReadRestarted)
+	}
 }
 
 func (n *Node) announce(a directory.Announcement) {
-	n.writeStore("announcement", func(ctx context.Context) error { return n.store.Announce(ctx, a) })
+	if n.writeStore("announcement", func(ctx context.Context) error { return n.store.Announce(ctx, a) }) == nil {
+		// Of two nodes that start together, the one that announces itself later finds
+		// the other one when it reads after that.
+		n.meshStale.Store(true)
+	}
 }
 
 func (n *Node) recordMove(m canary.Move) {
-	at := n.ends[control.MeshFeed].Load()
-	n.writeStore("move/"+m.Service, func(ctx context.Context) error { return n.store.RecordMove(ctx, m, at) })
+	at := n.ends[control.MoveFeed].Load()
+	_ = n.writeStore("move/"+m.Service, func(ctx context.Context) error { return n.store.RecordMove(ctx, m, at) })
 }
 
 func (n *Node) writeStatus(s control.Status) {
 	at := n.ends[control.StatusFeed].Load()
-	n.writeStore("status/"+s.Service, func(ctx context.Context) error { return n.store.WriteStatus(ctx, s, at) })
+	_ = n.writeStore("status/"+s.Service, func(ctx context.Context) error { return n.store.WriteStatus(ctx, s, at) })
 }
 
-func (n *Node) writeStore(key string, f func(context.Context) error) {
+func (n *Node) writeStore(key string, f func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(n.ctx, writeTimeout)
 	defer cancel()
 	err := f(ctx)
@@ -168,4 +232,5 @@
 		n.logger.Info("store_write_failed", "key", key, "error", strings.TrimSpace(err.Error()))
 	}
 	n.step(control.WriteEnded{Key: key, OK: err == nil})
+	return err
 }
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -21,11 +21,6 @@
 	// peerDialTimeout bounds a connection to another node. A machine behind a
 	// partition does not answer, and calls between targets may have only 250 ms.
 	peerDialTimeout = 120 * time.Millisecond
-	// peerPingAfter and peerPingTimeout find connections that went silent: a ping
-	// goes out after so long without a frame, and must be answered in time.
-	peerPingAfter = 400 * time.Millisecond
-	// On a link of 10 Mbit/s an upload takes 0.3 s, and a ping waits behind it.
-	peerPingTimeout = 900 * time.Millisecond
 	// peerWindow bounds the memory of one request or answer between nodes.
 	peerWindow = 256 << 10
 	// peerConnWindow bounds the memory of one connection between nodes.
@@ -34,16 +29,15 @@
 
 // newPeerTransport returns the transport for requests to other nodes: one
 // HTTP/2 connection carries many requests, and a canceled one ends its stream only.
-func newPeerTransport(local net.IP) *http.Transport {
+func newPeerTransport(local net.IP, live *liveness) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := net.Dialer{Timeout: peerDialTimeout, LocalAddr: &net.TCPAddr{IP: local}}
 	return &http.Transport{
 		Protocols:          protocols,
-		DialContext:        dialer.DialContext,
+		DialContext:        live.dialWith(&dialer),
 		DisableCompression: true,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout,
 			MaxReceiveBufferPerStream: peerWindow, MaxReceiveBufferPerConnection: peerConnWindow,
 		},
 	}
@@ -82,6 +76,7 @@
 		req.Header["User-Agent"] = []string{""}
 	}
 	n.link.sent(x.body.length())
+	defer n.watch(req.URL.Host, peer.LinkMbps)()
 	resp, err := n.peers.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return n.forwardFailed(ctx, h, e, err, connected.Load(), wrote.Load())
@@ -116,6 +111,9 @@
 	case ctx.Err() != nil:
 		res = result{outcome: retry.TimedOut, reason: reasonNoAnswer}
 	}
+	var timeout net.Error
+	// A connection that this node closed had stayed silent.
+	res.silent = ctx.Err() == nil && (errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, net.ErrClosed))
 	if ctx.Err() == nil {
 		n.logger.Info("node_failed", "request", h.ID, "peer", string(e.Node), "outcome", res.outcome.String(), "error", err.Error())
 	}
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -15,8 +15,14 @@
 	mu      sync.Mutex
 	queue   *admission.Queue
 	waiters map[*admission.Ticket]chan bool
+	// expiring is set while a look at the waiting requests is due.
+	expiring bool
 }
 
+// expireInterval bounds how long a waiting request is held after it is known
+// that it cannot be answered in time.
+const expireInterval = 20 * time.Millisecond
+
 func newGate(now func() time.Duration) *gate {
 	return &gate{
 		now: now, queue: admission.NewQueue(defaultSlots),
@@ -38,6 +44,9 @@
 	}
 }
 
+// reasonQueue says that the request would not be answered in time.
+const reasonQueue = "queue"
+
 // refusal is the reason for which a request was not let in.
 type refusal struct {
 	reason string
@@ -53,7 +62,7 @@
 	ticket, verdict, wait := g.queue.Arrive(r, arrived)
 	if verdict == admission.Refuse {
 		g.mu.Unlock()
-		return nil, 0, &refusal{"queue", wait}
+		return nil, 0, &refusal{reasonQueue, wait}
 	}
 	release = func(answered bool) {
 		g.mu.Lock()
@@ -66,6 +75,7 @@
 	}
 	ready := make(chan bool, 1)
 	g.waiters[ticket] = ready
+	g.expireLater()
 	g.mu.Unlock()
 	select {
 	case ok := <-ready:
@@ -99,6 +109,8 @@
 func (g *gate) expire() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.expiring = false
+	defer g.expireLater()
 	for _, t := range g.queue.Expire(g.now()) {
 		if w, ok := g.waiters[t]; ok {
 			w <- false
@@ -107,6 +119,15 @@
 	}
 }
 
+// expireLater looks again while requests wait. mu must be held.
+func (g *gate) expireLater() {
+	if g.expiring || g.queue.Waiting() == 0 {
+		return
+	}
+	g.expiring = true
+	time.AfterFunc(expireInterval, g.expire)
+}
+
 // load is the state of the gate that goes back with answers.
 func (g *gate) load() (running, waiting int, pace float64) {
 	g.mu.Lock()
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -52,6 +52,7 @@
 	Pace    float64 `json:"pace"`
 	MeanMS  float64 `json:"mean_ms"`
 	LinkUse float64 `json:"link_use,omitempty"`
+	Failing float64 `json:"failing,omitempty"`
 	// TookMS is the time at the target.
 	TookMS float64 `json:"took_ms,omitempty"`
 }
@@ -67,6 +68,8 @@
 	report   balance.Report
 	reported bool
 	took     time.Duration
+	// silent is set if the node gave no sign of life where one was due.
+	silent bool
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -89,7 +92,7 @@
 func (r result) hopReply() hopReply {
 	h := hopReply{
 		Reason: r.reason, WaitMS: milliseconds(r.wait), Running: r.report.Running, Waiting: r.report.Waiting,
-		Pace: r.report.Pace, MeanMS: milliseconds(r.report.Mean), LinkUse: r.report.LinkUse, TookMS: milliseconds(r.took),
+		Pace: r.report.Pace, MeanMS: milliseconds(r.report.Mean), LinkUse: r.report.LinkUse, Failing: r.report.Failing, TookMS: milliseconds(r.took),
 	}
 	switch {
 	case r.outcome == retry.Answered:
@@ -111,7 +114,7 @@
 	}
 	r := result{
 		reason: in.Reason, wait: fromMilliseconds(in.WaitMS), took: fromMilliseconds(in.TookMS), reported: true,
-		report: balance.Report{Running: in.Running, Waiting: in.Waiting, Pace: in.Pace, Mean: fromMilliseconds(in.MeanMS), LinkUse: in.LinkUse},
+		report: balance.Report{Running: in.Running, Waiting: in.Waiting, Pace: in.Pace, Mean: fromMilliseconds(in.MeanMS), LinkUse: in.LinkUse, Failing: in.Failing},
 	}
 	switch in.Outcome {
 	case hopAnswered:
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -26,6 +26,10 @@
 
 // serveInbound takes a request that another node sends to the local target.
 func (n *Node) serveInbound(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == alivePath {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	var h hop
 	if r.URL.Path != hopPath || json.Unmarshal([]byte(r.Header.Get(hopHeader)), &h) != nil {
 		http.Error(w, "not a request between nodes", http.StatusBadRequest)
@@ -37,6 +41,8 @@
 	defer cancel()
 	body, problem := n.readBody(w, r, fromMilliseconds(h.TimeLeftMS))
 	if problem != nil {
+		n.logger.Info("body_unread", "request", h.ID, "route", h.Route, "error", problem.Error())
+		n.answerHop(w, r, result{outcome: retry.RefusedByNode, reason: "body-unread"})
 		return
 	}
 	n.link.received(body.length())
@@ -45,6 +51,11 @@
 	if r.Context().Err() != nil {
 		return
 	}
+	n.answerHop(w, r, res)
+}
+
+// answerHop tells the node of the caller how the request ended here.
+func (n *Node) answerHop(w http.ResponseWriter, r *http.Request, res result) {
 	text, err := json.Marshal(res.hopReply())
 	if err != nil {
 		panic("a reply between nodes is always encodable: " + err.Error())
@@ -62,7 +73,7 @@
 	res := n.tryLocal(ctx, h, e)
 	running, waiting, pace := n.gate.load()
 	res.reported = true
-	res.report = balance.Report{Running: running, Waiting: waiting, Pace: pace, Mean: n.gate.mean(), LinkUse: n.link.use()}
+	res.report = balance.Report{Running: running, Waiting: waiting, Pace: pace, Mean: n.gate.mean(), LinkUse: n.link.use(), Failing: n.failing()}
 	return res
 }
 
@@ -114,6 +125,19 @@
 	}
 }
 
+// failing returns the share of failures of the local target.
+func (n *Node) failing() float64 {
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	return n.health.Failing(n.clock.now())
+}
+
+func (n *Node) noteHealth(failed bool) {
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	n.health.Note(failed, n.clock.now())
+}
+
 // noteLocal books the end of an exchange with the local target.
 func (n *Node) noteLocal(h hop, res *result, err error) {
 	t := n.view.Load().Target
@@ -123,9 +147,11 @@
 		failed := res.reply.status >= http.StatusInternalServerError
 		n.step(control.TargetAnswered{Route: h.Route, Failed: failed, Cold: cold, Took: res.took})
 		n.metrics.targetTime.observe(res.took)
+		n.noteHealth(failed)
 		return
 	case retry.RefusedByTarget:
 		res.reason = "target-refused"
+		n.noteHealth(true)
 		if res.reply.status == http.StatusMisdirectedRequest {
 			res.reason = "other-target"
 		}
@@ -138,6 +164,7 @@
 		res.reason = reasonNoAnswer
 	default:
 		res.reason = "answer-lost"
+		n.noteHealth(true)
 		n.answerLost(h.Fingerprint)
 		res.reply = nil
 		n.step(control.TargetAnswered{Route: h.Route, Failed: true, Cold: cold, Took: res.took})
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -145,7 +145,7 @@
 }
 
 func (n *Node) budget(service string) *retry.Budget {
-	b, _ := n.budgets.LoadOrStore(service, &retry.Budget{})
+	b, _ := n.budgets.LoadOrStore(service, &retry.Budget{Window: n.settings.RetryWindow})
 	return b.(*retry.Budget)
 }
 
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -45,6 +45,7 @@
 }
 
 func (fakeStore) Announce(context.Context, directory.Announcement) error    { return nil }
+func (fakeStore) Withdraw(context.Context, mesh.NodeID) error               { return nil }
 func (fakeStore) RecordMove(context.Context, canary.Move, uint64) error     { return nil }
 func (fakeStore) WriteStatus(context.Context, control.Status, uint64) error { return nil }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -8,7 +8,7 @@
 // metrics are the counters of a node.
 type metrics struct {
 	requests, answered, budgetRefusals, writeErrors, configFetches expvar.Int
-	storeErrors                                                    expvar.Int
+	storeErrors, silentConns, peerErrors                           expvar.Int
 	refused                                                        expvar.Map
 	queueWait, targetTime                                          histogram
 }
@@ -25,7 +25,7 @@
 func (m *metrics) publish() {
 	for name, v := range map[string]expvar.Var{
 		"requests": &m.requests, "answered": &m.answered, "budget_refusals": &m.budgetRefusals,
-		"write_errors": &m.writeErrors, "config_fetches": &m.configFetches, "store_errors": &m.storeErrors,
+		"write_errors": &m.writeErrors, "config_fetches": &m.configFetches, "store_errors": &m.storeErrors, "silent_connections": &m.silentConns, "peer_errors": &m.peerErrors,
 		"refused": &m.refused, "queue_wait_ms": &m.queueWait.counts, "target_time_ms": &m.targetTime.counts,
 	} {
 		expvar.Publish(name, v)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -19,7 +19,7 @@
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/balance"
-	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/published"
 )
 
 // Node is one node process.
@@ -37,10 +37,13 @@
 
 	balanceMu sync.Mutex
 	balancer  *balance.Balancer
+	// health is that of the local target.
+	health balance.Health
 
 	gate    *gate
 	target  *targetClient
 	peers   *http.Transport
+	live    *liveness
 	rpc     *rpc.Client
 	needs   *needs
 	returns *returns
@@ -50,9 +53,22 @@
 	link    *linkMeter
 	crash   *crashWatch
 	budgets sync.Map
+	// lostPeers holds the nodes that the last message did not reach.
+	lostPeers sync.Map
+
+	// meshStale asks for the newest records of the nodes, restartRead ends the read of
+	// the operator's records in progress.
+	meshStale   atomic.Bool
+	restartRead atomic.Pointer[context.CancelCauseFunc]
+
+	// packed is the configuration in force as other nodes get it, history what changed
+	// in the last versions.
+	packMu  sync.Mutex
+	packed  *configCopy
+	history published.History
 
 	counters *rpc.Counters
-	ends     [3]atomic.Uint64
+	ends     [4]atomic.Uint64
 	inFlight atomic.Int64
 	sampled  atomic.Uint64
 	stopping atomic.Bool
@@ -68,17 +84,17 @@
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
 		balancer: balance.New(s.Zone), needs: newNeeds(), returns: newReturns(), splits: newSplits(), rates: newRates(), crash: newCrashWatch(),
-		counters: &rpc.Counters{}, peers: newPeerTransport(s.Inbound.Addr().AsSlice()),
+		counters: &rpc.Counters{},
 	}
+	n.live = newLiveness(n.clock.now)
+	n.peers = newPeerTransport(s.Inbound.Addr().AsSlice(), n.live)
 	n.gate = newGate(n.clock.now)
 	n.link = &linkMeter{now: n.clock.now, mbps: s.LinkMbps}
 	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now}
 	n.rpc = rpc.NewClient(n.counters, s.Inbound.Addr())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.control = control.New(control.Options{
-		Self: directory.Announcement{
-			Node: s.Node, Zone: s.Zone, Start: time.Now().UnixMilli(), RPC: s.Peers, Call: s.Inbound, LinkMbps: s.LinkMbps,
-		},
+		Self:    s.announcement(time.Now().UnixMilli()),
 		Address: s.Target.String(), Service: s.Service, Heartbeat: s.Heartbeat, Seed: rand.Uint64(),
 	})
 	n.view.Store(&control.View{})
@@ -132,7 +148,7 @@
 	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
 	go n.ticks()
 	go n.seek()
-	for _, f := range []control.Feed{control.OperatorFeed, control.MeshFeed, control.StatusFeed} {
+	for _, f := range []control.Feed{control.OperatorFeed, control.MeshFeed, control.MoveFeed, control.StatusFeed} {
 		go n.follow(f)
 	}
 	defer n.cancel()
@@ -151,7 +167,9 @@
 	effects := n.control.Step(n.clock.time(), e)
 	for _, effect := range effects {
 		if v, ok := effect.(control.PublishView); ok {
-			n.view.Store(v.View)
+			if before := n.view.Swap(v.View); before.Config != v.View.Config {
+				n.keepHistory(before.Config, v.View.Config)
+			}
 			if v.View.Target != nil {
 				n.gate.resize(v.View.Target.Slots)
 			}
@@ -184,14 +202,10 @@
 func (n *Node) ticks() {
 	tick := time.NewTicker(control.TickInterval)
 	defer tick.Stop()
-	expire := time.NewTicker(expireInterval)
-	defer expire.Stop()
 	for {
 		select {
 		case <-n.ctx.Done():
 			return
-		case <-expire.C:
-			n.gate.expire()
 		case <-tick.C:
 			running, waiting, _ := n.gate.load()
 			n.step(control.LoadCounted{Running: running, Waiting: waiting, PerSecond: n.rates.perSecond(n.clock.now())})
@@ -201,10 +215,6 @@
 	}
 }
 
-// expireInterval bounds how long a waiting request is held after it is known
-// that it cannot be answered in time.
-const expireInterval = 20 * time.Millisecond
-
 func (n *Node) retainEndpoints() {
 	var all []balance.Endpoint
 	for _, s := range n.view.Load().Endpoints {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -9,6 +9,7 @@
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
 )
 
@@ -37,18 +38,42 @@
 		if err := json.Unmarshal(params, &s); err != nil {
 			return nil, rpc.ErrBadParams
 		}
-		n.step(control.PeerStateReceived{State: s})
+		n.heard(s)
 		return n.state(), nil
 	case methodConfig:
-		if c := n.view.Load().Config; c != nil {
-			return c, nil
+		var r configRequest
+		if err := json.Unmarshal(params, &r); err != nil {
+			return nil, rpc.ErrBadParams
 		}
-		return nil, errNoConfig
+		return n.configCopy(r)
 	default:
 		return nil, rpc.ErrUnknownMethod
 	}
 }
 
+// noteContact counts messages that did not arrive, and writes a line when contact with
+// a node is lost and when it is regained.
+func (n *Node) noteContact(peer mesh.NodeID, err error) {
+	if err == nil {
+		if _, was := n.lostPeers.LoadAndDelete(peer); was {
+			n.logger.Info("peer_regained", "peer", string(peer))
+		}
+		return
+	}
+	n.metrics.peerErrors.Add(1)
+	if _, was := n.lostPeers.LoadOrStore(peer, true); !was {
+		n.logger.Info("peer_lost", "peer", string(peer), "error", err.Error())
+	}
+}
+
+// heard takes the state of another node.
+func (n *Node) heard(s control.PeerState) {
+	n.balanceMu.Lock()
+	n.balancer.Heard(s.Announcement.Zone)
+	n.balanceMu.Unlock()
+	n.step(control.PeerStateReceived{State: s})
+}
+
 func (n *Node) state() control.PeerState {
 	n.controlMu.Lock()
 	defer n.controlMu.Unlock()
@@ -67,11 +92,12 @@
 			ctx, cancel := context.WithTimeout(n.ctx, stateTimeout)
 			defer cancel()
 			var answer control.PeerState
-			if err := n.rpc.Call(ctx, peer.RPC, methodState, e.State, &answer); err != nil {
-				n.logger.Debug("state_not_sent", "peer", string(peer.Node), "error", err.Error())
+			err := n.rpc.Call(ctx, peer.RPC, methodState, e.State, &answer)
+			n.noteContact(peer.Node, err)
+			if err != nil {
 				return
 			}
-			n.step(control.PeerStateReceived{State: answer})
+			n.heard(answer)
 		}()
 	}
 }
@@ -79,19 +105,25 @@
 // fetchConfig asks a node for its configuration, for the time when the store
 // does not answer this node.
 func (n *Node) fetchConfig(from directory.Announcement) {
+	n.restartOperatorRead()
 	ctx, cancel := context.WithTimeout(n.ctx, fetchTimeout)
 	defer cancel()
-	var c published.Config
-	err := n.rpc.Call(ctx, from.RPC, methodConfig, struct{}{}, &c)
+	have, request := n.view.Load().Config, configRequest{}
+	if have != nil {
+		request.Have = have.Version
+	}
+	var packed configCopy
+	err := n.rpc.Call(ctx, from.RPC, methodConfig, request, &packed)
+	var c *published.Config
 	if err == nil {
-		err = c.Prepare()
+		c, err = packed.config(have)
 	}
 	if err != nil {
 		n.logger.Info("config_not_fetched", "peer", string(from.Node), "error", err.Error())
 		return
 	}
 	n.metrics.configFetches.Add(1)
-	n.step(control.ConfigPublished{Config: &c})
+	n.step(control.ConfigPublished{Config: c})
 }
 
 // seedInterval is the time between two calls of the seeds while no other node is known.
@@ -119,7 +151,8 @@
 	defer cancel()
 	var answer control.PeerState
 	if err := n.rpc.Call(ctx, seed, methodState, n.state(), &answer); err != nil {
-		n.logger.Debug("seed_not_reached", "address", seed.String(), "error", err.Error())
+		n.metrics.peerErrors.Add(1)
+		n.logger.Info("seed_not_reached", "address", seed.String(), "error", err.Error())
 		return
 	}
 	n.step(control.PeerStateReceived{State: answer})
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -19,6 +19,9 @@
 	// other nodes, Peers their messages, Ready the readiness check, Control the
 	// heartbeats of the target, Metrics the counters.
 	Outbound, Inbound, Peers, Ready, Control, Metrics netip.AddrPort
+	// Advertise is the address at which other nodes reach this one, if it is not the one
+	// at which it listens. The ports are the same.
+	Advertise netip.Addr
 	// Target and Service are the address and the service of the target beside the node.
 	Target  netip.AddrPort
 	Service string
@@ -39,6 +42,18 @@
 	LinkMbps float64
 }
 
+// announcement returns what the node tells others of itself at its start.
+func (s Settings) announcement(startMS int64) directory.Announcement {
+	a := directory.Announcement{
+		Node: s.Node, Zone: s.Zone, Start: startMS, RPC: s.Peers, Call: s.Inbound, LinkMbps: s.LinkMbps,
+	}
+	if s.Advertise.IsValid() {
+		a.RPC = netip.AddrPortFrom(s.Advertise, a.RPC.Port())
+		a.Call = netip.AddrPortFrom(s.Advertise, a.Call.Port())
+	}
+	return a
+}
+
 // Headers are the names of the headers that callers and targets use.
 type Headers struct {
 	// RequestID identifies one attempt of a caller; targets echo it.
@@ -67,6 +82,8 @@
 	// ErrPositionLost if they were dropped; a snapshot then tells what they said.
 	Follow(ctx context.Context, f control.Feed, from uint64, wait time.Duration) ([]control.Event, uint64, error)
 	Announce(ctx context.Context, a directory.Announcement) error
+	// Withdraw takes the announcement of a node back that stops.
+	Withdraw(ctx context.Context, node mesh.NodeID) error
 	// RecordMove and WriteStatus write only if the feed ends at the position.
 	RecordMove(ctx context.Context, m canary.Move, at uint64) error
 	WriteStatus(ctx context.Context, s control.Status, at uint64) error
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -42,12 +42,19 @@
 	n.refusing.Store(true)
 	n.waitQuiet(quietTime, end-closeTime)
 	n.step(control.Closing{})
+	go n.withdraw()
 	n.waitQuiet(0, end)
 	n.closed.Store(true)
 	n.logger.Info("stopped", "in_flight", n.inFlight.Load())
 	return nil
 }
 
+// withdraw drops this node's record from the store: nodes that start later would
+// otherwise ask a machine that is gone, and each attempt costs a caller the wait for it.
+func (n *Node) withdraw() {
+	_ = n.writeStore("withdrawal", func(ctx context.Context) error { return n.store.Withdraw(ctx, n.settings.Node) })
+}
+
 // waitQuiet waits until nothing was in flight for a time, at most until the end.
 func (n *Node) waitQuiet(quiet, end time.Duration) {
 	since := n.clock.now()
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -287,7 +287,7 @@
 }
 
 func (b *Bed) exec(binary, name, settings string) (*Process, error) {
-	return start(b.Dir, filepath.Join(b.Bin, binary), name, "--settings", settings)
+	return Start(b.Dir, filepath.Join(b.Bin, binary), name, "--settings", settings)
 }
 
 // WaitFor repeats a check until it succeeds or the limit ends, and returns its
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -25,9 +25,9 @@
 	err  error
 }
 
-// start runs a binary with its output in a log file. A second start of the same
+// Start runs a binary with its output in a log file. A second start of the same
 // name appends to the log.
-func start(dir, binary, name string, args ...string) (*Process, error) {
+func Start(dir, binary, name string, args ...string) (*Process, error) {
 	logPath := filepath.Join(dir, name+".log")
 	file, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
--- a/internal/testbed/tools.go
+++ b/internal/testbed/tools.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	report := filepath.Join(b.Dir, name+".json")
-	p, err := start(b.Dir, filepath.Join(b.Bin, "heathercroft-load"), name, "--settings", path, "--json", report)
+	p, err := Start(b.Dir, filepath.Join(b.Bin, "heathercroft-load"), name, "--settings", path, "--json", report)
 	if err != nil {
 		return nil, err
 	}
