--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -26,7 +26,7 @@
 
 // heapGrowth is the percentage by which the heap grows before it is collected.
 // Memory is paid for, and the live heap is a few megabytes.
-const heapGrowth = 30
+const heapGrowth = 15
 
 func main() {
 	cli := kingpin.New("heathercroft-sidecar", "Carries requests and applies published configurations beside one target instance.")
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,9 +17,12 @@
 	TickInterval = canary.EvidenceInterval
 	// gossipFanout is how many nodes get the state of a node in a round, and
 	// gossipPart the part of the mesh where that is more. Each exchange goes both
-	// ways, so that two nodes hear of each other every 5 s or faster.
+	// ways, so that in a small mesh two nodes hear of each other every 3 s.
 	gossipFanout = 4
 	gossipPart   = 10
+	// calmFanout is that of a large mesh without a move, beside a reader. Bytes between
+	// zones are paid for, and rounds to a tenth of 78 nodes were about half of them.
+	calmFanout = 2
 	// gossipInterval is the time between two rounds.
 	gossipInterval = time.Second
 	// moveGossipInterval is the interval while a move is open: a bad version must be out
@@ -39,6 +42,9 @@
 	// aliveWithin is how long ago a node was heard of to count as alive: over one
 	// round through the mesh.
 	aliveWithin = 6 * time.Second
+	// unmetWithin is that time for a node of a large mesh that hears of no reader: two
+	// nodes meet in calmFanout rounds of all others.
+	unmetWithin = 30 * time.Second
 )
 
 // Options are what the settings say of a node.
@@ -76,6 +82,8 @@
 	news []directory.Announcement
 	// readers are the nodes that follow the store for all, as of the last tick.
 	readers []mesh.NodeID
+	// unanswered are readers that did not answer for aliveWithin, until they are heard.
+	unanswered map[mesh.NodeID]bool
 	// readerTurn picks the reader that this node asks next.
 	readerTurn int
 	rounds     uint64
@@ -99,7 +107,7 @@
 		local: directory.Local{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, rounds: o.Seed,
-		writing: map[string]bool{}, crashes: map[uint64]crash{},
+		writing: map[string]bool{}, crashes: map[uint64]crash{}, unanswered: map[mesh.NodeID]bool{},
 	}
 }
 
@@ -296,6 +304,7 @@
 		return
 	}
 	changed := c.learn(a, t)
+	delete(c.unanswered, a.Node)
 	if known, ok := c.dir.Get(a.Node); ok && known.Start == a.Start {
 		c.dir.Heard(a.Node, t.Now)
 		changed = changed || len(s.Crashes) > 0
@@ -349,6 +358,7 @@
 	c.announce(t)
 	for _, id := range c.dir.Expire(t.Now) {
 		delete(c.peers, id)
+		delete(c.unanswered, id)
 		c.note("node_expired", "peer", string(id))
 	}
 	c.forgetCrashes(t)
@@ -415,7 +425,7 @@
 	}
 	state := c.State(t)
 	state.Others = append(c.takeNews(), all[(c.rounds*7)%uint64(len(all))])
-	count := min(max(gossipFanout, len(all)/gossipPart), len(all))
+	count := min(c.fanout(len(all)), len(all))
 	if len(state.Others) > 1 {
 		count = len(all)
 	}
@@ -434,6 +444,19 @@
 	c.emit(SendState{To: slices.Compact(to), State: state})
 }
 
+// fanout returns to how many nodes the state goes in a round. In a large mesh the
+// readers tell what matters, but for the evidence on a version, which all need.
+func (c *Control) fanout(others int) int {
+	switch {
+	case !c.large():
+		return gossipFanout
+	case c.moveOpen():
+		return max(gossipFanout, others/gossipPart)
+	default:
+		return calmFanout
+	}
+}
+
 // maxNews bounds the announcements in one message.
 const maxNews = 64
 
@@ -466,18 +489,28 @@
 }
 
 // silent reports whether a node is taken for dead or cut off. In a large mesh two nodes
-// hear of each other directly only each ten seconds or so, but each hears of the readers
+// hear of each other directly only each half minute or so, but each hears of the readers
 // each second, and a reader hears of all.
 func (c *Control) silent(id mesh.NodeID, t Time) bool {
-	if c.dir.SilentFor(id, t.Now) <= aliveWithin {
+	age := c.dir.SilentFor(id, t.Now)
+	if age <= aliveWithin {
 		return false
 	}
+	if !c.large() || c.isReader() || c.unanswered[id] {
+		return true
+	}
+	heard := false
 	for _, r := range c.readers {
-		if r != c.self.Node && r != id && c.dir.SilentFor(r, t.Now) < readerCount*gossipInterval+readerSilence && !slices.Contains(c.peers[r].Silent, id) {
-			return false
+		if r != id && c.dir.SilentFor(r, t.Now) < readerCount*gossipInterval+readerSilence {
+			heard = true
+			if !slices.Contains(c.peers[r].Silent, id) {
+				return false
+			}
 		}
 	}
-	return true
+	// Without a word of the readers, a node cannot tell who is dead from whom it has not
+	// met for a while.
+	return heard || age > unmetWithin
 }
 
 func (c *Control) view(t Time) {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -107,6 +107,15 @@
 	feedCount
 )
 
+// String returns the name of the feed in logs.
+func (f Feed) String() string {
+	names := [...]string{"operator", "mesh", "moves", "status"}
+	if f < 0 || int(f) >= len(names) {
+		return "unknown"
+	}
+	return names[f]
+}
+
 // Status is the report on a move as operators read it.
 type Status struct {
 	Service string
--- a/internal/control/readers.go
+++ b/internal/control/readers.go
@@ -29,6 +29,12 @@
 // chooseReaders settles which nodes follow the store: of those that live and that the
 // store answers, the first in an order that all nodes share, fast links before slow ones.
 func (c *Control) chooseReaders(t Time) {
+	for _, id := range c.readers {
+		// Each node asks each reader within a few rounds.
+		if id != c.self.Node && c.dir.SilentFor(id, t.Now) > aliveWithin {
+			c.unanswered[id] = true
+		}
+	}
 	c.readers = nil
 	if !c.large() {
 		return
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -72,7 +72,7 @@
 		}
 		events, next, err := n.read(f, position, known)
 		if errors.Is(err, ErrPositionLost) {
-			n.logger.Info("store_position_lost", "feed", int(f), "position", position)
+			n.logger.Info("store_position_lost", "feed", f.String(), "position", position)
 			known = false
 			continue
 		}
@@ -82,7 +82,7 @@
 		if err != nil {
 			n.metrics.storeErrors.Add(1)
 			if !failing {
-				n.logger.Warn("store_lost", "feed", int(f), "error", err.Error())
+				n.logger.Warn("store_lost", "feed", f.String(), "error", err.Error())
 				n.storeReached(f, false)
 			}
 			failing = true
@@ -91,7 +91,7 @@
 			continue
 		}
 		if failing {
-			n.logger.Info("store_regained", "feed", int(f))
+			n.logger.Info("store_regained", "feed", f.String())
 			n.storeReached(f, true)
 		}
 		failing, pause = false, storeRetryMin
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -21,6 +21,9 @@
 	// peerDialTimeout bounds a connection to another node. A machine behind a
 	// partition does not answer, and calls between targets may have only 250 ms.
 	peerDialTimeout = 120 * time.Millisecond
+	// peerIdle is how long a connection to another node is kept without use. In a mesh of
+	// 76 nodes each node would keep 150 of them, of some 40 KB each.
+	peerIdle = 4 * time.Second
 	// peerWindow bounds the memory of one request or answer between nodes.
 	peerWindow = 256 << 10
 	// peerConnWindow bounds the memory of one connection between nodes.
@@ -37,6 +40,7 @@
 		Protocols:          protocols,
 		DialContext:        live.dialWith(&dialer),
 		DisableCompression: true,
+		IdleConnTimeout:    peerIdle,
 		HTTP2: &http.HTTP2Config{
 			MaxReceiveBufferPerStream: peerWindow, MaxReceiveBufferPerConnection: peerConnWindow,
 		},
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -164,7 +164,8 @@
 		wait, total := s.expect(e, r, now)
 		cost := b.cost(e, s, r, total, now) * (1 + jitter*random())
 		if cost < bestCost {
-			best, bestCost, found = Choice{e, wait, total <= r.Objective}, cost, true
+			fits := total <= r.Objective && !b.lastResort(e, now)
+			best, bestCost, found = Choice{e, wait, fits}, cost, true
 		}
 	}
 	return best, found
@@ -183,12 +184,17 @@
 		cost += crossZoneCost + crossZoneByteCost*float64(r.Bytes)
 	}
 	cost += failureWeight * s.failing(now)
-	if e.Silent || e.Leaving || b.cutOff(e.Zone, now) {
+	if b.lastResort(e, now) {
 		cost += lastResortCost
 	}
 	return cost
 }
 
+// lastResort reports whether the endpoint is chosen only if no other is left.
+func (b *Balancer) lastResort(e Endpoint, now time.Duration) bool {
+	return e.Silent || e.Leaving || b.cutOff(e.Zone, now)
+}
+
 // expect returns the expected wait, and the time to the answer with the margins of admission.
 func (s *state) expect(e Endpoint, r Request, now time.Duration) (wait, total time.Duration) {
 	pace := s.pace
--- a/pkg/balance/full_test.go
+++ b/pkg/balance/full_test.go
@@ -40,4 +40,10 @@
 	c, ok = b.Choose(targets, request, 3*time.Second, func() float64 { return 0.5 })
 	require.True(t, ok)
 	require.True(t, c.Fits, "old reports count for nothing")
+	for i := range targets {
+		targets[i].Silent = true
+	}
+	c, ok = b.Choose(targets, request, 3*time.Second, func() float64 { return 0.5 })
+	require.True(t, ok)
+	require.False(t, c.Fits, "a silent node lets nothing in")
 }
