Close kept connections to a target after one of them went silent; bound empty reads

A store that answers waiting reads at once was read in a loop. Change: a request without any answer at its deadline ends the connections that were idle since before it; a read without news takes 250 ms at least. A node that starts greets only those that have not greeted it.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -148,8 +148,7 @@
 		c.statuses[e.Status.Service] = e.Status
 	case FeedCurrent:
 		if e.Feed == MeshFeed && !c.current[e.Feed] {
-			// Those that were read of show by their answers whether they live.
-			c.broadcast(t)
+			c.greet(t)
 		}
 		c.current[e.Feed] = true
 	case StoreReached:
@@ -444,6 +443,20 @@
 	c.emit(SendState{To: slices.Compact(to), State: state})
 }
 
+// greet sends the state to the nodes that are known but not heard: they show by their
+// answers whether they live. Of two nodes that start together one is enough.
+func (c *Control) greet(t Time) {
+	var to []mesh.NodeID
+	for _, a := range c.dir.All() {
+		if c.dir.SilentFor(a.Node, t.Now) > aliveWithin {
+			to = append(to, a.Node)
+		}
+	}
+	if len(to) > 0 {
+		c.emit(SendState{To: to, State: c.State(t)})
+	}
+}
+
 // fanout returns to how many nodes the state goes in a round. In a large mesh the
 // readers tell what matters, but for the evidence on a version, which all need.
 func (c *Control) fanout(others int) int {
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -28,6 +28,9 @@
 	// Each read is paid for. Without a reader's word, this bounds how long a silent
 	// connection holds a configuration back.
 	ownWait = 20 * time.Second
+	// minReadTime is the least time from one read without news to the next. A store that
+	// answers a waiting read at once would otherwise be read in a loop.
+	minReadTime = 250 * time.Millisecond
 	// debounce is the pause after news, so that a series of changes is read at
 	// once. A configuration must be in force within 2 s.
 	debounce = 300 * time.Millisecond
@@ -70,6 +73,7 @@
 		if f == control.MeshFeed && n.meshStale.Swap(false) {
 			known = false
 		}
+		began := n.clock.now()
 		events, next, err := n.read(f, position, known)
 		if errors.Is(err, ErrPositionLost) {
 			n.logger.Info("store_position_lost", "feed", f.String(), "position", position)
@@ -105,6 +109,7 @@
 		}
 		position = next
 		if len(events) == 0 {
+			time.Sleep(minReadTime - (n.clock.now() - began))
 			continue
 		}
 		now := n.clock.now()
--- a/internal/sidecar/liveness_test.go
+++ b/internal/sidecar/liveness_test.go
@@ -124,3 +124,37 @@
 	require.Equal(t, "late", body)
 	require.Zero(t, nodes[0].metrics.silentConns.Value())
 }
+
+// Guards against a request lost on each kept connection to the local target after all of
+// them went silent: the first one that gets no answer ends the others.
+func TestSilentConnectionsToTheTargetCostOneRequest(t *testing.T) {
+	nodes := newMesh(t, 1)
+	s := newSilencer(t, nodes[0].target.Listener.Addr().String())
+	nodes[0].Node.target.address = s.Addr().String()
+	hold := make(chan struct{})
+	nodes[0].target.serve(func(w http.ResponseWriter, _ *http.Request) {
+		<-hold
+		w.Header().Set("X-Signature", "x")
+		_, _ = io.WriteString(w, "ok")
+	})
+	statuses := make(chan int, 4)
+	for i := range cap(statuses) {
+		go func() {
+			status, _, _ := nodes[0].call(t, http.MethodGet, "/read/1", fmt.Sprint("a", i))
+			statuses <- status
+		}()
+	}
+	require.Eventually(t, func() bool { return nodes[0].target.runs.Load() == 4 }, 5*time.Second, time.Millisecond)
+	close(hold)
+	for range cap(statuses) {
+		require.Equal(t, http.StatusOK, <-statuses)
+	}
+	s.silence()
+	lost := 0
+	for i := range 5 {
+		if status, _, _ := nodes[0].call(t, http.MethodGet, "/read/1", fmt.Sprint("b", i)); status != http.StatusOK {
+			lost++
+		}
+	}
+	require.Equal(t, 1, lost)
+}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -49,6 +49,30 @@
 func (fakeStore) RecordMove(context.Context, canary.Move, uint64) error     { return nil }
 func (fakeStore) WriteStatus(context.Context, control.Status, uint64) error { return nil }
 
+// eagerStore answers each waiting read at once without a record.
+type eagerStore struct {
+	fakeStore
+	reads atomic.Int64
+}
+
+func (s *eagerStore) Follow(_ context.Context, _ control.Feed, from uint64, _ time.Duration) ([]control.Event, uint64, error) {
+	s.reads.Add(1)
+	return nil, from, nil
+}
+
+// Guards against a node that reads a store in a loop which does not let reads wait.
+func TestStoreThatAnswersAtOnceIsNotReadInALoop(t *testing.T) {
+	n := newTestNode(t, 0)
+	store := &eagerStore{}
+	n.store = store
+	n.Step(control.Tick{})
+	go n.follow(control.OperatorFeed)
+	time.Sleep(4 * minReadTime)
+	n.cancel()
+	require.Positive(t, store.reads.Load())
+	require.LessOrEqual(t, store.reads.Load(), int64(5))
+}
+
 // fakeTarget is a target whose handler a test may replace.
 type fakeTarget struct {
 	*httptest.Server
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -95,6 +96,7 @@
 	if err != nil {
 		return nil, retry.ConnectionRefused, err
 	}
+	began := c.now()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	r, keep, err := c.roundTrip(conn, e)
 	if !stop() {
@@ -112,6 +114,9 @@
 	case !conn.wrote:
 		return nil, retry.ResetBeforeWrite, err
 	case ctx.Err() != nil:
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.dropIdle(began)
+		}
 		return nil, retry.TimedOut, errors.CombineErrors(ctx.Err(), err)
 	default:
 		return nil, retry.ResetAfterWrite, err
@@ -172,6 +177,21 @@
 	return conn
 }
 
+// dropIdle closes the connections that have been idle since before a request that got
+// no answer at all: what made its connection go silent may have hit them too, and each
+// would cost a request its whole time.
+func (c *targetClient) dropIdle(before time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = slices.DeleteFunc(c.idle, func(conn *targetConn) bool {
+		if conn.used >= before {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	})
+}
+
 func (c *targetClient) put(conn *targetConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
