--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/balance"
@@ -15,19 +14,6 @@
 	// TickInterval is the time between two ticks. It bounds how late evidence is
 	// looked at during a move.
 	TickInterval = canary.EvidenceInterval
-	// gossipFanout is how many nodes get the state of a node in a round, and
-	// gossipPart the part of the mesh where that is more. Each exchange goes both
-	// ways, so that in a small mesh two nodes hear of each other every 3 s.
-	gossipFanout = 4
-	gossipPart   = 10
-	// calmFanout is that of a large mesh without a move, beside a reader. Bytes between
-	// zones are paid for, and rounds to a tenth of 78 nodes were about half of them.
-	calmFanout = 2
-	// gossipInterval is the time between two rounds.
-	gossipInterval = time.Second
-	// moveGossipInterval is the interval while a move is open: a bad version must be out
-	// 5 s after its fiftieth bad answer.
-	moveGossipInterval = 500 * time.Millisecond
 	// announceRetry is the time between two writes of the announcement.
 	announceRetry = 500 * time.Millisecond
 	// fetchAfter is how long a node that reads the store waits for a configuration
@@ -39,12 +25,6 @@
 	// rankDelay is how much later each further node in the order writes what any
 	// node may write, so that one write is usual and the loss of a node costs little.
 	rankDelay = 200 * time.Millisecond
-	// aliveWithin is how long ago a node was heard of to count as alive: over one
-	// round through the mesh.
-	aliveWithin = 6 * time.Second
-	// unmetWithin is that time for a node of a large mesh that hears of no reader: two
-	// nodes meet in calmFanout rounds of all others.
-	unmetWithin = 30 * time.Second
 )
 
 // Options are what the settings say of a node.
@@ -407,94 +387,6 @@
 	return s
 }
 
-// spread tells the others of a change of this node or its target. In a large mesh the
-// readers pass it on within a round: meanwhile the node itself refuses what its target
-// may not get.
-func (c *Control) spread(t Time) {
-	if len(c.readers) == 0 || c.isReader() {
-		c.broadcast(t)
-		return
-	}
-	c.emit(SendState{To: slices.Clone(c.readers), State: c.State(t)})
-}
-
-func (c *Control) broadcast(t Time) {
-	var to []mesh.NodeID
-	for _, a := range c.dir.All() {
-		to = append(to, a.Node)
-	}
-	if len(to) > 0 {
-		c.emit(SendState{To: to, State: c.State(t)})
-	}
-}
-
-// gossip sends the state to a few nodes in turn, and to a reader, whose answer tells
-// whether there is a newer configuration. A random announcement goes along. A reader
-// that has read of new nodes tells all.
-func (c *Control) gossip(t Time) {
-	all := c.dir.All()
-	if len(all) == 0 {
-		return
-	}
-	state := c.State(t)
-	state.Others = append(c.takeNews(), all[(c.rounds*7)%uint64(len(all))])
-	count := min(c.fanout(len(all)), len(all))
-	if len(state.Others) > 1 {
-		count = len(all)
-	}
-	to := make([]mesh.NodeID, 0, count+1)
-	for range count {
-		c.rounds++
-		to = append(to, all[c.rounds%uint64(len(all))].Node)
-	}
-	if len(c.readers) > 0 {
-		c.readerTurn++
-		if r := c.readers[c.readerTurn%len(c.readers)]; r != c.self.Node {
-			to = append(to, r)
-		}
-	}
-	slices.Sort(to)
-	c.emit(SendState{To: slices.Compact(to), State: state})
-}
-
-// greet sends the state to the nodes that are known but not heard: they show by their
-// answers whether they live. Of two nodes that start together one is enough.
-func (c *Control) greet(t Time) {
-	var to []mesh.NodeID
-	for _, a := range c.dir.All() {
-		if c.dir.SilentFor(a.Node, t.Now) > aliveWithin {
-			to = append(to, a.Node)
-		}
-	}
-	if len(to) > 0 {
-		c.emit(SendState{To: to, State: c.State(t)})
-	}
-}
-
-// fanout returns to how many nodes the state goes in a round. In a large mesh the
-// readers tell what matters, but for the evidence on a version, which all need.
-func (c *Control) fanout(others int) int {
-	switch {
-	case !c.large():
-		return gossipFanout
-	case c.moveOpen():
-		return max(gossipFanout, others/gossipPart)
-	default:
-		return calmFanout
-	}
-}
-
-// maxNews bounds the announcements in one message.
-const maxNews = 64
-
-// takeNews returns the oldest announcements that are to be passed on.
-func (c *Control) takeNews() []directory.Announcement {
-	count := min(len(c.news), maxNews)
-	out := slices.Clone(c.news[:count])
-	c.news = slices.Delete(c.news, 0, count)
-	return out
-}
-
 // Config returns the configuration in force, or nil.
 func (c *Control) Config() *published.Config { return c.config }
 
@@ -504,42 +396,6 @@
 // Announcements returns all that is known of other nodes.
 func (c *Control) Announcements() []directory.Announcement { return c.dir.All() }
 
-// alive returns the other nodes that live, and this one.
-func (c *Control) alive(t Time) []mesh.NodeID {
-	ids := []mesh.NodeID{c.self.Node}
-	for _, a := range c.dir.All() {
-		if !a.Leaving && !c.silent(a.Node, t) {
-			ids = append(ids, a.Node)
-		}
-	}
-	return ids
-}
-
-// silent reports whether a node is taken for dead or cut off. In a large mesh two nodes
-// hear of each other directly only each half minute or so, but each hears of the readers
-// each second, and a reader hears of all.
-func (c *Control) silent(id mesh.NodeID, t Time) bool {
-	age := c.dir.SilentFor(id, t.Now)
-	if age <= aliveWithin {
-		return false
-	}
-	if !c.large() || c.isReader() || c.unanswered[id] {
-		return true
-	}
-	heard := false
-	for _, r := range c.readers {
-		if r != id && c.dir.SilentFor(r, t.Now) < readerCount*gossipInterval+readerSilence {
-			heard = true
-			if !slices.Contains(c.peers[r].Silent, id) {
-				return false
-			}
-		}
-	}
-	// Without a word of the readers, a node cannot tell who is dead from whom it has not
-	// met for a while.
-	return heard || age > unmetWithin
-}
-
 func (c *Control) view(t Time) {
 	v := &View{
 		Config: c.config, Target: c.self.Target, Stopping: c.stopping, Crashing: c.crashing(),
