Let a node that the store turned away find out that it is served again

Cause, found by reading: in a large mesh such a node leaves the reading to others and took itself for cut off for good, so that it could never be a reader again. Change: it goes on reading until the store serves it. The test fails without.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -65,7 +65,9 @@
 	pause := storeRetryMin
 	newsAt := n.clock.now() - seriesGap
 	for n.ctx.Err() == nil {
-		if !n.follows(f, known) {
+		// A node that the store turned away goes on until it is served again: it could not
+		// be a reader otherwise.
+		if !n.follows(f, known) && !(failing && f == control.OperatorFeed) {
 			known = known && f != control.StatusFeed
 			time.Sleep(idlePoll)
 			continue
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -73,6 +73,34 @@
 	require.LessOrEqual(t, store.reads.Load(), int64(5))
 }
 
+// flakyStore fails until it is mended.
+type flakyStore struct {
+	fakeStore
+	mended atomic.Bool
+}
+
+func (s *flakyStore) Follow(ctx context.Context, _ control.Feed, from uint64, _ time.Duration) ([]control.Event, uint64, error) {
+	if !s.mended.Load() {
+		return nil, from, fmt.Errorf("turned away")
+	}
+	return nil, from, nil
+}
+
+// Guards against a node that the store turned away and that takes itself for cut off from
+// it for good, since others read for it meanwhile: it could never be a reader again.
+func TestNodeLearnsThatTheStoreServesItAgain(t *testing.T) {
+	n := newTestNode(t, 0)
+	store := &flakyStore{}
+	n.store = store
+	n.Step(control.Tick{})
+	go n.follow(control.OperatorFeed)
+	require.Eventually(t, func() bool { return n.state().StoreLost }, 5*time.Second, 5*time.Millisecond)
+	n.view.Store(&control.View{})
+	store.mended.Store(true)
+	require.Eventually(t, func() bool { return !n.state().StoreLost }, 5*time.Second, 5*time.Millisecond)
+	n.cancel()
+}
+
 // fakeTarget is a target whose handler a test may replace.
 type fakeTarget struct {
 	*httptest.Server
