Give a new reader time to answer before it is replaced

Cause, found by reading: a node chosen as reader that was not heard directly for 6 s was replaced at the next tick, before it was asked, so that nodes disagreed about the readers for seconds. The test of the readers needed 8 s more than 6 for that; it has its 4 s back and passes with the change.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -62,6 +62,8 @@
 	news []directory.Announcement
 	// readers are the nodes that follow the store for all, as of the last tick.
 	readers []mesh.NodeID
+	// readerSince is since when each of them is a reader for this node.
+	readerSince map[mesh.NodeID]time.Duration
 	// unanswered are readers that did not answer for aliveWithin, until they are heard.
 	unanswered map[mesh.NodeID]bool
 	// readerTurn picks the reader that this node asks next.
--- a/internal/control/readers.go
+++ b/internal/control/readers.go
@@ -31,7 +31,7 @@
 func (c *Control) chooseReaders(t Time) {
 	for _, id := range c.readers {
 		// Each node asks each reader within a few rounds.
-		if id != c.self.Node && c.dir.SilentFor(id, t.Now) > aliveWithin {
+		if id != c.self.Node && t.Now-c.readerSince[id] > aliveWithin && c.dir.SilentFor(id, t.Now) > aliveWithin {
 			c.unanswered[id] = true
 		}
 	}
@@ -59,6 +59,14 @@
 	}
 	ranked := mesh.RankNodes("store-reader", able)
 	c.readers = ranked[:min(readerCount, len(ranked))]
+	since := make(map[mesh.NodeID]time.Duration, len(c.readers))
+	for _, id := range c.readers {
+		since[id] = t.Now
+		if before, ok := c.readerSince[id]; ok {
+			since[id] = before
+		}
+	}
+	c.readerSince = since
 }
 
 // storeReached takes whether the store answers this node. All are told at once if that
--- a/internal/control/readers_test.go
+++ b/internal/control/readers_test.go
@@ -37,7 +37,7 @@
 	for _, id := range first {
 		m.member(id).dead = true
 	}
-	m.run(aliveWithin + 8*time.Second)
+	m.run(aliveWithin + 4*time.Second)
 	require.Len(t, m.readers(), readerCount)
 }
 
