--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -59,15 +59,18 @@
 	return m
 }
 
-func (m *testMesh) start(i int, version string) *testMember {
+func (m *testMesh) start(i int, version string) *testMember { return m.startFor(i, "s", version) }
+
+// startFor starts a node beside a target of a service.
+func (m *testMesh) startFor(i int, service, version string) *testMember {
 	id := mesh.NodeID(fmt.Sprintf("node-%d", i))
 	n := &testMember{id: id, Control: New(Options{
 		Self:    directory.Announcement{Node: id, Zone: "a", Start: m.now.Milliseconds(), RPC: address(i), Call: address(i)},
-		Address: address(i).String(), Service: "s", Heartbeat: time.Hour, Seed: uint64(i),
+		Address: address(i).String(), Service: service, Heartbeat: time.Hour, Seed: uint64(i),
 	})}
 	m.nodes = append(m.nodes, n)
 	m.step(n, HeartbeatReceived{directory.Heartbeat{
-		ID: fmt.Sprintf("t-%d", i), Address: address(i).String(), Service: "s", Version: version, Slots: 4, Sequence: 1, Born: 1,
+		ID: fmt.Sprintf("t-%d", i), Address: address(i).String(), Service: service, Version: version, Slots: 4, Sequence: 1, Born: 1,
 	}})
 	m.read(n)
 	for _, f := range []Feed{OperatorFeed, MeshFeed, MoveFeed, StatusFeed} {
@@ -187,8 +190,10 @@
 	}
 }
 
-func (m *testMesh) order(version string, number uint64) {
-	o := canary.Order{Service: "s", Version: version, Number: number, Duration: 10 * time.Second}
+func (m *testMesh) order(version string, number uint64) { m.orderFor("s", version, number) }
+
+func (m *testMesh) orderFor(service, version string, number uint64) {
+	o := canary.Order{Service: service, Version: version, Number: number, Duration: 10 * time.Second}
 	for _, n := range m.nodes {
 		if !n.dead {
 			m.step(n, MoveOrdered{o})
@@ -430,3 +435,26 @@
 	})
 	require.Equal(t, StatusCompleted, m.statuses["s"].State)
 }
+
+// Guards two moves at once: the fault of one new version must not condemn the other, and
+// the reports on both are written although each write moves the end of the feed.
+func TestTwoMovesAtOnceEndByThemselves(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v2")
+	for i, version := range []string{"w1", "w1", "w2"} {
+		m.startFor(10+i, "r", version)
+	}
+	m.run(2 * time.Second)
+	m.orderFor("s", "v2", 1)
+	m.orderFor("r", "w2", 2)
+	m.runWith(10*time.Second, func() {
+		m.answers("v1", 5, false)
+		m.answers("v2", 1, false)
+		m.answers("w1", 5, false)
+		m.answers("w2", 1, true)
+	})
+	require.Equal(t, Status{Service: "s", Version: "v2", State: StatusCompleted}, m.statuses["s"])
+	require.Equal(t, Status{Service: "r", Version: "w2", State: StatusReverted}, m.statuses["r"])
+	for _, n := range m.nodes {
+		require.Empty(t, n.view.Endpoints["r"].New, "%s", n.id)
+	}
+}
