Serve download routes and requests that a client sends ahead

Ruled out: a server of our own for all connections (everything that net/http does would rest on new code). Change: published.Download, repeatable; internal/pipeline takes over a connection of net/http when a request arrives behind one without a response. Repeatable requests run concurrently, others wait; only the last open response closes the connection.

--- a/internal/sidecar/liveness_test.go
+++ b/internal/sidecar/liveness_test.go
@@ -58,6 +58,9 @@
 		k, err := from.Read(buffer)
 		select {
 		case <-stalled:
+			if err != nil {
+				return
+			}
 			continue
 		default:
 		}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/internal/pipeline"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
@@ -149,6 +150,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	s.Config.Protocols = protocols
+	s.Listener, s.Config.ConnContext = pipeline.Listen(s.Listener), pipeline.ConnContext
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
@@ -204,7 +206,8 @@
 	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
 	var n *Node
 	inbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.serveInbound(w, r) }))
-	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.serveOutbound(w, r) }))
+	var outboundHandler http.Handler
+	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { outboundHandler.ServeHTTP(w, r) }))
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	n = New(Settings{
@@ -213,6 +216,7 @@
 		Peers:             netip.MustParseAddrPort(peers.Addr().String()),
 		HeartbeatInterval: time.Minute, GracePeriod: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 	}, testHeaders, fakeStore{}, slog.New(slog.DiscardHandler))
+	outboundHandler = n.outboundHandler()
 	server := rpc.NewServer(peers, peerHandler{n}, n.counters)
 	go func() { _ = server.Start(context.Background()) }()
 	t.Cleanup(func() {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -17,6 +17,7 @@
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/internal/pipeline"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/published"
@@ -109,8 +110,30 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is the maximum header size, the same as in the published limits.
 	maxHeaderBytes = 32 << 10
+	// maxPipelinedRequests is the number of requests that a caller's connection may have
+	// without a response.
+	maxPipelinedRequests = 16
 )
 
+// outboundHandler handles the requests of callers, which may send repeatable requests
+// before the earlier ones are answered.
+func (n *Node) outboundHandler() http.Handler {
+	return pipeline.NewHandler(http.HandlerFunc(n.serveOutbound), pipeline.Options{
+		Concurrent: n.mayRunTwice, MaxRequests: maxPipelinedRequests, MaxHeaderBytes: maxHeaderBytes,
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Logger: n.logger,
+	})
+}
+
+// mayRunTwice reports whether the configuration in force allows a request to run again.
+func (n *Node) mayRunTwice(r *http.Request) bool {
+	config := n.view.Load().Config
+	if config == nil {
+		return false
+	}
+	route := config.Lookup(r.Host, r.URL.Path)
+	return route != nil && route.Kind.Repeatable()
+}
+
 // Run serves until the stop signal. registry handles the requests of the local target to
 // the control address.
 func (n *Node) Run(ctx context.Context, registry http.Handler) error {
@@ -122,7 +145,7 @@
 		{n.settings.Control, registry},
 		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
 		{n.settings.Inbound, http.HandlerFunc(n.serveInbound)},
-		{n.settings.Outbound, http.HandlerFunc(n.serveOutbound)},
+		{n.settings.Outbound, n.outboundHandler()},
 		{n.settings.Metrics, expvar.Handler()},
 	} {
 		if !l.address.IsValid() {
@@ -132,7 +155,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen at %s", l.address)
 		}
-		server := app.HTTPServer(listener, l.handler)
+		server := app.HTTPServer(pipeline.Listen(listener), l.handler)
+		server.ConnContext = pipeline.ConnContext
 		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
 		server.HTTP2 = &http.HTTP2Config{
 			MaxReceiveBufferPerStream: peerStreamWindow, MaxReceiveBufferPerConnection: peerConnWindow,
--- a/pkg/published/config.go
+++ b/pkg/published/config.go
@@ -22,11 +22,23 @@
 	NonIdempotent Kind = "non-idempotent"
 	// Upload requests carry large bodies and run at most once.
 	Upload Kind = "upload"
+	// Download requests have large responses and may run more than once.
+	Download Kind = "download"
 )
 
 // Repeatable reports whether a request of the kind may be retried after a failure
 // after which it may have run.
-func (k Kind) Repeatable() bool { return k == Safe }
+func (k Kind) Repeatable() bool { return k == Safe || k == Download }
+
+// known reports whether this build knows the kind.
+func (k Kind) known() bool {
+	switch k {
+	case Safe, NonIdempotent, Upload, Download:
+		return true
+	default:
+		return false
+	}
+}
 
 // WeightedService is a service that receives a share of a route's requests.
 type WeightedService struct {
@@ -107,7 +119,7 @@
 		return errors.New("no host")
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return errors.Newf("prefix %q does not begin and end with a slash", r.Prefix)
-	case r.Kind != Safe && r.Kind != NonIdempotent && r.Kind != Upload:
+	case !r.Kind.known():
 		return errors.Newf("unknown kind %q", r.Kind)
 	case r.Timeout <= 0:
 		return errors.Newf("timeout is %s, want more than 0", r.Timeout)
