--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -81,9 +81,7 @@
 		// request that is forwarded now would be lost.
 		panic(http.ErrAbortHandler)
 	}
-	if n.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	n.closeWhenStopping(w)
 	arrived := n.clock.now()
 	id := r.Header.Get(n.headers.RequestID)
 	if id != "" {
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -11,8 +11,18 @@
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
+// closeWhenStopping makes the response close its connection if the node stops, so that the
+// caller's next request goes to another node.
+func (n *Node) closeWhenStopping(w http.ResponseWriter) {
+	if n.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // deliver sends the final response to the caller.
 func (n *Node) deliver(ctx context.Context, c *call, res result) {
+	// The stop may have begun since the request arrived.
+	n.closeWhenStopping(c.w)
 	if c.r.Context().Err() != nil {
 		n.logEnded(c, outcomeCallerLeft, res.reason, 0)
 		panic(http.ErrAbortHandler)
