--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -344,7 +344,11 @@
 	f := newFixture(t)
 	for i, f2 := range []func(*client){
 		func(c *client) { require.NoError(t, c.Close()) },
-		func(c *client) { f.release("/safe/1-1"); f.release("/safe/1-2close"); c.expect("/safe/1-1", "/safe/1-2close") },
+		func(c *client) {
+			f.release("/safe/1-1")
+			f.release("/safe/1-2close")
+			c.expect("/safe/1-1", "/safe/1-2close")
+		},
 	} {
 		c := f.dial(t)
 		first, second := fmt.Sprintf("/safe/%d-1", i), fmt.Sprintf("/safe/%d-2close", i)
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -61,10 +61,12 @@
 	attemptKind                     admission.AttemptKind
 	service                         string
 	expectedServiceTime             time.Duration
-	tried                           []mesh.NodeID
-	attempts                        []attemptRecord
-	config                          published.Version
-	fingerprint                     uint64
+	// expectedBytes is the size of the request body and the expected response.
+	expectedBytes int64
+	tried         []mesh.NodeID
+	attempts      []attemptRecord
+	config        published.Version
+	fingerprint   uint64
 	// targetsReached counts the attempts that reached a target.
 	targetsReached int
 	// failure is the result of the last attempt that may have run, nil if there is none.
@@ -161,7 +163,8 @@
 	if objective <= 0 {
 		objective = c.route.Timeout
 	}
-	c.expectedServiceTime = n.serviceTimes.get(c.route.Name, objective/3)
+	c.expectedServiceTime = time.Duration(n.serviceTimes.get(c.route.Name, float64(objective)/3))
+	c.expectedBytes = c.body.length() + int64(n.responseBytes.get(c.route.Name, assumedResponseBytes))
 	first, isRetry := n.refusalCache.lookup(c.fingerprint, c.arrived)
 	c.softDeadline = c.arrived + objective - networkAllowance
 	if isRetry {
@@ -290,22 +293,26 @@
 	}
 	now := n.clock.now()
 	request := balance.Request{
-		ExpectedServiceTime: c.expectedServiceTime, Objective: c.softDeadline - now, Bytes: c.body.length() + assumedResponseBytes, Tried: c.tried,
+		ExpectedServiceTime: c.expectedServiceTime, Objective: c.softDeadline - now, Bytes: c.expectedBytes, Tried: c.tried,
 	}
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
 	return n.balancer.Choose(endpoints, request, now, rand.Float64)
 }
 
-// assumedResponseBytes is the assumed size of headers and response in the cost of a call
-// to another zone.
-const assumedResponseBytes = 1500
+const (
+	// assumedResponseBytes is the assumed size of headers and response of a route without
+	// responses so far.
+	assumedResponseBytes = 1500
+	// responseHeaderBytes is the assumed size of the headers of a response.
+	responseHeaderBytes = 500
+)
 
 // attempt sends the call to one target and records the result.
 func (n *Node) attempt(ctx context.Context, c *call, e balance.Endpoint) result {
 	c.tried = append(c.tried, e.Node)
 	n.balanceMu.Lock()
-	n.balancer.Begin(e, c.body.length())
+	n.balancer.Begin(e, c.expectedBytes)
 	n.balanceMu.Unlock()
 	now := n.clock.now()
 	h := hopRequest{
@@ -333,7 +340,7 @@
 	now := n.clock.now()
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
-	n.balancer.End(e, c.body.length())
+	n.balancer.End(e, c.expectedBytes)
 	if res.loadKnown {
 		n.balancer.UpdateLoad(e, res.load, now)
 	}
@@ -343,7 +350,10 @@
 	switch res.outcome {
 	case retry.ResponseReceived:
 		n.balancer.RecordResponse(e, res.response.status >= http.StatusInternalServerError, now)
-		n.serviceTimes.observe(c.route.Name, res.targetTime)
+		n.serviceTimes.observe(c.route.Name, float64(res.targetTime))
+		if res.response.status < http.StatusMultipleChoices {
+			n.responseBytes.observe(c.route.Name, float64(responseHeaderBytes+len(res.response.body)))
+		}
 	case retry.ConnectionRefused, retry.ResetBeforeWrite:
 		n.balancer.MarkUnreachable(e, now)
 	case retry.RefusedByNode:
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -135,47 +135,6 @@
 	return g.queue.Running(), g.queue.Waiting(), g.queue.Slowdown()
 }
 
-// serviceTimes keeps a moving average of the time that the requests of each route take at
-// a target.
-type serviceTimes struct {
-	mu     sync.Mutex
-	routes map[string]float64
-}
-
-func newServiceTimes() *serviceTimes { return &serviceTimes{routes: map[string]float64{}} }
-
-const (
-	// serviceTimeWeight is the weight of one sample in the moving average of a route.
-	serviceTimeWeight = 0.05
-	// maxTrackedRoutes limits the memory; a configuration has a few hundred routes.
-	maxTrackedRoutes = 4096
-)
-
-// get returns the expected service time of the route, or the fallback if there is no
-// sample.
-func (s *serviceTimes) get(route string, fallback time.Duration) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v, ok := s.routes[route]; ok {
-		return time.Duration(v)
-	}
-	return fallback
-}
-
-func (s *serviceTimes) observe(route string, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	v, ok := s.routes[route]
-	if !ok {
-		if len(s.routes) >= maxTrackedRoutes {
-			clear(s.routes)
-		}
-		s.routes[route] = float64(took)
-		return
-	}
-	s.routes[route] = v + serviceTimeWeight*(float64(took)-v)
-}
-
 // meanServiceTime is the mean time that a request holds a slot.
 func (g *gate) meanServiceTime() time.Duration {
 	g.mu.Lock()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -41,19 +41,21 @@
 	// health is the health of the local target.
 	health balance.Health
 
-	gate          *gate
-	target        *targetClient
-	peers         *http.Transport
-	connMonitor   *connMonitor
-	rpc           *rpc.Client
-	serviceTimes  *serviceTimes
-	refusalCache  *refusalCache
-	splits        *splitSequences
-	rates         *rates
-	active        activeRequests
-	link          *linkMeter
-	crashDetector *crashDetector
-	budgets       sync.Map
+	gate        *gate
+	target      *targetClient
+	peers       *http.Transport
+	connMonitor *connMonitor
+	rpc         *rpc.Client
+	// serviceTimes holds the mean time at a target in nanoseconds, responseBytes the mean
+	// size of the response.
+	serviceTimes, responseBytes *routeAverages
+	refusalCache                *refusalCache
+	splits                      *splitSequences
+	rates                       *rates
+	active                      activeRequests
+	link                        *linkMeter
+	crashDetector               *crashDetector
+	budgets                     sync.Map
 	// unreachablePeers holds the nodes to which the last RPC failed.
 	unreachablePeers sync.Map
 
@@ -84,7 +86,7 @@
 func New(s Settings, h Headers, store Store, logger *slog.Logger) *Node {
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
-		balancer: balance.New(s.Zone), serviceTimes: newServiceTimes(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), crashDetector: newCrashDetector(),
+		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), crashDetector: newCrashDetector(),
 		counters: &rpc.Counters{},
 	}
 	n.connMonitor = newConnMonitor(n.clock.now)
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -94,7 +94,8 @@
 	reportedAt      time.Duration
 	meanServiceTime time.Duration
 	slowdown        float64
-	// ownBytesInFlight is the number of bytes this node is sending to the endpoint.
+	// ownBytesInFlight is the size of this node's requests in flight and their expected
+	// responses.
 	ownBytesInFlight int64
 	// linkUtilization is the value reported by the endpoint's node.
 	linkUtilization float64
@@ -280,7 +281,8 @@
 	return s
 }
 
-// Begin counts a request of the given size that is sent to the endpoint. It must be
+// Begin counts a request of the given size, with its expected response, that is sent to
+// the endpoint. It must be
 // followed by End with the same size.
 func (b *Balancer) Begin(e Endpoint, bytes int64) {
 	s := b.stateOf(e)
--- a/pkg/balance/zone_test.go
+++ b/pkg/balance/zone_test.go
@@ -95,3 +95,24 @@
 	}
 	require.Less(t, shedding.FailureRate(20*time.Second), 0.02, "the failure rate decays")
 }
+
+// Guards against downloads that cross zones while a target of the own zone is a little
+// slower (load pattern "downloads"): 90 KB cost more than the time that is gained.
+func TestLargeResponsesStayInTheZone(t *testing.T) {
+	b := balance.New("a")
+	home, away := inZone("a", 1), inZone("b", 1)
+	all := append(append([]balance.Endpoint{}, home...), away...)
+	busy := balance.LoadReport{Running: 4, MeanServiceTime: 180 * time.Millisecond, Slowdown: 1}
+	b.UpdateLoad(home[0], busy, 0)
+	choose := func(bytes int64) mesh.AvailabilityZone {
+		c, ok := b.Choose(all, balance.Request{ExpectedServiceTime: 180 * time.Millisecond, Objective: 600 * time.Millisecond, Bytes: bytes}, 0, func() float64 { return 0 })
+		require.True(t, ok)
+		return c.Endpoint.Zone
+	}
+	require.Equal(t, mesh.AvailabilityZone("b"), choose(1500), "a short response may cross zones")
+	require.Equal(t, mesh.AvailabilityZone("a"), choose(90_000))
+	// When the own zone would refuse it, it crosses zones all the same.
+	busy.Waiting = 8
+	b.UpdateLoad(home[0], busy, 0)
+	require.Equal(t, mesh.AvailabilityZone("b"), choose(90_000))
+}
