Bound the repeats of nested calls by the shared retry budget

All targets of courier shed 55 % from 13 s on. The second sends used the budget of 10 s at once; requests that failed because their call was shed were sent again, and the calls of these repeated runs count as repeats too, without a bound. Ruled out: a larger safety factor (the overflow was half of the budget); windows alone (TestSharedBudgetHoldsInEachWindow found that repeats before a pause of the traffic justified others after it; the budget now checks each window). Change: a request whose own call failed is not sent again; the node of a target refuses a repeated request, as not run, if the budgets of the services that its calls go to have no room for them; each window that contains the present is checked.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -89,8 +89,8 @@
 	if id != "" {
 		w.Header().Set(n.headers.RequestID, id)
 	}
-	parent, nested := n.active.parent(n.headers.ParentID(id))
-	if n.refusing.Load() && !nested {
+	parent := n.active.parent(n.headers.ParentID(id))
+	if n.refusing.Load() && parent == nil {
 		n.logRejected(r, id, http.StatusServiceUnavailable, "node-stops")
 		n.refuse(w, "node-stops", stoppingRetryAfter)
 		return
@@ -136,7 +136,10 @@
 		fingerprint: fingerprint(r, body),
 		arrived:     arrived, deadline: arrived + left, config: view.Config.Version, service: route.PickService(n.splits.next(route.Name)),
 	}
-	c.nested, c.isRetry = nested, parent.IsRetry
+	if parent != nil {
+		c.nested, c.isRetry = true, parent.IsRetry
+		n.nestedCalls.countCall(parent.Route, c.service)
+	}
 	if view.CrashingRequests[c.fingerprint] {
 		n.logRejected(r, id, http.StatusServiceUnavailable, "crashing-request")
 		n.refuse(w, "crashing-request", time.Duration(maxRetryAfterRatio*float64(left)))
@@ -153,7 +156,11 @@
 		n.retryBudget(c.service).RecordRetry(arrived)
 	}
 	n.rates.count(c.service, arrived)
-	n.deliver(ctx, c, n.runAttempts(ctx, c))
+	res := n.runAttempts(ctx, c)
+	if parent != nil && !res.succeeded() {
+		parent.callFailed.Store(true)
+	}
+	n.deliver(ctx, c, res)
 }
 
 // setSoftDeadline sets the kind of the attempt, its expected service time and its soft
@@ -232,7 +239,9 @@
 			break
 		}
 		last = n.attempt(ctx, c, endpoint)
-		if last.outcome == retry.ResponseReceived && last.response.status < http.StatusInternalServerError {
+		if last.succeeded() || last.callFailed {
+			// Another target would make the failed call again, as a retry. It is better that
+			// the budget of the called service serves other calls.
 			return last
 		}
 		if reachedTarget(last.outcome) {
@@ -349,7 +358,9 @@
 	}
 	switch res.outcome {
 	case retry.ResponseReceived:
-		n.balancer.RecordResponse(e, res.response.status >= http.StatusInternalServerError, now)
+		if !res.callFailed {
+			n.balancer.RecordResponse(e, !res.succeeded(), now)
+		}
 		n.serviceTimes.observe(c.route.Name, float64(res.targetTime))
 		if res.response.status < http.StatusMultipleChoices {
 			n.responseBytes.observe(c.route.Name, float64(responseHeaderBytes+len(res.response.body)))
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -56,6 +56,8 @@
 	FailureRate       float64 `json:"failing,omitempty"`
 	// TargetTimeMS is the time at the target.
 	TargetTimeMS float64 `json:"took_ms,omitempty"`
+	// CallFailed is set if the target failed the request after one of its own calls failed.
+	CallFailed bool `json:"call_failed,omitempty"`
 }
 
 // result is the result of one attempt.
@@ -69,11 +71,19 @@
 	load       balance.LoadReport
 	loadKnown  bool
 	targetTime time.Duration
+	// callFailed is set if the target failed the request after a call that it made for it
+	// failed.
+	callFailed bool
 	// unresponsive is set if the node did not respond in time to a connection attempt or a
 	// probe.
 	unresponsive bool
 }
 
+// succeeded reports whether the target responded without a server error.
+func (r result) succeeded() bool {
+	return r.outcome == retry.ResponseReceived && r.response.status < http.StatusInternalServerError
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -94,7 +104,7 @@
 func (r result) hopReply() hopReply {
 	h := hopReply{
 		Reason: r.reason, ExpectedWaitMS: milliseconds(r.expectedWait), Running: r.load.Running, Waiting: r.load.Waiting,
-		Slowdown: r.load.Slowdown, MeanServiceTimeMS: milliseconds(r.load.MeanServiceTime), LinkUtilization: r.load.LinkUtilization, FailureRate: r.load.FailureRate, TargetTimeMS: milliseconds(r.targetTime),
+		Slowdown: r.load.Slowdown, MeanServiceTimeMS: milliseconds(r.load.MeanServiceTime), LinkUtilization: r.load.LinkUtilization, FailureRate: r.load.FailureRate, TargetTimeMS: milliseconds(r.targetTime), CallFailed: r.callFailed,
 	}
 	switch {
 	case r.outcome == retry.ResponseReceived:
@@ -115,7 +125,7 @@
 		return result{}, errors.Wrap(err, "decode reply of node")
 	}
 	r := result{
-		reason: in.Reason, expectedWait: fromMilliseconds(in.ExpectedWaitMS), targetTime: fromMilliseconds(in.TargetTimeMS), loadKnown: true,
+		reason: in.Reason, expectedWait: fromMilliseconds(in.ExpectedWaitMS), targetTime: fromMilliseconds(in.TargetTimeMS), loadKnown: true, callFailed: in.CallFailed,
 		load: balance.LoadReport{Running: in.Running, Waiting: in.Waiting, Slowdown: in.Slowdown, MeanServiceTime: fromMilliseconds(in.MeanServiceTimeMS), LinkUtilization: in.LinkUtilization, FailureRate: in.FailureRate},
 	}
 	switch in.Outcome {
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -82,6 +82,9 @@
 	if reason := n.localRefusalReason(h); reason != "" {
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
+	if h.IsRetry && !n.hasRoomForCalls(h.Route) {
+		return result{outcome: retry.RefusedByNode, reason: reasonRetryBudget}
+	}
 	now := n.clock.now()
 	left := fromMilliseconds(h.TimeLeftMS)
 	release, waited, refused := n.gate.acquire(ctx, admission.Request{
@@ -100,13 +103,15 @@
 	request.header.Set(n.headers.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	request.header.Set(n.headers.Target, h.Target)
 	request.header.Set(n.headers.CallerService, h.Caller)
-	n.active.byID.Store(h.ID, h)
-	defer n.active.byID.Delete(h.ID)
+	n.nestedCalls.countRun(h.Route)
+	active := n.active.add(h)
+	defer n.active.remove(active)
 	started := n.clock.now()
 	response, outcome, err := n.target.do(ctx, request)
 	took := n.clock.now() - started
 	release(outcome == retry.ResponseReceived)
 	res := result{outcome: outcome, response: response, targetTime: took}
+	res.callFailed = outcome == retry.ResponseReceived && !res.succeeded() && active.callFailed.Load()
 	n.recordLocalResult(h, &res, err)
 	return res
 }
@@ -146,10 +151,12 @@
 	cold := t != nil && t.ColdUntilUnixMS > time.Now().UnixMilli()
 	switch res.outcome {
 	case retry.ResponseReceived:
-		failed := res.response.status >= http.StatusInternalServerError
+		failed := !res.succeeded()
 		n.step(control.TargetResponded{Route: h.Route, Failed: failed, Cold: cold, Latency: res.targetTime})
 		n.metrics.targetTime.observe(res.targetTime)
-		n.recordTargetHealth(failed)
+		if !res.callFailed {
+			n.recordTargetHealth(failed)
+		}
 		return
 	case retry.RefusedByTarget:
 		res.reason = "target-refused"
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -151,18 +151,3 @@
 	b, _ := n.budgets.LoadOrStore(service, &retry.Budget{Window: n.settings.RetryWindow})
 	return b.(*retry.Budget)
 }
-
-// activeRequests holds the requests that the local target is serving, by request id.
-type activeRequests struct{ byID sync.Map }
-
-// parent returns the request on whose behalf the local target makes a call.
-func (r *activeRequests) parent(id string) (hopRequest, bool) {
-	if id == "" {
-		return hopRequest{}, false
-	}
-	h, ok := r.byID.Load(id)
-	if !ok {
-		return hopRequest{}, false
-	}
-	return h.(hopRequest), true
-}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -53,6 +53,7 @@
 	splits                      *splitSequences
 	rates                       *rates
 	active                      activeRequests
+	nestedCalls                 *nestedCalls
 	link                        *linkMeter
 	crashDetector               *crashDetector
 	budgets                     sync.Map
@@ -86,7 +87,7 @@
 func New(s Settings, h Headers, store Store, logger *slog.Logger) *Node {
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
-		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), crashDetector: newCrashDetector(),
+		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), crashDetector: newCrashDetector(), nestedCalls: newNestedCalls(),
 		counters: &rpc.Counters{},
 	}
 	n.connMonitor = newConnMonitor(n.clock.now)
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -16,8 +16,13 @@
 	MinRetriesPerSecond = 3
 )
 
-// bucketCount is the number of buckets that the window is divided into.
-const bucketCount = 10
+const (
+	// bucketCount is the number of buckets that the window is divided into.
+	bucketCount = 10
+	// ringSize is the number of buckets that are kept: the window, the window before it,
+	// and one more, whose end belongs to the time that the oldest bucket covers in part.
+	ringSize = 2*bucketCount + 1
+)
 
 // Budget limits the retries of one service over a sliding window. It is safe for concurrent
 // use.
@@ -28,7 +33,7 @@
 
 	mu      sync.Mutex
 	current int64
-	buckets [bucketCount]bucket
+	buckets [ringSize]bucket
 }
 
 type bucket struct {
@@ -58,19 +63,57 @@
 
 // AllowNodeShare takes one retry from this node's share of a budget that is divided among
 // nodes without coordination, so that the whole budget holds even if all nodes use up their
-// shares at once. Retries may reach the given share of this node's calls, plus slack.
+// shares at once. Retries may reach the given share of this node's calls, plus slack, in
+// each window.
 func (b *Budget) AllowNodeShare(now time.Duration, share, slack float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.advance(now)
-	calls, retries := b.totals()
-	if float64(retries+1) > share*float64(calls)+slack {
+	if !b.hasRoom(share, slack, 1) {
 		return false
 	}
 	current.retries++
 	return true
 }
 
+// HasRoom reports whether a number of further retries stays within this node's share. A
+// request that is a retry itself makes its nested calls again, and these cannot be refused
+// without losing its work: whoever runs it checks their room first.
+func (b *Budget) HasRoom(now time.Duration, share, slack, further float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.hasRoom(share, slack, further)
+}
+
+// hasRoom checks each window that contains the current bucket, since the shared budget
+// holds for all of them. A window that began recently may have few calls so far; the calls
+// of the window before it then count instead. mu must be held.
+func (b *Budget) hasRoom(share, slack, further float64) bool {
+	calls, retries := 0, b.last(0).retries
+	before := 0
+	for i := range bucketCount {
+		before += b.last(i + 1).calls
+	}
+	for i := range bucketCount {
+		calls += b.last(i).calls
+		// The window begins within the bucket before.
+		retries += b.last(i + 1).retries
+		base := calls
+		if i < bucketCount-1 {
+			base = max(calls, before)
+		}
+		if float64(retries)+further > share*float64(base)+slack {
+			return false
+		}
+		before += b.last(i+1+bucketCount).calls - b.last(i+1).calls
+	}
+	return true
+}
+
+// last returns the bucket that is age buckets older than the current one.
+func (b *Budget) last(age int) bucket { return b.buckets[(b.current+ringSize-int64(age))%ringSize] }
+
 const (
 	// sharedBudgetSafetyFactor is the fraction of the shared ratio that nodes use, since the
 	// window slides over requests that are not counted yet.
@@ -103,15 +146,17 @@
 	b.mu.Unlock()
 }
 
+// totals returns the calls and retries of the window.
 func (b *Budget) totals() (calls, retries int) {
-	for _, counts := range b.buckets {
+	for i := range bucketCount {
+		counts := b.last(i)
 		calls += counts.calls
 		retries += counts.retries
 	}
 	return calls, retries
 }
 
-// advance clears the buckets that have left the window and returns the current one.
+// advance clears the buckets that have left the ring and returns the current one.
 func (b *Budget) advance(now time.Duration) *bucket {
 	window := b.Window
 	if window <= 0 {
@@ -119,10 +164,10 @@
 	}
 	index := int64(now / (window / bucketCount))
 	if index > b.current {
-		for i := max(b.current+1, index-int64(bucketCount)+1); i <= index; i++ {
-			b.buckets[i%int64(bucketCount)] = bucket{}
+		for i := max(b.current+1, index-ringSize+1); i <= index; i++ {
+			b.buckets[i%ringSize] = bucket{}
 		}
 		b.current = index
 	}
-	return &b.buckets[b.current%int64(bucketCount)]
+	return &b.buckets[b.current%ringSize]
 }
