--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
+
+	"heathercroft.example/heathercroft/internal/bounded"
 )
 
 const (
@@ -31,7 +32,7 @@
 type session struct {
 	handler *Handler
 	conn    net.Conn
-	limit   *headLimit
+	limit   *bounded.Reader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 
@@ -56,29 +57,11 @@
 		data, _ := buffered.Peek(n)
 		received = io.MultiReader(bytes.NewReader(bytes.Clone(data)), conn)
 	}
-	s.limit = &headLimit{source: received, left: math.MaxInt64}
+	s.limit = bounded.NewReader(received)
 	s.reader = bufio.NewReaderSize(s.limit, bufferBytes)
 	return s
 }
 
-// headLimit limits how many bytes are read for the head of a request.
-type headLimit struct {
-	source io.Reader
-	left   int64
-}
-
-var errHeadTooLarge = errors.New("the head of the request is too large")
-
-// Read implements io.Reader.
-func (l *headLimit) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.source.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
-	return n, err
-}
-
 // serve returns when the connection has ended. ctx is the context of the connection.
 func (s *session) serve(ctx context.Context, first *exchange) {
 	s.start(first)
@@ -140,9 +123,9 @@
 	if err := s.conn.SetReadDeadline(time.Now().Add(s.handler.HeaderTimeout)); err != nil {
 		return nil, errors.Wrap(err, "set read deadline")
 	}
-	s.limit.left = int64(s.handler.MaxHeaderBytes) + bufferBytes
+	s.limit.Limit(int64(s.handler.MaxHeaderBytes) + bufferBytes)
 	r, err := http.ReadRequest(s.reader)
-	s.limit.left = math.MaxInt64
+	s.limit.Unlimit()
 	if err != nil {
 		return nil, errors.Wrap(err, "read request")
 	}
@@ -165,7 +148,7 @@
 func (s *session) reject(ctx context.Context, cause error) error {
 	status := http.StatusBadRequest
 	switch {
-	case errors.Is(cause, errHeadTooLarge):
+	case errors.Is(cause, bounded.ErrTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case isTimeout(cause):
 		status = http.StatusRequestTimeout
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -17,9 +17,11 @@
 	Read, Written atomic.Int64
 	// Malformed counts messages that could not be decoded.
 	Malformed atomic.Int64
-	// Refused counts connections closed on accept, because the server had reached its
-	// connection limit or had stopped.
+	// Refused counts connections that were closed on accept, because the server had reached
+	// its connection limit or had stopped, and failed accepts.
 	Refused atomic.Int64
+	// Panics counts calls whose handler panicked.
+	Panics atomic.Int64
 }
 
 // meteredConn counts bytes and sets a deadline for each write. A read fails if no
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	stdlog "log"
+	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -20,6 +23,9 @@
 	// maxConnections limits the memory that peers can make a node allocate. A member of
 	// a zone with 167 nodes probes one peer per second and keeps idle connections for 30 s.
 	maxConnections = 512
+	// acceptRetryMin and acceptRetryMax limit the pause after a failed accept.
+	acceptRetryMin = 5 * time.Millisecond
+	acceptRetryMax = time.Second
 )
 
 // Handler handles the calls of peers. The peer receives the text of a returned error.
@@ -49,16 +55,22 @@
 	return &Server{listener: listener, handler: handler, counters: counters, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
-// Start accepts connections until Stop is called.
+// Start accepts connections until Stop is called. An error of one connection, or a lack of
+// file descriptors, must not end the process, whose other connections work.
 func (s *Server) Start(ctx context.Context) error {
+	pause := acceptRetryMin
 	for {
 		conn, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "accept peer connection")
+			s.counters.Refused.Add(1)
+			time.Sleep(pause)
+			pause = min(2*pause, acceptRetryMax)
+			continue
 		}
+		pause = acceptRetryMin
 		s.serve(ctx, conn)
 	}
 }
@@ -87,13 +99,28 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := s.handler.HandleRPC(ctx, req.Method, params)
+	result, err := s.call(ctx, req.Method, params)
 	if err == nil {
 		return result, nil
 	}
 	return nil, &jsonrpc2.Error{Code: errorCode(err), Message: err.Error()}
 }
 
+// call returns a panic of the handler as an error, so that a message of one peer does not
+// end the process.
+func (s *Server) call(ctx context.Context, method string, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.counters.Panics.Add(1)
+			slog.Error("handler_panicked", "method", method, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			result, err = nil, errHandlerPanicked
+		}
+	}()
+	return s.handler.HandleRPC(ctx, method, params)
+}
+
+var errHandlerPanicked = errors.New("internal error")
+
 func errorCode(err error) int64 {
 	switch {
 	case errors.Is(err, ErrUnknownMethod):
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/pkg/admission"
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/mesh"
@@ -41,6 +42,8 @@
 	notReadyRetryAfter = 300 * time.Millisecond
 	// stoppingRetryAfter is sent by a stopping node. Callers reach another node by then.
 	stoppingRetryAfter = 100 * time.Millisecond
+	// memoryRetryAfter is sent by a node that holds too many bytes of other requests.
+	memoryRetryAfter = 200 * time.Millisecond
 )
 
 // call is one request of a caller.
@@ -55,6 +58,8 @@
 	isRetry bool
 	header  http.Header
 	body    *payload
+	// lease holds the memory of the request and its responses.
+	lease *bounded.Lease
 	// arrived, deadline and softDeadline are on the node's clock. The caller gets a final
 	// response by deadline; a response after softDeadline is late.
 	arrived, deadline, softDeadline time.Duration
@@ -123,7 +128,15 @@
 		}
 		left = min(left, fromMilliseconds(given))
 	}
-	body, err := n.readBody(w, r, left)
+	lease := n.messages.Lease()
+	defer lease.Release()
+	body, err := n.readBody(w, r, left, lease)
+	if errors.Is(err, bounded.ErrMemory) {
+		w.Header().Set("Connection", "close")
+		n.logRejected(r, id, http.StatusServiceUnavailable, reasonMemory)
+		n.refuse(w, reasonMemory, memoryRetryAfter)
+		return
+	}
 	n.link.received(body.length())
 	if err != nil {
 		w.Header().Set("Connection", "close")
@@ -132,7 +145,7 @@
 		return
 	}
 	c := &call{
-		id: id, w: w, r: r, route: route, header: endToEndHeaders(r.Header), body: body,
+		id: id, w: w, r: r, route: route, header: endToEndHeaders(r.Header), body: body, lease: lease,
 		fingerprint: fingerprint(r, body),
 		arrived:     arrived, deadline: arrived + left, config: view.Config.Version, service: route.PickService(n.splits.next(route.Name)),
 	}
@@ -192,7 +205,9 @@
 // served after its objective has passed.
 const lateRetryTimeRatio = 0.85
 
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, left time.Duration) (*payload, error) {
+// readBody reads a request body up to maxBufferedBodyBytes. The lease must outlive the
+// payload.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, left time.Duration, lease *bounded.Lease) (*payload, error) {
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -207,10 +222,16 @@
 	if r.ContentLength > 0 {
 		size = min(r.ContentLength, maxBufferedBodyBytes)
 	}
+	if err := lease.Grow(size + 1); err != nil {
+		return nil, err
+	}
 	head := make([]byte, 0, size+1)
 	for len(head) <= maxBufferedBodyBytes {
-		if len(head) == cap(head) {
+		if before := cap(head); len(head) == before {
 			head = append(head, 0)[:len(head)]
+			if err := lease.Grow(int64(cap(head) - before)); err != nil {
+				return nil, err
+			}
 		}
 		k, err := r.Body.Read(head[len(head):cap(head)])
 		head = head[:len(head)+k]
@@ -332,7 +353,7 @@
 		IsRetry:     c.isRetry || c.targetsReached > 0,
 		TimeLeftMS:  milliseconds(max(c.deadline-now-forwardDeadlineMargin, 0)), SoftTimeLeftMS: milliseconds(c.softDeadline - now), ExpectedServiceTimeMS: milliseconds(c.expectedServiceTime),
 	}
-	request := &targetRequest{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: c.body, retryable: c.route.Kind.Repeatable()}
+	request := &targetRequest{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: c.body, retryable: c.route.Kind.Repeatable(), lease: c.lease}
 	var res result
 	if e.Node == n.settings.Node {
 		res = n.runLocal(ctx, h, request)
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
@@ -37,10 +38,11 @@
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := net.Dialer{Timeout: peerDialTimeout, LocalAddr: &net.TCPAddr{IP: local}}
 	return &http.Transport{
-		Protocols:          protocols,
-		DialContext:        monitor.dialContext(&dialer),
-		DisableCompression: true,
-		IdleConnTimeout:    peerIdleTimeout,
+		Protocols:              protocols,
+		DialContext:            monitor.dialContext(&dialer),
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		IdleConnTimeout:        peerIdleTimeout,
 		HTTP2: &http.HTTP2Config{
 			MaxReceiveBufferPerStream: peerStreamWindow, MaxReceiveBufferPerConnection: peerConnWindow,
 		},
@@ -93,10 +95,8 @@
 	if res.outcome != retry.ResponseReceived {
 		return res
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && resp.ContentLength >= 0 && request.method != http.MethodHead && int64(len(body)) != resp.ContentLength {
-		err = io.ErrUnexpectedEOF
-	}
+	resp.Request = req
+	body, err := bounded.ReadAll(resp.Body, bodyLength(resp), maxResponseBytes, request.lease)
 	if err != nil {
 		return n.forwardFailed(ctx, h, e, errors.Wrap(err, "read answer"), true, true)
 	}
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -90,8 +90,13 @@
 
 func (h hopRequest) rank() admission.Rank { return admission.Rank(h.Rank) }
 
-// reasonNoResponse is the reason of an attempt that timed out.
-const reasonNoResponse = "no-answer"
+const (
+	// reasonNoResponse is the reason of an attempt that timed out.
+	reasonNoResponse = "no-answer"
+	// reasonMemory is the reason of a refusal by a node that holds too many bytes of other
+	// requests and responses.
+	reasonMemory = "memory"
+)
 
 // Outcomes in a hopReply. In the two refusals, the request did not run.
 const (
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -39,14 +39,16 @@
 	defer n.inFlight.Add(-1)
 	ctx, cancel := context.WithTimeout(r.Context(), fromMilliseconds(h.TimeLeftMS))
 	defer cancel()
-	body, err := n.readBody(w, r, fromMilliseconds(h.TimeLeftMS))
+	lease := n.messages.Lease()
+	defer lease.Release()
+	body, err := n.readBody(w, r, fromMilliseconds(h.TimeLeftMS), lease)
 	if err != nil {
 		n.logger.Info("body_unread", "request", h.ID, "route", h.Route, "error", err.Error())
 		n.writeHopReply(w, r, result{outcome: retry.RefusedByNode, reason: "body-unread"})
 		return
 	}
 	n.link.received(body.length())
-	request := &targetRequest{method: r.Method, host: r.Host, uri: h.URI, header: endToEndHeaders(r.Header), body: body, retryable: h.Retryable}
+	request := &targetRequest{method: r.Method, host: r.Host, uri: h.URI, header: endToEndHeaders(r.Header), body: body, retryable: h.Retryable, lease: lease}
 	res := n.runLocal(ctx, h, request)
 	if r.Context().Err() != nil {
 		return
@@ -82,6 +84,9 @@
 	if reason := n.localRefusalReason(h); reason != "" {
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
+	if n.messages.Full(fullMemoryShare) {
+		return result{outcome: retry.RefusedByNode, reason: reasonMemory}
+	}
 	if h.IsRetry && !n.hasRoomForCalls(h.Route) {
 		return result{outcome: retry.RefusedByNode, reason: reasonRetryBudget}
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -16,6 +16,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/internal/pipeline"
 	"heathercroft.example/heathercroft/internal/rpc"
@@ -52,11 +53,13 @@
 	refusalCache                *refusalCache
 	splits                      *splitSequences
 	rates                       *rates
-	active                      activeRequests
-	nestedCalls                 *nestedCalls
-	link                        *linkMeter
-	crashDetector               *crashDetector
-	budgets                     sync.Map
+	// messages bounds the bodies that the node holds.
+	messages      *bounded.Memory
+	active        activeRequests
+	nestedCalls   *nestedCalls
+	link          *linkMeter
+	crashDetector *crashDetector
+	budgets       sync.Map
 	// unreachablePeers holds the nodes to which the last RPC failed.
 	unreachablePeers sync.Map
 
@@ -95,6 +98,7 @@
 	n.gate = newGate(n.clock.now)
 	n.link = &linkMeter{now: n.clock.now, mbps: s.LinkMbps}
 	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now}
+	n.messages = bounded.NewMemory(int64(messageMemoryShare * float64(s.MemoryBytes)))
 	n.rpc = rpc.NewClient(n.counters, s.Inbound.Addr())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.control = control.New(control.Options{
@@ -113,6 +117,12 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is the maximum header size, the same as in the published limits.
 	maxHeaderBytes = 32 << 10
+	// messageMemoryShare is the share of the process's memory for the bodies of requests and
+	// responses. The garbage collector needs as much again before it frees them.
+	messageMemoryShare = 0.25
+	// fullMemoryShare is the part of it at which the node takes no more requests for its
+	// target. The rest is for the responses of those that run.
+	fullMemoryShare = 0.75
 	// maxPipelinedRequests is the number of requests that a caller's connection may have
 	// without a response.
 	maxPipelinedRequests = 16
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
@@ -34,6 +35,11 @@
 	// keepAliveMargin is subtracted from the keep-alive timeout of the target, so that no
 	// request is sent on a connection that the target is about to close.
 	keepAliveMargin = 500 * time.Millisecond
+	// targetBufferBytes is the size of the read and write buffers of a connection.
+	targetBufferBytes = 4 << 10
+	// maxResponseHeaderBytes limits the head of a response. A faulty target may send one
+	// that never ends.
+	maxResponseHeaderBytes = 64 << 10
 	// maxResponseBytes limits a response. Responses are read completely before they are
 	// delivered, so that a truncated one is never forwarded as complete.
 	maxResponseBytes = 32 << 20
@@ -52,6 +58,8 @@
 	body              *payload
 	// retryable is set if the request may be sent again after a failure.
 	retryable bool
+	// lease holds the memory of the response.
+	lease *bounded.Lease
 }
 
 // response is a complete response.
@@ -75,6 +83,8 @@
 
 type targetConn struct {
 	net.Conn
+	// limit bounds what reader takes from the connection for one head or body.
+	limit  *bounded.Reader
 	reader *bufio.Reader
 	// expires is when the connection must no longer be used.
 	expires time.Duration
@@ -162,7 +172,8 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return &targetConn{Conn: raw, reader: bufio.NewReaderSize(raw, 4<<10), expires: c.now() + targetIdleTimeout}, nil
+	limit := bounded.NewReader(raw)
+	return &targetConn{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, targetBufferBytes), expires: c.now() + targetIdleTimeout}, nil
 }
 
 // pop takes the most recently used connection, so that the others can expire.
@@ -230,7 +241,7 @@
 	} else {
 		go func() { written <- writeRequest(conn, req) }()
 	}
-	r, closes, err := c.read(conn, req)
+	r, closes, err := c.read(conn, req, request.lease)
 	if err != nil {
 		return nil, false, err
 	}
@@ -244,8 +255,16 @@
 	}
 }
 
+// bodyLength returns the declared length of a response's body, or -1.
+func bodyLength(resp *http.Response) int64 {
+	if resp.Request != nil && resp.Request.Method == http.MethodHead || resp.Body == http.NoBody {
+		return 0
+	}
+	return resp.ContentLength
+}
+
 func writeRequest(conn *targetConn, req *http.Request) error {
-	w := bufio.NewWriterSize(conn, 4<<10)
+	w := bufio.NewWriterSize(conn, targetBufferBytes)
 	if err := req.Write(w); err != nil {
 		return errors.Wrap(err, "write request")
 	}
@@ -253,9 +272,10 @@
 }
 
 // read returns the response to the request and skips late responses to earlier requests.
-func (c *targetClient) read(conn *targetConn, req *http.Request) (r *response, closes bool, err error) {
+func (c *targetClient) read(conn *targetConn, req *http.Request, lease *bounded.Lease) (r *response, closes bool, err error) {
 	id := req.Header.Get(c.headers.RequestID)
 	for range maxStaleResponses + 1 {
+		conn.limit.Limit(maxResponseHeaderBytes)
 		resp, err := http.ReadResponse(conn.reader, req)
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer")
@@ -264,14 +284,13 @@
 			_ = resp.Body.Close()
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-		_ = resp.Body.Close()
+		// The framing of a chunked body may take as much as the body itself.
+		conn.limit.Limit(2*maxResponseBytes + maxResponseHeaderBytes)
+		body, err := bounded.ReadAll(resp.Body, bodyLength(resp), maxResponseBytes, lease)
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer")
 		}
-		if len(body) > maxResponseBytes {
-			return nil, false, errors.Newf("answer is over %d bytes", maxResponseBytes)
-		}
+		_ = resp.Body.Close()
 		if echoed := resp.Header.Get(c.headers.RequestID); echoed != id {
 			if resp.Close || echoed == "" && resp.Header.Get(c.headers.NotRun) == "" && resp.StatusCode != http.StatusMisdirectedRequest {
 				return nil, false, errors.New("answer without the id of the request")
