Summarize open moves at the readers of a large mesh; do not share maps with sent messages

A profile of the state machines of 200 nodes: 42 messages a node and second to a tenth of the mesh each half second, each state merged, and all nodes sorted for every message. Ruled out by a trial with a fan-out of 2 until 14 s: 180 s, but nothing then carries the evidence. Change: each node sends its evidence to a reader, which returns the sums of all; without a reader's summary the nodes exchange directly as before. The directory keeps its sorted list and an index of addresses. Found on the way: a state shared its map of counts with the state machine while it was encoded, which can end the process (TestSentStateDoesNotChange failed first).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/balance"
@@ -48,6 +49,8 @@
 	config    *published.Config
 	moves     map[string]*moveState
 	statuses  map[string]Status
+	// summaries holds the newest summary of each open move that a reader sent.
+	summaries map[string]receivedSummary
 	peers     map[mesh.NodeID]PeerState
 	caughtUp  [feedCount]bool
 	load      LoadMeasured
@@ -91,7 +94,7 @@
 	return &Control{
 		self:  o.Self,
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
-		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{},
+		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
 		pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, unresponsiveReaders: map[mesh.NodeID]bool{},
 	}
@@ -306,6 +309,7 @@
 	for _, m := range s.Moves {
 		c.handleRecordedMove(t, m)
 	}
+	c.adoptSummaries(t, s.Summaries)
 	if changed {
 		c.publishView(t)
 	}
@@ -377,6 +381,7 @@
 			}
 		}
 	}
+	s.Summaries = c.ownSummaries()
 	for service, m := range c.moves {
 		if m.recorded {
 			s.Moves = append(s.Moves, m.move)
@@ -386,7 +391,7 @@
 		}
 		s.PerSecond[service] = c.load.PerSecond[service]
 		if c.self.Target != nil && c.self.Target.Service == service {
-			s.Evidence = c.evidence
+			s.Evidence = maps.Clone(c.evidence)
 			s.Recent = c.recent.Update(c.sinceTick)
 		}
 	}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -158,6 +158,8 @@
 	// Unresponsive holds the nodes from which a reader of a large mesh has received
 	// nothing for aliveTimeout.
 	Unresponsive []mesh.NodeID `json:"silent,omitempty"`
+	// Summaries holds what a reader of a large mesh knows of the open moves.
+	Summaries []MoveSummary `json:"summaries,omitempty"`
 	// Others holds announcements that the receiver may not know.
 	Others []directory.Announcement `json:"others,omitempty"`
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -10,13 +10,12 @@
 
 const (
 	// gossipFanout is the number of nodes to which a node sends its state in a round.
-	// In a large mesh with an open move it is the number of nodes divided by
-	// gossipDivisor, if that is more. Exchanges are bidirectional, so in a small mesh
+	// In a large mesh with an open move of which no reader sends summaries, it is the
+	// number of nodes divided by gossipDivisor, if that is more. Exchanges are bidirectional, so in a small mesh
 	// any two nodes exchange messages every 3 s.
 	gossipFanout  = 4
 	gossipDivisor = 10
-	// idleFanout is the fan-out in a large mesh without an open move, in addition to
-	// one reader. Traffic between zones is billed, and rounds to a tenth of 78 nodes
+	// idleFanout is the fan-out in a large mesh otherwise, in addition to one reader. Traffic between zones is billed, and rounds to a tenth of 78 nodes
 	// were a sixth of its bytes.
 	idleFanout = 2
 	// gossipInterval is the time between two gossip rounds.
@@ -64,7 +63,7 @@
 	}
 	state := c.State(t)
 	state.Others = append(c.takeAnnouncementsToRelay(), all[(c.gossipCursor*7)%uint64(len(all))])
-	count := min(c.fanout(len(all)), len(all))
+	count := min(c.fanout(t, len(all)), len(all))
 	if len(state.Others) > 1 {
 		count = len(all)
 	}
@@ -98,14 +97,14 @@
 	}
 }
 
-// fanout returns the number of nodes to which the state is sent in a round. In a
-// large mesh the readers distribute changes, except for the evidence on a version,
-// which all nodes need from each other.
-func (c *Control) fanout(others int) int {
+// fanout returns the number of nodes to which the state is sent in a round. In a large
+// mesh the readers distribute changes and the evidence on a version. Nodes without their
+// summaries need the evidence from each other.
+func (c *Control) fanout(t Time, others int) int {
 	switch {
 	case !c.large():
 		return gossipFanout
-	case c.moveOpen():
+	case c.moveOpen() && !c.movesSummarized(t):
 		return max(gossipFanout, others/gossipDivisor)
 	default:
 		return idleFanout
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -17,7 +17,7 @@
 // testMesh runs the state machines of several nodes against an in-memory store, with
 // a simulated clock.
 type testMesh struct {
-	t     *testing.T
+	t     testing.TB
 	now   time.Duration
 	nodes []*testNode
 	// The store holds the newest value of each key and the number of records per feed.
@@ -31,6 +31,9 @@
 	partitioned map[mesh.NodeID]bool
 	// onSend, if set, is called with the number of receivers of each message.
 	onSend func(count int)
+	// encodes makes messages between nodes pass through their encoding.
+	encodes      bool
+	encodedBytes int
 	// writtenStatuses holds all statuses that were written, in order.
 	writtenStatuses []Status
 }
@@ -48,7 +51,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1000)
 }
 
-func newTestMesh(t *testing.T, versions ...string) *testMesh {
+func newTestMesh(t testing.TB, versions ...string) *testMesh {
 	m := &testMesh{
 		t: t, announcements: map[mesh.NodeID]directory.Announcement{}, moves: map[string]canary.Move{},
 		statuses: map[string]Status{}, partitioned: map[mesh.NodeID]bool{},
@@ -129,8 +132,8 @@
 		}
 		for _, id := range e.To {
 			if other := m.node(id); other != nil && !m.partitioned[n.id] && !m.partitioned[id] {
-				m.step(other, PeerStateReceived{e.State})
-				m.step(n, PeerStateReceived{other.State(m.time())})
+				m.step(other, PeerStateReceived{m.transfer(e.State)})
+				m.step(n, PeerStateReceived{m.transfer(other.State(m.time()))})
 			}
 		}
 	case FetchConfig:
@@ -459,3 +462,17 @@
 		require.Empty(t, n.view.Endpoints["r"].New, "%s", n.id)
 	}
 }
+
+// Guards against a process that ends because a message is encoded while the counts in it
+// change: maps of a state must not be shared with the state machine.
+func TestSentStateDoesNotChange(t *testing.T) {
+	m := newTestMesh(t, "v1", "v2")
+	m.order("v2", 1)
+	m.countResponses("v1", 3, false)
+	n := m.nodes[0]
+	sent := n.State(m.time())
+	require.Equal(t, 3, sent.Evidence["r"].Responses)
+	m.countResponses("v1", 4, false)
+	require.Equal(t, 3, sent.Evidence["r"].Responses)
+	require.Equal(t, 7, n.State(m.time()).Evidence["r"].Responses)
+}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -1,12 +1,12 @@
 package control
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/canary"
-	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -16,6 +16,8 @@
 	// recorded is set once the store contains this state of the move.
 	recorded bool
 	analyzer *canary.Analyzer
+	// known is the summary of all nodes as of the last tick.
+	known MoveSummary
 	// cut is set while this node suspects the new version. It then sends no requests
 	// to it, before the store holds a decision.
 	cut       bool
@@ -52,13 +54,18 @@
 // beside the old version sends its counts to all nodes: nothing later can distinguish
 // a fault of the new version from one that affects both.
 func (c *Control) confirmPhase(t Time, m canary.Move) {
-	if own := c.self.Target; m.Phase == canary.Shifted && own != nil && own.Service == m.Service && own.Version != m.Version {
+	if own := c.self.Target; !c.large() && m.Phase == canary.Shifted && own != nil && own.Service == m.Service && own.Version != m.Version {
 		c.broadcast(t)
 		return
 	}
 	var to []mesh.NodeID
-	for _, id := range mesh.RankNodes(moveKeyPrefix+m.Service, c.alive(t)) {
-		if len(to) < confirmFanout && id != c.self.Node {
+	fanout := confirmFanout
+	if c.large() {
+		// All readers summarize the confirmations for the others.
+		fanout = readerCount
+	}
+	for _, id := range c.moveWriters(t, moveKeyPrefix+m.Service) {
+		if len(to) < fanout && id != c.self.Node {
 			to = append(to, id)
 		}
 	}
@@ -141,17 +148,11 @@
 	case m.cut || m.move.Phase == canary.Reverted:
 		s.New, s.NewShare = nil, 0
 	default:
-		s.NewShare = m.move.Share(c.requestRate(service))
-	}
-}
-
-// requestRate returns the rate of requests for the service in the whole mesh.
-func (c *Control) requestRate(service string) float64 {
-	total := c.load.PerSecond[service]
-	for _, p := range c.peers {
-		total += p.PerSecond[service]
+		if m.known.Number != m.move.Number {
+			m.known = c.summaryOf(t, m.move)
+		}
+		s.NewShare = m.move.Share(m.known.PerSecond)
 	}
-	return total
 }
 
 // advanceMoves analyzes the evidence of each open move and emits the writes that are due.
@@ -166,20 +167,9 @@
 }
 
 func (c *Control) analyze(t Time, m *moveState) {
-	var current, old canary.VersionStats
-	add := func(target *directory.Target, e canary.Evidence, r canary.RecentCounts) {
-		switch {
-		case target == nil || target.Service != m.move.Service:
-		case target.Version == m.move.Version:
-			current.Add(e, r)
-		default:
-			old.Add(e, r)
-		}
-	}
-	add(c.self.Target, c.evidence, c.recent)
-	for _, p := range c.peers {
-		add(p.Announcement.Target, p.Evidence, p.Recent)
-	}
+	m.known = c.summaryOf(t, m.move)
+	known := m.known
+	current, old := known.Current, known.Old
 	verdict, reason := m.analyzer.Observe(t.Now, current, old)
 	total := current.Evidence.Total()
 	if cut := verdict != canary.VerdictHealthy; cut != m.cut {
@@ -192,48 +182,16 @@
 			"answers", total.Responses, "failed", total.Failed,
 			"recent_failure_rate", current.Recent.FailureRate(), "old_recent_failure_rate", old.Recent.FailureRate())
 	}
-	snapshot := canary.Snapshot{UnixMS: t.UnixMS, Faulty: verdict == canary.VerdictFaulty, NewResponses: total.Responses, AcknowledgedByAll: true}
-	c.addPeerReports(t, m, &snapshot)
-	phase := m.move.Decide(snapshot)
+	phase := m.move.Decide(canary.Snapshot{
+		UnixMS: t.UnixMS, Faulty: verdict == canary.VerdictFaulty, NewResponses: total.Responses,
+		NewTargets: known.NewTargets, OldRequests: known.OldRequests,
+		AcknowledgedByAll: known.AcknowledgedRevision >= m.move.Revision,
+	})
 	if phase != m.nextPhase {
 		m.nextPhase, m.nextPhaseSince = phase, t.Now
 	}
 }
 
-// addPeerReports adds this node's load and the reports of its peers to the snapshot.
-func (c *Control) addPeerReports(t Time, m *moveState, s *canary.Snapshot) {
-	count := func(target *directory.Target, running int) {
-		if target == nil || target.Service != m.move.Service {
-			return
-		}
-		if target.Version != m.move.Version {
-			s.OldRequests += running
-		} else if target.Serving {
-			s.NewTargets++
-		}
-	}
-	count(c.self.Target, c.load.Running+c.load.Waiting)
-	for _, id := range c.alive(t) {
-		if id == c.self.Node {
-			continue
-		}
-		p := c.peers[id]
-		count(p.Announcement.Target, p.Running+p.Waiting)
-		if !includesMove(p.Moves, m.move) {
-			s.AcknowledgedByAll = false
-		}
-	}
-}
-
-func includesMove(moves []canary.Move, m canary.Move) bool {
-	for _, o := range moves {
-		if o.Service == m.Service && o.Number == m.Number && o.Revision >= m.Revision {
-			return true
-		}
-	}
-	return false
-}
-
 const (
 	moveKeyPrefix   = "move/"
 	statusKeyPrefix = "status/"
@@ -262,8 +220,8 @@
 
 // mayWrite reports whether this node's delay by rank has passed since a write became due.
 func (c *Control) mayWrite(t Time, key string, since time.Duration) bool {
-	rank, _ := mesh.Rank(key, c.self.Node, c.alive(t))
-	return t.Now-since >= time.Duration(rank)*rankDelay
+	rank := slices.Index(c.moveWriters(t, key), c.self.Node)
+	return rank >= 0 && t.Now-since >= time.Duration(rank)*rankDelay
 }
 
 func (c *Control) moveWritten(t Time, key string) {
--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -95,8 +95,8 @@
 // VersionStats holds the responses of the targets of a version: all of them, and the
 // recent ones.
 type VersionStats struct {
-	Evidence Evidence
-	Recent   RecentCounts
+	Evidence Evidence     `json:"evidence,omitempty"`
+	Recent   RecentCounts `json:"recent,omitzero"`
 }
 
 // Add adds the responses of another target.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -62,10 +62,16 @@
 // concurrent use.
 type Directory struct {
 	members map[mesh.NodeID]*member
+	// byAddress holds the node that owns each address.
+	byAddress map[netip.AddrPort]mesh.NodeID
+	// sorted is the result of All, nil after a change.
+	sorted []Announcement
 }
 
 // New returns an empty directory.
-func New() *Directory { return &Directory{members: map[mesh.NodeID]*member{}} }
+func New() *Directory {
+	return &Directory{members: map[mesh.NodeID]*member{}, byAddress: map[netip.AddrPort]mesh.NodeID{}}
+}
 
 // initialMessageAge is the time since the last message that is assumed for a node
 // known only from the store or from another node. The store also holds
@@ -85,28 +91,45 @@
 	m, ok := d.members[a.Node]
 	if !ok {
 		d.members[a.Node] = &member{Announcement: a, lastHeard: now - initialMessageAge}
+		d.byAddress[a.CallAddress], d.sorted = a.Node, nil
 		return true
 	}
 	if !a.supersedes(m.Announcement) {
 		return false
 	}
+	if m.CallAddress != a.CallAddress {
+		d.releaseAddress(m.Announcement)
+	}
 	m.Announcement = a
+	d.byAddress[a.CallAddress], d.sorted = a.Node, nil
 	return true
 }
 
+// remove deletes a node.
+func (d *Directory) remove(id mesh.NodeID) {
+	d.releaseAddress(d.members[id].Announcement)
+	delete(d.members, id)
+	d.sorted = nil
+}
+
+func (d *Directory) releaseAddress(a Announcement) {
+	if d.byAddress[a.CallAddress] == a.Node {
+		delete(d.byAddress, a.CallAddress)
+	}
+}
+
 // claimAddress resolves a conflict between nodes with the same address: addresses of
 // removed nodes are reused, and the node that started last owns the address. It
 // returns false if that is not the announcing node.
 func (d *Directory) claimAddress(a Announcement) bool {
-	for id, m := range d.members {
-		if id == a.Node || m.CallAddress != a.CallAddress {
-			continue
-		}
-		if m.StartUnixMS > a.StartUnixMS {
-			return false
-		}
-		delete(d.members, id)
+	owner, ok := d.byAddress[a.CallAddress]
+	if !ok || owner == a.Node {
+		return true
 	}
+	if d.members[owner].StartUnixMS > a.StartUnixMS {
+		return false
+	}
+	d.remove(owner)
 	return true
 }
 
@@ -123,7 +146,7 @@
 	var gone []mesh.NodeID
 	for id, m := range d.members {
 		if now-m.lastHeard > MemberLifetime {
-			delete(d.members, id)
+			d.remove(id)
 			gone = append(gone, id)
 		}
 	}
@@ -150,12 +173,17 @@
 	return MemberLifetime
 }
 
-// All returns the announcements of all known nodes, ordered by node.
+// All returns the announcements of all known nodes, ordered by node. The caller must not
+// modify them.
 func (d *Directory) All() []Announcement {
+	if d.sorted != nil {
+		return d.sorted
+	}
 	out := make([]Announcement, 0, len(d.members))
 	for _, m := range d.members {
 		out = append(out, m.Announcement)
 	}
 	slices.SortFunc(out, func(a, b Announcement) int { return strings.Compare(string(a.Node), string(b.Node)) })
-	return out
+	d.sorted = slices.Clip(out)
+	return d.sorted
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
 const address = "10.0.0.1:80"
@@ -150,3 +151,36 @@
 	d.MarkAlive("n", 2*time.Second)
 	require.Zero(t, d.SinceLastMessage("n", 2*time.Second))
 }
+
+// Guards against an address index or a sorted list that differ from the members: each
+// address belongs to one node, the one that started last.
+func TestAddressesAndListFollowTheMembers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := directory.New()
+		latest := map[netip.AddrPort]int64{}
+		for i := range rapid.IntRange(1, 40).Draw(t, "updates") {
+			a := directory.Announcement{
+				Node: mesh.NodeID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node")), Sequence: uint64(i + 1),
+				StartUnixMS: rapid.Int64Range(1, 5).Draw(t, "start"),
+				CallAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(rapid.IntRange(1, 3).Draw(t, "address"))}), 1),
+			}
+			if d.Update(a, 0) {
+				latest[a.CallAddress] = a.StartUnixMS
+			}
+			seen := map[netip.AddrPort]bool{}
+			all := d.All()
+			require.Len(t, all, d.Len())
+			for _, known := range all {
+				require.False(t, seen[known.CallAddress], "two nodes with one address")
+				seen[known.CallAddress] = true
+				got, ok := d.Get(known.Node)
+				require.True(t, ok)
+				require.Equal(t, known, got)
+				require.Equal(t, latest[known.CallAddress], known.StartUnixMS)
+			}
+		}
+		d.Expire(2 * directory.MemberLifetime)
+		require.Empty(t, d.All())
+		require.True(t, d.Update(directory.Announcement{Node: "new", StartUnixMS: 1, CallAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 1)}, 0), "the address is free again")
+	})
+}
