Keep nodes, targets and moves independent of steps of the time of day

Change: a node that reads a later record of itself starts after it; a target process with an earlier start is accepted after two heartbeats while the present one is silent, and a replaced process never returns; a node that is heard gets the address of a silent one; a node keeps the deadline of a move on its steady clock from the order on.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -209,7 +209,25 @@
 }
 
 func (c *Control) updateDirectory(a directory.Announcement, t Time) bool {
-	return a.Node != c.self.Node && c.dir.Update(a, t.Now)
+	if a.Node == c.self.Node {
+		c.supersedeFormer(t, a)
+		return false
+	}
+	return c.dir.Update(a, t.Now)
+}
+
+// supersedeFormer makes the announcement of this process newer than that of a former one.
+// The clock may have been set back between them, and other nodes would ignore this process.
+func (c *Control) supersedeFormer(t Time, former directory.Announcement) {
+	if former.StartUnixMS < c.self.StartUnixMS || former.StartUnixMS == c.self.StartUnixMS && former.Sequence <= c.self.Sequence {
+		return
+	}
+	c.log("clock_behind_former_process", "start", c.self.StartUnixMS, "former_start", former.StartUnixMS)
+	c.self.StartUnixMS = former.StartUnixMS + 1
+	c.announced = directory.Announcement{}
+	c.self.Sequence++
+	c.propagateChange(t)
+	c.writeAnnouncement(t)
 }
 
 // refreshAnnouncement updates the node's own announcement and propagates a change.
@@ -291,7 +309,7 @@
 		c.dir.MarkAlive(a.Node, t.Now)
 		return
 	}
-	changed := c.updateDirectory(a, t)
+	changed := c.dir.UpdateFromNode(a, t.Now)
 	if changed && c.large() && c.isReader() {
 		c.announcementsToRelay = append(c.announcementsToRelay, a)
 	}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -31,6 +31,8 @@
 	partitioned map[mesh.NodeID]bool
 	// onSend, if set, is called with the number of receivers of each message.
 	onSend func(count int)
+	// wallOffset is the difference of the time of day from the steady clock.
+	wallOffset time.Duration
 	// encodes makes messages between nodes pass through their encoding.
 	encodes      bool
 	encodedBytes int
@@ -83,7 +85,9 @@
 	return n
 }
 
-func (m *testMesh) time() Time { return Time{Now: m.now, UnixMS: m.now.Milliseconds()} }
+func (m *testMesh) time() Time {
+	return Time{Now: m.now, UnixMS: (m.now + m.wallOffset).Milliseconds()}
+}
 
 func (m *testMesh) node(id mesh.NodeID) *testNode {
 	for _, n := range m.nodes {
@@ -476,3 +480,45 @@
 	require.Equal(t, 3, sent.Evidence["r"].Responses)
 	require.Equal(t, 7, n.State(m.time()).Evidence["r"].Responses)
 }
+
+// Guards against a node that the others ignore after a restart: its machine's clock was set
+// back, so that its announcement seems older than that of its former process.
+func TestNodeThatRestartsAfterTheClockWasSetBackIsKnown(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1")
+	m.now += time.Minute
+	former := m.nodes[0]
+	former.dead = true
+	m.startFor(0, "s", "v1")
+	m.run(time.Second)
+	m.nodes[len(m.nodes)-1].dead = true
+	m.now -= 30 * time.Second
+	restarted := m.startFor(0, "s", "v2")
+	m.now += 30 * time.Second
+	m.run(3 * time.Second)
+	for _, n := range m.nodes[1:3] {
+		a, ok := n.dir.Get(restarted.id)
+		require.True(t, ok)
+		require.Equal(t, "v2", a.Target.Version, "%s", n.id)
+	}
+}
+
+// Guards against moves that end at another time because the time of day is stepped on some
+// machines.
+func TestMoveIsNotAffectedByClockSteps(t *testing.T) {
+	for name, step := range map[string]time.Duration{"back": -5 * time.Second, "ahead": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMesh(t, "v1", "v1", "v2", "v2", "v2")
+			m.order("v2", 1)
+			traffic := func() {
+				m.countResponses("v1", 5, false)
+				m.countResponses("v2", 1, false)
+			}
+			m.runWith(3*time.Second, traffic)
+			m.wallOffset = step
+			m.runWith(3*time.Second, traffic)
+			require.Equal(t, StatusActive, m.statuses["s"].State, "6 s of 10 have passed")
+			m.runWith(4*time.Second, traffic)
+			require.Equal(t, StatusCompleted, m.statuses["s"].State)
+		})
+	}
+}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -16,6 +16,9 @@
 	// recorded is set once the store contains this state of the move.
 	recorded bool
 	analyzer *canary.Analyzer
+	// deadline is the end of the move on this node's steady clock, so that a step of the
+	// clock does not change it.
+	deadline time.Duration
 	// known is the summary of all nodes as of the last tick.
 	known MoveSummary
 	// cut is set while this node suspects the new version. It then sends no requests
@@ -32,13 +35,15 @@
 	if m, ok := c.moves[o.Service]; ok && m.move.Number >= o.Number {
 		return
 	}
-	c.moves[o.Service] = &moveState{move: canary.NewMove(o, t.UnixMS), analyzer: canary.NewAnalyzer(), nextPhaseSince: t.Now}
+	m := &moveState{move: canary.NewMove(o, t.UnixMS), analyzer: canary.NewAnalyzer(), nextPhaseSince: t.Now}
+	m.deadline = t.Now + o.Duration
+	c.moves[o.Service] = m
 	c.log("move_ordered", "service", o.Service, "version", o.Version, "number", o.Number, "duration_ms", o.Duration.Milliseconds())
 	c.publishView(t)
 }
 
 func (c *Control) handleRecordedMove(t Time, m canary.Move) {
-	if c.adoptMove(m) {
+	if c.adoptMove(t, m) {
 		c.log("move_phase", "service", m.Service, "version", m.Version, "phase", string(m.Phase), "revision", m.Revision)
 		c.publishView(t)
 		c.confirmPhase(t, m)
@@ -76,7 +81,7 @@
 
 // adoptMove adopts a recorded state of a move unless it is outdated. It reports
 // whether it did.
-func (c *Control) adoptMove(m canary.Move) bool {
+func (c *Control) adoptMove(t Time, m canary.Move) bool {
 	if m.Service == "" || m.Version == "" {
 		return false
 	}
@@ -91,6 +96,10 @@
 		s = &moveState{analyzer: canary.NewAnalyzer()}
 		c.moves[m.Service] = s
 	}
+	if first := !s.recorded; first && (s.deadline == 0 || !c.caughtUp[OperatorFeed]) {
+		// The order may be old, as far as this node knows.
+		s.deadline = t.Now + time.Duration(m.DeadlineUnixMS-t.UnixMS)*time.Millisecond
+	}
 	s.move, s.recorded = m, true
 	return true
 }
@@ -183,7 +192,7 @@
 			"recent_failure_rate", current.Recent.FailureRate(), "old_recent_failure_rate", old.Recent.FailureRate())
 	}
 	phase := m.move.Decide(canary.Snapshot{
-		UnixMS: t.UnixMS, Faulty: verdict == canary.VerdictFaulty, NewResponses: total.Responses,
+		UnixMS: m.move.DeadlineUnixMS - (m.deadline - t.Now).Milliseconds(), Faulty: verdict == canary.VerdictFaulty, NewResponses: total.Responses,
 		NewTargets: known.NewTargets, OldRequests: known.OldRequests,
 		AcknowledgedByAll: known.AcknowledgedRevision >= m.move.Revision,
 	})
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// ownerSilence is the time without a message after which the owner of an address gives way
+// to a node that is heard at it, although it started earlier by its clock.
+const ownerSilence = 6 * time.Second
+
+// UpdateFromNode merges an announcement that the node itself sent. Unlike one from the store
+// or another node, it shows that the node lives.
+func (d *Directory) UpdateFromNode(a Announcement, now time.Duration) bool {
+	if owner, ok := d.byAddress[a.CallAddress]; ok && owner != a.Node && now-d.members[owner].lastHeard >= ownerSilence {
+		d.remove(owner)
+	}
+	return d.Update(a, now)
+}
+
 // claimAddress resolves a conflict between nodes with the same address: addresses of
 // removed nodes are reused, and the node that started last owns the address. It
 // returns false if that is not the announcing node.
--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -38,6 +38,19 @@
 	// departed maps the IDs of targets that shut down to a Unix time in milliseconds.
 	// Processes of the target that started at or before that time have ended.
 	departed map[string]int64
+	// superseded holds the processes that a later one has replaced. They never return.
+	superseded map[process]bool
+	// candidate is a process with an earlier start than the current one, whose clock may
+	// have been set back before it started.
+	candidate   process
+	candidateAt time.Duration
+	candidateNo uint64
+}
+
+// process identifies a target process.
+type process struct {
+	id          string
+	startUnixMS int64
 }
 
 // maxMissedHeartbeats is the number of intervals without a heartbeat after which
@@ -59,7 +72,7 @@
 			h.StartUnixMS = l.last.StartUnixMS
 		}
 	}
-	if at, ok := l.departed[h.ID]; ok && h.StartUnixMS <= at {
+	if at, ok := l.departed[h.ID]; ok && h.StartUnixMS <= at || l.superseded[process{h.ID, h.StartUnixMS}] {
 		return false
 	}
 	same := l.known && h.ID == l.last.ID && h.StartUnixMS == l.last.StartUnixMS
@@ -67,9 +80,10 @@
 	case same && h.Sequence <= l.last.Sequence:
 		l.leaving = l.leaving || h.Draining
 		return h.Draining
-	case l.known && !same && h.StartUnixMS < l.last.StartUnixMS:
+	case l.known && !same && h.StartUnixMS < l.last.StartUnixMS && !l.confirmCandidate(h, now):
 		return false
 	case !same:
+		l.supersede()
 		l.leaving = false
 	}
 	l.known, l.last, l.lastHeard, l.unreachable = true, h, now, false
@@ -77,6 +91,29 @@
 	return true
 }
 
+// confirmCandidate reports whether a heartbeat shows that a process with an earlier start
+// is the current one: the clock may have been set back before it started. It must have sent two heartbeats some time apart while the
+// current process sent none. Delayed heartbeats arrive together or beside later ones.
+func (l *LocalTarget) confirmCandidate(h Heartbeat, now time.Duration) bool {
+	p := process{h.ID, h.StartUnixMS}
+	if l.candidate != p || l.candidateAt < l.lastHeard {
+		l.candidate, l.candidateAt, l.candidateNo = p, now, h.Sequence
+		return false
+	}
+	return h.Sequence > l.candidateNo && now-l.candidateAt >= l.Interval/2 && now-l.lastHeard >= l.Interval
+}
+
+// supersede records that the current process was replaced.
+func (l *LocalTarget) supersede() {
+	if !l.known {
+		return
+	}
+	if l.superseded == nil || len(l.superseded) >= maxDeparted {
+		l.superseded = map[process]bool{}
+	}
+	l.superseded[process{l.last.ID, l.last.StartUnixMS}] = true
+}
+
 // MarkLeaving records that a target is shutting down, also if no heartbeat of it
 // was received yet. It reports whether it is the current target.
 func (l *LocalTarget) MarkLeaving(id string, unixMS int64) bool {
