--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -53,6 +53,8 @@
 	refusalCache                *refusalCache
 	splits                      *splitSequences
 	rates                       *rates
+	// configSince is when the configuration in force was received.
+	configSince atomic.Int64
 	// messages bounds the bodies that the node holds.
 	messages      *bounded.Memory
 	active        activeRequests
@@ -182,6 +184,9 @@
 	}
 	servers = append(servers, rpc.NewServer(listener, peerHandler{n}, n.counters))
 	n.metrics.publish()
+	expvar.Publish("config_version", expvar.Func(func() any { return n.configVersion() }))
+	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
+	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
 	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
 	go n.runTicker()
 	go n.contactSeeds()
@@ -195,6 +200,14 @@
 	})
 }
 
+// configVersion returns the version in force, 0 if there is none.
+func (n *Node) configVersion() published.Version {
+	if c := n.view.Load().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // Step processes an event of the platform adapter, such as a heartbeat. The request path
 // uses the changed state when Step returns.
 func (n *Node) Step(e control.Event) { n.step(e) }
@@ -205,6 +218,7 @@
 	for _, effect := range effects {
 		if v, ok := effect.(control.PublishView); ok {
 			if before := n.view.Swap(v.View); before.Config != v.View.Config {
+				n.configSince.Store(int64(n.clock.now()))
 				n.recordConfigDelta(before.Config, v.View.Config)
 			}
 			if v.View.Target != nil {
