Keep a target that left out of use after a restart of its node

Cause: a restarted node knew nothing of its former process, and a heartbeat that the target had sent before it left made the target serve again (TestTargetThatLeftStaysOutAfterARestartOfItsNode failed first). A node also overwrote the record of its former process before it had read it. Change: the record in the store is written when the target leaves as well; a starting node reads it before it announces itself.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -210,12 +210,26 @@
 
 func (c *Control) updateDirectory(a directory.Announcement, t Time) bool {
 	if a.Node == c.self.Node {
+		c.adoptDepartures(t, a)
 		c.supersedeFormer(t, a)
 		return false
 	}
 	return c.dir.Update(a, t.Now)
 }
 
+// adoptDepartures takes from the announcement of a former process of this node that its
+// target has left. A heartbeat that the target sent before, and that arrives late, must not
+// bring it back.
+func (c *Control) adoptDepartures(t Time, former directory.Announcement) {
+	if former.StartUnixMS == c.self.StartUnixMS || former.Target == nil || !former.Target.Leaving {
+		return
+	}
+	if c.local.MarkLeaving(former.Target.ID, t.UnixMS) {
+		c.log("target_left", "target", former.Target.ID)
+	}
+	c.refreshAnnouncement(t)
+}
+
 // supersedeFormer makes the announcement of this process newer than that of a former one.
 // The clock may have been set back between them, and other nodes would ignore this process.
 func (c *Control) supersedeFormer(t Time, former directory.Announcement) {
@@ -267,12 +281,13 @@
 	announceDelay = time.Second
 )
 
-// writeAnnouncement writes the announcement to the store after the start of the node
-// and after a change of its target's identity. Other changes are sent between nodes:
+// writeAnnouncement writes the announcement to the store after the start of the node, after
+// a change of its target's identity, and when its target leaves. Other changes are sent between nodes:
 // the store only serves discovery, and each write to it is read by all.
 func (c *Control) writeAnnouncement(t Time) {
-	same := c.announced.Sequence > 0 && targetID(c.announced) == targetID(c.self)
-	if same || c.pendingWrites[announceKey] || t.Now < c.nextAnnounce || c.self.Target == nil && t.Now < announceDelay {
+	same := c.announced.Sequence > 0 && targetID(c.announced) == targetID(c.self) && targetLeaving(c.announced) == targetLeaving(c.self)
+	// A node first reads what its former process announced.
+	if !c.caughtUp[MeshFeed] || same || c.pendingWrites[announceKey] || t.Now < c.nextAnnounce || c.self.Target == nil && t.Now < announceDelay {
 		return
 	}
 	c.pendingWrites[announceKey] = true
@@ -287,6 +302,8 @@
 	return a.Target.ID
 }
 
+func targetLeaving(a directory.Announcement) bool { return a.Target != nil && a.Target.Leaving }
+
 func (c *Control) handleWriteCompleted(t Time, e WriteCompleted) {
 	delete(c.pendingWrites, e.Key)
 	if e.Key == announceKey {
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -522,3 +522,25 @@
 		})
 	}
 }
+
+// Guards against a target that left and is in use again after its node restarted, because a
+// heartbeat from before arrives late.
+func TestTargetThatLeftStaysOutAfterARestartOfItsNode(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1")
+	m.step(m.nodes[0], TargetLeaving{ID: "t-0"})
+	m.run(time.Second)
+	m.nodes[0].dead = true
+	m.run(time.Second)
+	// The heartbeat of the former target reaches the new process first.
+	restarted := m.startFor(0, "s", "v1")
+	m.run(time.Second)
+	require.False(t, restarted.view.Target.Serving)
+	for _, n := range m.nodes[1:3] {
+		require.Len(t, n.view.Endpoints["s"].Old, 2, "%s", n.id)
+	}
+	// A new process of the target, which started after that, is used.
+	m.step(restarted, HeartbeatReceived{directory.Heartbeat{
+		ID: "t-0", Address: address(0).String(), Service: "s", Version: "v1", Slots: 4, Sequence: 1, StartUnixMS: m.now.Milliseconds() + 1,
+	}})
+	require.True(t, restarted.view.Target.Serving)
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -37,6 +37,8 @@
 	Slots   int    `json:"slots"`
 	// Serving is false if the target is draining, gone or unreachable.
 	Serving bool `json:"serving"`
+	// Leaving is set once the target has reported that it shuts down. It does not return.
+	Leaving bool `json:"leaving,omitempty"`
 	// ColdUntilUnixMS is the Unix time in milliseconds at which the cold start of
 	// the target ends, until which it is slow.
 	ColdUntilUnixMS int64 `json:"cold_until,omitempty"`
--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -145,7 +145,7 @@
 	if !l.known {
 		return nil
 	}
-	t := &Target{ID: l.last.ID, Service: l.last.Service, Version: l.last.Version, Slots: l.last.Slots}
+	t := &Target{ID: l.last.ID, Service: l.last.Service, Version: l.last.Version, Slots: l.last.Slots, Leaving: l.leaving}
 	timedOut := now-l.lastHeard > maxMissedHeartbeats*l.Interval
 	refused := l.unreachable && now-l.unreachableAt < unreachablePeriod
 	t.Serving = !l.leaving && !timedOut && !refused
