--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -445,7 +445,7 @@
 func (c *Control) publishView(t Time) {
 	v := &View{
 		Config: c.config, Target: c.self.Target, Stopping: c.stopping, CrashingRequests: c.crashingRequests(),
-		Reader: c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), MoveOpen: c.moveOpen(), StatusDue: c.moveStatusDue(),
+		Reader: c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
 		Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
 	for _, a := range append(c.dir.All(), c.self) {
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -25,8 +25,11 @@
 	moves         map[string]canary.Move
 	statuses      map[string]Status
 	meshEnd       int
+	moveEnd       int
 	statusEnd     int
-	storeDown     bool
+	// moveReads counts the reads of moves by all nodes.
+	moveReads int
+	storeDown bool
 	// partitioned holds the nodes that cannot reach any other node.
 	partitioned map[mesh.NodeID]bool
 	// onSend, if set, is called with the number of receivers of each message.
@@ -45,8 +48,8 @@
 	id   mesh.NodeID
 	dead bool
 	view *View
-	// meshSeen and statusSeen are the numbers of records that the node has read.
-	meshSeen, statusSeen int
+	// meshSeen, movesSeen and statusSeen are the numbers of records that the node has read.
+	meshSeen, movesSeen, statusSeen int
 }
 
 func address(i int) netip.AddrPort {
@@ -116,10 +119,10 @@
 		}
 		m.step(n, WriteCompleted{announceKey, ok})
 	case RecordMove:
-		ok := !m.storeDown && n.meshSeen == m.meshEnd
+		ok := !m.storeDown && n.movesSeen == m.moveEnd
 		if ok {
 			m.moves[e.Move.Service] = e.Move
-			m.meshEnd++
+			m.moveEnd++
 		}
 		m.step(n, WriteCompleted{moveKeyPrefix + e.Move.Service, ok})
 	case WriteStatus:
@@ -157,6 +160,10 @@
 		for _, a := range m.announcements {
 			m.step(n, AnnouncementRead{a})
 		}
+	}
+	if n.movesSeen < m.moveEnd && (n.view == nil || n.view.FollowsMoves) {
+		n.movesSeen = m.moveEnd
+		m.moveReads++
 		for _, move := range m.moves {
 			m.step(n, MoveRecorded{move})
 		}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -46,6 +46,10 @@
 	if c.adoptMove(t, m) {
 		c.log("move_phase", "service", m.Service, "version", m.Version, "phase", string(m.Phase), "revision", m.Revision)
 		c.publishView(t)
+		if c.large() && c.readerRank() == 0 {
+			c.broadcast(t)
+			return
+		}
 		c.confirmPhase(t, m)
 	}
 }
--- a/internal/control/summary.go
+++ b/internal/control/summary.go
@@ -155,6 +155,24 @@
 	return true
 }
 
+// followsMoves reports whether this node itself reads the states of moves in the store. In
+// a large mesh the readers pass them on: each state would wake the reads of all nodes, which
+// are billed.
+func (c *Control) followsMoves(t Time) bool {
+	if !c.moveOpen() {
+		return false
+	}
+	if !c.large() || c.isReader() {
+		return true
+	}
+	for _, id := range c.readers {
+		if c.dir.SinceLastMessage(id, t.Now) < readerTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // moveWriters returns the nodes in the order in which they write the next phase of a move:
 // in a large mesh the readers first, which know most.
 func (c *Control) moveWriters(t Time, key string) []mesh.NodeID {
--- a/internal/control/summary_test.go
+++ b/internal/control/summary_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/canary"
 )
 
 // largeMesh returns a mesh with alternating versions and traffic that answers well on the
@@ -99,3 +101,16 @@
 	other.adoptSummaries(m.time(), old)
 	require.Equal(t, old[0].responses(), other.summaries["s"].responses())
 }
+
+// Guards against states of moves that wake the reads of all nodes of a large mesh, which
+// are billed (load pattern "move in a large mesh").
+func TestOnlyReadersFollowMovesInALargeMesh(t *testing.T) {
+	m, traffic := largeMesh(t, 60, time.Hour)
+	m.order("v2", 1)
+	m.runWith(10*time.Second, traffic)
+	require.Equal(t, StatusCompleted, m.statuses["s"].State)
+	require.LessOrEqual(t, m.moveReads, readerCount*m.moveEnd)
+	for _, n := range m.nodes {
+		require.Equal(t, canary.Completed, n.moves["s"].move.Phase, "%s", n.id)
+	}
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -23,9 +23,9 @@
 	Reader bool
 	// ReadsOperatorFeed is set if this node itself reads the operator feed.
 	ReadsOperatorFeed bool
-	// MoveOpen is set while a move is open, StatusDue while the status of a move may
-	// have to be written.
-	MoveOpen, StatusDue bool
+	// FollowsMoves is set while this node itself reads the states of moves, StatusDue while
+	// the status of a move may have to be written.
+	FollowsMoves, StatusDue bool
 	// Stopping is set once the node is shutting down.
 	Stopping bool
 }
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -124,15 +124,16 @@
 }
 
 // shouldFollow reports whether this node reads the feed now. Each node reads the operator
-// and mesh feeds once, and then only the readers continue; all nodes read the move feed
-// while a move is open, and readers the status feed while a status is due.
+// and mesh feeds once, and then only the readers continue. While a move is open, the readers
+// read the move feed, and other nodes that hear of no reader; while a status is due, readers
+// read the status feed.
 func (n *Node) shouldFollow(f control.Feed, synced bool) bool {
 	v := n.view.Load()
 	switch f {
 	case control.MeshFeed:
 		return !synced || v.Reader && n.clock.now() > meshStartupTime || n.refreshMesh.Load()
 	case control.MoveFeed:
-		return v.MoveOpen
+		return v.FollowsMoves
 	case control.StatusFeed:
 		return v.StatusDue && v.Reader
 	default:
