Do not give up the work of a node that is only slow

The log shows reset-after-write with 'use of closed network connection' in the stopping node. Change: when a probe has no response in time, a new connection is probed. Only if that works the old ones are closed; otherwise the requests go on for up to 1.8 s, on links of any speed. Test: TestWorkOfASlowNodeIsNotGivenUp (failed first: 502); TestUnresponsiveConnectionBetweenNodesIsReplaced holds as it was.

--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -33,13 +33,12 @@
 
 // newPeerTransport returns the transport for requests to other nodes. One HTTP/2
 // connection carries many requests, and canceling a request ends only its stream.
-func newPeerTransport(local net.IP, monitor *connMonitor) *http.Transport {
+func newPeerTransport(dialer *net.Dialer, monitor *connMonitor) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := net.Dialer{Timeout: peerDialTimeout, LocalAddr: &net.TCPAddr{IP: local}}
 	return &http.Transport{
 		Protocols:              protocols,
-		DialContext:            monitor.dialContext(&dialer),
+		DialContext:            monitor.dialContext(dialer),
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		IdleConnTimeout:        peerIdleTimeout,
--- a/internal/sidecar/liveness.go
+++ b/internal/sidecar/liveness.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heathercroft.example/heathercroft/pkg/balance"
 )
 
@@ -20,16 +22,16 @@
 	// before it is probed. Idle connections are not probed: with a ping for each connection
 	// every 0.4 s, pings were most of the work of 76 nodes.
 	probeIdleTime = 250 * time.Millisecond
-	// probeTimeout is the timeout of a probe on links that are not slow. Calls between
-	// targets have as little as 600 ms. On any link, the balancer counts the node as
-	// unresponsive when it and the transmit time of half a window have passed, to detect
-	// that the zone is partitioned.
+	// probeTimeout is how long a probe has no response on links that are not slow until the
+	// balancer counts the node as unresponsive and a new connection is probed. Calls between
+	// targets have as little as 600 ms. The transmit time of half a window is added.
 	probeTimeout = 300 * time.Millisecond
-	// slowLinkProbeTimeout is for links of up to slowLinkMbps. Uploads of many callers
-	// queue there for over a second, and closing the connection in that time aborts requests
-	// in transit: with 0.76 s, a request was lost during a planned stop.
-	slowLinkProbeTimeout = 1800 * time.Millisecond
-	slowLinkMbps         = 100
+	// minProbeGrace is the least time that an old connection gets after a new one responded.
+	minProbeGrace = 20 * time.Millisecond
+	// maxSilence is how long a node may respond to nothing until its connections are closed.
+	// Uploads of many callers queue for over a second on a slow link, and a slow node takes
+	// as long; closing the connection aborts requests in transit.
+	maxSilence = 1800 * time.Millisecond
 )
 
 // connMonitor finds unresponsive connections to other nodes: a device in between has lost
@@ -153,8 +155,11 @@
 	}
 }
 
-// probePeer probes the connections to a node that have received nothing for a while. It
-// closes those that stay unresponsive, so that their requests fail at once.
+// probePeer probes the connections to a node that have received nothing for a while. A
+// probe without a response has two possible causes. If a new connection works, a device in
+// between has lost the state of the old ones: they are closed, so that their requests fail
+// at once. Otherwise the node or its link is slow or cut off, and its requests may still be
+// answered: they go on until maxSilence.
 func (n *Node) probePeer(e balance.Endpoint, address string) {
 	started := n.clock.now()
 	if len(n.connMonitor.idleSince(address, started-probeIdleTime)) == 0 || !n.connMonitor.beginProbe(address) {
@@ -168,16 +173,17 @@
 		n.balancer.MarkUnresponsive(e, n.clock.now())
 	})
 	defer markTimer.Stop()
-	if isSlowLink(n.settings.LinkMbps) || isSlowLink(e.LinkMbps) {
-		timeout = slowLinkProbeTimeout
-	}
-	ctx, cancel := context.WithTimeout(n.ctx, timeout)
+	ctx, cancel := context.WithTimeout(n.ctx, maxSilence)
 	defer cancel()
-	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: alivePath}, Header: http.Header{}}
-	resp, err := n.peers.RoundTrip(req.WithContext(ctx))
-	if err == nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
+	responded := make(chan error, 1)
+	go func() { responded <- probe(ctx, n.peers, address) }()
+	var cause error
+	select {
+	case cause = <-responded:
+	case <-time.After(timeout):
+		cause = n.probeAgain(ctx, address, responded)
+	}
+	if cause == nil {
 		return
 	}
 	unresponsive := n.connMonitor.idleSince(address, started)
@@ -186,11 +192,50 @@
 	}
 	if len(unresponsive) > 0 {
 		n.metrics.unresponsiveConns.Add(int64(len(unresponsive)))
-		n.logger.Warn("connection_silent", "address", address, "closed", len(unresponsive), "waited_ms", (n.clock.now() - started).Milliseconds(), "error", err.Error())
+		n.logger.Warn("connection_silent", "address", address, "closed", len(unresponsive), "waited_ms", (n.clock.now() - started).Milliseconds(), "error", cause.Error())
 	}
 }
 
-func isSlowLink(mbps float64) bool { return mbps > 0 && mbps <= slowLinkMbps }
+// errOnlyNewConnections reports that a new connection to a node works while an old one is
+// silent.
+var errOnlyNewConnections = errors.New("a new connection responds")
+
+// probeAgain probes a new connection while the probe of the old one has no response. It
+// returns nil if the old one responds first.
+func (n *Node) probeAgain(ctx context.Context, address string, responded <-chan error) error {
+	fresh := &http.Transport{DialContext: n.dialPeer, DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	defer fresh.CloseIdleConnections()
+	works, began := make(chan error, 1), time.Now()
+	go func() { works <- probe(ctx, fresh, address) }()
+	select {
+	case err := <-responded:
+		return err
+	case err := <-works:
+		if err != nil {
+			// The node does not respond at all. It may do so before the time is up.
+			return <-responded
+		}
+	}
+	// A node that was slow to respond on the new connection may still respond on the old one.
+	select {
+	case err := <-responded:
+		return err
+	case <-time.After(max(time.Since(began), minProbeGrace)):
+		return errOnlyNewConnections
+	}
+}
+
+// probe sends a liveness probe.
+func probe(ctx context.Context, transport http.RoundTripper, address string) error {
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: alivePath}, Header: http.Header{}}
+	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return errors.Wrap(err, "probe")
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return nil
+}
 
 // halfWindowTransmitTime is how long a probe waits on a link behind half a stream window
 // of bodies.
--- a/internal/sidecar/liveness_test.go
+++ b/internal/sidecar/liveness_test.go
@@ -137,6 +137,23 @@
 	require.Zero(t, nodes[0].metrics.unresponsiveConns.Value())
 }
 
+// Guards against giving up the work of a node that is only slow for a while, as one on a
+// sixth of a core while a large configuration arrives: new connections do not respond
+// either, so that the old ones are not to blame.
+func TestWorkOfASlowNodeIsNotGivenUp(t *testing.T) {
+	nodes, s := newMeshThroughProxy(t)
+	status, _, _ := nodes[0].call(t, http.MethodGet, "/read/1", "a1")
+	require.Equal(t, http.StatusOK, status)
+	runs := nodes[1].target.runs.Load()
+	s.mu.Lock()
+	s.congestedUntil = time.Now().Add(1200 * time.Millisecond)
+	s.mu.Unlock()
+	status, _, body := nodes[0].call(t, http.MethodPost, "/write/1", "a2")
+	require.Equal(t, http.StatusOK, status, body)
+	require.Equal(t, runs+1, nodes[1].target.runs.Load())
+	require.Zero(t, nodes[0].metrics.unresponsiveConns.Value())
+}
+
 // Guards against closing a working connection because the target is slow.
 func TestSlowTargetIsNotTakenForUnresponsive(t *testing.T) {
 	nodes, _ := newMeshThroughProxy(t)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -46,7 +46,9 @@
 	target      *targetClient
 	peers       *http.Transport
 	connMonitor *connMonitor
-	rpc         *rpc.Client
+	// dialPeer opens a connection to another node that is not monitored.
+	dialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+	rpc      *rpc.Client
 	// serviceTimes holds the mean time at a target in nanoseconds, responseBytes the mean
 	// size of the response.
 	serviceTimes, responseBytes *routeAverages
@@ -96,7 +98,9 @@
 		counters: &rpc.Counters{},
 	}
 	n.connMonitor = newConnMonitor(n.clock.now)
-	n.peers = newPeerTransport(s.Inbound.Addr().AsSlice(), n.connMonitor)
+	dialer := &net.Dialer{Timeout: peerDialTimeout, LocalAddr: &net.TCPAddr{IP: s.Inbound.Addr().AsSlice()}}
+	n.dialPeer = dialer.DialContext
+	n.peers = newPeerTransport(dialer, n.connMonitor)
 	n.gate = newGate(n.clock.now)
 	n.link = &linkMeter{now: n.clock.now, mbps: s.LinkMbps}
 	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now}
