--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -34,8 +34,7 @@
 	direct    http.ResponseWriter
 	committed bool
 
-	// session is set when the connection was taken over; attached is closed then, or when
-	// the response is written directly.
+	// session is set and attached closed when the connection was taken over.
 	session  *session
 	attached chan struct{}
 	// turn is closed when all responses before this one are written or the connection ended.
