--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -297,3 +297,22 @@
 	require.Equal(t, "body-unread", res.reason)
 	require.Zero(t, nodes[1].target.runs.Load())
 }
+
+// Guards against deadlines that are no numbers, or numbers that overflow and end the request
+// at once.
+func TestDeadlineOfTheCallerIsChecked(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	for text, want := range map[string]int{
+		"100": http.StatusOK, "1e300": http.StatusOK, "Inf": http.StatusOK, "NaN": http.StatusBadRequest, "-1": http.StatusBadRequest, "soon": http.StatusBadRequest,
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.outbound.URL+"/read/x", nil)
+		require.NoError(t, err)
+		req.Host = "shop.test"
+		req.Header.Set("X-Id", "r1")
+		req.Header.Set("X-Left", text)
+		resp, err := n.outbound.Client().Do(req)
+		require.NoError(t, err)
+		_ = resp.Body.Close()
+		require.Equal(t, want, resp.StatusCode, text)
+	}
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -118,15 +119,11 @@
 		n.respondError(w, http.StatusRequestEntityTooLarge, "body-too-large", "the body is over the configured limit")
 		return
 	}
-	left := route.Timeout
-	if text := r.Header.Get(n.headers.TimeLeft); text != "" {
-		given, err := strconv.ParseFloat(text, 64)
-		if err != nil || given < 0 {
-			n.logRejected(r, id, http.StatusBadRequest, "bad-deadline")
-			n.respondError(w, http.StatusBadRequest, "bad-deadline", n.headers.TimeLeft+" is no number of milliseconds")
-			return
-		}
-		left = min(left, fromMilliseconds(given))
+	left, ok := n.timeLeft(r, route)
+	if !ok {
+		n.logRejected(r, id, http.StatusBadRequest, "bad-deadline")
+		n.respondError(w, http.StatusBadRequest, "bad-deadline", n.headers.TimeLeft+" is no number of milliseconds")
+		return
 	}
 	lease := n.messages.Lease()
 	defer lease.Release()
@@ -176,6 +173,21 @@
 	n.deliver(ctx, c, res)
 }
 
+// timeLeft returns how long the caller waits, at most the timeout of the route. ok is false
+// if the caller's header is not a number of milliseconds.
+func (n *Node) timeLeft(r *http.Request, route *published.Route) (left time.Duration, ok bool) {
+	text := r.Header.Get(n.headers.TimeLeft)
+	if text == "" {
+		return route.Timeout, true
+	}
+	given, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(given) || given < 0 {
+		return 0, false
+	}
+	// A number beyond the range of a Duration would become negative.
+	return fromMilliseconds(min(given, milliseconds(route.Timeout))), true
+}
+
 // setSoftDeadline sets the kind of the attempt, its expected service time and its soft
 // deadline.
 func (n *Node) setSoftDeadline(c *call) {
