Log and count what targets say about themselves in responses

Logs and metrics could not tell whether a limit is read by nobody, kept by each node alone, or lost in a restart. The node beside a target now logs changes of its limit together with the rate of the requests it passes on, the log of a call shows the signals of each attempt, and counters show both. No decision changes.

--- a/internal/sidecar/calllog.go
+++ b/internal/sidecar/calllog.go
@@ -24,8 +24,10 @@
 	TargetDurationMS int64 `json:"target_ms,omitempty"`
 	// ExpectedWaitMS is the queueing time that the node of the target estimated.
 	ExpectedWaitMS int64 `json:"wait_ms,omitempty"`
-	Running        int   `json:"running"`
-	Waiting        int   `json:"waiting"`
+	// Signals are those in the response of the target.
+	Signals targetSignals `json:"signals,omitzero"`
+	Running int           `json:"running"`
+	Waiting int           `json:"waiting"`
 }
 
 // recordAttempt adds an attempt to the log line of the call.
@@ -34,7 +36,7 @@
 		Node: e.Node, Target: e.Target, Version: e.Version, Outcome: res.outcome.String(), Reason: res.reason,
 		StartMS: (began - c.arrived).Milliseconds(), DurationMS: (ended - began).Milliseconds(),
 		TargetDurationMS: res.targetTime.Milliseconds(), ExpectedWaitMS: res.expectedWait.Milliseconds(),
-		Running: res.load.Running, Waiting: res.load.Waiting,
+		Running: res.load.Running, Waiting: res.load.Waiting, Signals: res.signals,
 	}
 	if res.response != nil {
 		a.Status = res.response.status
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -58,6 +58,8 @@
 	TargetTimeMS float64 `json:"took_ms,omitempty"`
 	// CallFailed is set if the target failed the request after one of its own calls failed.
 	CallFailed bool `json:"call_failed,omitempty"`
+	// Signals are those in the response of the target, also if it refused the request.
+	Signals targetSignals `json:"signals,omitzero"`
 }
 
 // result is the result of one attempt.
@@ -71,6 +73,7 @@
 	load       balance.LoadReport
 	loadKnown  bool
 	targetTime time.Duration
+	signals    targetSignals
 	// callFailed is set if the target failed the request after a call that it made for it
 	// failed.
 	callFailed bool
@@ -110,6 +113,7 @@
 	h := hopReply{
 		Reason: r.reason, ExpectedWaitMS: milliseconds(r.expectedWait), Running: r.load.Running, Waiting: r.load.Waiting,
 		Slowdown: r.load.Slowdown, MeanServiceTimeMS: milliseconds(r.load.MeanServiceTime), LinkUtilization: r.load.LinkUtilization, FailureRate: r.load.FailureRate, TargetTimeMS: milliseconds(r.targetTime), CallFailed: r.callFailed,
+		Signals: r.signals,
 	}
 	switch {
 	case r.outcome == retry.ResponseReceived:
@@ -131,7 +135,8 @@
 	}
 	r := result{
 		reason: in.Reason, expectedWait: fromMilliseconds(in.ExpectedWaitMS), targetTime: fromMilliseconds(in.TargetTimeMS), loadKnown: true, callFailed: in.CallFailed,
-		load: balance.LoadReport{Running: in.Running, Waiting: in.Waiting, Slowdown: in.Slowdown, MeanServiceTime: fromMilliseconds(in.MeanServiceTimeMS), LinkUtilization: in.LinkUtilization, FailureRate: in.FailureRate},
+		signals: in.Signals,
+		load:    balance.LoadReport{Running: in.Running, Waiting: in.Waiting, Slowdown: in.Slowdown, MeanServiceTime: fromMilliseconds(in.MeanServiceTimeMS), LinkUtilization: in.LinkUtilization, FailureRate: in.FailureRate},
 	}
 	switch in.Outcome {
 	case hopResponded:
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -112,10 +112,15 @@
 	active := n.active.add(h)
 	defer n.active.remove(active)
 	started := n.clock.now()
+	n.sent.count(h.Target, started)
+	n.metrics.sentToTarget.Add(1)
 	response, outcome, err := n.target.do(ctx, request)
 	took := n.clock.now() - started
 	release(outcome == retry.ResponseReceived)
 	res := result{outcome: outcome, response: response, targetTime: took}
+	if response != nil {
+		res.signals = n.recordSignals(h, response)
+	}
 	res.callFailed = outcome == retry.ResponseReceived && !res.succeeded() && active.callFailed.Load()
 	n.recordLocalResult(h, &res, err)
 	return res
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -9,6 +9,7 @@
 type metrics struct {
 	requests, responses, budgetRefusals, writeErrors, configFetches expvar.Int
 	storeErrors, unresponsiveConns, peerErrors                      expvar.Int
+	sentToTarget, malformedSignals                                  expvar.Int
 	refused                                                         expvar.Map
 	queueWait, targetTime                                           histogram
 }
@@ -26,6 +27,7 @@
 	for name, v := range map[string]expvar.Var{
 		"requests": &m.requests, "answered": &m.responses, "budget_refusals": &m.budgetRefusals,
 		"write_errors": &m.writeErrors, "config_fetches": &m.configFetches, "store_errors": &m.storeErrors, "silent_connections": &m.unresponsiveConns, "peer_errors": &m.peerErrors,
+		"target_requests": &m.sentToTarget, "malformed_signals": &m.malformedSignals,
 		"refused": &m.refused, "queue_wait_ms": &m.queueWait.counts, "target_time_ms": &m.targetTime.counts,
 	} {
 		expvar.Publish(name, v)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -42,6 +42,11 @@
 	// health is the health of the local target.
 	health balance.Health
 
+	signalsMu   sync.Mutex
+	lastSignals lastSignals
+	// sent measures the rate of requests to the local target, by target.
+	sent *rates
+
 	gate        *gate
 	target      *targetClient
 	peers       *http.Transport
@@ -94,7 +99,7 @@
 func New(s Settings, h Headers, store Store, logger *slog.Logger) *Node {
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
-		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), crashDetector: newCrashDetector(), nestedCalls: newNestedCalls(),
+		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), nestedCalls: newNestedCalls(),
 		counters: &rpc.Counters{},
 	}
 	n.connMonitor = newConnMonitor(n.clock.now)
@@ -190,6 +195,7 @@
 	n.metrics.publish()
 	expvar.Publish("config_version", expvar.Func(func() any { return n.configVersion() }))
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
+	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
 	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
 	go n.runTicker()
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -70,6 +70,11 @@
 	Signature string
 	// NotRun is set on responses of targets that did not run the request.
 	NotRun string
+	// RateLimit is the number of requests per second that a target takes from all nodes
+	// together. A response without it ends the limit.
+	RateLimit string
+	// Leaving is set on responses of targets that are shutting down.
+	Leaving string
 	// ParentID returns the id of the request on whose behalf a target makes a call, or ""
 	// if the id does not contain it.
 	ParentID func(id string) string
