--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -142,6 +143,38 @@
 	*Node
 	target   *fakeTarget
 	outbound *httptest.Server
+	// serving is the process that the listeners of the node belong to.
+	serving *atomic.Pointer[Node]
+}
+
+// HandleRPC implements rpc.Handler with the current process of the node.
+func (n *testNode) HandleRPC(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	return peerHandler{n.serving.Load()}.HandleRPC(ctx, method, params)
+}
+
+// restart replaces the process of the node. The new one knows the configuration, its target
+// and the other nodes, and nothing else of before.
+func (n *testNode) restart(t *testing.T, others ...*testNode) {
+	before := n.Node
+	n.Node = New(before.settings, testHeaders, fakeStore{}, before.logger)
+	t.Cleanup(n.Node.cancel)
+	before.cancel()
+	n.Step(control.ConfigPublished{Config: before.view.Load().Config})
+	n.heartbeat(1, 2)
+	for _, o := range others {
+		n.Step(control.PeerStateReceived{State: o.state()})
+	}
+	n.serving.Store(n.Node)
+	for _, o := range others {
+		o.Step(control.PeerStateReceived{State: n.state()})
+	}
+}
+
+// heartbeat delivers a heartbeat of the target process that started at the time.
+func (n *testNode) heartbeat(startUnixMS int64, sequence uint64) {
+	n.Step(control.HeartbeatReceived{Heartbeat: directory.Heartbeat{
+		ID: n.target.id, Address: n.settings.Target.String(), Service: "shop", Version: "v1", Slots: 4, Sequence: sequence, StartUnixMS: startUnixMS,
+	}})
 }
 
 func listen(t *testing.T, handler http.Handler) *httptest.Server {
@@ -172,9 +205,7 @@
 	require.NoError(t, config.Prepare())
 	for i, n := range nodes {
 		n.Step(control.ConfigPublished{Config: config})
-		n.Step(control.HeartbeatReceived{Heartbeat: directory.Heartbeat{
-			ID: n.target.id, Address: n.settings.Target.String(), Service: "shop", Version: "v1", Slots: 4, Sequence: 1, StartUnixMS: 1,
-		}})
+		n.heartbeat(1, 1)
 		for j, other := range nodes {
 			if i != j {
 				other.Step(control.PeerStateReceived{State: n.state()})
@@ -204,20 +235,22 @@
 
 func newTestNode(t *testing.T, i int) *testNode {
 	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
-	var n *Node
-	inbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.serveInbound(w, r) }))
-	var outboundHandler http.Handler
-	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { outboundHandler.ServeHTTP(w, r) }))
+	serving := &atomic.Pointer[Node]{}
+	inbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }))
+	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		serving.Load().outboundHandler().ServeHTTP(w, r)
+	}))
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	n = New(Settings{
+	n := New(Settings{
 		Node: mesh.NodeID(fmt.Sprintf("node-%d", i)), Zone: "a", Target: addressOf(t, target.Server), Service: "shop",
 		Inbound: addressOf(t, inbound), Outbound: addressOf(t, outbound),
 		Peers:             netip.MustParseAddrPort(peers.Addr().String()),
 		HeartbeatInterval: time.Minute, GracePeriod: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 	}, testHeaders, fakeStore{}, slog.New(slog.DiscardHandler))
-	outboundHandler = n.outboundHandler()
-	server := rpc.NewServer(peers, peerHandler{n}, n.counters)
+	serving.Store(n)
+	node := &testNode{Node: n, target: target, outbound: outbound, serving: serving}
+	server := rpc.NewServer(peers, node, n.counters)
 	go func() { _ = server.Start(context.Background()) }()
 	t.Cleanup(func() {
 		_ = server.Stop(context.Background())
@@ -225,7 +258,7 @@
 		n.rpc.Close()
 		n.peers.CloseIdleConnections()
 	})
-	return &testNode{Node: n, target: target, outbound: outbound}
+	return node
 }
 
 // call sends a request to the node's outbound listener.
