Keep to the limit of requests a second that a target names in its responses

Callers saw nothing; targets that asked for fewer requests got up to 2.3 times their limit. Cause: responses were passed on without being read: what a target says about itself was taken from its heartbeats only. Evidence: target_limit lines at 6.06 s with limit_per_s=46.4, and 100 to 109 requests a second after it.

The node beside the target, through which all its requests pass, now admits them by a token bucket at the named rate; the queue's expected wait, the refusal at the door and Retry-After follow it. Replies between nodes carry the state of the bucket, so that callers' nodes choose other targets before it is used up. A request carries the limit that its node knows, because the node beside the target may have restarted. A limit ends only with the response to a request that was sent after it was last named, since responses may be read out of order.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -60,6 +60,7 @@
 	recent    canary.RecentCounts
 	sinceTick canary.Counts
 	crashes   map[uint64]crash
+	signals   *directory.SignalTable
 	stopping  bool
 	closing   bool
 	storeLost bool
@@ -96,7 +97,7 @@
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
-		pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, unresponsiveReaders: map[mesh.NodeID]bool{},
+		pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
 	}
 }
 
@@ -118,6 +119,8 @@
 		c.refreshAnnouncement(t)
 	case TargetResponded:
 		c.countResponse(e)
+	case TargetSignaled:
+		c.handleSignals(t, e)
 	case TargetCrashed:
 		c.recordCrash(t, e.Requests)
 	case ConfigPublished:
@@ -193,6 +196,14 @@
 	c.sinceTick = c.sinceTick.Add(counts)
 }
 
+// handleSignals processes what a target said about itself.
+func (c *Control) handleSignals(t Time, e TargetSignaled) {
+	if !c.signals.Update(e.Target, e.Signals) {
+		return
+	}
+	c.publishView(t)
+}
+
 // maxEvidenceRoutes bounds the memory used by the evidence. A target has few routes.
 const maxEvidenceRoutes = 256
 
@@ -449,7 +460,7 @@
 	v := &View{
 		Config: c.config, Target: c.self.Target, Stopping: c.stopping, CrashingRequests: c.crashingRequests(),
 		Reader: c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
-		Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
+		Signals: c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
 	for _, a := range append(c.dir.All(), c.self) {
 		v.Announcements[a.Node] = a
@@ -458,7 +469,7 @@
 		}
 		e := balance.Endpoint{
 			Node: a.Node, Zone: a.Zone, Service: a.Target.Service, Version: a.Target.Version,
-			Target: a.Target.ID, Slots: a.Target.Slots, Cold: a.Target.ColdUntilUnixMS > t.UnixMS,
+			Target: a.Target.ID, StartUnixMS: a.Target.StartUnixMS, Slots: a.Target.Slots, Cold: a.Target.ColdUntilUnixMS > t.UnixMS,
 		}
 		if a.Node != c.self.Node {
 			e.LinkMbps = a.LinkMbps
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -36,6 +36,12 @@
 		Cold    bool
 		Latency time.Duration
 	}
+	// TargetSignaled carries what a target, local or not, said about itself in a response
+	// that passed through this node.
+	TargetSignaled struct {
+		Target  directory.Process
+		Signals directory.Signals
+	}
 	// TargetCrashed carries the fingerprints of the requests that ran when the local
 	// target crashed.
 	TargetCrashed struct{ Requests []uint64 }
@@ -78,6 +84,7 @@
 func (TargetLeaving) event()     {}
 func (TargetUnreachable) event() {}
 func (TargetResponded) event()   {}
+func (TargetSignaled) event()    {}
 func (TargetCrashed) event()     {}
 func (ConfigPublished) event()   {}
 func (AnnouncementRead) event()  {}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -17,6 +17,9 @@
 	Endpoints map[string]*ServiceEndpoints
 	// Announcements holds the announcements of all nodes, with their addresses.
 	Announcements map[mesh.NodeID]directory.Announcement
+	// Signals holds what targets said about themselves in responses that passed through this
+	// node.
+	Signals map[directory.Process]directory.Signals
 	// CrashingRequests holds the fingerprints of requests that crashed targets.
 	CrashingRequests map[uint64]bool
 	// Reader is set if this node reads the store for the whole mesh.
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -262,7 +262,7 @@
 	last := result{outcome: retry.NotSent, reason: "no-target"}
 	for len(c.tried) < maxNodesTried && ctx.Err() == nil {
 		choice, ok := n.choose(c)
-		if !ok || len(c.tried) > 0 && !choice.Admissible && last.reason == reasonQueue {
+		if !ok || len(c.tried) > 0 && !choice.Admissible && (last.reason == reasonQueue || last.reason == reasonTargetLimit) {
 			// One refusal confirms this node's estimate for the other nodes. Trying them too
 			// would delay the caller and load the nodes without benefit.
 			break
@@ -336,6 +336,7 @@
 	now := n.clock.now()
 	request := balance.Request{
 		ExpectedServiceTime: c.expectedServiceTime, Objective: c.softDeadline - now, Bytes: c.expectedBytes, Tried: c.tried,
+		Senders: len(n.view.Load().Announcements),
 	}
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
@@ -358,19 +359,23 @@
 	n.balanceMu.Unlock()
 	now := n.clock.now()
 	h := hopRequest{
-		ID: c.id, URI: c.r.RequestURI, Target: e.Target, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
+		ID: c.id, URI: c.r.RequestURI, Target: e.Target, TargetStart: e.StartUnixMS, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
 		Rank:        int(admission.RankOf(c.nested, c.route.Priority, c.attemptKind)),
 		Fingerprint: c.fingerprint,
 		Retryable:   c.route.Kind.Repeatable(),
 		IsRetry:     c.isRetry || c.targetsReached > 0,
 		TimeLeftMS:  milliseconds(max(c.deadline-now-forwardDeadlineMargin, 0)), SoftTimeLeftMS: milliseconds(c.softDeadline - now), ExpectedServiceTimeMS: milliseconds(c.expectedServiceTime),
 	}
+	if s := n.view.Load().Signals[h.process()]; s.Limited {
+		h.KnownLimit = &s.RateLimit
+	}
 	request := &targetRequest{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: c.body, retryable: c.route.Kind.Repeatable(), lease: c.lease}
 	var res result
 	if e.Node == n.settings.Node {
 		res = n.runLocal(ctx, h, request)
 	} else {
 		res = n.forward(ctx, h, request, e)
+		n.stepSignals(res.process, res.signals)
 	}
 	n.recordOutcome(c, e, res, ctx.Err() != nil)
 	c.recordAttempt(e, res, now, n.clock.now())
--- a/internal/sidecar/calllog.go
+++ b/internal/sidecar/calllog.go
@@ -25,9 +25,9 @@
 	// ExpectedWaitMS is the queueing time that the node of the target estimated.
 	ExpectedWaitMS int64 `json:"wait_ms,omitempty"`
 	// Signals are those in the response of the target.
-	Signals targetSignals `json:"signals,omitzero"`
-	Running int           `json:"running"`
-	Waiting int           `json:"waiting"`
+	Signals *targetSignals `json:"signals,omitempty"`
+	Running int            `json:"running"`
+	Waiting int            `json:"waiting"`
 }
 
 // recordAttempt adds an attempt to the log line of the call.
@@ -41,6 +41,9 @@
 	if res.response != nil {
 		a.Status = res.response.status
 	}
+	if a.Signals != nil && *a.Signals == (targetSignals{}) {
+		a.Signals = nil
+	}
 	c.attempts = append(c.attempts, a)
 }
 
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/admission"
+	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/directory"
 )
 
 // gate admits requests to the local target as its queue decides.
@@ -15,13 +17,19 @@
 	mu      sync.Mutex
 	queue   *admission.Queue
 	waiters map[*admission.Ticket]chan bool
-	// expiryScheduled is set while a call of expire is scheduled.
-	expiryScheduled bool
+	// target is the process that the rate limit belongs to.
+	target directory.Process
+	// signaled is set once the target has answered with or without a limit.
+	signaled bool
+	// limitedAt is the time of the last response that named a limit.
+	limitedAt time.Duration
+	// pollScheduled is set while a call of poll is scheduled.
+	pollScheduled bool
 }
 
-// expiryInterval limits how long a waiting request is held after it can no longer be
-// answered in time.
-const expiryInterval = 20 * time.Millisecond
+// pollInterval limits how long a waiting request is held after it can no longer be answered
+// in time, and how long after the rate limit of the target allows it.
+const pollInterval = 20 * time.Millisecond
 
 func newGate(now func() time.Duration) *gate {
 	return &gate{
@@ -33,19 +41,60 @@
 // defaultSlots applies until the target has announced its slots.
 const defaultSlots = 4
 
-func (g *gate) resize(slots int) {
-	if slots <= 0 {
+// setTarget sets the process and the slots of the target. The limit of a former process does
+// not apply to it.
+func (g *gate) setTarget(p directory.Process, slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target != p {
+		g.target, g.signaled = p, false
+		g.wake(g.queue.ClearRateLimit(g.now()))
+	}
+	if slots > 0 && g.queue.Slots() != slots {
+		g.wake(g.queue.Resize(slots, g.now()))
+	}
+}
+
+// signal applies the limit in a response of the target, or its absence, to a request that
+// was sent at a time. Responses may be read in another order than the target wrote them in: a
+// limit ends or rises only with the response to a request that was sent after the limit was
+// last named.
+func (g *gate) signal(p directory.Process, s targetSignals, sentAt time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target != p {
 		return
 	}
+	now := g.now()
+	current, _, limited := g.queue.RateLimit(now)
+	inOrder := !limited || !g.signaled || sentAt >= g.limitedAt
+	g.signaled = true
+	switch {
+	case s.RateLimit == nil && limited && inOrder:
+		g.wake(g.queue.ClearRateLimit(now))
+	case s.RateLimit != nil && (inOrder || *s.RateLimit <= current):
+		g.limitedAt = now
+		g.wake(g.queue.SetRateLimit(*s.RateLimit, now))
+	}
+	g.schedulePoll()
+}
+
+// adoptLimit applies a limit that another node knows from a response of the target, until
+// the target has answered a request through this node.
+func (g *gate) adoptLimit(p directory.Process, perSecond float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.queue.Slots() != slots {
-		g.wake(g.queue.Resize(slots, g.now()))
+	if g.target == p && !g.signaled {
+		g.wake(g.queue.SetRateLimit(perSecond, g.now()))
 	}
 }
 
-// reasonQueue is the reason if the request would not be answered in time.
-const reasonQueue = "queue"
+const (
+	// reasonQueue is the reason if the request would not be answered in time.
+	reasonQueue = "queue"
+	// reasonTargetLimit is the reason if it would exceed the rate limit of the target.
+	reasonTargetLimit = "target-limit"
+)
 
 // refusal is the reason why a request was not admitted.
 type refusal struct {
@@ -61,8 +110,12 @@
 	g.mu.Lock()
 	ticket, verdict, expectedWait := g.queue.Submit(r, arrivedAt)
 	if verdict == admission.Refuse {
+		reason := reasonQueue
+		if _, available, limited := g.queue.RateLimit(arrivedAt); limited && available < 1 {
+			reason = reasonTargetLimit
+		}
 		g.mu.Unlock()
-		return nil, 0, &refusal{reasonQueue, expectedWait}
+		return nil, 0, &refusal{reason, expectedWait}
 	}
 	release = func(responded bool) {
 		g.mu.Lock()
@@ -75,7 +128,7 @@
 	}
 	ready := make(chan bool, 1)
 	g.waiters[ticket] = ready
-	g.scheduleExpiry()
+	g.schedulePoll()
 	g.mu.Unlock()
 	select {
 	case ok := <-ready:
@@ -105,12 +158,14 @@
 	}
 }
 
-// expire refuses the waiting requests that can no longer be answered in time.
-func (g *gate) expire() {
+// poll admits the waiting requests that the rate limit now allows, and refuses those that
+// can no longer be answered in time.
+func (g *gate) poll() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.expiryScheduled = false
-	defer g.scheduleExpiry()
+	g.pollScheduled = false
+	defer g.schedulePoll()
+	g.wake(g.queue.Resume(g.now()))
 	for _, t := range g.queue.Expire(g.now()) {
 		if w, ok := g.waiters[t]; ok {
 			w <- false
@@ -119,25 +174,22 @@
 	}
 }
 
-// scheduleExpiry schedules the next call of expire while requests wait. mu must be held.
-func (g *gate) scheduleExpiry() {
-	if g.expiryScheduled || g.queue.Waiting() == 0 {
+// schedulePoll schedules the next call of poll while requests wait. mu must be held.
+func (g *gate) schedulePoll() {
+	if g.pollScheduled || g.queue.Waiting() == 0 {
 		return
 	}
-	g.expiryScheduled = true
-	time.AfterFunc(expiryInterval, g.expire)
+	g.pollScheduled = true
+	time.AfterFunc(pollInterval, g.poll)
 }
 
-// stats returns the state of the gate, which is reported along with responses.
-func (g *gate) stats() (running, waiting int, slowdown float64) {
+// load returns the state of the gate, which is reported along with responses.
+func (g *gate) load() balance.LoadReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.Running(), g.queue.Waiting(), g.queue.Slowdown()
-}
-
-// meanServiceTime is the mean time that a request holds a slot.
-func (g *gate) meanServiceTime() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.queue.MeanServiceTime()
+	report := balance.LoadReport{
+		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slowdown: g.queue.Slowdown(), MeanServiceTime: g.queue.MeanServiceTime(),
+	}
+	report.RateLimit, report.RateAvailable, report.RateLimited = g.queue.RateLimit(g.now())
+	return report
 }
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -9,6 +9,7 @@
 
 	"heathercroft.example/heathercroft/pkg/admission"
 	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
@@ -21,13 +22,15 @@
 
 // hopRequest is the metadata of a request for the node of the target.
 type hopRequest struct {
-	ID      string `json:"id"`
-	URI     string `json:"uri"`
-	Target  string `json:"target"`
-	Service string `json:"service"`
-	Route   string `json:"route"`
-	Caller  string `json:"caller"`
-	Rank    int    `json:"rank"`
+	ID     string `json:"id"`
+	URI    string `json:"uri"`
+	Target string `json:"target"`
+	// TargetStart is the start of the target's process as Unix time in milliseconds.
+	TargetStart int64  `json:"target_start,omitempty"`
+	Service     string `json:"service"`
+	Route       string `json:"route"`
+	Caller      string `json:"caller"`
+	Rank        int    `json:"rank"`
 	// Fingerprint identifies equal requests.
 	Fingerprint uint64 `json:"fingerprint"`
 	// Retryable is set if the request may be sent again after a failure.
@@ -35,6 +38,9 @@
 	// IsRetry is set if the request may have run before, or is made on behalf of one that
 	// may have.
 	IsRetry bool `json:"repeat,omitempty"`
+	// KnownLimit is the limit in requests per second that the target named in its last
+	// response through the sending node.
+	KnownLimit *float64 `json:"known_limit,omitempty"`
 	// TimeLeftMS is the time left until the deadline, SoftTimeLeftMS the time left until the
 	// soft deadline, and ExpectedServiceTimeMS the expected time at the target.
 	TimeLeftMS            float64 `json:"left_ms"`
@@ -58,8 +64,20 @@
 	TargetTimeMS float64 `json:"took_ms,omitempty"`
 	// CallFailed is set if the target failed the request after one of its own calls failed.
 	CallFailed bool `json:"call_failed,omitempty"`
-	// Signals are those in the response of the target, also if it refused the request.
-	Signals targetSignals `json:"signals,omitzero"`
+	// Limit is the rate limit that the node applies to the target.
+	Limit *hopLimit `json:"limit,omitempty"`
+	// Signals are those in the response of the target, also if it refused the request, nil
+	// if there was no response of this target.
+	Signals *targetSignals `json:"signals,omitempty"`
+	// Process is the process of the target that responded.
+	Process directory.Process `json:"process,omitzero"`
+}
+
+// hopLimit is the state of a rate limit.
+type hopLimit struct {
+	PerSecond float64 `json:"per_s"`
+	// Available is the number of requests that may be sent now.
+	Available float64 `json:"available"`
 }
 
 // result is the result of one attempt.
@@ -73,7 +91,10 @@
 	load       balance.LoadReport
 	loadKnown  bool
 	targetTime time.Duration
-	signals    targetSignals
+	// signals are those in the response of the target, nil if there was none.
+	signals *targetSignals
+	// process is the process of the target that responded.
+	process directory.Process
 	// callFailed is set if the target failed the request after a call that it made for it
 	// failed.
 	callFailed bool
@@ -91,6 +112,11 @@
 
 func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
+// process returns the process of the target to which the request is sent.
+func (h hopRequest) process() directory.Process {
+	return directory.Process{ID: h.Target, StartUnixMS: h.TargetStart}
+}
+
 func (h hopRequest) rank() admission.Rank { return admission.Rank(h.Rank) }
 
 const (
@@ -113,7 +139,10 @@
 	h := hopReply{
 		Reason: r.reason, ExpectedWaitMS: milliseconds(r.expectedWait), Running: r.load.Running, Waiting: r.load.Waiting,
 		Slowdown: r.load.Slowdown, MeanServiceTimeMS: milliseconds(r.load.MeanServiceTime), LinkUtilization: r.load.LinkUtilization, FailureRate: r.load.FailureRate, TargetTimeMS: milliseconds(r.targetTime), CallFailed: r.callFailed,
-		Signals: r.signals,
+		Signals: r.signals, Process: r.process,
+	}
+	if r.load.RateLimited {
+		h.Limit = &hopLimit{PerSecond: r.load.RateLimit, Available: r.load.RateAvailable}
 	}
 	switch {
 	case r.outcome == retry.ResponseReceived:
@@ -135,8 +164,11 @@
 	}
 	r := result{
 		reason: in.Reason, expectedWait: fromMilliseconds(in.ExpectedWaitMS), targetTime: fromMilliseconds(in.TargetTimeMS), loadKnown: true, callFailed: in.CallFailed,
-		signals: in.Signals,
-		load:    balance.LoadReport{Running: in.Running, Waiting: in.Waiting, Slowdown: in.Slowdown, MeanServiceTime: fromMilliseconds(in.MeanServiceTimeMS), LinkUtilization: in.LinkUtilization, FailureRate: in.FailureRate},
+		signals: in.Signals, process: in.Process,
+		load: balance.LoadReport{Running: in.Running, Waiting: in.Waiting, Slowdown: in.Slowdown, MeanServiceTime: fromMilliseconds(in.MeanServiceTimeMS), LinkUtilization: in.LinkUtilization, FailureRate: in.FailureRate},
+	}
+	if in.Limit != nil {
+		r.load.RateLimited, r.load.RateLimit, r.load.RateAvailable = true, in.Limit.PerSecond, in.Limit.Available
 	}
 	switch in.Outcome {
 	case hopResponded:
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -10,7 +10,7 @@
 
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/pkg/admission"
-	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
@@ -74,14 +74,14 @@
 // target to the result.
 func (n *Node) runLocal(ctx context.Context, h hopRequest, request *targetRequest) result {
 	res := n.tryLocal(ctx, h, request)
-	running, waiting, slowdown := n.gate.stats()
 	res.loadKnown = true
-	res.load = balance.LoadReport{Running: running, Waiting: waiting, Slowdown: slowdown, MeanServiceTime: n.gate.meanServiceTime(), LinkUtilization: n.link.utilization(), FailureRate: n.targetFailureRate()}
+	res.load = n.gate.load()
+	res.load.LinkUtilization, res.load.FailureRate = n.link.utilization(), n.targetFailureRate()
 	return res
 }
 
 func (n *Node) tryLocal(ctx context.Context, h hopRequest, request *targetRequest) result {
-	if reason := n.localRefusalReason(h); reason != "" {
+	if reason := refusalReason(n.view.Load().Target, h); reason != "" {
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
 	if n.messages.Full(fullMemoryShare) {
@@ -90,6 +90,9 @@
 	if h.IsRetry && !n.hasRoomForCalls(h.Route) {
 		return result{outcome: retry.RefusedByNode, reason: reasonRetryBudget}
 	}
+	if h.KnownLimit != nil {
+		n.gate.adoptLimit(h.process(), *h.KnownLimit)
+	}
 	now := n.clock.now()
 	left := fromMilliseconds(h.TimeLeftMS)
 	release, waited, refused := n.gate.acquire(ctx, admission.Request{
@@ -100,7 +103,8 @@
 		return result{outcome: retry.RefusedByNode, reason: refused.reason, expectedWait: refused.expectedWait}
 	}
 	// The target may have announced that it leaves during the wait.
-	if reason := n.localRefusalReason(h); reason != "" {
+	target := n.view.Load().Target
+	if reason := refusalReason(target, h); reason != "" {
 		release(false)
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
@@ -118,18 +122,17 @@
 	took := n.clock.now() - started
 	release(outcome == retry.ResponseReceived)
 	res := result{outcome: outcome, response: response, targetTime: took}
-	if response != nil {
-		res.signals = n.recordSignals(h, response)
+	if response != nil && response.status != http.StatusMisdirectedRequest {
+		res.process = target.Process()
+		res.signals = n.recordSignals(h.ID, res.process, response, started)
 	}
 	res.callFailed = outcome == retry.ResponseReceived && !res.succeeded() && active.callFailed.Load()
 	n.recordLocalResult(h, &res, err)
 	return res
 }
 
-// localRefusalReason returns why a request must not be sent to the local target, or "" if
-// it may.
-func (n *Node) localRefusalReason(h hopRequest) string {
-	t := n.view.Load().Target
+// refusalReason returns why a request must not be sent to the local target, or "" if it may.
+func refusalReason(t *directory.Target, h hopRequest) string {
 	switch {
 	case t == nil:
 		return "no-target"
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -232,7 +232,7 @@
 				n.recordConfigDelta(before.Config, v.View.Config)
 			}
 			if v.View.Target != nil {
-				n.gate.resize(v.View.Target.Slots)
+				n.gate.setTarget(v.View.Target.Process(), v.View.Target.Slots)
 			}
 		}
 	}
@@ -268,8 +268,8 @@
 		case <-n.ctx.Done():
 			return
 		case <-tick.C:
-			running, waiting, _ := n.gate.stats()
-			n.step(control.LoadMeasured{Running: running, Waiting: waiting, PerSecond: n.rates.perSecond(n.clock.now())})
+			load := n.gate.load()
+			n.step(control.LoadMeasured{Running: load.Running, Waiting: load.Waiting, PerSecond: n.rates.perSecond(n.clock.now())})
 			n.step(control.Tick{})
 			n.retainKnownEndpoints()
 		}
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -5,8 +5,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/pkg/directory"
 )
 
 // targetSignals is what a target says about its own state in a response.
@@ -18,8 +22,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
-// signals reads the signals in the headers of a response. Malformed values are reported and
-// count as not sent; of several limits the lowest one holds.
+// signals reads the signals in the headers of a response and reports malformed values. Of
+// several limits the lowest one holds.
 func (h Headers) signals(header http.Header) (s targetSignals, err error) {
 	for _, text := range header.Values(h.RateLimit) {
 		limit, parseErr := strconv.ParseFloat(strings.TrimSpace(text), 64)
@@ -60,39 +64,60 @@
 
 // lastSignals holds the signals in the last response of the local target.
 type lastSignals struct {
-	target  string
+	target  directory.Process
 	signals targetSignals
 	// malformed is set after a response with malformed signals was logged.
 	malformed bool
 }
 
-// recordSignals logs the signals of the local target when they change.
-func (n *Node) recordSignals(h hopRequest, r *response) targetSignals {
+// recordSignals applies the signals in a response of the local target to a request that was
+// sent at a time, and logs changes.
+func (n *Node) recordSignals(request string, target directory.Process, r *response, sentAt time.Duration) *targetSignals {
 	s, err := n.headers.signals(r.header)
 	n.signalsMu.Lock()
 	last := n.lastSignals
-	if last.target != h.Target {
-		last = lastSignals{target: h.Target}
+	if last.target != target {
+		last = lastSignals{target: target}
 	}
 	before := last.signals
+	if err != nil && s.RateLimit == nil {
+		s.RateLimit = before.RateLimit
+	}
 	logMalformed := err != nil && !last.malformed
 	last.signals, last.malformed = s, last.malformed || err != nil
 	n.lastSignals = last
 	n.signalsMu.Unlock()
 	if logMalformed {
-		n.logger.Warn("target_signal_malformed", "request", h.ID, "target", h.Target, "error", err.Error())
+		n.logger.Warn("target_signal_malformed", "request", request, "target", target.ID, "error", err.Error())
 	}
 	if err != nil {
 		n.metrics.malformedSignals.Add(1)
 	}
 	if !s.sameLimit(before) {
-		n.logger.Info("target_limit", "request", h.ID, "target", h.Target, "limit_per_s", s.limit(), "before_per_s", before.limit(),
-			"sent_per_s", n.sent.perSecond(n.clock.now())[h.Target])
+		n.logger.Info("target_limit", "request", request, "target", target.ID, "limit_per_s", s.limit(), "before_per_s", before.limit(),
+			"sent_per_s", n.sent.perSecond(n.clock.now())[target.ID])
 	}
 	if s.Leaving && !before.Leaving {
-		n.logger.Info("target_leaving_signal", "request", h.ID, "target", h.Target)
+		n.logger.Info("target_leaving_signal", "request", request, "target", target.ID)
+	}
+	n.gate.signal(target, s, sentAt)
+	n.stepSignals(target, &s)
+	return &s
+}
+
+// stepSignals passes the signals in a response of a target on to the state machine if they
+// changed. received is nil if there was no response.
+func (n *Node) stepSignals(target directory.Process, received *targetSignals) {
+	if received == nil {
+		return
+	}
+	s := directory.Signals{Limited: received.RateLimit != nil, Leaving: received.Leaving}
+	if s.Limited {
+		s.RateLimit = *received.RateLimit
+	}
+	if s != n.view.Load().Signals[target] {
+		n.step(control.TargetSignaled{Target: target, Signals: s})
 	}
-	return s
 }
 
 // targetLimit returns the limit in the last response of the local target, or -1.
--- a/internal/sidecar/signals_test.go
+++ b/internal/sidecar/signals_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/pkg/directory"
 )
 
 // Bounds that users state for a target with a limit: in each window it gets at most
@@ -155,3 +156,95 @@
 	status, _, _ = nodes[1].call(t, http.MethodGet, "/read/x", "next-process")
 	require.Equal(t, http.StatusOK, status)
 }
+
+func limitOf(g *gate) float64 {
+	limit, _, ok := g.queue.RateLimit(g.now())
+	if !ok {
+		return -1
+	}
+	return limit
+}
+
+// Guards against a limit that ends or rises by an old response, which was read after newer
+// ones, and against a limit that outlives the process of the target that named it.
+func TestLimitFollowsTheOrderOfResponses(t *testing.T) {
+	now := time.Duration(0)
+	g := newGate(func() time.Duration { return now })
+	p := directory.Process{ID: "t", StartUnixMS: 1}
+	named := func(limit float64) targetSignals { return targetSignals{RateLimit: &limit} }
+	g.setTarget(p, 4)
+	now = time.Second
+	g.signal(p, named(5), 900*time.Millisecond)
+	require.InDelta(t, 5, limitOf(g), 0)
+	g.signal(p, targetSignals{}, 950*time.Millisecond)
+	g.signal(p, named(9), 950*time.Millisecond)
+	require.InDelta(t, 5, limitOf(g), 0, "the requests were sent before the limit was named")
+	g.signal(p, named(3), 950*time.Millisecond)
+	require.InDelta(t, 3, limitOf(g), 0, "a lower limit holds at once")
+	g.adoptLimit(p, 1)
+	require.InDelta(t, 3, limitOf(g), 0, "the target itself has answered")
+	g.signal(directory.Process{ID: "t"}, targetSignals{}, 2*time.Second)
+	require.InDelta(t, 3, limitOf(g), 0, "another process says nothing about this one")
+	now = 2 * time.Second
+	g.signal(p, named(9), 1100*time.Millisecond)
+	require.InDelta(t, 9, limitOf(g), 0)
+	g.signal(p, targetSignals{}, 2100*time.Millisecond)
+	require.InDelta(t, -1, limitOf(g), 0)
+	g.signal(p, named(9), 2100*time.Millisecond)
+	g.setTarget(directory.Process{ID: "t", StartUnixMS: 2}, 4)
+	require.InDelta(t, -1, limitOf(g), 0)
+	g.adoptLimit(directory.Process{ID: "t", StartUnixMS: 2}, 7)
+	require.InDelta(t, 7, limitOf(g), 0)
+}
+
+// Guards against malformed signals that end a limit or are taken for one.
+func TestMalformedSignalsChangeNothing(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	for i, step := range []struct {
+		limits  []string
+		leaving string
+		want    float64
+	}{
+		{[]string{"-1"}, "", -1},
+		{[]string{"NaN"}, "maybe", -1},
+		{[]string{"Inf"}, "", -1},
+		{[]string{"40"}, "0", 40},
+		{[]string{"many"}, "", 40},
+		{[]string{"", "1e400"}, "", 40},
+		{[]string{" 50 ", "30.5"}, "", 30.5},
+		{nil, "", -1},
+	} {
+		n.target.serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header()["X-Limit"] = step.limits
+			w.Header().Set("X-Leaving", step.leaving)
+			if step.leaving == "" {
+				w.Header().Del("X-Leaving")
+			}
+			w.Header().Set("X-Signature", "s")
+		})
+		status, _, body := n.call(t, http.MethodGet, "/read/x", fmt.Sprintf("r%d", i))
+		require.Equal(t, http.StatusOK, status, body)
+		require.InDelta(t, step.want, limitOf(n.gate), 0, "step %d", i)
+		require.InDelta(t, step.want, n.targetLimit(), 0, "step %d", i)
+		time.Sleep(30 * time.Millisecond)
+	}
+	require.EqualValues(t, 5, n.metrics.malformedSignals.Value())
+	require.True(t, n.view.Load().Target.Serving)
+}
+
+// Guards against signals of another target: a response that says that the request reached the
+// wrong target says nothing about the right one.
+func TestSignalsOfAnotherTargetAreIgnored(t *testing.T) {
+	nodes := newMesh(t, 2)
+	nodes[1].Step(control.TargetLeaving{ID: "target-1"})
+	nodes[0].target.serve(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Limit", "1")
+		w.Header().Set("X-Leaving", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	status, _, _ := nodes[1].call(t, http.MethodGet, "/read/x", "r1")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.True(t, nodes[0].view.Load().Target.Serving)
+	require.InDelta(t, -1, limitOf(nodes[0].gate), 0)
+	require.Empty(t, nodes[1].view.Load().Signals)
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -69,8 +69,8 @@
 const (
 	// Admit means that the request has a slot and may be sent now.
 	Admit Decision = iota
-	// Enqueue means that the request is queued until Done or Resize returns its ticket,
-	// Expire returns it, or Cancel removes it.
+	// Enqueue means that the request is queued until one of the methods that start tickets
+	// returns its ticket, Expire returns it, or Cancel removes it.
 	Enqueue
 	// Refuse means that the response is not expected in time.
 	Refuse
@@ -108,6 +108,8 @@
 	slots   int
 	running int
 	waiting []*Ticket
+	// rate is the limit of requests per second that the target names.
+	rate RateLimit
 	// meanServiceTime is the moving average of the time a request holds a slot, in
 	// nanoseconds.
 	meanServiceTime float64
@@ -127,6 +129,29 @@
 	return q.startWaiting(now)
 }
 
+// SetRateLimit sets the number of requests per second that the target takes. It returns the
+// tickets that may now run.
+func (q *Queue) SetRateLimit(perSecond float64, now time.Duration) []*Ticket {
+	q.rate.Set(perSecond, now)
+	return q.startWaiting(now)
+}
+
+// ClearRateLimit ends the limit. It returns the tickets that may now run.
+func (q *Queue) ClearRateLimit(now time.Duration) []*Ticket {
+	q.rate.Clear()
+	return q.startWaiting(now)
+}
+
+// RateLimit returns the limit and the number of requests that it allows now beyond those
+// that wait, which is negative if some have to wait. ok is false without a limit.
+func (q *Queue) RateLimit(now time.Duration) (perSecond, available float64, ok bool) {
+	perSecond, ok = q.rate.PerSecond()
+	return perSecond, q.rate.Available(now) - float64(len(q.waiting)), ok
+}
+
+// Resume returns the queued tickets that may now run because time has passed.
+func (q *Queue) Resume(now time.Duration) []*Ticket { return q.startWaiting(now) }
+
 // Running returns the number of requests that hold a slot.
 func (q *Queue) Running() int { return q.running }
 
@@ -141,8 +166,8 @@
 
 // EstimateWait returns the expected queueing time of a request of the rank that arrives
 // now.
-func (q *Queue) EstimateWait(rank Rank) time.Duration {
-	if q.running < q.slots && len(q.waiting) == 0 {
+func (q *Queue) EstimateWait(rank Rank, now time.Duration) time.Duration {
+	if q.startsAtOnce(now) {
 		return 0
 	}
 	ahead := 0
@@ -151,20 +176,29 @@
 			ahead++
 		}
 	}
-	return time.Duration(float64(ahead+1) * q.meanServiceTime / float64(q.slots))
+	wait := q.rate.Wait(ahead+1, now)
+	if q.running >= q.slots {
+		wait = max(wait, time.Duration(float64(ahead+1)*q.meanServiceTime/float64(q.slots)))
+	}
+	return wait
+}
+
+// startsAtOnce reports whether a request that arrives now runs without waiting.
+func (q *Queue) startsAtOnce(now time.Duration) bool {
+	return q.running < q.slots && len(q.waiting) == 0 && q.rate.Allows(now)
 }
 
 // Submit decides whether a request runs, waits or is refused, and returns its expected
 // queueing time. The ticket of an admitted request must be passed to Done; that of a queued
-// request stays in the queue until Done or Resize starts it, Expire returns it, or Cancel
-// removes it.
+// request stays in the queue until Done, Resize, Resume or a change of the rate limit starts
+// it, Expire returns it, or Cancel removes it.
 func (q *Queue) Submit(r Request, now time.Duration) (*Ticket, Decision, time.Duration) {
 	t := &Ticket{Request: r, arrivedAt: now}
-	if q.running < q.slots && len(q.waiting) == 0 {
+	if q.startsAtOnce(now) {
 		q.start(t, now)
 		return t, Admit, 0
 	}
-	wait := q.EstimateWait(r.Rank)
+	wait := q.EstimateWait(r.Rank, now)
 	if now+WithMargins(wait, q.expectedServiceTime(r)) > r.FinishBy || r.Rank >= lateRank && len(q.waiting) > 0 {
 		return nil, Refuse, wait
 	}
@@ -185,6 +219,7 @@
 
 func (q *Queue) start(t *Ticket, now time.Duration) {
 	q.running++
+	q.rate.Take(now)
 	t.running, t.startedAt = true, now
 }
 
@@ -233,7 +268,7 @@
 
 func (q *Queue) startWaiting(now time.Duration) []*Ticket {
 	var ready []*Ticket
-	for q.running < q.slots && len(q.waiting) > 0 {
+	for q.running < q.slots && len(q.waiting) > 0 && q.rate.Allows(now) {
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		q.start(t, now)
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -16,7 +16,9 @@
 	Version string
 	// Target is the ID of the target that runs beside the node.
 	Target string
-	Slots  int
+	// StartUnixMS is the Unix time in milliseconds at which the target's process started.
+	StartUnixMS int64
+	Slots       int
 	// Cold is set while the target is warming up after its start.
 	Cold bool
 	// LinkMbps is the bandwidth of the node's link in Mbit/s. 0 means no limit, as for
@@ -40,6 +42,11 @@
 	LinkUtilization float64
 	// FailureRate is the share of recent requests that the target failed or refused.
 	FailureRate float64
+	// RateLimited is set if the target names a limit, which is RateLimit requests per second
+	// from all nodes together. RateAvailable is the number of requests that it allows beyond
+	// those that wait, negative if some have to wait.
+	RateLimited              bool
+	RateLimit, RateAvailable float64
 }
 
 // Parameters of the cost function.
@@ -79,6 +86,11 @@
 	// refusalCost is added if the target is expected to refuse the request. A response
 	// later than the objective from another target is better than a refusal.
 	refusalCost = 1.0
+	// usedRateLimitCost is the cost of a target whose rate limit is used up.
+	usedRateLimitCost = 0.2
+	// minRateLimit replaces lower rate limits in requests per second. Waits of many seconds
+	// make no difference.
+	minRateLimit = 0.1
 	// lastResortCost ranks the targets of unresponsive and leaving nodes behind others.
 	lastResortCost = 5.0
 	// maxSlowdown limits the reported slowdown, so that a target that was very slow gets
@@ -99,6 +111,11 @@
 	ownBytesInFlight int64
 	// linkUtilization is the value reported by the endpoint's node.
 	linkUtilization float64
+	// rateLimited, rateLimit and rateAvailable are the values reported by the endpoint's
+	// node; sentSinceReport counts the requests of this node since then.
+	rateLimited              bool
+	rateLimit, rateAvailable float64
+	sentSinceReport          int
 
 	// rate is the moving average of the failure rate that this node observed, as of rateAt.
 	rate   float64
@@ -143,6 +160,9 @@
 	Objective time.Duration
 	// Bytes is the expected size of the request and the response.
 	Bytes int64
+	// Senders is the number of nodes that send requests, with which this node shares the
+	// rate limit of a target.
+	Senders int
 	// Tried holds the nodes of earlier attempts. They are skipped.
 	Tried []mesh.NodeID
 }
@@ -169,7 +189,7 @@
 			continue
 		}
 		wait, total := s.estimate(e, r, now)
-		cost := b.cost(e, s, r, total, now) * (1 + costJitter*random())
+		cost := (b.cost(e, s, r, total, now) + s.rateLimitCost(r, now)) * (1 + costJitter*random())
 		if cost < bestCost {
 			admissible := total <= r.Objective && !b.lastResort(e, now)
 			best, bestCost, found = Choice{e, wait, admissible}, cost, true
@@ -220,10 +240,42 @@
 	if over := load + 1 - slots; over > 0 {
 		wait = time.Duration(over * float64(meanServiceTime) / slots)
 	}
+	wait = max(wait, s.rateLimitWait(r, now))
 	use := s.linkUtilization * max(0, 1-age)
 	return wait, admission.WithMargins(wait, serviceTime) + e.transferTime(s.ownBytesInFlight+r.Bytes, use)
 }
 
+// availableRate estimates how many requests the rate limit of the target allows now. Between
+// reports this node counts on its share of the limit only. Once the report is too old, one
+// request finds out whether the limit has ended.
+func (s *endpointState) availableRate(r Request, now time.Duration) float64 {
+	age := now - s.reportedAt
+	if age >= loadReportMaxAge && s.sentSinceReport == 0 {
+		return 1
+	}
+	share := s.rateLimit / float64(max(r.Senders, 1))
+	return min(s.rateAvailable+share*age.Seconds(), max(s.rateLimit, 1)) - float64(s.sentSinceReport)
+}
+
+// rateLimitWait returns how long the rate limit of the target delays a request.
+func (s *endpointState) rateLimitWait(r Request, now time.Duration) time.Duration {
+	if !s.rateLimited {
+		return 0
+	}
+	missing := max(0, 1-s.availableRate(r, now))
+	return time.Duration(missing / max(s.rateLimit, minRateLimit) * float64(time.Second))
+}
+
+// rateLimitCost grows as the rate limit of the target is used up, so that requests go to
+// other targets before it has to refuse some.
+func (s *endpointState) rateLimitCost(r Request, now time.Duration) float64 {
+	if !s.rateLimited {
+		return 0
+	}
+	free := s.availableRate(r, now) / max(s.rateLimit, 1)
+	return usedRateLimitCost * min(1, max(0, 1-free))
+}
+
 // minFreeLinkShare is the minimum share of a link's bandwidth that is assumed to be free.
 const minFreeLinkShare = 0.05
 
@@ -287,6 +339,7 @@
 func (b *Balancer) Begin(e Endpoint, bytes int64) {
 	s := b.stateOf(e)
 	s.ownInFlight++
+	s.sentSinceReport++
 	s.ownBytesInFlight += bytes
 }
 
@@ -305,6 +358,7 @@
 	s.meanServiceTime = r.MeanServiceTime
 	s.linkUtilization = r.LinkUtilization
 	s.reportedFailureRate = r.FailureRate
+	s.rateLimited, s.rateLimit, s.rateAvailable, s.sentSinceReport = r.RateLimited, r.RateLimit, r.RateAvailable, 0
 	b.MarkZoneReachable(e.Zone)
 	if r.Slowdown > 0 {
 		s.slowdown = min(r.Slowdown, maxSlowdown)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -31,10 +31,13 @@
 
 // Target is the state of the target beside a node.
 type Target struct {
-	ID      string `json:"id"`
-	Service string `json:"service"`
-	Version string `json:"version"`
-	Slots   int    `json:"slots"`
+	ID string `json:"id"`
+	// StartUnixMS is the Unix time in milliseconds at which the process of the target
+	// started.
+	StartUnixMS int64  `json:"start,omitempty"`
+	Service     string `json:"service"`
+	Version     string `json:"version"`
+	Slots       int    `json:"slots"`
 	// Serving is false if the target is draining, gone or unreachable.
 	Serving bool `json:"serving"`
 	// Leaving is set once the target has reported that it shuts down. It does not return.
@@ -44,6 +47,9 @@
 	ColdUntilUnixMS int64 `json:"cold_until,omitempty"`
 }
 
+// Process returns the process that the target currently is.
+func (t Target) Process() Process { return Process{t.ID, t.StartUnixMS} }
+
 // supersedes reports whether a is newer than b.
 func (a Announcement) supersedes(b Announcement) bool {
 	return a.StartUnixMS > b.StartUnixMS || a.StartUnixMS == b.StartUnixMS && a.Sequence > b.Sequence
--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -39,18 +39,19 @@
 	// Processes of the target that started at or before that time have ended.
 	departed map[string]int64
 	// superseded holds the processes that a later one has replaced. They never return.
-	superseded map[process]bool
+	superseded map[Process]bool
 	// candidate is a process with an earlier start than the current one, whose clock may
 	// have been set back before it started.
-	candidate   process
+	candidate   Process
 	candidateAt time.Duration
 	candidateNo uint64
 }
 
-// process identifies a target process.
-type process struct {
-	id          string
-	startUnixMS int64
+// Process identifies a process of a target. A target may start again under its id.
+type Process struct {
+	ID string `json:"id"`
+	// StartUnixMS is the Unix time in milliseconds at which the process started.
+	StartUnixMS int64 `json:"start,omitempty"`
 }
 
 // maxMissedHeartbeats is the number of intervals without a heartbeat after which
@@ -72,7 +73,7 @@
 			h.StartUnixMS = l.last.StartUnixMS
 		}
 	}
-	if at, ok := l.departed[h.ID]; ok && h.StartUnixMS <= at || l.superseded[process{h.ID, h.StartUnixMS}] {
+	if at, ok := l.departed[h.ID]; ok && h.StartUnixMS <= at || l.superseded[Process{h.ID, h.StartUnixMS}] {
 		return false
 	}
 	same := l.known && h.ID == l.last.ID && h.StartUnixMS == l.last.StartUnixMS
@@ -95,7 +96,7 @@
 // is the current one: the clock may have been set back before it started. It must have sent two heartbeats some time apart while the
 // current process sent none. Delayed heartbeats arrive together or beside later ones.
 func (l *LocalTarget) confirmCandidate(h Heartbeat, now time.Duration) bool {
-	p := process{h.ID, h.StartUnixMS}
+	p := Process{h.ID, h.StartUnixMS}
 	if l.candidate != p || l.candidateAt < l.lastHeard {
 		l.candidate, l.candidateAt, l.candidateNo = p, now, h.Sequence
 		return false
@@ -109,9 +110,9 @@
 		return
 	}
 	if l.superseded == nil || len(l.superseded) >= maxDeparted {
-		l.superseded = map[process]bool{}
+		l.superseded = map[Process]bool{}
 	}
-	l.superseded[process{l.last.ID, l.last.StartUnixMS}] = true
+	l.superseded[Process{l.last.ID, l.last.StartUnixMS}] = true
 }
 
 // MarkLeaving records that a target is shutting down, also if no heartbeat of it
@@ -129,6 +130,15 @@
 	return true
 }
 
+// MarkProcessLeaving records that a process of the target is shutting down, as one of its
+// responses says. It reports whether that is new and it is the current process.
+func (l *LocalTarget) MarkProcessLeaving(p Process, unixMS int64) bool {
+	if !l.known || l.leaving || p != (Process{l.last.ID, l.last.StartUnixMS}) {
+		return false
+	}
+	return l.MarkLeaving(p.ID, unixMS)
+}
+
 // maxDeparted bounds the number of remembered former targets. An address has few
 // of them in a day.
 const maxDeparted = 64
@@ -145,7 +155,7 @@
 	if !l.known {
 		return nil
 	}
-	t := &Target{ID: l.last.ID, Service: l.last.Service, Version: l.last.Version, Slots: l.last.Slots, Leaving: l.leaving}
+	t := &Target{ID: l.last.ID, StartUnixMS: l.last.StartUnixMS, Service: l.last.Service, Version: l.last.Version, Slots: l.last.Slots, Leaving: l.leaving}
 	timedOut := now-l.lastHeard > maxMissedHeartbeats*l.Interval
 	refused := l.unreachable && now-l.unreachableAt < unreachablePeriod
 	t.Serving = !l.leaving && !timedOut && !refused
--- /dev/null
+++ b/pkg/directory/signals_test.go
@@ -0,0 +1,42 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/directory"
+)
+
+// Guards against forgetting that a target leaves: a later response does not take it back, and
+// only so many newer processes push it out of the bounded memory.
+func TestLeavingSignalDoesNotEnd(t *testing.T) {
+	table := directory.NewSignalTable()
+	p := directory.Process{ID: "t", StartUnixMS: 1}
+	require.True(t, table.Update(p, directory.Signals{Leaving: true, Limited: true, RateLimit: 2}))
+	require.False(t, table.Update(p, directory.Signals{Limited: true, RateLimit: 2}))
+	require.True(t, table.Update(p, directory.Signals{}))
+	require.Equal(t, directory.Signals{Leaving: true}, table.Of(p))
+	require.Zero(t, table.Of(directory.Process{ID: "t", StartUnixMS: 2}), "a later process is another target")
+	for i := range 1023 {
+		table.Update(directory.Process{ID: fmt.Sprint(i)}, directory.Signals{Limited: true})
+	}
+	require.True(t, table.Of(p).Leaving)
+	table.Update(directory.Process{ID: "one more"}, directory.Signals{Limited: true})
+	require.False(t, table.Of(p).Leaving)
+	require.Len(t, table.All(), 1024)
+}
+
+// Guards against a leaving signal of a former process that is taken for one of the process
+// that runs now under the same id.
+func TestLeavingSignalCountsForItsProcessOnly(t *testing.T) {
+	l := newLocalTarget()
+	require.True(t, l.HandleHeartbeat(beat(2_000, 1), 0, 2_000))
+	require.False(t, l.MarkProcessLeaving(directory.Process{ID: "t", StartUnixMS: 1_000}, 2_100))
+	require.True(t, l.Target(0, 2_100).Serving)
+	require.True(t, l.MarkProcessLeaving(l.Target(0, 2_100).Process(), 2_200))
+	require.False(t, l.Target(0, 2_200).Serving)
+	require.False(t, l.HandleHeartbeat(beat(2_000, 2), 0, 2_300))
+	require.False(t, l.Target(0, 2_300).Serving, "a heartbeat of the same process does not take it back")
+}
