Send nothing to a target after a response that says that it is shutting down

Callers' requests could reach a target that leaves, as long as its heartbeat had not been taken or its node had restarted since.

The node beside the target treats the signal as a departure: it refuses, and tells the others and the store. Each node through which such a response passed keeps the process of the target out of its choice, whatever the node beside the target knows after a restart. The signal belongs to the process, told by its id and start, so that a later process under the same id is used.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -196,11 +196,17 @@
 	c.sinceTick = c.sinceTick.Add(counts)
 }
 
-// handleSignals processes what a target said about itself.
+// handleSignals processes what a target said about itself. A target that is shutting down
+// gets no more requests through this node, even if the node beside it has restarted and
+// forgotten that it leaves.
 func (c *Control) handleSignals(t Time, e TargetSignaled) {
 	if !c.signals.Update(e.Target, e.Signals) {
 		return
 	}
+	if e.Signals.Leaving && c.local.MarkProcessLeaving(e.Target, t.UnixMS) {
+		c.log("target_left", "target", e.Target.ID)
+		c.refreshAnnouncement(t)
+	}
 	c.publishView(t)
 }
 
@@ -464,7 +470,7 @@
 	}
 	for _, a := range append(c.dir.All(), c.self) {
 		v.Announcements[a.Node] = a
-		if a.Target == nil || !a.Target.Serving {
+		if a.Target == nil || !a.Target.Serving || c.signals.Of(a.Target.Process()).Leaving {
 			continue
 		}
 		e := balance.Endpoint{
