heathercroft-node: keep to what targets say in responses, as the sidecar does

The same cause as in the sidecar: the node took what a target says about itself from its announcements only. Targets can now name a limit of requests per second and say that they are shutting down in their responses (Heathercroft-Rate-Limit, Heathercroft-Leaving). The node beside the target keeps to the limit by the same token bucket, treats the signal as a departure that later announcements do not take back, and reports both to the sending node, which remembers them by the process of the target over a restart of that node. Announcements carry the start of the target. The stand-in of targets names limits and says that it leaves while it drains; TestAnnounce expects the new field.

--- a/internal/callpath/answer.go
+++ b/internal/callpath/answer.go
@@ -14,6 +14,8 @@
 	refusal *Refusal
 	// timing is what the target's node measured, if a response was received.
 	timing targetTiming
+	// signals are those in the response of the target.
+	signals targetSignals
 	// cancel ends the request on the connection to another node. Without it, closing
 	// the response body would wait for a caller that has stalled in the middle of
 	// its request body.
--- a/internal/callpath/deps.go
+++ b/internal/callpath/deps.go
@@ -22,6 +22,9 @@
 	Table func() *routing.Table
 	// Target returns the local target; ok is false if none is announced.
 	Target func() (t mesh.Target, ok bool)
+	// TargetLeaving is called with the local target when one of its responses says that it
+	// is shutting down; it may be nil.
+	TargetLeaving func(mesh.Target)
 	// Keys coordinates keyed requests; if nil, they are refused with CodeNoOwner.
 	Keys Keys
 	// Recorder gets one sample for each attempt; if nil, samples are dropped.
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -30,6 +30,9 @@
 		c.req.ContentLength = 0
 	}
 	a := n.exchange(c, service, version, c.inherited)
+	if a.resp != nil {
+		writeSignals(a.resp.Header, a.signals)
+	}
 	if a.resp != nil && a.timing.known {
 		a.resp.Header[HeaderTargetTime] = []string{a.timing.String()}
 	}
@@ -60,6 +63,7 @@
 	if refusal := n.checkCrash(c); refusal != nil {
 		return refused(retry.MayHaveRun, refusal)
 	}
+	n.adoptKnownLimit(c)
 	upload := n.isUpload(c.req.ContentLength)
 	started := n.deps.Now()
 	if refusal := n.limiter.acquire(c.ctx, upload, n.settings.QueueTimeout); refusal != nil {
@@ -75,6 +79,11 @@
 		n.limiter.release(upload)
 		n.metrics.inFlightAtTarget.Add(-1)
 	}
+	// The target may have said that it leaves during the wait.
+	if target, refusal = n.localTarget(service, version); refusal != nil {
+		release(false)
+		return refused(retry.RefusedByNode, refusal)
+	}
 	// The fencing token is checked last, so that nothing waits between the check and
 	// the request.
 	if c.key != "" {
@@ -98,9 +107,10 @@
 	if !ok || t.Service != service || t.Version != version {
 		return t, NotRun(CodeNoTarget, "no target of this service and version is beside the node")
 	}
-	if t.State == mesh.TargetLeaving {
+	if t.State == mesh.TargetLeaving || n.hasLeft(t) {
 		return t, NotRun(CodeDraining, "the target drains")
 	}
+	n.limiter.setTarget(processOf(t))
 	n.resize(t.Slots, t.Connections)
 	return t, nil
 }
@@ -127,18 +137,18 @@
 		if !conn.reused {
 			n.metrics.targetConnections.Add(1)
 		}
-		a, again := n.tryConnection(c, conn, addr, attempt)
+		a, again := n.tryConnection(c, conn, target, attempt)
 		if !again {
 			return a
 		}
 	}
 }
 
-func (n *Node) tryConnection(c *call, conn *targetConn, addr string, attempt int) (a *attemptResult, again bool) {
+func (n *Node) tryConnection(c *call, conn *targetConn, target mesh.Target, attempt int) (a *attemptResult, again bool) {
 	forward, stop := c.informationalForwarder()
 	defer stop()
 	ctx := httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{Got1xxResponse: forward})
-	req := n.outbound(ctx, c, addr, attempt)
+	req := n.outbound(ctx, c, target.Address.String(), attempt)
 	if req.Body == nil {
 		req.Body = http.NoBody
 	}
@@ -170,6 +180,7 @@
 		return refused(retry.MayHaveRun, MayHaveRun(CodeBadResponse, reason)), false
 	}
 	sanitizeResponse(a)
+	n.readSignals(c, a, target, started)
 	return a, false
 }
 
--- a/internal/callpath/headers.go
+++ b/internal/callpath/headers.go
@@ -34,6 +34,15 @@
 	HeaderReplayed = "Heathercroft-Replayed"
 	// HeaderLoad is in-flight/slots of the target, set by its node.
 	HeaderLoad = "Heathercroft-Load"
+	// HeaderRateLimit is the number of requests per second that a target takes from all
+	// nodes together, in its responses. A response without it ends the limit.
+	HeaderRateLimit = "Heathercroft-Rate-Limit"
+	// HeaderLeaving is "1" in the responses of a target that is shutting down.
+	HeaderLeaving = "Heathercroft-Leaving"
+	// HeaderSignals carries both from the target's node to the sending node, as JSON.
+	HeaderSignals = "Heathercroft-Target-Signals"
+	// HeaderKnownLimit is the limit of the target that the sending node knows.
+	HeaderKnownLimit = "Heathercroft-Known-Limit"
 	// HeaderTargetTime is the response time of the target, set by its node for the
 	// comparison of versions: microseconds, followed by the state of the connection
 	// and the target.
@@ -76,7 +85,7 @@
 
 // nodeOnly lists the headers that only nodes may set; they are removed from
 // requests of callers and responses of targets.
-var nodeOnly = []string{HeaderReason, HeaderReplayed, HeaderLoad, HeaderTargetTime, HeaderHop, HeaderTarget, HeaderFence, HeaderExpect, HeaderBody}
+var nodeOnly = []string{HeaderReason, HeaderReplayed, HeaderLoad, HeaderSignals, HeaderKnownLimit, HeaderTargetTime, HeaderHop, HeaderTarget, HeaderFence, HeaderExpect, HeaderBody}
 
 // removeHopByHop removes the hop-by-hop headers, including those listed in the
 // Connection header.
--- a/internal/callpath/limiter.go
+++ b/internal/callpath/limiter.go
@@ -2,20 +2,108 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"heathercroft.example/heathercroft/pkg/admission"
+	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
 // limiter assigns the slots of the local target. Uploads get at most half of the
 // slots and half of the queue, so that short requests are not blocked by them.
 type limiter struct {
+	now func() time.Duration
+
 	mu            sync.Mutex
 	slots         int
 	active        int
 	uploads       int
 	queue         []*waiter
 	queuedUploads int // number of uploads in queue
+	// rate is the limit of requests per second that the target names.
+	rate admission.RateLimit
+	// target is the process that rate belongs to, signaled is set once it has answered, and
+	// limitedAt is the time of its last response with a limit.
+	target    targetProcess
+	signaled  bool
+	limitedAt time.Duration
+	// wakeScheduled is set while a call of wake is scheduled.
+	wakeScheduled bool
+}
+
+// targetProcess identifies a process of the local target.
+type targetProcess struct {
+	address       netip.AddrPort
+	startedUnixMS int64
+}
+
+func processOf(t mesh.Target) targetProcess { return targetProcess{t.Address, t.StartedUnixMS} }
+
+// setTarget sets the process of the target. The limit of a former one does not apply to it.
+func (l *limiter) setTarget(p targetProcess) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.target != p {
+		l.target, l.signaled = p, false
+		l.rate.Clear()
+		l.grant()
+	}
+}
+
+// signal applies the limit in a response of the target, or its absence, to a request that was
+// sent at a time. A limit ends or rises only with the response to a request that was sent
+// after it was last named, since responses may be read out of order.
+func (l *limiter) signal(p targetProcess, s directory.Signals, sentAt time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.target != p {
+		return
+	}
+	current, limited := l.rate.PerSecond()
+	inOrder := !limited || !l.signaled || sentAt >= l.limitedAt
+	l.signaled = true
+	switch {
+	case !s.Limited && inOrder:
+		l.rate.Clear()
+	case s.Limited && (inOrder || s.RateLimit <= current):
+		l.limitedAt = l.now()
+		l.rate.Set(s.RateLimit, l.limitedAt)
+	}
+	l.grant()
+}
+
+// adoptLimit applies a limit that another node knows, until the target has answered a
+// request through this node.
+func (l *limiter) adoptLimit(perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.signaled {
+		l.rate.Set(perSecond, l.now())
+	}
+}
+
+// scheduleWake schedules a call of wake at the time at which the rate limit lets the next
+// request through. mu must be held.
+func (l *limiter) scheduleWake() {
+	now := l.now()
+	if l.wakeScheduled || len(l.queue) == 0 || l.rate.Allows(now) {
+		return
+	}
+	l.wakeScheduled = true
+	time.AfterFunc(max(l.rate.Wait(1, now), minWake), l.wake)
+}
+
+// minWake is the least time between two checks of the rate limit.
+const minWake = time.Millisecond
+
+func (l *limiter) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wakeScheduled = false
+	l.grant()
 }
 
 type waiter struct {
@@ -48,6 +136,10 @@
 		l.mu.Unlock()
 		return nil
 	}
+	if l.rate.Wait(len(l.queue)+1, l.now()) > limit {
+		l.mu.Unlock()
+		return NotRun(CodeTargetLimit, "the rate limit that the target names is used up")
+	}
 	if len(l.queue) >= l.slots || upload && l.queuedUploads >= half(l.slots) {
 		l.mu.Unlock()
 		return NotRun(CodeQueueFull, "all slots and places in the queue of the target are taken")
@@ -106,6 +198,7 @@
 		l.take(w.upload)
 		close(w.granted)
 	}
+	l.scheduleWake()
 }
 
 func (l *limiter) remove(i int) {
@@ -117,13 +210,14 @@
 
 func (l *limiter) take(upload bool) {
 	l.active++
+	l.rate.Take(l.now())
 	if upload {
 		l.uploads++
 	}
 }
 
 func (l *limiter) free(upload bool) bool {
-	return l.active < l.slots && (!upload || l.uploads < half(l.slots))
+	return l.active < l.slots && l.rate.Allows(l.now()) && (!upload || l.uploads < half(l.slots))
 }
 
 // half is at least 1, so that a target with one slot takes uploads too.
--- a/internal/callpath/mesh_test.go
+++ b/internal/callpath/mesh_test.go
@@ -106,7 +106,7 @@
 				call = addrOf(n.peer)
 			}
 			in.Endpoints = append(in.Endpoints, routing.FlaggedEndpoint{Endpoint: mesh.Endpoint{
-				Node: n.id, Zone: "casa-a", CallAddress: call, Service: t.Service, Version: t.Version, Slots: t.Slots,
+				Node: n.id, Zone: "casa-a", CallAddress: call, Service: t.Service, Version: t.Version, Slots: t.Slots, StartedUnixMS: t.StartedUnixMS,
 			}})
 		}
 	}
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -11,6 +11,7 @@
 
 	calls, retries, budgetRefusals       expvar.Int
 	aborted, replayed, ejections         expvar.Int
+	malformedSignals                     expvar.Int
 	targetRequests, uploads              expvar.Int
 	targetConnections, brokenConnections expvar.Int
 	queueWaitMicros, requestBytes        expvar.Int
@@ -32,6 +33,7 @@
 		"responses_replayed_total":              &m.replayed,
 		"endpoint_ejections_total":              &m.ejections,
 		"target_requests_total":                 &m.targetRequests,
+		"target_signals_malformed_total":        &m.malformedSignals,
 		"target_requests_in_flight":             &m.inFlightAtTarget,
 		"target_uploads_total":                  &m.uploads,
 		"target_connections_opened_total":       &m.targetConnections,
--- a/internal/callpath/node.go
+++ b/internal/callpath/node.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
@@ -22,6 +24,9 @@
 	crash    *crashGuard
 	budgets  sync.Map // service name → *retry.Budget
 
+	// leftTarget is the last process of the local target that said that it leaves.
+	leftTarget atomic.Pointer[mesh.Target]
+
 	limiterSizeMu sync.Mutex
 	limiterSize   int
 }
@@ -29,6 +34,7 @@
 // New returns a call path. The caller of New serves its handlers.
 func New(d Deps, s Settings) *Node {
 	n := &Node{deps: d, settings: s, metrics: newMetrics(), pool: newPool(s), crash: newCrashGuard()}
+	n.limiter.now = d.Now
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := net.Dialer{Timeout: s.DialTimeout, LocalAddr: s.LocalAddr}
--- a/internal/callpath/pool_test.go
+++ b/internal/callpath/pool_test.go
@@ -66,7 +66,7 @@
 
 // Guards against uploads that take all slots or all places in the queue.
 func TestUploadsLeaveSlotsForOthers(t *testing.T) {
-	l := &limiter{}
+	l := &limiter{now: func() time.Duration { return 0 }}
 	l.resize(4)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/callpath/refusal.go
+++ b/internal/callpath/refusal.go
@@ -31,6 +31,7 @@
 	CodeNoEndpoint        Code = "no-endpoint"         // 503: no usable endpoint
 	CodeNoTarget          Code = "no-target"           // 503: the node has no target of that service and version
 	CodeQueueFull         Code = "queue-full"          // 503: all slots and places in the queue are taken
+	CodeTargetLimit       Code = "target-limit"        // 503: the rate limit of the target is used up
 	CodeQueueTimeout      Code = "queue-timeout"       // 503: no slot within the queue limit
 	CodeUnreachable       Code = "unreachable"         // 503: no connection to a node or target
 	CodeTargetRefused     Code = "target-refused"      // 503: the target reported not-run
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -31,6 +31,7 @@
 		a, unresponsive = n.send(c, e.CallAddress, retries, func(h http.Header) {
 			h[HeaderHop] = []string{HopTarget}
 			h[HeaderTarget] = []string{e.Service + "/" + choice.Version}
+			knownLimitHeader(h, e)
 			if c.key != "" {
 				h[HeaderFence] = []string{formatFence(c.fence)}
 			}
@@ -38,6 +39,7 @@
 	}
 	now := n.deps.Now()
 	n.recordLoad(e, a, now)
+	n.recordSignals(e, a)
 	n.recordHealth(e, a, unresponsive, now)
 	sample := Sample{
 		Service: route.Service.Name, Version: choice.Version, Route: route.Name, Zone: e.Zone,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,9 @@
 	leaving bool
 	// target is the local target, nil if none is announced.
 	target *mesh.Target
+	// leftTarget is the process of the target that said in a response that it is shutting
+	// down, nil if none did.
+	leftTarget *mesh.Target
 	// generation is the membership view last published to the other components, at
 	// membersPublishedAt; membersDirty is set while there may be a newer one.
 	generation         uint64
@@ -112,6 +115,8 @@
 		c.announceSelf()
 	case Leave:
 		c.leave()
+	case TargetSignaledLeaving:
+		c.targetSignaledLeaving(e.Target)
 	case TargetAnnounced:
 		c.targetAnnounced(e.Target)
 	case MembershipReceived:
@@ -182,8 +187,24 @@
 	c.handOverKeys()
 }
 
+// targetSignaledLeaving treats the signal as an announcement. Later announcements of the same
+// process do not take it back. A process that does not say when it started counts as the same
+// until its announcements stop.
+func (c *Core) targetSignaledLeaving(t mesh.Target) {
+	if c.target == nil || !sameProcess(*c.target, t) || c.target.State == mesh.TargetLeaving {
+		return
+	}
+	c.leftTarget = &t
+	c.targetAnnounced(*c.target)
+}
+
+// sameProcess reports whether two announcements are of the same process of a target.
+func sameProcess(a, b mesh.Target) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.Version == b.Version && a.StartedUnixMS == b.StartedUnixMS
+}
+
 func (c *Core) targetAnnounced(t mesh.Target) {
-	if c.leaving {
+	if c.leaving || c.leftTarget != nil && sameProcess(*c.leftTarget, t) {
 		t.State = mesh.TargetLeaving
 	}
 	before := c.target
@@ -221,7 +242,7 @@
 			if c.target != nil && c.target.State != mesh.TargetLeaving {
 				c.emit(TargetLost{})
 			}
-			c.target = nil
+			c.target, c.leftTarget = nil, nil
 			c.tableDirty = true
 			c.recordEvent(KindTargetExpired, map[string]string{"service": effect.Target.Service, "version": effect.Target.Version})
 		case membership.TargetRejected:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -36,6 +36,10 @@
 // TargetAnnounced is an announcement of the local target.
 type TargetAnnounced struct{ Target mesh.Target }
 
+// TargetSignaledLeaving reports that a response of the local target says that it is shutting
+// down.
+type TargetSignaledLeaving struct{ Target mesh.Target }
+
 // MembershipReceived is a membership message of another node.
 type MembershipReceived struct{ Message membership.Message }
 
@@ -154,26 +158,27 @@
 	Text string
 }
 
-func (Tick) coreEvent()                 {}
-func (Started) coreEvent()              {}
-func (Leave) coreEvent()                {}
-func (TargetAnnounced) coreEvent()      {}
-func (MembershipReceived) coreEvent()   {}
-func (PushReceived) coreEvent()         {}
-func (PullReceived) coreEvent()         {}
-func (PullResponseReceived) coreEvent() {}
-func (TransferDone) coreEvent()         {}
-func (LogPage) coreEvent()              {}
-func (LogReadFailed) coreEvent()        {}
-func (LogOutOfRange) coreEvent()        {}
-func (SnapshotRead) coreEvent()         {}
-func (AppendResult) coreEvent()         {}
-func (SnapshotAppended) coreEvent()     {}
-func (EvidenceCounted) coreEvent()      {}
-func (EvidenceReceived) coreEvent()     {}
-func (HolderStatusReceived) coreEvent() {}
-func (CutReceived) coreEvent()          {}
-func (ChangeSubmitted) coreEvent()      {}
-func (RefreshZones) coreEvent()         {}
-func (TargetCrashed) coreEvent()        {}
-func (CrashReceived) coreEvent()        {}
+func (Tick) coreEvent()                  {}
+func (Started) coreEvent()               {}
+func (Leave) coreEvent()                 {}
+func (TargetAnnounced) coreEvent()       {}
+func (TargetSignaledLeaving) coreEvent() {}
+func (MembershipReceived) coreEvent()    {}
+func (PushReceived) coreEvent()          {}
+func (PullReceived) coreEvent()          {}
+func (PullResponseReceived) coreEvent()  {}
+func (TransferDone) coreEvent()          {}
+func (LogPage) coreEvent()               {}
+func (LogReadFailed) coreEvent()         {}
+func (LogOutOfRange) coreEvent()         {}
+func (SnapshotRead) coreEvent()          {}
+func (AppendResult) coreEvent()          {}
+func (SnapshotAppended) coreEvent()      {}
+func (EvidenceCounted) coreEvent()       {}
+func (EvidenceReceived) coreEvent()      {}
+func (HolderStatusReceived) coreEvent()  {}
+func (CutReceived) coreEvent()           {}
+func (ChangeSubmitted) coreEvent()       {}
+func (RefreshZones) coreEvent()          {}
+func (TargetCrashed) coreEvent()         {}
+func (CrashReceived) coreEvent()         {}
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -117,6 +117,36 @@
 	require.Equal(t, mesh.TargetLeaving, target.State)
 }
 
+// Guards against a target that said in a response that it is shutting down and that its own
+// later announcements put into use again.
+func TestLeavingSignalOutlastsAnnouncements(t *testing.T) {
+	self := planInfo(0)
+	p := &planNode{tracker: routing.NewTracker(), core: core.New(core.Config{
+		Self: self, StartUnixMS: 1, Seed: 1, Keys: idempotency.DefaultConfig(self.ID, self.Session),
+	})}
+	process := mesh.Target{
+		Service: "courier", Version: "v1", Address: netip.MustParseAddrPort("10.0.0.1:9000"), Slots: 1, State: mesh.TargetServing, StartedUnixMS: 1,
+	}
+	next := process
+	next.StartedUnixMS = 2
+	for _, step := range []struct {
+		event core.Event
+		want  mesh.TargetState
+	}{
+		{core.TargetAnnounced{Target: process}, mesh.TargetServing},
+		{core.TargetSignaledLeaving{Target: next}, mesh.TargetServing},
+		{core.TargetSignaledLeaving{Target: process}, mesh.TargetLeaving},
+		{core.TargetAnnounced{Target: process}, mesh.TargetLeaving},
+		{core.TargetAnnounced{Target: next}, mesh.TargetServing},
+	} {
+		p.now += time.Millisecond
+		p.core.Step(core.Time{Now: p.now, UnixMS: 1}, step.event)
+		target, ok := p.core.Target()
+		require.True(t, ok)
+		require.Equal(t, step.want, target.State, "%T", step.event)
+	}
+}
+
 // BenchmarkRenewalAtPlanSize measures the most frequent record, with a routing
 // table for 450 services and 2,500 endpoints.
 func BenchmarkRenewalAtPlanSize(b *testing.B) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,8 @@
 	n.loop = newLoop(n)
 	n.calls = callpath.New(callpath.Deps{
 		Node: n.self.ID, Zone: n.self.Zone, Table: n.loop.table.Load, Target: n.loop.localTarget,
-		Keys: n.loop.keys, ObserveColdStart: n.loop.cold.observe, Recorder: n.evidence, Events: callEvents{n}, Now: n.loop.now, Logger: logger,
+		TargetLeaving: func(t mesh.Target) { n.loop.post(core.TargetSignaledLeaving{Target: t}) },
+		Keys:          n.loop.keys, ObserveColdStart: n.loop.cold.observe, Recorder: n.evidence, Events: callEvents{n}, Now: n.loop.now, Logger: logger,
 	}, callSettings(s))
 	return n, nil
 }
--- a/internal/sidecar/calllog.go
+++ b/internal/sidecar/calllog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -25,9 +26,9 @@
 	// ExpectedWaitMS is the queueing time that the node of the target estimated.
 	ExpectedWaitMS int64 `json:"wait_ms,omitempty"`
 	// Signals are those in the response of the target.
-	Signals *targetSignals `json:"signals,omitempty"`
-	Running int            `json:"running"`
-	Waiting int            `json:"waiting"`
+	Signals *directory.Signals `json:"signals,omitempty"`
+	Running int                `json:"running"`
+	Waiting int                `json:"waiting"`
 }
 
 // recordAttempt adds an attempt to the log line of the call.
@@ -41,7 +42,7 @@
 	if res.response != nil {
 		a.Status = res.response.status
 	}
-	if a.Signals != nil && *a.Signals == (targetSignals{}) {
+	if a.Signals != nil && *a.Signals == (directory.Signals{}) {
 		a.Signals = nil
 	}
 	c.attempts = append(c.attempts, a)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -59,7 +59,7 @@
 // was sent at a time. Responses may be read in another order than the target wrote them in: a
 // limit ends or rises only with the response to a request that was sent after the limit was
 // last named.
-func (g *gate) signal(p directory.Process, s targetSignals, sentAt time.Duration) {
+func (g *gate) signal(p directory.Process, s directory.Signals, sentAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.target != p {
@@ -70,11 +70,11 @@
 	inOrder := !limited || !g.signaled || sentAt >= g.limitedAt
 	g.signaled = true
 	switch {
-	case s.RateLimit == nil && limited && inOrder:
+	case !s.Limited && limited && inOrder:
 		g.wake(g.queue.ClearRateLimit(now))
-	case s.RateLimit != nil && (inOrder || *s.RateLimit <= current):
+	case s.Limited && (inOrder || s.RateLimit <= current):
 		g.limitedAt = now
-		g.wake(g.queue.SetRateLimit(*s.RateLimit, now))
+		g.wake(g.queue.SetRateLimit(s.RateLimit, now))
 	}
 	g.schedulePoll()
 }
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -68,7 +68,7 @@
 	Limit *hopLimit `json:"limit,omitempty"`
 	// Signals are those in the response of the target, also if it refused the request, nil
 	// if there was no response of this target.
-	Signals *targetSignals `json:"signals,omitempty"`
+	Signals *directory.Signals `json:"signals,omitempty"`
 	// Process is the process of the target that responded.
 	Process directory.Process `json:"process,omitzero"`
 }
@@ -92,7 +92,7 @@
 	loadKnown  bool
 	targetTime time.Duration
 	// signals are those in the response of the target, nil if there was none.
-	signals *targetSignals
+	signals *directory.Signals
 	// process is the process of the target that responded.
 	process directory.Process
 	// callFailed is set if the target failed the request after a call that it made for it
--- a/internal/sidecar/signals_test.go
+++ b/internal/sidecar/signals_test.go
@@ -171,24 +171,24 @@
 	now := time.Duration(0)
 	g := newGate(func() time.Duration { return now })
 	p := directory.Process{ID: "t", StartUnixMS: 1}
-	named := func(limit float64) targetSignals { return targetSignals{RateLimit: &limit} }
+	named := func(limit float64) directory.Signals { return directory.Signals{Limited: true, RateLimit: limit} }
 	g.setTarget(p, 4)
 	now = time.Second
 	g.signal(p, named(5), 900*time.Millisecond)
 	require.InDelta(t, 5, limitOf(g), 0)
-	g.signal(p, targetSignals{}, 950*time.Millisecond)
+	g.signal(p, directory.Signals{}, 950*time.Millisecond)
 	g.signal(p, named(9), 950*time.Millisecond)
 	require.InDelta(t, 5, limitOf(g), 0, "the requests were sent before the limit was named")
 	g.signal(p, named(3), 950*time.Millisecond)
 	require.InDelta(t, 3, limitOf(g), 0, "a lower limit holds at once")
 	g.adoptLimit(p, 1)
 	require.InDelta(t, 3, limitOf(g), 0, "the target itself has answered")
-	g.signal(directory.Process{ID: "t"}, targetSignals{}, 2*time.Second)
+	g.signal(directory.Process{ID: "t"}, directory.Signals{}, 2*time.Second)
 	require.InDelta(t, 3, limitOf(g), 0, "another process says nothing about this one")
 	now = 2 * time.Second
 	g.signal(p, named(9), 1100*time.Millisecond)
 	require.InDelta(t, 9, limitOf(g), 0)
-	g.signal(p, targetSignals{}, 2100*time.Millisecond)
+	g.signal(p, directory.Signals{}, 2100*time.Millisecond)
 	require.InDelta(t, -1, limitOf(g), 0)
 	g.signal(p, named(9), 2100*time.Millisecond)
 	g.setTarget(directory.Process{ID: "t", StartUnixMS: 2}, 4)
--- a/internal/target/announce.go
+++ b/internal/target/announce.go
@@ -49,7 +49,7 @@
 func (s *Server) Announcement() mesh.Target {
 	return mesh.Target{
 		Service: s.settings.Service, Version: s.settings.Version, Address: s.address,
-		Slots: s.settings.Slots, Connections: s.settings.Connections, State: s.gate.state(),
+		Slots: s.settings.Slots, Connections: s.settings.Connections, State: s.gate.state(), StartedUnixMS: s.started.UnixMilli(),
 	}
 }
 
--- a/internal/target/call.go
+++ b/internal/target/call.go
@@ -5,12 +5,14 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/httpjson"
+	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
 // Headers of a call.
@@ -20,6 +22,8 @@
 	HeaderOutcome        = "Heathercroft-Outcome"
 	HeaderDeadline       = "Heathercroft-Deadline-Ms"
 	HeaderDepth          = "Heathercroft-Depth"
+	HeaderRateLimit      = "Heathercroft-Rate-Limit"
+	HeaderLeaving        = "Heathercroft-Leaving"
 	HeaderCrash          = "X-Fault-Crash"
 )
 
@@ -36,6 +40,7 @@
 )
 
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	s.writeSignals(w.Header())
 	conn := connectionOf(r)
 	if conn.excess {
 		w.Header().Set("Connection", "close")
@@ -66,6 +71,17 @@
 	s.execute(ctx, w, r, options, inFlight)
 }
 
+// writeSignals says in a response what the target asks of its callers.
+func (s *Server) writeSignals(h http.Header) {
+	control, _ := s.switches.get()
+	if control.RateLimit != nil {
+		h.Set(HeaderRateLimit, strconv.FormatFloat(*control.RateLimit, 'f', -1, 64))
+	}
+	if control.SignalLeaving || s.gate.state() == mesh.TargetLeaving {
+		h.Set(HeaderLeaving, "1")
+	}
+}
+
 // execute runs a request that has a slot. From the moment its body is complete,
 // the request counts as executed, whatever becomes of its answer.
 func (s *Server) execute(ctx context.Context, w http.ResponseWriter, r *http.Request, o callOptions, inFlight int) {
--- a/internal/target/faults.go
+++ b/internal/target/faults.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -43,6 +44,12 @@
 // Control is the part of the behavior that can be switched while the target runs.
 type Control struct {
 	Faults []Fault `json:"faults"`
+	// RateLimit is the number of requests per second that the target names in its responses;
+	// null for none. The target itself does not enforce it.
+	RateLimit *float64 `json:"rate_limit"`
+	// SignalLeaving makes the target say in its responses that it is shutting down, as it
+	// does while it drains.
+	SignalLeaving bool `json:"signal_leaving"`
 	// CrashOnHeader makes a request with the header X-Fault-Crash: 1 end the process.
 	CrashOnHeader bool       `json:"crash_on_header"`
 	Health        HealthMode `json:"health"`
@@ -69,6 +76,9 @@
 	if c.ReportLagMS < 0 || c.ReportLagMS > maxReportLag.Milliseconds() {
 		return errors.Newf("report_lag_ms is outside 0 to %d", maxReportLag.Milliseconds())
 	}
+	if c.RateLimit != nil && (*c.RateLimit < 0 || math.IsNaN(*c.RateLimit)) {
+		return errors.New("rate_limit is negative or no number")
+	}
 	if c.LoadFactor < 0 {
 		return errors.New("load_factor is negative")
 	}
--- a/internal/target/faults_test.go
+++ b/internal/target/faults_test.go
@@ -94,6 +94,26 @@
 	require.Equal(t, HealthAlwaysOK, f.Status().Control.Health)
 }
 
+// The nodes act on what a target says in its responses; a draining one must say so in all.
+func TestTargetSaysWhatItAsksOfItsCallers(t *testing.T) {
+	f := start(t, nil)
+	res, _ := f.call(t, "/", nil, "")
+	require.Empty(t, res.Header.Get(HeaderRateLimit)+res.Header.Get(HeaderLeaving))
+	f.control(t, `{"rate_limit":2.5}`, http.StatusOK)
+	f.control(t, `{"rate_limit":-1}`, http.StatusBadRequest)
+	res, _ = f.call(t, "/", nil, "")
+	require.Equal(t, "2.5", res.Header.Get(HeaderRateLimit))
+	f.control(t, `{"rate_limit":null,"signal_leaving":true}`, http.StatusOK)
+	res, _ = f.call(t, "/", nil, "")
+	require.Empty(t, res.Header.Get(HeaderRateLimit))
+	require.Equal(t, "1", res.Header.Get(HeaderLeaving))
+	f.control(t, `{"signal_leaving":false}`, http.StatusOK)
+	require.NoError(t, f.Drain(t.Context()))
+	res, _ = f.call(t, "/", nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+	require.Equal(t, "1", res.Header.Get(HeaderLeaving))
+}
+
 // Reports are read with the age asked for; a fresher one would not mislead anybody.
 func TestHistoryLags(t *testing.T) {
 	h := new(history)
--- a/internal/target/switchboard.go
+++ b/internal/target/switchboard.go
@@ -39,6 +39,10 @@
 	next := s.control
 	// Decoding into the old list would write into the array that requests in flight read.
 	next.Faults = nil
+	if next.RateLimit != nil {
+		limit := *next.RateLimit
+		next.RateLimit = &limit
+	}
 	if err := httpjson.ReadStrict(body, &next); err != nil {
 		return s.control, err
 	}
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -220,7 +220,7 @@
 	require.NoError(t, f.announceOnce(t.Context()))
 	require.Equal(t, []mesh.Target{{
 		Service: "finder", Version: "v1", Address: netip.MustParseAddrPort("127.0.0.1:1"),
-		Slots: 12, Connections: 100, State: mesh.TargetServing,
+		Slots: 12, Connections: 100, State: mesh.TargetServing, StartedUnixMS: f.started.UnixMilli(),
 	}}, f.announced)
 }
 
--- a/pkg/directory/signals.go
+++ b/pkg/directory/signals.go
@@ -9,10 +9,18 @@
 type Signals struct {
 	// Limited is set if the target names a limit, which is RateLimit requests per second
 	// from all nodes together.
-	Limited   bool
-	RateLimit float64
+	Limited   bool    `json:"limited,omitempty"`
+	RateLimit float64 `json:"limit_per_s,omitempty"`
 	// Leaving is set once the target has said that it shuts down. That does not end.
-	Leaving bool
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Limit returns the limit for logs and metrics, -1 if there is none.
+func (s Signals) Limit() float64 {
+	if !s.Limited {
+		return -1
+	}
+	return s.RateLimit
 }
 
 // maxSignals bounds the number of target processes whose signals are kept. The oldest ones
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -28,7 +28,7 @@
 		list = append(list, Endpoint{
 			Endpoint: mesh.Endpoint{
 				Node: k.Info.ID, Session: k.Info.Session, Zone: k.Info.Zone, CallAddress: k.Info.CallAddress,
-				Service: k.Target.Service, Version: k.Target.Version, Slots: k.Target.Slots,
+				Service: k.Target.Service, Version: k.Target.Version, Slots: k.Target.Slots, StartedUnixMS: k.Target.StartedUnixMS,
 			},
 			Leaving:     k.Leaving || k.Target.State == mesh.TargetLeaving,
 			Suspect:     k.State == Suspect,
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -53,6 +53,9 @@
 	// Connections is how many connections the target accepts.
 	Connections int         `json:"connections"`
 	State       TargetState `json:"state"`
+	// StartedUnixMS is the Unix time in milliseconds at which the target's process started,
+	// 0 if it does not say so.
+	StartedUnixMS int64 `json:"started,omitempty"`
 }
 
 // Endpoint is a target as seen by other nodes: it is reached through its node.
@@ -64,6 +67,8 @@
 	Service     string           `json:"service"`
 	Version     string           `json:"version"`
 	Slots       int              `json:"slots"`
+	// StartedUnixMS identifies the process of the target, 0 if unknown.
+	StartedUnixMS int64 `json:"started,omitempty"`
 }
 
 // ranked is a candidate with its rendezvous hash for a key.
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -138,7 +138,7 @@
 }
 
 func (e *Endpoint) usable(now time.Duration, tried []*Endpoint) bool {
-	if e.Ejected(now) {
+	if e.Ejected(now) || e.leaving() {
 		return false
 	}
 	for _, t := range tried {
--- a/pkg/routing/load.go
+++ b/pkg/routing/load.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -45,16 +46,68 @@
 	ejectionCount       int
 	// ejectedUntil is in nanoseconds on the caller's clock; 0 if never ejected.
 	ejectedUntil atomic.Int64
+	// signals is what the current process of the target said in its last response, nil if
+	// nothing.
+	signals atomic.Pointer[directory.Signals]
 }
 
 // Tracker holds the counters of all endpoints and outlives individual tables.
 type Tracker struct {
 	mu    sync.Mutex
 	stats map[endpointKey]*EndpointStats
+	// signals outlives the sessions of nodes: a node that restarts does not know what the
+	// target beside it said before.
+	signals *directory.SignalTable
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{stats: map[endpointKey]*EndpointStats{}} }
+func NewTracker() *Tracker {
+	return &Tracker{stats: map[endpointKey]*EndpointStats{}, signals: directory.NewSignalTable()}
+}
+
+// processOf identifies a process of the target of an endpoint.
+func processOf(e mesh.Endpoint, startedUnixMS int64) directory.Process {
+	return directory.Process{ID: string(e.Node) + "/" + e.Service + "/" + e.Version, StartUnixMS: startedUnixMS}
+}
+
+// loadSignals sets the signals of the endpoint's current process.
+func (t *Tracker) loadSignals(e mesh.Endpoint, stats *EndpointStats) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stats.signals.Store(nil)
+	if s := t.signals.Of(processOf(e, e.StartedUnixMS)); s != (directory.Signals{}) {
+		stats.signals.Store(&s)
+	}
+}
+
+// RecordSignals stores what a process of the target said in a response. An endpoint whose
+// target is shutting down is not chosen any more.
+func (e *Endpoint) RecordSignals(s directory.Signals, startedUnixMS int64) {
+	if known := e.stats.signals.Load(); known == nil && s == (directory.Signals{}) || known != nil && *known == s {
+		return
+	}
+	e.tracker.mu.Lock()
+	changed := e.tracker.signals.Update(processOf(e.Endpoint, startedUnixMS), s)
+	e.tracker.mu.Unlock()
+	if changed {
+		e.tracker.loadSignals(e.Endpoint, e.stats)
+	}
+}
+
+// KnownLimit returns the requests per second that the target named in its last response; ok
+// is false if it named no limit.
+func (e *Endpoint) KnownLimit() (perSecond float64, ok bool) {
+	if s := e.stats.signals.Load(); s != nil {
+		return s.RateLimit, s.Limited
+	}
+	return 0, false
+}
+
+// leaving reports whether the target said that it is shutting down.
+func (e *Endpoint) leaving() bool {
+	s := e.stats.signals.Load()
+	return s != nil && s.Leaving
+}
 
 func (t *Tracker) statsFor(key endpointKey) *EndpointStats {
 	t.mu.Lock()
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -105,6 +105,7 @@
 	Local   bool
 	stats   *EndpointStats
 	service *Service
+	tracker *Tracker
 }
 
 // Build builds a table. It omits endpoints of unknown services or versions and
@@ -174,8 +175,10 @@
 		}
 		keys[key] = struct{}{}
 		id := Cut{Service: e.Service, Version: e.Version}
+		stats := tracker.statsFor(key)
+		tracker.loadSignals(e.Endpoint, stats)
 		groups[id] = append(groups[id], &Endpoint{
-			Endpoint: e.Endpoint, Flags: e.Flags, Local: e.Zone == in.Zone, stats: tracker.statsFor(key),
+			Endpoint: e.Endpoint, Flags: e.Flags, Local: e.Zone == in.Zone, stats: stats, tracker: tracker,
 		})
 	}
 	tracker.retain(keys)
