Use a new process of a target whose former process its node announced as leaving

Found while looking for other places that take what is said of one process of a target for another. A node that restarts reads from its former announcement that its target leaves, by the id only: a new process of the target under the same id was then kept out for good, whether its heartbeat came before or after. TestNewProcessOfATargetIsUsedAfterItsNodeRestarted failed before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -241,7 +241,7 @@
 	if former.StartUnixMS == c.self.StartUnixMS || former.Target == nil || !former.Target.Leaving {
 		return
 	}
-	if c.local.MarkLeaving(former.Target.ID, t.UnixMS) {
+	if c.local.MarkProcessLeaving(former.Target.Process(), t.UnixMS) {
 		c.log("target_left", "target", former.Target.ID)
 	}
 	c.refreshAnnouncement(t)
--- a/internal/control/signals_test.go
+++ b/internal/control/signals_test.go
@@ -41,3 +41,35 @@
 		require.Len(t, n.view.Endpoints["s"].Old, 3, "%s", n.id)
 	}
 }
+
+// Guards against a new process of a target that is never used, because the former process of
+// its node announced that the target's former process leaves: the id is the same.
+func TestNewProcessOfATargetIsUsedAfterItsNodeRestarted(t *testing.T) {
+	for _, heartbeatFirst := range []bool{true, false} {
+		m := newTestMesh(t, "v1", "v1")
+		m.now += time.Minute
+		m.step(m.nodes[0], TargetLeaving{ID: "t-0"})
+		m.run(time.Second)
+		m.nodes[0].dead = true
+		m.now += time.Second
+		next := HeartbeatReceived{directory.Heartbeat{
+			ID: "t-0", Address: address(0).String(), Service: "s", Version: "v1", Slots: 4, Sequence: 1, StartUnixMS: m.now.Milliseconds(),
+		}}
+		m.now += time.Second
+		n := &testNode{id: "node-0", Control: New(Options{
+			Self:    directory.Announcement{Node: "node-0", Zone: "a", StartUnixMS: m.now.Milliseconds(), RPCAddress: address(0), CallAddress: address(0)},
+			Address: address(0).String(), Service: "s", Heartbeat: time.Hour,
+		})}
+		m.nodes = append(m.nodes, n)
+		if heartbeatFirst {
+			m.step(n, next)
+		}
+		m.read(n)
+		m.step(n, FeedCaughtUp{MeshFeed})
+		next.Heartbeat.Sequence++
+		m.step(n, next)
+		m.run(2 * time.Second)
+		require.True(t, n.view.Target.Serving, "heartbeat first: %v", heartbeatFirst)
+		require.Len(t, m.nodes[1].view.Endpoints["s"].Old, 2)
+	}
+}
--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -118,25 +118,34 @@
 // MarkLeaving records that a target is shutting down, also if no heartbeat of it
 // was received yet. It reports whether it is the current target.
 func (l *LocalTarget) MarkLeaving(id string, unixMS int64) bool {
-	if l.departed == nil || len(l.departed) >= maxDeparted {
-		l.departed = map[string]int64{}
-	}
 	if !l.known || l.last.ID != id {
-		l.departed[id] = unixMS
+		l.remember(id, unixMS)
 		return false
 	}
-	l.departed[id] = l.last.StartUnixMS
+	l.remember(id, l.last.StartUnixMS)
 	l.leaving = true
 	return true
 }
 
-// MarkProcessLeaving records that a process of the target is shutting down, as one of its
-// responses says. It reports whether that is new and it is the current process.
+// remember records that the processes of a target that started at or before a time have
+// ended.
+func (l *LocalTarget) remember(id string, startUnixMS int64) {
+	if l.departed == nil || len(l.departed) >= maxDeparted {
+		l.departed = map[string]int64{}
+	}
+	l.departed[id] = startUnixMS
+}
+
+// MarkProcessLeaving records that a process of the target is shutting down. It reports
+// whether that is new and it is the current process. A later process under the same id is not
+// affected. A process whose start is not known counts as the current one.
 func (l *LocalTarget) MarkProcessLeaving(p Process, unixMS int64) bool {
-	if !l.known || l.leaving || p != (Process{l.last.ID, l.last.StartUnixMS}) {
-		return false
+	wasLeaving := l.leaving
+	if p.StartUnixMS == 0 || l.known && p == (Process{l.last.ID, l.last.StartUnixMS}) {
+		return l.MarkLeaving(p.ID, unixMS) && !wasLeaving
 	}
-	return l.MarkLeaving(p.ID, unixMS)
+	l.remember(p.ID, max(p.StartUnixMS, l.departed[p.ID]))
+	return false
 }
 
 // maxDeparted bounds the number of remembered former targets. An address has few
