--- a/internal/sidecar/signals_test.go
+++ b/internal/sidecar/signals_test.go
@@ -248,3 +248,22 @@
 	require.InDelta(t, -1, limitOf(nodes[0].gate), 0)
 	require.Empty(t, nodes[1].view.Load().Signals)
 }
+
+// Guards against sending more requests to an address at which another target answers: the
+// response says that the request reached the wrong one.
+func TestTargetThatWasReplacedGetsNoFurtherRequest(t *testing.T) {
+	nodes := newMesh(t, 2)
+	nodes[1].Step(control.TargetLeaving{ID: "target-1"})
+	nodes[0].target.serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
+	for i := range 5 {
+		status, header, _ := nodes[i%2].call(t, http.MethodGet, "/read/x", fmt.Sprintf("r%d", i))
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.NotEmpty(t, header.Get("Retry-After"))
+	}
+	require.EqualValues(t, 1, nodes[0].target.runs.Load())
+	// A heartbeat shows that the target lives.
+	nodes[0].target.serve(nil)
+	nodes[0].heartbeat(1, 3)
+	status, _, _ := nodes[0].call(t, http.MethodGet, "/read/x", "r9")
+	require.Equal(t, http.StatusOK, status)
+}
