Do not take a new target out of use for a response to a request for the former one

Correction of: such a response may arrive after the heartbeat of the next target at the address. TestResponseToTheFormerTargetDoesNotAffectTheNextOne failed before (checked by taking the condition out).

--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -176,9 +176,11 @@
 		n.recordTargetHealth(true)
 		if res.response.status == http.StatusMisdirectedRequest {
 			res.reason = "other-target"
-			// Another target has this address. The one that was here is gone unless its
-			// heartbeats go on.
-			n.step(control.TargetUnreachable{})
+			if t != nil && t.ID == h.Target {
+				// Another target has this address. The one that was here is gone unless its
+				// heartbeats go on.
+				n.step(control.TargetUnreachable{})
+			}
 		}
 		res.response = nil
 		return
--- a/internal/sidecar/signals_test.go
+++ b/internal/sidecar/signals_test.go
@@ -267,3 +267,19 @@
 	status, _, _ := nodes[0].call(t, http.MethodGet, "/read/x", "r9")
 	require.Equal(t, http.StatusOK, status)
 }
+
+// Guards against taking a new target out of use for the response to a request that was sent
+// to the one before it.
+func TestResponseToTheFormerTargetDoesNotAffectTheNextOne(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	n.target.serve(func(w http.ResponseWriter, _ *http.Request) {
+		n.Step(control.HeartbeatReceived{Heartbeat: directory.Heartbeat{
+			ID: "next", Address: n.settings.Target.String(), Service: "shop", Version: "v1", Slots: 4, Sequence: 1, StartUnixMS: 2,
+		}})
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	status, _, _ := n.call(t, http.MethodGet, "/read/x", "r1")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "next", n.view.Load().Target.ID)
+	require.True(t, n.view.Load().Target.Serving)
+}
