Drop the oldest of the former targets that a node remembers, not all

Found while looking for what else a node forgets of what its target said: beyond 64 former targets the memory was emptied, and a delayed heartbeat could bring one back. TestFormerTargetsAreForgottenOneByOne failed before.

--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Heartbeat is a message of a target to the node beside it.
 type Heartbeat struct {
@@ -39,7 +42,7 @@
 	// Processes of the target that started at or before that time have ended.
 	departed map[string]int64
 	// superseded holds the processes that a later one has replaced. They never return.
-	superseded map[Process]bool
+	superseded map[Process]int64
 	// candidate is a process with an earlier start than the current one, whose clock may
 	// have been set back before it started.
 	candidate   Process
@@ -73,7 +76,10 @@
 			h.StartUnixMS = l.last.StartUnixMS
 		}
 	}
-	if at, ok := l.departed[h.ID]; ok && h.StartUnixMS <= at || l.superseded[Process{h.ID, h.StartUnixMS}] {
+	if at, ok := l.departed[h.ID]; ok && h.StartUnixMS <= at {
+		return false
+	}
+	if _, ok := l.superseded[Process{h.ID, h.StartUnixMS}]; ok {
 		return false
 	}
 	same := l.known && h.ID == l.last.ID && h.StartUnixMS == l.last.StartUnixMS
@@ -109,10 +115,11 @@
 	if !l.known {
 		return
 	}
-	if l.superseded == nil || len(l.superseded) >= maxDeparted {
-		l.superseded = map[Process]bool{}
+	if l.superseded == nil {
+		l.superseded = map[Process]int64{}
 	}
-	l.superseded[Process{l.last.ID, l.last.StartUnixMS}] = true
+	p := Process{l.last.ID, l.last.StartUnixMS}
+	rememberStart(l.superseded, p, p.StartUnixMS)
 }
 
 // MarkLeaving records that a target is shutting down, also if no heartbeat of it
@@ -130,10 +137,26 @@
 // remember records that the processes of a target that started at or before a time have
 // ended.
 func (l *LocalTarget) remember(id string, startUnixMS int64) {
-	if l.departed == nil || len(l.departed) >= maxDeparted {
+	if l.departed == nil {
 		l.departed = map[string]int64{}
 	}
-	l.departed[id] = startUnixMS
+	rememberStart(l.departed, id, startUnixMS)
+}
+
+// rememberStart adds a former process to a memory of at most maxDeparted, from which it drops
+// the one that started first.
+func rememberStart[K comparable](starts map[K]int64, key K, startUnixMS int64) {
+	if _, known := starts[key]; !known && len(starts) >= maxDeparted {
+		var oldest K
+		first := int64(math.MaxInt64)
+		for k, at := range starts {
+			if at < first {
+				oldest, first = k, at
+			}
+		}
+		delete(starts, oldest)
+	}
+	starts[key] = startUnixMS
 }
 
 // MarkProcessLeaving records that a process of the target is shutting down. It reports
--- a/pkg/directory/signals_test.go
+++ b/pkg/directory/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -40,3 +41,20 @@
 	require.False(t, l.HandleHeartbeat(beat(2_000, 2), 0, 2_300))
 	require.False(t, l.Target(0, 2_300).Serving, "a heartbeat of the same process does not take it back")
 }
+
+// Guards against a delayed heartbeat that brings a target back because the memory of former
+// targets was emptied when it was full.
+func TestFormerTargetsAreForgottenOneByOne(t *testing.T) {
+	l := newLocalTarget()
+	for i := range 100 {
+		h := beat(int64(1_000+i), 1)
+		h.ID = fmt.Sprint(i)
+		require.True(t, l.HandleHeartbeat(h, time.Duration(i), int64(1_000+i)))
+		require.True(t, l.MarkLeaving(h.ID, int64(1_000+i)))
+	}
+	for i := 99; i > 40; i-- {
+		h := beat(int64(1_000+i), 2)
+		h.ID = fmt.Sprint(i)
+		require.False(t, l.HandleHeartbeat(h, time.Second, 2_000), "target %d", i)
+	}
+}
