admission: one copy of the order in which limits in responses apply

Both nodes of the product had the rule that a limit ends or rises only with the response to a later request. It moves to admission.TargetLimit.

--- a/internal/callpath/limiter.go
+++ b/internal/callpath/limiter.go
@@ -23,13 +23,9 @@
 	uploads       int
 	queue         []*waiter
 	queuedUploads int // number of uploads in queue
-	// rate is the limit of requests per second that the target names.
-	rate admission.RateLimit
-	// target is the process that rate belongs to, signaled is set once it has answered, and
-	// limitedAt is the time of its last response with a limit.
-	target    targetProcess
-	signaled  bool
-	limitedAt time.Duration
+	// rate is the limit that the target names, target the process that it belongs to.
+	rate   admission.TargetLimit
+	target targetProcess
 	// wakeScheduled is set while a call of wake is scheduled.
 	wakeScheduled bool
 }
@@ -47,42 +43,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.target != p {
-		l.target, l.signaled = p, false
-		l.rate.Clear()
+		l.target, l.rate = p, admission.TargetLimit{}
 		l.grant()
 	}
 }
 
 // signal applies the limit in a response of the target, or its absence, to a request that was
-// sent at a time. A limit ends or rises only with the response to a request that was sent
-// after it was last named, since responses may be read out of order.
+// sent at a time.
 func (l *limiter) signal(p targetProcess, s directory.Signals, sentAt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.target != p {
-		return
-	}
-	current, limited := l.rate.PerSecond()
-	inOrder := !limited || !l.signaled || sentAt >= l.limitedAt
-	l.signaled = true
-	switch {
-	case !s.Limited && inOrder:
-		l.rate.Clear()
-	case s.Limited && (inOrder || s.RateLimit <= current):
-		l.limitedAt = l.now()
-		l.rate.Set(s.RateLimit, l.limitedAt)
+	if l.target == p {
+		l.rate.Signal(s.Limited, s.RateLimit, sentAt, l.now())
+		l.grant()
 	}
-	l.grant()
 }
 
-// adoptLimit applies a limit that another node knows, until the target has answered a
-// request through this node.
+// adoptLimit applies a limit that another node knows.
 func (l *limiter) adoptLimit(perSecond float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.signaled {
-		l.rate.Set(perSecond, l.now())
-	}
+	l.rate.Adopt(perSecond, l.now())
 }
 
 // scheduleWake schedules a call of wake at the time at which the rate limit lets the next
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -19,10 +19,6 @@
 	waiters map[*admission.Ticket]chan bool
 	// target is the process that the rate limit belongs to.
 	target directory.Process
-	// signaled is set once the target has answered with or without a limit.
-	signaled bool
-	// limitedAt is the time of the last response that named a limit.
-	limitedAt time.Duration
 	// pollScheduled is set while a call of poll is scheduled.
 	pollScheduled bool
 }
@@ -47,8 +43,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.target != p {
-		g.target, g.signaled = p, false
-		g.wake(g.queue.ClearRateLimit(g.now()))
+		g.target = p
+		g.wake(g.queue.ResetLimit(g.now()))
 	}
 	if slots > 0 && g.queue.Slots() != slots {
 		g.wake(g.queue.Resize(slots, g.now()))
@@ -56,36 +52,22 @@
 }
 
 // signal applies the limit in a response of the target, or its absence, to a request that
-// was sent at a time. Responses may be read in another order than the target wrote them in: a
-// limit ends or rises only with the response to a request that was sent after the limit was
-// last named.
+// was sent at a time.
 func (g *gate) signal(p directory.Process, s directory.Signals, sentAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.target != p {
-		return
+	if g.target == p {
+		g.wake(g.queue.SignalLimit(s.Limited, s.RateLimit, sentAt, g.now()))
+		g.schedulePoll()
 	}
-	now := g.now()
-	current, _, limited := g.queue.RateLimit(now)
-	inOrder := !limited || !g.signaled || sentAt >= g.limitedAt
-	g.signaled = true
-	switch {
-	case !s.Limited && limited && inOrder:
-		g.wake(g.queue.ClearRateLimit(now))
-	case s.Limited && (inOrder || s.RateLimit <= current):
-		g.limitedAt = now
-		g.wake(g.queue.SetRateLimit(s.RateLimit, now))
-	}
-	g.schedulePoll()
 }
 
-// adoptLimit applies a limit that another node knows from a response of the target, until
-// the target has answered a request through this node.
+// adoptLimit applies a limit that another node knows.
 func (g *gate) adoptLimit(p directory.Process, perSecond float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.target == p && !g.signaled {
-		g.wake(g.queue.SetRateLimit(perSecond, g.now()))
+	if g.target == p {
+		g.queue.AdoptLimit(perSecond, g.now())
 	}
 }
 
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -109,7 +109,7 @@
 	running int
 	waiting []*Ticket
 	// rate is the limit of requests per second that the target names.
-	rate RateLimit
+	rate TargetLimit
 	// meanServiceTime is the moving average of the time a request holds a slot, in
 	// nanoseconds.
 	meanServiceTime float64
@@ -129,16 +129,20 @@
 	return q.startWaiting(now)
 }
 
-// SetRateLimit sets the number of requests per second that the target takes. It returns the
-// tickets that may now run.
-func (q *Queue) SetRateLimit(perSecond float64, now time.Duration) []*Ticket {
-	q.rate.Set(perSecond, now)
+// SignalLimit applies the rate limit in a response of the target to a request that was sent at
+// a time; limited is false if it names none. It returns the tickets that may now run.
+func (q *Queue) SignalLimit(limited bool, perSecond float64, sentAt, now time.Duration) []*Ticket {
+	q.rate.Signal(limited, perSecond, sentAt, now)
 	return q.startWaiting(now)
 }
 
-// ClearRateLimit ends the limit. It returns the tickets that may now run.
-func (q *Queue) ClearRateLimit(now time.Duration) []*Ticket {
-	q.rate.Clear()
+// AdoptLimit applies a limit that another node knows, until SignalLimit is called.
+func (q *Queue) AdoptLimit(perSecond float64, now time.Duration) { q.rate.Adopt(perSecond, now) }
+
+// ResetLimit forgets the limit of a former process of the target. It returns the tickets that
+// may now run.
+func (q *Queue) ResetLimit(now time.Duration) []*Ticket {
+	q.rate = TargetLimit{}
 	return q.startWaiting(now)
 }
 
--- a/pkg/admission/ratelimit.go
+++ b/pkg/admission/ratelimit.go
@@ -82,3 +82,38 @@
 
 // bucketTime converts a time of the caller's clock for the bucket, which only compares times.
 func bucketTime(now time.Duration) time.Time { return time.Unix(0, int64(now)) }
+
+// TargetLimit is the rate limit that one process of a target names in its responses. The zero
+// value does not limit. It is not safe for concurrent use.
+type TargetLimit struct {
+	RateLimit
+	// signaled is set once the target has answered with or without a limit.
+	signaled bool
+	// limitedAt is the time of the last response that named a limit.
+	limitedAt time.Duration
+}
+
+// Signal applies the limit in a response to a request that was sent at a time; limited is
+// false if it names none. Responses may be read in another order than the target wrote them
+// in: a limit ends or rises only with the response to a request that was sent after the limit
+// was last named.
+func (l *TargetLimit) Signal(limited bool, perSecond float64, sentAt, now time.Duration) {
+	current, active := l.PerSecond()
+	inOrder := !active || !l.signaled || sentAt >= l.limitedAt
+	l.signaled = true
+	switch {
+	case !limited && inOrder:
+		l.Clear()
+	case limited && (inOrder || perSecond <= current):
+		l.limitedAt = now
+		l.Set(perSecond, now)
+	}
+}
+
+// Adopt applies a limit that another node knows from a response of the target, until the
+// target has answered a request through this node.
+func (l *TargetLimit) Adopt(perSecond float64, now time.Duration) {
+	if !l.signaled {
+		l.Set(perSecond, now)
+	}
+}
--- a/pkg/admission/ratelimit_test.go
+++ b/pkg/admission/ratelimit_test.go
@@ -19,7 +19,7 @@
 		limits := rapid.SampledFrom([]float64{0, 0.5, 3, 20})
 		highest := limits.Draw(t, "limit")
 		var now time.Duration
-		q.SetRateLimit(highest, now)
+		q.SignalLimit(true, highest, now, now)
 		var starts []time.Duration
 		var running []*admission.Ticket
 		begin := func(tickets []*admission.Ticket) {
@@ -33,7 +33,7 @@
 			case 0:
 				limit := limits.Draw(t, "limit")
 				highest = max(highest, limit)
-				begin(q.SetRateLimit(limit, now))
+				begin(q.SignalLimit(true, limit, now, now))
 			case 1:
 				if len(running) > 0 {
 					k := running[0]
@@ -63,7 +63,7 @@
 // an expected wait, sent to callers as the time to come back, that is too short.
 func TestRequestBeyondTheRateLimitIsRefusedWithItsWait(t *testing.T) {
 	q := admission.NewQueue(12)
-	q.SetRateLimit(2, 0)
+	q.SignalLimit(true, 2, 0, 0)
 	submit := func(finishBy, now time.Duration) (admission.Decision, time.Duration) {
 		_, decision, wait := q.Submit(admission.Request{Rank: 2, ExpectedServiceTime: 50 * ms, FinishBy: finishBy}, now)
 		return decision, wait
@@ -80,7 +80,7 @@
 	// The end of the limit starts what waits.
 	decision, _ = submit(5*time.Second, 502*ms)
 	require.Equal(t, admission.Enqueue, decision)
-	require.Len(t, q.ClearRateLimit(503*ms), 1)
+	require.Len(t, q.SignalLimit(false, 0, 503*ms, 503*ms), 1)
 	decision, _ = submit(600*ms, 504*ms)
 	require.Equal(t, admission.Admit, decision)
 }
@@ -88,7 +88,7 @@
 // Guards against never noticing the end of a limit of 0: only a response tells it.
 func TestRateLimitOfZeroLetsARequestThroughNowAndThen(t *testing.T) {
 	q := admission.NewQueue(4)
-	q.SetRateLimit(0, 0)
+	q.SignalLimit(true, 0, 0, 0)
 	admitted := 0
 	for now := time.Duration(0); now < 20*time.Second; now += 100 * ms {
 		for _, k := range q.Resume(now) {
