--- a/pkg/directory/signals_test.go
+++ b/pkg/directory/signals_test.go
@@ -52,9 +52,13 @@
 		require.True(t, l.HandleHeartbeat(h, time.Duration(i), int64(1_000+i)))
 		require.True(t, l.MarkLeaving(h.ID, int64(1_000+i)))
 	}
-	for i := 99; i > 40; i-- {
-		h := beat(int64(1_000+i), 2)
-		h.ID = fmt.Sprint(i)
-		require.False(t, l.HandleHeartbeat(h, time.Second, 2_000), "target %d", i)
+	// Two heartbeats some time apart, while the last target is silent, would be taken for a
+	// process that started after the clock was set back.
+	for i := 98; i > 40; i-- {
+		for sequence, at := range []time.Duration{time.Minute, 2 * time.Minute} {
+			h := beat(int64(1_000+i), uint64(2+sequence))
+			h.ID = fmt.Sprint(i)
+			require.False(t, l.HandleHeartbeat(h, at, 2_000), "target %d", i)
+		}
 	}
 }
