--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -56,8 +56,7 @@
 // exchange sends the call to the local target if all checks allow it and a slot is
 // free.
 func (n *Node) exchange(c *call, service, version string, attempt int) *attemptResult {
-	target, refusal := n.localTarget(service, version)
-	if refusal != nil {
+	if _, refusal := n.localTarget(service, version); refusal != nil {
 		return refused(retry.RefusedByNode, refusal)
 	}
 	if refusal := n.checkCrash(c); refusal != nil {
@@ -80,7 +79,8 @@
 		n.metrics.inFlightAtTarget.Add(-1)
 	}
 	// The target may have said that it leaves during the wait.
-	if target, refusal = n.localTarget(service, version); refusal != nil {
+	target, refusal := n.localTarget(service, version)
+	if refusal != nil {
 		release(false)
 		return refused(retry.RefusedByNode, refusal)
 	}
