callpath: a malformed signal changes nothing at the sending node either

A response with a malformed limit left the limit at the target's node as it was, but told the sending node that it had ended.

--- a/internal/callpath/limiter.go
+++ b/internal/callpath/limiter.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// limit returns the limit that applies; ok is false if there is none.
+func (l *limiter) limit() (perSecond float64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rate.PerSecond()
+}
+
 // adoptLimit applies a limit that another node knows.
 func (l *limiter) adoptLimit(perSecond float64) {
 	l.mu.Lock()
--- a/internal/callpath/signals.go
+++ b/internal/callpath/signals.go
@@ -28,10 +28,11 @@
 	if err != nil {
 		n.metrics.malformedSignals.Add(1)
 		n.deps.Logger.Warn("malformed signal of the target", "event", "target_signal_malformed", "request_id", c.id, "error", err.Error())
+		if !s.Limited {
+			s.RateLimit, s.Limited = n.limiter.limit()
+		}
 	}
-	if err == nil || s.Limited {
-		n.limiter.signal(processOf(target), s, sentAt)
-	}
+	n.limiter.signal(processOf(target), s, sentAt)
 	if s.Leaving && n.leftTarget.Swap(&target) == nil {
 		n.deps.Logger.Info("the target says that it leaves", "event", "target_leaving_signal", "request_id", c.id)
 	}
