sidecar: check the release of memory after a deadline within a second

Traced: chunks are slow to parse, the deadline of 2 s ended the request (2.06 s), and the response to the caller comes before the other node's handler has seen the end of the request. What the test guards is that the memory is given back; it now has to be within the second in which the connection must be closed, instead of at once. The bound of the heap, which holds while the response is read, is unchanged.

--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -92,8 +92,11 @@
 			case <-time.After(time.Second):
 				t.Fatal("the connection to the target must be closed")
 			}
-			require.Zero(t, n.messages.Held())
-			require.Zero(t, nodes[1].messages.Held())
+			// At the deadline, the response comes before the node of the target has stopped
+			// reading.
+			require.Eventually(t, func() bool {
+				return n.messages.Held() == 0 && nodes[1].messages.Held() == 0
+			}, time.Second, time.Millisecond, "the memory must be released")
 			n.target.serve(nil)
 			nodes[1].target.serve(nil)
 			for i := range 3 {
