callpath: a keyed request without a body no longer fails when its caller leaves early

Cause: over HTTP/2 between nodes such a request has no declared length. Heathercroft-Body: none restored it for the node of the target only. The owner of the key passed the request on with a body of unknown length, whose end comes in a frame of its own; if the caller left before that frame, reading the body failed and with it the request at the target, which had begun. Now each node that receives the header restores the length.

--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -56,6 +56,11 @@
 	hop := ""
 	if from == fromNode {
 		hop = r.Header.Get(HeaderHop)
+		if r.Header.Get(HeaderBody) == bodyNone {
+			// Otherwise the length is unknown until the stream ends. If the caller leaves
+			// before, its request would end as one with an incomplete body.
+			r.ContentLength = 0
+		}
 	} else {
 		removeAll(r.Header, nodeOnly)
 	}
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -26,9 +26,6 @@
 			return
 		}
 	}
-	if c.req.Header.Get(HeaderBody) == bodyNone {
-		c.req.ContentLength = 0
-	}
 	a := n.exchange(c, service, version, c.inherited)
 	if a.resp != nil {
 		writeSignals(a.resp.Header, a.signals)
