--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -239,6 +239,8 @@
 	if err != nil {
 		n.metrics.storeErrors.Add(1)
 		n.logger.Info("store_write_failed", "key", key, "error", strings.TrimSpace(err.Error()))
+	} else {
+		n.logger.Info("store_written", "key", key)
 	}
 	n.step(control.WriteCompleted{Key: key, OK: err == nil})
 	return err
