--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -205,13 +205,18 @@
 	}
 }
 
+// newOrder returns an order as read from the operator feed, where its offset is one below the
+// number.
+func newOrder(service, version string, number uint64) canary.Order {
+	return canary.Order{Service: service, Version: version, Number: number, Duration: 10 * time.Second}
+}
+
 func (m *testMesh) order(version string, number uint64) { m.orderFor("s", version, number) }
 
 func (m *testMesh) orderFor(service, version string, number uint64) {
-	o := canary.Order{Service: service, Version: version, Number: number, Duration: 10 * time.Second}
 	for _, n := range m.nodes {
 		if !n.dead {
-			m.step(n, MoveOrdered{o})
+			m.step(n, MoveOrdered{newOrder(service, version, number)})
 		}
 	}
 }
