--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -52,7 +52,7 @@
 	// summaries holds the newest summary of each open move that a reader sent.
 	summaries map[string]receivedSummary
 	peers     map[mesh.NodeID]PeerState
-	caughtUp  [feedCount]bool
+	caughtUp  [FeedCount]bool
 	load      LoadMeasured
 	evidence  canary.Evidence
 	// recent holds the recent responses of the local target, sinceTick those since the
@@ -64,6 +64,8 @@
 	stopping  bool
 	closing   bool
 	storeLost bool
+	// storeEra is the era of the store, 0 if it was not read yet or names none.
+	storeEra uint64
 	// announcementsToRelay holds announcements that this reader received and that other
 	// nodes may not know.
 	announcementsToRelay []directory.Announcement
@@ -143,6 +145,8 @@
 			c.probeUnheardNodes(t)
 		}
 		c.caughtUp[e.Feed] = true
+	case StoreEraSeen:
+		c.handleStoreEra(t, e)
 	case StoreAvailability:
 		c.handleStoreAvailability(t, e.Available)
 	case PeerStateReceived:
@@ -464,7 +468,7 @@
 
 func (c *Control) publishView(t Time) {
 	v := &View{
-		Config: c.config, Target: c.self.Target, Stopping: c.stopping, CrashingRequests: c.crashingRequests(),
+		Config: c.config, Target: c.self.Target, Stopping: c.stopping, StoreEra: c.storeEra, CrashingRequests: c.crashingRequests(),
 		Reader: c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
 		Signals: c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -58,6 +58,9 @@
 	StatusRead struct{ Status Status }
 	// FeedCaughtUp reports that a feed of the store was read to its end.
 	FeedCaughtUp struct{ Feed Feed }
+	// StoreEraSeen carries the era of a response of the store. Before is the era that was known
+	// when the request was sent.
+	StoreEraSeen struct{ Era, Before uint64 }
 	// StoreAvailability reports whether the store responds to this node.
 	StoreAvailability struct{ Available bool }
 	// PeerStateReceived carries the state of another node.
@@ -92,6 +95,7 @@
 func (MoveRecorded) event()      {}
 func (StatusRead) event()        {}
 func (FeedCaughtUp) event()      {}
+func (StoreEraSeen) event()      {}
 func (StoreAvailability) event() {}
 func (PeerStateReceived) event() {}
 func (LoadMeasured) event()      {}
@@ -113,7 +117,8 @@
 	MoveFeed
 	// StatusFeed contains the statuses of moves.
 	StatusFeed
-	feedCount
+	// FeedCount is the number of feeds.
+	FeedCount
 )
 
 // String returns the name of the feed used in logs.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -29,6 +29,8 @@
 	// FollowsMoves is set while this node itself reads the states of moves, StatusDue while
 	// the status of a move may have to be written.
 	FollowsMoves, StatusDue bool
+	// StoreEra is the era of the store. Positions of other eras are lost.
+	StoreEra uint64
 	// Stopping is set once the node is shutting down.
 	Stopping bool
 }
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -11,10 +11,11 @@
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/logpos"
 )
 
 // ErrPositionLost is returned by Store.Follow if records after the position are no longer
-// retained.
+// retained or the store was restored, and by Store.Snapshot if it was restored meanwhile.
 var ErrPositionLost = errors.New("the position is no longer retained")
 
 var errNoConfig = errors.New("this node has no configuration")
@@ -61,7 +62,7 @@
 
 // follow reads a feed until the node ends.
 func (n *Node) follow(f control.Feed) {
-	var position uint64
+	var position logpos.Position
 	synced, failing := false, false
 	pause := storeRetryMin
 	lastRecordsAt := n.clock.now() - burstGap
@@ -76,11 +77,16 @@
 		if f == control.MeshFeed && n.refreshMesh.Swap(false) {
 			synced = false
 		}
+		era := n.view.Load().StoreEra
+		if position.Era != era {
+			synced = false
+		}
 		began := n.clock.now()
 		events, next, err := n.readFeed(f, position, synced)
 		if errors.Is(err, ErrPositionLost) {
-			n.logger.Info("store_position_lost", "feed", f.String(), "position", position)
+			n.logger.Info("store_position_lost", "feed", f.String(), "era", position.Era, "position", position.Offset)
 			synced = false
+			time.Sleep(rand.N(storeRetryMin))
 			continue
 		}
 		if errors.Is(err, errReadRestarted) {
@@ -102,9 +108,9 @@
 			n.reportStoreAvailability(f, true)
 		}
 		failing, pause = false, storeRetryMin
-		n.feedEnds[f].Store(next)
-		for _, e := range events {
-			n.step(e)
+		if !n.applyRead(f, era, events, next) {
+			synced = false
+			continue
 		}
 		if !synced {
 			synced = true
@@ -123,6 +129,20 @@
 	}
 }
 
+// applyRead applies the records of a read that began in an era of the store. It returns false if
+// the store was restored since: the read may hold what is lost.
+func (n *Node) applyRead(f control.Feed, era uint64, events []control.Event, next logpos.Position) bool {
+	n.step(control.StoreEraSeen{Era: next.Era, Before: era})
+	if next.Era != n.view.Load().StoreEra {
+		return false
+	}
+	n.feedEnds[f].Store(&next)
+	for _, e := range events {
+		n.step(e)
+	}
+	return true
+}
+
 // shouldFollow reports whether this node reads the feed now. Each node reads the operator
 // and mesh feeds once, and then only the readers continue. While a move is open, the readers
 // read the move feed, and other nodes that hear of no reader; while a status is due, readers
@@ -150,7 +170,7 @@
 
 // debounceRecords waits after new records. In a burst of changes it reads only the newest
 // record of each key until the burst has ended.
-func (n *Node) debounceRecords(f control.Feed, position uint64, burst bool) (uint64, error) {
+func (n *Node) debounceRecords(f control.Feed, position logpos.Position, burst bool) (logpos.Position, error) {
 	if f == control.MoveFeed {
 		// A conditional write needs the current end of the feed.
 		time.Sleep(moveDebounce)
@@ -162,23 +182,20 @@
 	}
 	for n.ctx.Err() == nil {
 		time.Sleep(burstDebounce)
-		events, next, err := n.readFeed(f, 0, false)
+		era := n.view.Load().StoreEra
+		events, next, err := n.readFeed(f, position, false)
 		if err != nil {
 			return position, err
 		}
-		n.feedEnds[f].Store(next)
-		if next == position {
+		if next == position || !n.applyRead(f, era, events, next) {
 			break
 		}
 		position = next
-		for _, e := range events {
-			n.step(e)
-		}
 	}
 	return position, nil
 }
 
-func (n *Node) readFeed(f control.Feed, position uint64, synced bool) ([]control.Event, uint64, error) {
+func (n *Node) readFeed(f control.Feed, position logpos.Position, synced bool) ([]control.Event, logpos.Position, error) {
 	if !synced {
 		ctx, cancel := context.WithTimeout(n.ctx, snapshotTimeout)
 		defer cancel()
@@ -190,12 +207,9 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, wait+longPollTimeoutMargin)
 	defer cancel()
-	if f != control.OperatorFeed {
-		return n.store.Follow(ctx, f, position, wait)
-	}
 	ctx, restart := context.WithCancelCause(ctx)
 	defer restart(nil)
-	n.restartRead.Store(&restart)
+	n.restartReads[f].Store(&restart)
 	events, next, err := n.store.Follow(ctx, f, position, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errReadRestarted) {
 		err = errReadRestarted
@@ -203,13 +217,13 @@
 	return events, next, err
 }
 
-// errReadRestarted cancels a read whose connection may be unresponsive, because another
-// node has a newer configuration.
+// errReadRestarted cancels a read whose result is not needed: its connection may be
+// unresponsive, because another node has a newer configuration, or the store was restored.
 var errReadRestarted = errors.New("the read was restarted")
 
-// restartOperatorRead restarts the read of the operator feed on another connection.
-func (n *Node) restartOperatorRead() {
-	if restart := n.restartRead.Load(); restart != nil {
+// restartRead restarts the read of a feed on another connection.
+func (n *Node) restartRead(f control.Feed) {
+	if restart := n.restartReads[f].Load(); restart != nil {
 		(*restart)(errReadRestarted)
 	}
 }
@@ -223,13 +237,35 @@
 }
 
 func (n *Node) recordMove(m canary.Move) {
-	at := n.feedEnds[control.MoveFeed].Load()
-	_ = n.writeStore("move/"+m.Service, func(ctx context.Context) error { return n.store.RecordMove(ctx, m, at) })
+	_ = n.writeStore("move/"+m.Service, func(ctx context.Context) error {
+		at, err := n.feedEnd(control.MoveFeed)
+		if err != nil {
+			return err
+		}
+		return n.store.RecordMove(ctx, m, at)
+	})
 }
 
 func (n *Node) writeStatus(s control.Status) {
-	at := n.feedEnds[control.StatusFeed].Load()
-	_ = n.writeStore("status/"+s.Service, func(ctx context.Context) error { return n.store.WriteStatus(ctx, s, at) })
+	_ = n.writeStore("status/"+s.Service, func(ctx context.Context) error {
+		at, err := n.feedEnd(control.StatusFeed)
+		if err != nil {
+			return err
+		}
+		return n.store.WriteStatus(ctx, s, at)
+	})
+}
+
+// feedEnd returns the position to which a feed was read, for a conditional write.
+func (n *Node) feedEnd(f control.Feed) (logpos.Position, error) {
+	end := n.feedEnds[f].Load()
+	if end == nil {
+		return logpos.Position{}, errors.Newf("the feed of %s was not read", f)
+	}
+	if era := n.view.Load().StoreEra; end.Era != era {
+		return *end, errors.Newf("the feed of %s was read in era %d of the store, which is %d now", f, end.Era, era)
+	}
+	return *end, nil
 }
 
 func (n *Node) writeStore(key string, write func(context.Context) error) error {
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -23,6 +23,7 @@
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
 )
@@ -37,19 +38,19 @@
 // fakeStore is always empty and discards writes.
 type fakeStore struct{}
 
-func (fakeStore) Snapshot(context.Context, control.Feed) ([]control.Event, uint64, error) {
-	return nil, 0, nil
+func (fakeStore) Snapshot(context.Context, control.Feed) ([]control.Event, logpos.Position, error) {
+	return nil, logpos.Position{}, nil
 }
 
-func (fakeStore) Follow(ctx context.Context, _ control.Feed, from uint64, _ time.Duration) ([]control.Event, uint64, error) {
+func (fakeStore) Follow(ctx context.Context, _ control.Feed, from logpos.Position, _ time.Duration) ([]control.Event, logpos.Position, error) {
 	<-ctx.Done()
 	return nil, from, ctx.Err()
 }
 
-func (fakeStore) Announce(context.Context, directory.Announcement) error    { return nil }
-func (fakeStore) Withdraw(context.Context, mesh.NodeID) error               { return nil }
-func (fakeStore) RecordMove(context.Context, canary.Move, uint64) error     { return nil }
-func (fakeStore) WriteStatus(context.Context, control.Status, uint64) error { return nil }
+func (fakeStore) Announce(context.Context, directory.Announcement) error             { return nil }
+func (fakeStore) Withdraw(context.Context, mesh.NodeID) error                        { return nil }
+func (fakeStore) RecordMove(context.Context, canary.Move, logpos.Position) error     { return nil }
+func (fakeStore) WriteStatus(context.Context, control.Status, logpos.Position) error { return nil }
 
 // nonBlockingStore responds to each long poll at once without records.
 type nonBlockingStore struct {
@@ -57,7 +58,7 @@
 	reads atomic.Int64
 }
 
-func (s *nonBlockingStore) Follow(_ context.Context, _ control.Feed, from uint64, _ time.Duration) ([]control.Event, uint64, error) {
+func (s *nonBlockingStore) Follow(_ context.Context, _ control.Feed, from logpos.Position, _ time.Duration) ([]control.Event, logpos.Position, error) {
 	s.reads.Add(1)
 	return nil, from, nil
 }
@@ -81,7 +82,7 @@
 	recovered atomic.Bool
 }
 
-func (s *recoveringStore) Follow(ctx context.Context, _ control.Feed, from uint64, _ time.Duration) ([]control.Event, uint64, error) {
+func (s *recoveringStore) Follow(ctx context.Context, _ control.Feed, from logpos.Position, _ time.Duration) ([]control.Event, logpos.Position, error) {
 	if !s.recovered.Load() {
 		return nil, from, fmt.Errorf("rejected")
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -21,6 +21,7 @@
 	"heathercroft.example/heathercroft/internal/pipeline"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/published"
 )
 
@@ -72,10 +73,10 @@
 	// unreachablePeers holds the nodes to which the last RPC failed.
 	unreachablePeers sync.Map
 
-	// refreshMesh requests a read of the newest records of the nodes, and restartRead
-	// cancels the read of the operator feed in progress.
-	refreshMesh atomic.Bool
-	restartRead atomic.Pointer[context.CancelCauseFunc]
+	// refreshMesh requests a read of the newest records of the nodes, and restartReads
+	// cancel the reads of the feeds in progress.
+	refreshMesh  atomic.Bool
+	restartReads [control.FeedCount]atomic.Pointer[context.CancelCauseFunc]
 
 	// cachedConfig is the configuration in force in the form sent to other nodes, and
 	// history holds the changes of the last versions.
@@ -83,8 +84,9 @@
 	cachedConfig  *configResponse
 	history       published.History
 
-	counters        *rpc.Counters
-	feedEnds        [4]atomic.Uint64
+	counters *rpc.Counters
+	// feedEnds holds the positions to which the feeds were read.
+	feedEnds        [control.FeedCount]atomic.Pointer[logpos.Position]
 	inFlight        atomic.Int64
 	timelyResponses atomic.Uint64
 	stopping        atomic.Bool
@@ -200,7 +202,7 @@
 	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
 	go n.runTicker()
 	go n.contactSeeds()
-	for _, f := range []control.Feed{control.OperatorFeed, control.MeshFeed, control.MoveFeed, control.StatusFeed} {
+	for f := range control.FeedCount {
 		go n.follow(f)
 	}
 	defer n.cancel()
@@ -223,20 +225,28 @@
 func (n *Node) Step(e control.Event) { n.step(e) }
 
 func (n *Node) step(e control.Event) {
+	restored := false
 	n.controlMu.Lock()
 	effects := n.control.Step(n.clock.time(), e)
 	for _, effect := range effects {
 		if v, ok := effect.(control.PublishView); ok {
-			if before := n.view.Swap(v.View); before.Config != v.View.Config {
+			before := n.view.Swap(v.View)
+			if before.Config != v.View.Config {
 				n.configSince.Store(int64(n.clock.now()))
 				n.recordConfigDelta(before.Config, v.View.Config)
 			}
+			restored = restored || before.StoreEra != v.View.StoreEra
 			if v.View.Target != nil {
 				n.gate.setTarget(v.View.Target.Process(), v.View.Target.Slots)
 			}
 		}
 	}
 	n.controlMu.Unlock()
+	if restored {
+		for f := range n.restartReads {
+			n.restartRead(control.Feed(f))
+		}
+	}
 	for _, effect := range effects {
 		n.execute(effect)
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -8,6 +8,7 @@
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -84,14 +85,16 @@
 // later.
 type Store interface {
 	// Snapshot returns the newest records of a feed and the position after them.
-	Snapshot(ctx context.Context, f control.Feed) ([]control.Event, uint64, error)
+	Snapshot(ctx context.Context, f control.Feed) ([]control.Event, logpos.Position, error)
 	// Follow waits up to wait for records from the position. It returns ErrPositionLost if
-	// they are no longer retained; a snapshot then contains their latest state.
-	Follow(ctx context.Context, f control.Feed, from uint64, wait time.Duration) ([]control.Event, uint64, error)
+	// they are no longer retained or the store was restored since; a snapshot then contains their
+	// latest state.
+	Follow(ctx context.Context, f control.Feed, from logpos.Position, wait time.Duration) ([]control.Event, logpos.Position, error)
 	Announce(ctx context.Context, a directory.Announcement) error
 	// Withdraw deletes the announcement of a node that stops.
 	Withdraw(ctx context.Context, node mesh.NodeID) error
-	// RecordMove and WriteStatus write only if the feed ends at the position.
-	RecordMove(ctx context.Context, m canary.Move, at uint64) error
-	WriteStatus(ctx context.Context, s control.Status, at uint64) error
+	// RecordMove and WriteStatus write only if the feed ends at the position. If the store was
+	// restored since, they fail, but may have written.
+	RecordMove(ctx context.Context, m canary.Move, at logpos.Position) error
+	WriteStatus(ctx context.Context, s control.Status, at logpos.Position) error
 }
