--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -10,6 +10,7 @@
 
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
 )
@@ -30,6 +31,8 @@
 	// moveReads counts the reads of moves by all nodes.
 	moveReads int
 	storeDown bool
+	// era is the era of the store.
+	era uint64
 	// partitioned holds the nodes that cannot reach any other node.
 	partitioned map[mesh.NodeID]bool
 	// onSend, if set, is called with the number of receivers of each message.
@@ -50,17 +53,23 @@
 	view *View
 	// meshSeen, movesSeen and statusSeen are the numbers of records that the node has read.
 	meshSeen, movesSeen, statusSeen int
+	// readEras holds the era in which the node has read each feed.
+	readEras [FeedCount]uint64
 }
 
 func address(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1000)
 }
 
-func newTestMesh(t testing.TB, versions ...string) *testMesh {
-	m := &testMesh{
+func newEmptyMesh(t testing.TB) *testMesh {
+	return &testMesh{
 		t: t, announcements: map[mesh.NodeID]directory.Announcement{}, moves: map[string]canary.Move{},
-		statuses: map[string]Status{}, partitioned: map[mesh.NodeID]bool{},
+		statuses: map[string]Status{}, partitioned: map[mesh.NodeID]bool{}, era: 1,
 	}
+}
+
+func newTestMesh(t testing.TB, versions ...string) *testMesh {
+	m := newEmptyMesh(t)
 	for i, version := range versions {
 		m.start(i, version)
 	}
@@ -73,7 +82,7 @@
 // startFor starts a node beside a target of a service.
 func (m *testMesh) startFor(i int, service, version string) *testNode {
 	id := mesh.NodeID(fmt.Sprintf("node-%d", i))
-	n := &testNode{id: id, Control: New(Options{
+	n := &testNode{id: id, view: &View{}, Control: New(Options{
 		Self:    directory.Announcement{Node: id, Zone: "a", StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
 		Address: address(i).String(), Service: service, Heartbeat: time.Hour, Seed: uint64(i),
 	})}
@@ -82,9 +91,11 @@
 		ID: fmt.Sprintf("t-%d", i), Address: address(i).String(), Service: service, Version: version, Slots: 4, Sequence: 1, StartUnixMS: 1,
 	}})
 	m.read(n)
-	for _, f := range []Feed{OperatorFeed, MeshFeed, MoveFeed, StatusFeed} {
+	for f := range FeedCount {
 		m.step(n, FeedCaughtUp{f})
+		n.readEras[f] = m.era
 	}
+	m.step(n, StoreEraSeen{Era: m.era, Before: n.view.StoreEra})
 	return n
 }
 
@@ -119,14 +130,14 @@
 		}
 		m.step(n, WriteCompleted{announceKey, ok})
 	case RecordMove:
-		ok := !m.storeDown && n.movesSeen == m.moveEnd
+		ok := !m.storeDown && n.readEras[MoveFeed] == m.era && n.movesSeen == m.moveEnd
 		if ok {
 			m.moves[e.Move.Service] = e.Move
 			m.moveEnd++
 		}
 		m.step(n, WriteCompleted{moveKeyPrefix + e.Move.Service, ok})
 	case WriteStatus:
-		ok := !m.storeDown && n.statusSeen == m.statusEnd
+		ok := !m.storeDown && n.readEras[StatusFeed] == m.era && n.statusSeen == m.statusEnd
 		if ok {
 			m.statuses[e.Status.Service] = e.Status
 			m.statusEnd++
@@ -155,24 +166,44 @@
 	if m.storeDown {
 		return
 	}
-	if n.meshSeen < m.meshEnd {
+	if again := m.readsAgain(n, MeshFeed, n.view.Reader || n.readEras[MeshFeed] == 0); again || n.meshSeen < m.meshEnd && n.readEras[MeshFeed] == m.era {
 		n.meshSeen = m.meshEnd
 		for _, a := range m.announcements {
 			m.step(n, AnnouncementRead{a})
 		}
+		m.finishRead(n, MeshFeed, again)
 	}
-	if n.movesSeen < m.moveEnd && (n.view == nil || n.view.FollowsMoves) {
+	if again := m.readsAgain(n, MoveFeed, n.view.FollowsMoves); again || n.movesSeen < m.moveEnd && n.view.FollowsMoves {
 		n.movesSeen = m.moveEnd
 		m.moveReads++
 		for _, move := range m.moves {
 			m.step(n, MoveRecorded{move})
 		}
+		m.finishRead(n, MoveFeed, again)
 	}
-	if n.statusSeen < m.statusEnd {
+	if again := m.readsAgain(n, StatusFeed, n.view.StatusDue && n.view.Reader); again || n.statusSeen < m.statusEnd && n.readEras[StatusFeed] == m.era {
 		n.statusSeen = m.statusEnd
 		for _, s := range m.statuses {
 			m.step(n, StatusRead{s})
 		}
+		m.finishRead(n, StatusFeed, again)
+	}
+}
+
+// readsAgain reports whether a node reads all records of a feed since the store was restored.
+func (m *testMesh) readsAgain(n *testNode, f Feed, follows bool) bool {
+	if n.readEras[f] == m.era || !follows {
+		return false
+	}
+	m.step(n, StoreEraSeen{Era: m.era, Before: n.view.StoreEra})
+	n.readEras[f] = m.era
+	return true
+}
+
+// finishRead reports that a node has read a feed to its end, if it read all of it.
+func (m *testMesh) finishRead(n *testNode, f Feed, all bool) {
+	if all {
+		m.step(n, FeedCaughtUp{f})
 	}
 }
 
@@ -207,8 +238,11 @@
 
 // newOrder returns an order as read from the operator feed, where its offset is one below the
 // number.
-func newOrder(service, version string, number uint64) canary.Order {
-	return canary.Order{Service: service, Version: version, Number: number, Duration: 10 * time.Second}
+func (m *testMesh) newOrder(service, version string, number uint64) canary.Order {
+	return canary.Order{
+		Service: service, Version: version, Number: number, Duration: 10 * time.Second,
+		Position: logpos.Position{Era: m.era, Offset: number - 1},
+	}
 }
 
 func (m *testMesh) order(version string, number uint64) { m.orderFor("s", version, number) }
@@ -216,7 +250,7 @@
 func (m *testMesh) orderFor(service, version string, number uint64) {
 	for _, n := range m.nodes {
 		if !n.dead {
-			m.step(n, MoveOrdered{newOrder(service, version, number)})
+			m.step(n, MoveOrdered{m.newOrder(service, version, number)})
 		}
 	}
 }
@@ -326,7 +360,7 @@
 	require.Equal(t, StatusReverted, m.statuses["s"].State)
 	late := m.start(7, "v1")
 	m.read(late)
-	m.step(late, MoveOrdered{canary.Order{Service: "s", Version: "v2", Number: 1, Duration: 10 * time.Second}})
+	m.step(late, MoveOrdered{m.newOrder("s", "v2", 1)})
 	m.run(15 * time.Second)
 	require.Equal(t, StatusReverted, m.statuses["s"].State)
 	require.Empty(t, late.view.Endpoints["s"].New)
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -32,16 +32,30 @@
 }
 
 func (c *Control) handleOrder(t Time, o canary.Order) {
-	if m, ok := c.moves[o.Service]; ok && m.move.Number >= o.Number {
-		return
+	next := canary.NewMove(o, t.UnixMS)
+	if m, ok := c.moves[o.Service]; ok {
+		if !next.Later(m.move) {
+			m.adoptPosition(o)
+			return
+		}
+		next = m.move.Replace(o, t.UnixMS)
 	}
-	m := &moveState{move: canary.NewMove(o, t.UnixMS), analyzer: canary.NewAnalyzer(), nextPhaseSince: t.Now}
+	m := &moveState{move: next, analyzer: canary.NewAnalyzer(), nextPhaseSince: t.Now}
 	m.deadline = t.Now + o.Duration
 	c.moves[o.Service] = m
-	c.log("move_ordered", "service", o.Service, "version", o.Version, "number", o.Number, "duration_ms", o.Duration.Milliseconds())
+	c.log("move_ordered", "service", o.Service, "version", o.Version, "number", next.Number,
+		"era", o.Position.Era, "offset", o.Position.Offset, "duration_ms", o.Duration.Milliseconds())
 	c.publishView(t)
 }
 
+// adoptPosition records where the order of the move stands in a later era of the store, so
+// that the operator can give an equal order again there.
+func (m *moveState) adoptPosition(o canary.Order) {
+	if m.move.Same(o) && o.Position.Era > m.move.Position.Era {
+		m.move.Position = o.Position
+	}
+}
+
 func (c *Control) handleRecordedMove(t Time, m canary.Move) {
 	if c.adoptMove(t, m) {
 		c.log("move_phase", "service", m.Service, "version", m.Version, "phase", string(m.Phase), "revision", m.Revision)
@@ -91,14 +105,19 @@
 	}
 	s, ok := c.moves[m.Service]
 	if ok && s.recorded && !m.Supersedes(s.move) {
+		s.adoptPosition(m.Order)
 		return false
 	}
-	if ok && s.move.Number > m.Number {
+	if ok && !s.recorded && s.move.Later(m) {
+		s.move = s.move.Follow(m)
 		return false
 	}
-	if !ok || s.move.Number < m.Number {
+	switch {
+	case !ok || m.Later(s.move):
 		s = &moveState{analyzer: canary.NewAnalyzer()}
 		c.moves[m.Service] = s
+	case s.move.Position.Era > m.Position.Era:
+		m.Position = s.move.Position
 	}
 	if first := !s.recorded; first && (s.deadline == 0 || !c.caughtUp[OperatorFeed]) {
 		// The order may be old, as far as this node knows.
@@ -243,7 +262,7 @@
 
 func (c *Control) moveWritten(t Time, key string) {
 	if service, ok := strings.CutPrefix(key, moveKeyPrefix); ok {
-		if m, ok := c.moves[service]; ok && m.pendingMove.Number == m.move.Number {
+		if m, ok := c.moves[service]; ok && m.pendingMove.Same(m.move.Order) {
 			c.handleRecordedMove(t, m.pendingMove)
 		}
 	}
--- a/internal/control/restored_test.go
+++ b/internal/control/restored_test.go
@@ -27,15 +27,13 @@
 	}
 }
 
-// restore replaces the content of the store by an older copy. The nodes learn of it and read
-// all feeds again.
+// restore replaces the content of the store by an older copy. A node learns of it when it next
+// reads, and then reads the feeds that it follows again.
 func (m *testMesh) restore(c storeCopy) {
 	m.announcements, m.moves, m.statuses = maps.Clone(c.announcements), maps.Clone(c.moves), maps.Clone(c.statuses)
 	m.meshEnd, m.moveEnd, m.statusEnd = c.meshEnd, c.moveEnd, c.statusEnd
 	m.writtenStatuses = nil
-	for _, n := range m.nodes {
-		n.meshSeen, n.movesSeen, n.statusSeen = 0, 0, 0
-	}
+	m.era++
 }
 
 // decideMove moves the service of a mesh to the version, which is faulty or not.
@@ -77,7 +75,7 @@
 					m.nodes[0].dead, m.nodes[1].dead = true, true
 					for i := range 2 {
 						restarted := m.start(100+i, versions[i])
-						m.step(restarted, MoveOrdered{newOrder("s", "v2", number)})
+						m.step(restarted, MoveOrdered{m.newOrder("s", "v2", number)})
 					}
 					m.runWith(15*time.Second, moveTraffic(m, "v2", faulty))
 					require.Equal(t, want, m.statuses["s"], "the status that operators have read")
@@ -124,7 +122,7 @@
 	m.restore(older)
 	m.order("v2", 5)
 	restarted := m.start(10, "v1")
-	m.step(restarted, MoveOrdered{newOrder("s", "v2", 5)})
+	m.step(restarted, MoveOrdered{m.newOrder("s", "v2", 5)})
 	m.runWith(5*time.Second, moveTraffic(m, "v3", false))
 	require.Equal(t, want, m.statuses["s"])
 	m.order("v3", 6)
@@ -138,10 +136,7 @@
 func TestLostWritesAreRepeatedAfterARestoration(t *testing.T) {
 	for _, nodes := range []int{4, 30} {
 		t.Run(fmt.Sprintf("nodes=%d", nodes), func(t *testing.T) {
-			m := &testMesh{
-				t: t, announcements: map[mesh.NodeID]directory.Announcement{}, moves: map[string]canary.Move{},
-				statuses: map[string]Status{}, partitioned: map[mesh.NodeID]bool{},
-			}
+			m := newEmptyMesh(t)
 			empty := m.copyStore()
 			for i := range nodes {
 				m.start(i, []string{"v1", "v2"}[i%2])
--- a/internal/control/signals_test.go
+++ b/internal/control/signals_test.go
@@ -56,7 +56,7 @@
 			ID: "t-0", Address: address(0).String(), Service: "s", Version: "v1", Slots: 4, Sequence: 1, StartUnixMS: m.now.Milliseconds(),
 		}}
 		m.now += time.Second
-		n := &testNode{id: "node-0", Control: New(Options{
+		n := &testNode{id: "node-0", view: &View{}, Control: New(Options{
 			Self:    directory.Announcement{Node: "node-0", Zone: "a", StartUnixMS: m.now.Milliseconds(), RPCAddress: address(0), CallAddress: address(0)},
 			Address: address(0).String(), Service: "s", Heartbeat: time.Hour,
 		})}
--- a/pkg/canary/move.go
+++ b/pkg/canary/move.go
@@ -1,6 +1,10 @@
 package canary
 
-import "time"
+import (
+	"time"
+
+	"heathercroft.example/heathercroft/pkg/logpos"
+)
 
 // Phase is the progress of a move.
 type Phase string
@@ -22,12 +26,40 @@
 	Service string `json:"service"`
 	// Version is the new version.
 	Version string `json:"version"`
-	// Number distinguishes this order from earlier ones for the service; later orders
-	// have higher numbers.
+	// Number identifies the recorded order among those for the service. Nodes that read an
+	// order in different eras of the store may number it differently until it is recorded.
 	Number   uint64        `json:"number"`
 	Duration time.Duration `json:"duration"`
+	// Position is where the order was read.
+	Position logpos.Position `json:"position,omitzero"`
+}
+
+// sameContent reports whether two orders request the same.
+func (o Order) sameContent(p Order) bool {
+	return o.Service == p.Service && o.Version == p.Version && o.Duration == p.Duration
 }
 
+// Same reports whether two nodes read the same order. After the store was restored from an
+// older copy, an operator writes a lost order again, at another offset.
+func (o Order) Same(p Order) bool {
+	switch {
+	case !o.sameContent(p):
+		return false
+	case o.unplaced() || p.unplaced():
+		return o.Number == p.Number
+	default:
+		return o.Position.Era != p.Position.Era || o.Position.Offset == p.Position.Offset
+	}
+}
+
+// unplaced reports whether the order has no position: moves recorded by former versions of
+// the node have none, and only their number tells which order they belong to.
+func (o Order) unplaced() bool { return o.Position == logpos.Position{} }
+
+// maxEarlierOrders is the number of earlier orders that a move names. A restoration loses
+// seconds, in which few orders for one service are given.
+const maxEarlierOrders = 4
+
 // Move is an order with its state, as shared by all nodes.
 type Move struct {
 	Order
@@ -37,6 +69,55 @@
 	DeadlineUnixMS int64 `json:"deadline"`
 	// Revision increases with each phase of the move.
 	Revision int `json:"revision"`
+	// Earlier holds the last orders for the service before this one, the newest last. A
+	// restored store may bring one of them back before the operator repeats this one.
+	Earlier []Order `json:"earlier,omitempty"`
+}
+
+// Replace returns the initial state of an order that replaces that of m.
+func (m Move) Replace(o Order, unixMS int64) Move {
+	next := NewMove(o, unixMS)
+	next.recordEarlier(m)
+	return next
+}
+
+// recordEarlier records that m's order follows that of another move.
+func (m *Move) recordEarlier(before Move) {
+	m.Number = max(m.Number, before.Number+1)
+	m.Earlier = append(append([]Order(nil), before.Earlier...), before.Order)
+	m.Earlier = m.Earlier[max(0, len(m.Earlier)-maxEarlierOrders):]
+}
+
+// Follow returns m with its order after that of another move, which was learned later.
+func (m Move) Follow(before Move) Move {
+	m.recordEarlier(before)
+	return m
+}
+
+// names reports whether an order is one of the earlier ones of m: as recorded, or as it
+// survived at its offset in a restored store.
+func (m Move) names(o Order) bool {
+	for _, e := range m.Earlier {
+		if e.sameContent(o) && (e.Number == o.Number || e.Position.Offset == o.Position.Offset) {
+			return true
+		}
+	}
+	return false
+}
+
+// Later reports whether the order of m was given after that of o.
+func (m Move) Later(o Move) bool {
+	names, named := m.names(o.Order), o.names(m.Order)
+	switch {
+	case names != named:
+		return names
+	case m.Same(o.Order):
+		return false
+	case m.unplaced() || o.unplaced():
+		return m.Number > o.Number
+	default:
+		return m.Position.After(o.Position)
+	}
 }
 
 // Open reports whether the move is still undecided.
@@ -56,9 +137,23 @@
 	return m
 }
 
-// Supersedes reports whether m replaces o.
+// Supersedes reports whether m replaces o. A decision about an order is final: it holds against
+// an open state of any revision, which may come from a node that missed the decision before the
+// store lost it.
 func (m Move) Supersedes(o Move) bool {
-	return m.Number > o.Number || m.Number == o.Number && m.Revision > o.Revision
+	switch {
+	case m.Later(o):
+		return true
+	case o.Later(m) || !m.Same(o.Order):
+		return false
+	case m.Open() && o.Open():
+		return m.Revision > o.Revision
+	case m.Open() != o.Open():
+		return !m.Open()
+	default:
+		// The targets of the old version have stopped once a move was reported as completed.
+		return m.Phase == Completed && o.Phase == Reverted
+	}
 }
 
 const (
