--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -66,6 +66,12 @@
 	storeLost bool
 	// storeEra is the era of the store, 0 if it was not read yet or names none.
 	storeEra uint64
+	// storedMoves holds the states of moves that this node has read or written in this era of the
+	// store. movesUnverified is set after a restoration until the store has all moves again,
+	// verifySince is when the node had read them.
+	storedMoves     map[string]canary.Move
+	movesUnverified bool
+	verifySince     time.Duration
 	// announcementsToRelay holds announcements that this reader received and that other
 	// nodes may not know.
 	announcementsToRelay []directory.Announcement
@@ -97,7 +103,7 @@
 	return &Control{
 		self:  o.Self,
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
-		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, summaries: map[string]receivedSummary{},
+		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
 		pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
 	}
@@ -128,6 +134,9 @@
 	case ConfigPublished:
 		c.applyConfig(t, e.Config)
 	case AnnouncementRead:
+		if a := e.Announcement; a.Node == c.self.Node && a.StartUnixMS == c.self.StartUnixMS {
+			c.announced = a
+		}
 		if c.updateDirectory(e.Announcement, t) {
 			if c.caughtUp[MeshFeed] && c.isReader() {
 				c.announcementsToRelay = append(c.announcementsToRelay, e.Announcement)
@@ -137,6 +146,7 @@
 	case MoveOrdered:
 		c.handleOrder(t, e.Order)
 	case MoveRecorded:
+		c.recordStored(e.Move)
 		c.handleRecordedMove(t, e.Move)
 	case StatusRead:
 		c.statuses[e.Status.Service] = e.Status
@@ -144,6 +154,9 @@
 		if e.Feed == MeshFeed && !c.caughtUp[e.Feed] {
 			c.probeUnheardNodes(t)
 		}
+		if e.Feed == MoveFeed {
+			c.verifySince = t.Now
+		}
 		c.caughtUp[e.Feed] = true
 	case StoreEraSeen:
 		c.handleStoreEra(t, e)
@@ -352,6 +365,7 @@
 		c.announcementsToRelay = append(c.announcementsToRelay, a)
 	}
 	delete(c.unresponsiveReaders, a.Node)
+	c.adoptPeerEra(t, s)
 	if known, ok := c.dir.Get(a.Node); ok && known.StartUnixMS == a.StartUnixMS {
 		c.dir.MarkAlive(a.Node, t.Now)
 		changed = changed || len(s.Crashes) > 0
@@ -431,7 +445,7 @@
 	s := PeerState{
 		Number:       c.stateNumber,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
-		Crashes: c.ownCrashes(), StoreLost: c.storeLost,
+		Crashes: c.ownCrashes(), StoreLost: c.storeLost, StoreEra: c.storeEra,
 	}
 	if c.large() && c.isReader() {
 		for _, a := range c.dir.All() {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -167,6 +167,8 @@
 	Crashes map[uint64]int `json:"crashes,omitempty"`
 	// StoreLost is set while the store does not respond to the node.
 	StoreLost bool `json:"store_lost,omitempty"`
+	// StoreEra is the era of the store, as far as the node knows.
+	StoreEra uint64 `json:"store_era,omitempty"`
 	// Unresponsive holds the nodes from which a reader of a large mesh has received
 	// nothing for aliveTimeout.
 	Unresponsive []mesh.NodeID `json:"silent,omitempty"`
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -196,6 +196,7 @@
 		c.recordNextPhase(t, service, m)
 		c.writeStatus(t, service, m)
 	}
+	c.verifyMoves()
 }
 
 func (c *Control) analyze(t Time, m *moveState) {
@@ -233,20 +234,24 @@
 	statusKeyPrefix = "status/"
 )
 
-// recordNextPhase writes the first state of a move or its next phase to the store.
+// recordNextPhase writes the first state of a move or its next phase to the store, or the
+// present one if the store was restored and lacks it.
 func (c *Control) recordNextPhase(t Time, service string, m *moveState) {
 	if !c.caughtUp[MoveFeed] || !c.caughtUp[OperatorFeed] || m.move.Number == 0 {
 		return
 	}
-	next := m.move
-	if m.recorded {
-		if m.nextPhase == "" || m.nextPhase == m.move.Phase || !m.move.Open() {
-			return
-		}
+	next, since := m.move, m.nextPhaseSince
+	switch {
+	case !m.recorded:
+	case m.nextPhase != "" && m.nextPhase != m.move.Phase && m.move.Open():
 		next = m.move.Next(m.nextPhase)
+	case c.movesUnverified && c.storedIsOutdated(m):
+		since = max(since, c.verifySince)
+	default:
+		return
 	}
 	key := moveKeyPrefix + service
-	if c.pendingWrites[key] || !c.mayWrite(t, key, m.nextPhaseSince) {
+	if c.pendingWrites[key] || !c.mayWrite(t, key, since) {
 		return
 	}
 	c.pendingWrites[key] = true
@@ -263,6 +268,7 @@
 func (c *Control) moveWritten(t Time, key string) {
 	if service, ok := strings.CutPrefix(key, moveKeyPrefix); ok {
 		if m, ok := c.moves[service]; ok && m.pendingMove.Same(m.move.Order) {
+			c.recordStored(m.pendingMove)
 			c.handleRecordedMove(t, m.pendingMove)
 		}
 	}
--- a/internal/control/restored.go
+++ b/internal/control/restored.go
@@ -1,11 +1,77 @@
 package control
 
+import (
+	"heathercroft.example/heathercroft/pkg/canary"
+	"heathercroft.example/heathercroft/pkg/directory"
+)
+
 // handleStoreEra records the era of the store. A response to a request that was sent before
 // the last change of the era tells nothing.
 func (c *Control) handleStoreEra(t Time, e StoreEraSeen) {
 	if e.Era == c.storeEra || e.Before != c.storeEra {
 		return
 	}
-	c.storeEra = e.Era
+	c.adoptStoreEra(t, e.Era)
+}
+
+// adoptStoreEra handles a restoration of the store from an older copy: what this node knows to be
+// written may be lost, and only the nodes can write it again.
+func (c *Control) adoptStoreEra(t Time, era uint64) {
+	before := c.storeEra
+	c.storeEra = era
+	if before != 0 {
+		c.log("store_era_changed", "era", era, "era_before", before)
+		c.forgetWrites()
+	}
 	c.publishView(t)
 }
+
+// forgetWrites makes the node read again what the store holds of the nodes' writes before it
+// decides what to write.
+func (c *Control) forgetWrites() {
+	c.statuses, c.storedMoves = map[string]Status{}, map[string]canary.Move{}
+	c.caughtUp[MoveFeed], c.caughtUp[StatusFeed] = false, false
+	for _, m := range c.moves {
+		m.statusSince = 0
+	}
+	c.movesUnverified = len(c.moves) > 0
+	if c.closing {
+		// The node has withdrawn its announcement.
+		return
+	}
+	c.announced = directory.Announcement{}
+	if c.isReader() {
+		// The store may still have the announcement.
+		c.caughtUp[MeshFeed] = false
+	}
+}
+
+// adoptPeerEra learns of a restoration from a reader. Nodes of a large mesh that do not read
+// the store themselves have to write their announcements again.
+func (c *Control) adoptPeerEra(t Time, s PeerState) {
+	if c.large() && !c.isReader() && s.StoreEra > c.storeEra {
+		c.adoptStoreEra(t, s.StoreEra)
+	}
+}
+
+// recordStored records which state of a move the store holds.
+func (c *Control) recordStored(m canary.Move) { c.storedMoves[m.Service] = m }
+
+// storedIsOutdated reports whether the store lacks the recorded state of a move.
+func (c *Control) storedIsOutdated(m *moveState) bool {
+	stored, ok := c.storedMoves[m.move.Service]
+	return m.recorded && (!ok || m.move.Supersedes(stored))
+}
+
+// verifyMoves ends the verification of the moves in a restored store once it holds them all.
+func (c *Control) verifyMoves() {
+	if !c.movesUnverified || !c.caughtUp[MoveFeed] {
+		return
+	}
+	for _, m := range c.moves {
+		if c.storedIsOutdated(m) {
+			return
+		}
+	}
+	c.movesUnverified = false
+}
--- a/internal/control/summary.go
+++ b/internal/control/summary.go
@@ -159,7 +159,7 @@
 // a large mesh the readers pass them on: each state would wake the reads of all nodes, which
 // are billed.
 func (c *Control) followsMoves(t Time) bool {
-	if !c.moveOpen() {
+	if !c.moveOpen() && !c.movesUnverified {
 		return false
 	}
 	if !c.large() || c.isReader() {
