--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -91,6 +91,8 @@
 	// lastUsed is when the last request on the connection ended.
 	lastUsed time.Duration
 	wrote    bool
+	// reused is set if the connection carried an earlier request.
+	reused bool
 }
 
 // Write implements io.Writer and records that the target may have received the request.
@@ -159,7 +161,7 @@
 			break
 		}
 		if c.now() < conn.expires && conn.reader.Buffered() == 0 && openAndEmpty(conn.Conn) {
-			conn.wrote = false
+			conn.wrote, conn.reused = false, true
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -272,8 +274,12 @@
 }
 
 // read returns the response to the request and skips late responses to earlier requests.
+//
+// A connection is not kept after a refusal or a late response: a faulty target may repeat
+// a refusal, which would then tell of the next request, even the same one, that it did not run.
 func (c *targetClient) read(conn *targetConn, req *http.Request, lease *bounded.Lease) (r *response, closes bool, err error) {
 	id := req.Header.Get(c.headers.RequestID)
+	late := false
 	for range maxStaleResponses + 1 {
 		conn.limit.Limit(maxResponseHeaderBytes)
 		resp, err := http.ReadResponse(conn.reader, req)
@@ -291,17 +297,20 @@
 			return nil, false, errors.Wrap(err, "read answer")
 		}
 		_ = resp.Body.Close()
-		if echoed := resp.Header.Get(c.headers.RequestID); echoed != id {
-			if resp.Close || echoed == "" && resp.Header.Get(c.headers.NotRun) == "" && resp.StatusCode != http.StatusMisdirectedRequest {
-				return nil, false, errors.New("answer without the id of the request")
-			}
-			if echoed != "" {
-				continue
-			}
+		refusal := resp.Header.Get(c.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+		switch echoed := resp.Header.Get(c.headers.RequestID); {
+		case echoed == id:
+		case echoed == "" && refusal && !conn.reused && !late:
+			// The first response on a connection cannot belong to another request.
+		case echoed == "" || resp.Close:
+			return nil, false, errors.New("answer without the id of the request")
+		default:
+			late = true
+			continue
 		}
 		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		c.keepAlive(conn, resp.Header)
-		return &response{status: resp.StatusCode, header: resp.Header, body: body}, resp.Close || unframed, nil
+		return &response{status: resp.StatusCode, header: resp.Header, body: body}, resp.Close || unframed || refusal || late, nil
 	}
 	return nil, false, errors.New("only answers to other requests")
 }
