--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -164,8 +164,11 @@
 	}
 	a = &attemptResult{outcome: retry.ResponseReceived, resp: resp}
 	a.timing = targetTiming{known: true, elapsed: n.deps.Now() - started, freshConnection: !conn.reused}
+	// A faulty target may repeat a refusal, which would then tell of the next request on the
+	// connection that it did not run.
+	reusable := !refusesAsNotRun(resp)
 	a.afterBody(func(complete bool) {
-		n.pool.put(conn, complete)
+		n.pool.put(conn, complete && reusable)
 		if complete {
 			n.recordCompletedRequest(c)
 		} else if c.ctx.Err() == nil {
@@ -211,13 +214,18 @@
 	}
 }
 
+// refusesAsNotRun reports whether a target states that it did not run the request.
+func refusesAsNotRun(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == string(OutcomeNotRun)
+}
+
 // sanitizeResponse removes the headers that a target may not set. A target may
 // state only one outcome: not-run on a 503.
 func sanitizeResponse(a *attemptResult) {
 	h := a.resp.Header
 	removeHopByHop(h)
 	removeAll(h, nodeOnly)
-	if a.resp.StatusCode == http.StatusServiceUnavailable && h.Get(HeaderOutcome) == string(OutcomeNotRun) {
+	if refusesAsNotRun(a.resp) {
 		a.outcome = retry.RefusedByTarget
 		return
 	}
