--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -46,6 +46,8 @@
 	// informationalMu is held while an informational response is written to w, so that
 	// none is written for an attempt that has ended.
 	informationalMu sync.Mutex
+	// nodeEnds ends when the node gives up the requests in flight.
+	nodeEnds context.Context
 	// mayHaveRun is set once an attempt may have run; no later refusal may then
 	// report not-run.
 	mayHaveRun bool
@@ -83,7 +85,8 @@
 	defer c.body.end()
 	ctx, cancel := n.withDeadline(r.Context(), c.deadline)
 	defer cancel()
-	c.ctx = ctx
+	defer context.AfterFunc(n.callsCtx, cancel)()
+	c.ctx, c.nodeEnds = ctx, n.callsCtx
 	switch hop {
 	case HopTarget:
 		n.serveTarget(c)
--- a/internal/callpath/faulty_test.go
+++ b/internal/callpath/faulty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -78,3 +79,40 @@
 		})
 	}
 }
+
+// Guards against a connection that closes without a response when the drain of a node reaches
+// its limit: a request that is still running is given up, and its caller is told that it may
+// have run.
+func TestRequestsAreAnsweredAtTheEndOfADrain(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		arrived, release := make(chan struct{}), make(chan struct{})
+		defer close(release)
+		slow := target(t, func(http.ResponseWriter, *http.Request) {
+			close(arrived)
+			<-release
+		})
+		m := newMesh(t)
+		s := fastSettings()
+		s.TargetStallTimeout = time.Minute
+		at := map[bool]string{true: "", false: slow}
+		a := m.add("node-a", at[remote], s)
+		if remote {
+			m.add("node-b", slow, s)
+		}
+		result := make(chan reply, 1)
+		go func() { result <- m.do(a, "POST", "/courier", "body") }()
+		<-arrived
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		require.Equal(t, 1, a.Drain(ctx))
+		select {
+		case got := <-result:
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusGatewayTimeout, got.status)
+			require.Equal(t, "may-have-run", got.header.Get(callpath.HeaderOutcome))
+			require.Equal(t, "node-stopped", got.header.Get(callpath.HeaderReason))
+		case <-time.After(time.Second):
+			t.Fatal("no response at the end of the drain")
+		}
+	}
+}
--- a/internal/callpath/node.go
+++ b/internal/callpath/node.go
@@ -21,6 +21,9 @@
 	pool     *pool
 	limiter  limiter
 	inFlight inFlight
+	// callsCtx ends when a drain gives up the requests that are still in flight.
+	callsCtx context.Context
+	endCalls context.CancelFunc
 	crash    *crashGuard
 	budgets  sync.Map // service name → *retry.Budget
 
@@ -35,6 +38,7 @@
 func New(d Deps, s Settings) *Node {
 	n := &Node{deps: d, settings: s, metrics: newMetrics(), pool: newPool(s), crash: newCrashGuard()}
 	n.limiter.now = d.Now
+	n.callsCtx, n.endCalls = context.WithCancel(context.Background())
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := net.Dialer{Timeout: s.DialTimeout, LocalAddr: s.LocalAddr}
@@ -96,13 +100,24 @@
 // Metrics returns the counters.
 func (n *Node) Metrics() *Metrics { return n.metrics }
 
+// drainAnswerTimeout limits the time in which given up requests get their responses.
+const drainAnswerTimeout = 200 * time.Millisecond
+
 // Drain refuses new requests as not-run and waits until the requests in flight,
-// including uploads, have ended or ctx ends. It returns how many are left.
+// including uploads, have ended or ctx ends. Those that are left are then given up, so that
+// their callers learn whether they may have run before the connections close. It returns how
+// many were left.
 func (n *Node) Drain(ctx context.Context) int {
 	if n.deps.Events != nil {
 		n.deps.Events.DrainStarted()
 	}
 	left := n.inFlight.drain(ctx)
+	if left > 0 {
+		n.endCalls()
+		answered, cancel := context.WithTimeout(context.Background(), drainAnswerTimeout)
+		defer cancel()
+		n.inFlight.drain(answered)
+	}
 	if n.deps.Events != nil {
 		n.deps.Events.DrainEnded(left)
 	}
--- a/internal/callpath/refusal.go
+++ b/internal/callpath/refusal.go
@@ -27,6 +27,7 @@
 const (
 	CodeNotReady          Code = "not-ready"           // 503: the node has no confirmed configuration
 	CodeDraining          Code = "draining"            // 503: the node or its target is stopping
+	CodeNodeStopped       Code = "node-stopped"        // 504: the node ended before the request did
 	CodeNoRoute           Code = "no-route"            // 404: no route has a prefix that matches the path
 	CodeNoEndpoint        Code = "no-endpoint"         // 503: no usable endpoint
 	CodeNoTarget          Code = "no-target"           // 503: the node has no target of that service and version
@@ -63,6 +64,7 @@
 	CodeBadResponse:       http.StatusBadGateway,
 	CodeUnresponsive:      http.StatusGatewayTimeout,
 	CodeDeadline:          http.StatusGatewayTimeout,
+	CodeNodeStopped:       http.StatusGatewayTimeout,
 	CodeBadRequest:        http.StatusBadRequest,
 	CodeHeaderTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
 	CodeDepthLimit:        http.StatusLoopDetected,
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -202,8 +202,11 @@
 // disconnected.
 func canceledResult(c *call, wrote bool) *attemptResult {
 	code, message := CodeCanceled, "the caller left"
-	if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
 		code, message = CodeDeadline, "the deadline passed"
+	case c.nodeEnds.Err() != nil && c.req.Context().Err() == nil:
+		code, message = CodeNodeStopped, "the node stops"
 	}
 	if wrote {
 		return refused(retry.TimedOut, MayHaveRun(code, message))
