--- a/internal/core/append.go
+++ b/internal/core/append.go
@@ -79,8 +79,13 @@
 
 func (c *Core) tryAppend(id string) {
 	p := c.appends.pending[id]
-	p.inFlight = true
 	p.attempts++
+	if c.distribution.Status().LogRestored {
+		// The record assumes a revision that the restored log does not have.
+		c.appendResult(AppendResult{ID: id, NotRun: true, Reason: "the log was restored from an older copy"})
+		return
+	}
+	p.inFlight = true
 	c.emit(Append{ID: id, Data: p.data})
 }
 
--- a/internal/core/distribute.go
+++ b/internal/core/distribute.go
@@ -33,7 +33,7 @@
 	case LogReadFailed:
 		c.stepDistribution(distribution.LogError{Now: now, Read: e.Read, Reason: e.Reason})
 	case LogOutOfRange:
-		c.stepDistribution(distribution.LogOutOfRange{Now: now, Read: e.Read, First: e.First, Next: e.Next})
+		c.stepDistribution(distribution.LogOutOfRange{Now: now, Read: e.Read, Era: e.Era, First: e.First, Next: e.Next})
 	case SnapshotRead:
 		c.stepDistribution(distribution.SnapshotRead{Now: now, Read: e.Read, Snapshot: e.Snapshot})
 	default:
@@ -43,7 +43,12 @@
 
 func (c *Core) logPage(e LogPage) {
 	c.snapshots.retention = e.Retention
-	c.stepDistribution(distribution.LogPage{Now: c.time.Now, Read: e.Read, First: e.First, Next: e.Next, Entries: e.Entries})
+	c.stepDistribution(distribution.LogPage{Now: c.time.Now, Read: e.Read, Era: e.Era, First: e.First, Next: e.Next, Entries: e.Entries})
+	if c.distribution.Status().LogRestored {
+		// The head of the restored log does not confirm what this node holds.
+		delete(c.keys.readSent, e.Read)
+		return
+	}
 	if e.Next > 0 {
 		c.head = max(c.head, uint64(e.Next)-1)
 	}
@@ -102,6 +107,11 @@
 			c.recordEvent(KindRangeLost, map[string]string{
 				"wanted": strconv.FormatUint(uint64(effect.RequestedOffset), 10), "first": strconv.FormatUint(uint64(effect.FirstRetained), 10),
 			})
+		case distribution.LogRestored:
+			c.recordEvent(KindLogRestored, map[string]string{
+				"era": strconv.FormatUint(effect.Era, 10), "era_before": strconv.FormatUint(effect.Before, 10),
+				"revision": strconv.FormatUint(uint64(effect.Revision), 10), "next": strconv.FormatUint(uint64(effect.Next), 10),
+			})
 		default:
 			panic(fmt.Sprintf("unhandled distribution effect: %T", effect))
 		}
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -122,6 +122,7 @@
 	KindChangeSubmitted  timeline.Kind = "change-submitted"
 	KindChangeDecided    timeline.Kind = "change-decided"
 	KindRangeLost        timeline.Kind = "log-range-lost"
+	KindLogRestored      timeline.Kind = "log-restored"
 	KindSnapshotAppended timeline.Kind = "snapshot-appended"
 	KindLeaving          timeline.Kind = "node-leaving"
 )
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -57,7 +57,9 @@
 
 // LogPage is the response to ReadLog.
 type LogPage struct {
-	Read        uint64
+	Read uint64
+	// Era rises when the log is restored from an older copy, 0 if unknown.
+	Era         uint64
 	First, Next record.Revision
 	Entries     []distribution.Entry
 	// Retention is how long the platform keeps entries, 0 if unknown.
@@ -72,7 +74,9 @@
 
 // LogOutOfRange reports that the platform no longer has the offset.
 type LogOutOfRange struct {
-	Read        uint64
+	Read uint64
+	// Era is that of LogPage.
+	Era         uint64
 	First, Next record.Revision
 }
 
--- a/internal/logclient/errors.go
+++ b/internal/logclient/errors.go
@@ -31,6 +31,8 @@
 	First record.Revision
 	// Next is the offset that the next append will get.
 	Next record.Revision
+	// Era is the era of the log, as in Page.
+	Era uint64
 }
 
 // Error implements error.
--- a/internal/logclient/page.go
+++ b/internal/logclient/page.go
@@ -20,8 +20,11 @@
 	// First is the oldest offset that the platform holds.
 	First record.Revision `json:"first"`
 	// Next is the offset that the next append will get.
-	Next    record.Revision `json:"next"`
-	Entries []Entry         `json:"records"`
+	Next record.Revision `json:"next"`
+	// Era rises when the log is restored from an older copy and gives offsets out again. It is
+	// 0 if the platform names none.
+	Era     uint64  `json:"era,omitempty"`
+	Entries []Entry `json:"records"`
 }
 
 func malformed(mark error, format string, args ...any) error {
@@ -49,7 +52,7 @@
 	if page.First == 0 || page.Next < page.First {
 		return malformed(ErrUnavailable, "out of range with first %d and next %d", page.First, page.Next)
 	}
-	return &OutOfRangeError{First: page.First, Next: page.Next}
+	return &OutOfRangeError{First: page.First, Next: page.Next, Era: page.Era}
 }
 
 // decodePage decodes a page and checks that it starts at the requested offset and has
--- a/internal/logservice/platform_test.go
+++ b/internal/logservice/platform_test.go
@@ -80,7 +80,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		keep := retention{records: rapid.IntRange(0, 5).Draw(t, "records"), age: 10 * time.Second}
 		now := time.UnixMilli(0)
-		s := newStream()
+		s := newStream(1)
 		var times []time.Time
 		first := 0
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
@@ -248,3 +248,32 @@
 	cancel()
 	require.True(t, errors.Is(<-errs, logclient.ErrUnknown))
 }
+
+// Nodes tell by the era that offsets were given out again after a restoration from an older copy.
+func TestRestorationRaisesTheEra(t *testing.T) {
+	server, client, base := start(t, nil)
+	for range 3 {
+		_, err := client.Append(t.Context(), "s", []byte("a"))
+		require.NoError(t, err)
+	}
+	page, err := client.Read(t.Context(), "s", 1, 10, 0)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, page.Era)
+	server.Restore(2)
+	_, err = client.Read(t.Context(), "s", 4, 10, 0)
+	var lost *logclient.OutOfRangeError
+	require.ErrorAs(t, err, &lost)
+	require.Equal(t, logclient.OutOfRangeError{First: 1, Next: 2, Era: 2}, *lost)
+	offset, err := client.Append(t.Context(), "s", []byte("b"))
+	require.NoError(t, err)
+	require.EqualValues(t, 2, offset)
+	page, err = client.Read(t.Context(), "s", 2, 10, 0)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, page.Era)
+	for body, want := range map[string]int{`{"records":1}`: http.StatusOK, `{"records":-1}`: http.StatusBadRequest, `{`: http.StatusBadRequest} {
+		res, err := http.Post(base+"/restore", "application/json", strings.NewReader(body))
+		require.NoError(t, err)
+		require.NoError(t, res.Body.Close())
+		require.Equal(t, want, res.StatusCode, body)
+	}
+}
--- a/internal/logservice/server.go
+++ b/internal/logservice/server.go
@@ -36,6 +36,8 @@
 
 	mu      sync.Mutex
 	streams map[string]*stream
+	// era is the number of restorations plus one.
+	era uint64
 }
 
 // New returns a log service without records.
@@ -52,11 +54,13 @@
 		mux:      http.NewServeMux(),
 		stopping: make(chan struct{}),
 		streams:  map[string]*stream{},
+		era:      1,
 	}
 	server.mux.HandleFunc("POST /v1/streams/{stream}/records", server.serveAppend)
 	server.mux.HandleFunc("GET /v1/streams/{stream}/records", server.serveRead)
 	server.mux.HandleFunc("GET /control", server.serveStatus)
 	server.mux.HandleFunc("POST /control", server.serveControl)
+	server.mux.HandleFunc("POST /restore", server.serveRestore)
 	server.mux.Handle("GET /debug/vars", expvar.Handler())
 	return server
 }
@@ -67,13 +71,24 @@
 // Close ends the long polls and the held calls.
 func (s *Server) Close() { s.closeOnce.Do(func() { close(s.stopping) }) }
 
+// Restore puts the log back to an older copy, which lacks the newest records of each stream.
+func (s *Server) Restore(records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for _, stream := range s.streams {
+		stream.restore(records, s.era)
+	}
+	s.logger.Info("restored from an older copy", "event", "platform_restored", "era", s.era, "records_lost", records)
+}
+
 // stream returns a stream by name, creating it if there is room.
 func (s *Server) stream(name string) (*stream, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found, ok := s.streams[name]
 	if !ok && len(s.streams) < maxStreams {
-		found, ok = newStream(), true
+		found, ok = newStream(s.era), true
 		s.streams[name] = found
 	}
 	return found, ok
--- a/internal/logservice/status.go
+++ b/internal/logservice/status.go
@@ -80,6 +80,23 @@
 	httpjson.Write(w, http.StatusOK, s.Status())
 }
 
+// serveRestore loses the newest records of each stream.
+func (s *Server) serveRestore(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Records int `json:"records"`
+	}
+	if err := httpjson.ReadStrict(r.Body, &body); err != nil {
+		httpjson.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if body.Records < 0 {
+		httpjson.Fail(w, http.StatusBadRequest, "records is negative")
+		return
+	}
+	s.Restore(body.Records)
+	httpjson.Write(w, http.StatusOK, s.Status())
+}
+
 func (c Control) loses() bool { return c.LostShare > 0 && rand.Float64() < c.LostShare }
 
 func (s *Server) writePage(w http.ResponseWriter, status int, page logclient.Page) {
--- a/internal/logservice/stream.go
+++ b/internal/logservice/stream.go
@@ -22,12 +22,25 @@
 	mu      sync.Mutex
 	entries []logclient.Entry
 	next    record.Revision
+	era     uint64
 	// appended is closed and replaced on every append.
 	appended chan struct{}
 }
 
-func newStream() *stream {
-	return &stream{next: 1, appended: make(chan struct{})}
+func newStream(era uint64) *stream {
+	return &stream{next: 1, era: era, appended: make(chan struct{})}
+}
+
+// restore drops the newest records, whose offsets are given out again, and ends waiting reads.
+func (s *stream) restore(records int, era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := len(s.entries) - min(records, len(s.entries))
+	s.next -= record.Revision(len(s.entries) - kept)
+	clear(s.entries[kept:])
+	s.entries, s.era = s.entries[:kept:kept], era
+	close(s.appended)
+	s.appended = make(chan struct{})
 }
 
 func (s *stream) append(data []byte, now time.Time, keep retention) record.Revision {
@@ -64,7 +77,7 @@
 	defer s.mu.Unlock()
 	s.trim(now, keep)
 	first := s.next - record.Revision(len(s.entries))
-	page := logclient.Page{First: first, Next: s.next, Entries: []logclient.Entry{}}
+	page := logclient.Page{Era: s.era, First: first, Next: s.next, Entries: []logclient.Entry{}}
 	if from < first || from > s.next {
 		return page, false, s.appended
 	}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -68,7 +68,7 @@
 	var outOfRange *logclient.OutOfRangeError
 	switch {
 	case errors.As(err, &outOfRange):
-		return core.LogOutOfRange{Read: read, First: outOfRange.First, Next: outOfRange.Next}
+		return core.LogOutOfRange{Read: read, Era: outOfRange.Era, First: outOfRange.First, Next: outOfRange.Next}
 	case err != nil:
 		return core.LogReadFailed{Read: read, Reason: err.Error()}
 	}
@@ -77,7 +77,7 @@
 		entries = append(entries, distribution.Entry{Offset: entry.Offset, Data: entry.Data})
 	}
 	return core.LogPage{
-		Read: read, First: page.First, Next: page.Next, Entries: entries, Retention: p.settings.Retention.Std(),
+		Read: read, Era: page.Era, First: page.First, Next: page.Next, Entries: entries, Retention: p.settings.Retention.Std(),
 	}
 }
 
--- a/pkg/distribution/effect.go
+++ b/pkg/distribution/effect.go
@@ -78,6 +78,16 @@
 	RequestedOffset, FirstRetained record.Revision
 }
 
+// LogRestored reports that the log was restored from an older copy: offsets up to Revision, which
+// the node has received, may hold other records now. The node stays at its revision.
+type LogRestored struct {
+	Era, Before uint64
+	// Next is the offset after the newest one of the log, 0 if another node reported the
+	// restoration.
+	Revision, Next record.Revision
+}
+
+func (LogRestored) effect()        {}
 func (ReadLog) effect()            {}
 func (ReadSnapshotStream) effect() {}
 func (SendPush) effect()           {}
--- a/pkg/distribution/event.go
+++ b/pkg/distribution/event.go
@@ -19,6 +19,9 @@
 	Now time.Duration
 	// Read is the number of the request that it answers.
 	Read uint64
+	// Era rises when the log is restored from an older copy and gives offsets out again, 0 if
+	// unknown.
+	Era uint64
 	// First is the oldest offset kept by the platform, Next the one after the
 	// newest.
 	First, Next record.Revision
@@ -34,8 +37,10 @@
 
 // LogOutOfRange reports that the platform no longer keeps the requested offset.
 type LogOutOfRange struct {
-	Now         time.Duration
-	Read        uint64
+	Now  time.Duration
+	Read uint64
+	// Era is that of LogPage.
+	Era         uint64
 	First, Next record.Revision
 }
 
--- a/pkg/distribution/logreader.go
+++ b/pkg/distribution/logreader.go
@@ -59,7 +59,7 @@
 	if l.pending && m.now >= l.deadline {
 		m.logError(l.lastReadID)
 	}
-	if l.pending || m.now < l.next || m.installing {
+	if l.pending || m.now < l.next || m.installing || m.restored {
 		// The next offset is unknown while a snapshot is being installed.
 		return
 	}
@@ -107,6 +107,9 @@
 		return
 	}
 	l.succeeded()
+	if !m.inEra(e.Era, e.Next) {
+		return
+	}
 	m.updateHead(e.Next)
 	l.outOfRange = false
 	l.next = m.now
@@ -147,6 +150,13 @@
 		return
 	}
 	l.succeeded()
+	if !m.inEra(e.Era, e.Next) {
+		return
+	}
+	if e.Next > 0 && e.Next <= m.buffer.contiguous {
+		m.logRestored(e.Era, e.Next)
+		return
+	}
 	m.updateHead(e.Next)
 	if !m.peers.reader {
 		return
--- a/pkg/distribution/machine.go
+++ b/pkg/distribution/machine.go
@@ -17,6 +17,10 @@
 
 	applied record.Revision
 	nack    string
+	// era is the era of the log from which this node has received entries, 0 if unknown.
+	// restored is set once the log has another one.
+	era      uint64
+	restored bool
 	// applying is set until the adapter answers ApplyEntries or InstallSnapshot.
 	applying bool
 	// installing is set while applying a snapshot.
@@ -43,6 +47,8 @@
 	// PlatformUnavailable is set while the reads of this node have failed for
 	// OutageThreshold. A ready node that is not a reader does not read.
 	PlatformUnavailable bool
+	// LogRestored is set once the log was restored from an older copy.
+	LogRestored bool
 }
 
 // New returns a machine at revision 0 that is not ready.
@@ -97,7 +103,7 @@
 func (m *Machine) Status() Status {
 	return Status{
 		Applied: m.applied, ContiguousOffset: m.buffer.contiguous, NACK: m.nack, Ready: m.ready.ready, Reason: m.ready.reason,
-		Reader: m.peers.reader, PlatformUnavailable: m.log.unavailable(m.now),
+		Reader: m.peers.reader, PlatformUnavailable: m.restored || m.log.unavailable(m.now), LogRestored: m.restored,
 	}
 }
 
--- a/pkg/distribution/message.go
+++ b/pkg/distribution/message.go
@@ -24,6 +24,8 @@
 	// Root is the reader at which the tree is rooted.
 	Root    mesh.NodeID `json:"root"`
 	Entries []Entry     `json:"entries"`
+	// Era is the era of the log from which the entries come, 0 if unknown.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // PullRequest asks for the entries after ContiguousOffset.
@@ -44,6 +46,8 @@
 	StatusOnly bool `json:"status_only,omitempty"`
 	// WantMembers additionally asks for the members of the zone.
 	WantMembers bool `json:"want_members,omitempty"`
+	// Era is the era of the log at the sender, 0 if unknown.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // PullResponse answers a pull request with entries, a snapshot, or neither.
@@ -65,4 +69,6 @@
 	Snapshot *Snapshot     `json:"snapshot,omitempty"`
 	// RetryAfterMS, if not 0, declines a snapshot for that many milliseconds.
 	RetryAfterMS int64 `json:"busy_ms,omitempty"`
+	// Era is the era of the log at the answering node, 0 if unknown.
+	Era uint64 `json:"era,omitempty"`
 }
--- a/pkg/distribution/pull.go
+++ b/pkg/distribution/pull.go
@@ -75,7 +75,7 @@
 func (m *Machine) pull(to mesh.NodeID, r PullRequest) {
 	p := &m.pulls
 	p.lastID++
-	r.From, r.ID, r.ContiguousOffset, r.Applied, r.NACK = m.cfg.Self, p.lastID, m.buffer.contiguous, m.applied, m.nack
+	r.From, r.ID, r.ContiguousOffset, r.Applied, r.NACK, r.Era = m.cfg.Self, p.lastID, m.buffer.contiguous, m.applied, m.nack, m.era
 	p.pending[r.ID] = pendingPull{to: to, status: r.StatusOnly}
 	p.order = append(p.order, r.ID)
 	if len(p.order) > maxPendingPulls {
@@ -88,7 +88,11 @@
 // handlePullRequest answers with the entries that the sender is missing or, if they
 // are trimmed, with a snapshot.
 func (m *Machine) handlePullRequest(r PullRequest) {
+	if !m.inEra(r.Era, 0) {
+		return
+	}
 	response := PullResponse{
+		Era:  m.era,
 		From: m.cfg.Self, ID: r.ID, ContiguousOffset: m.buffer.contiguous, Applied: m.applied, NACK: m.nack, Ready: m.ready.ready,
 	}
 	if r.ContiguousOffset > m.buffer.contiguous {
@@ -121,6 +125,9 @@
 		return
 	}
 	delete(p.pending, r.ID)
+	if !m.inEra(r.Era, 0) {
+		return
+	}
 	m.ready.recordStatus(r, request.status, m.now)
 	before := m.buffer.contiguous
 	fresh := m.ingest(r.Entries)
--- a/pkg/distribution/push.go
+++ b/pkg/distribution/push.go
@@ -32,6 +32,9 @@
 // handlePush relays entries, including those after a gap, so that a gap does not
 // delay the nodes further down the tree.
 func (m *Machine) handlePush(p Push) {
+	if !m.inEra(p.Era, 0) {
+		return
+	}
 	m.ingest(p.Entries)
 	m.pushes.deferred = slices.DeleteFunc(m.pushes.deferred, func(e Entry) bool {
 		return slices.ContainsFunc(p.Entries, func(o Entry) bool { return o.Offset == e.Offset })
@@ -84,7 +87,7 @@
 	children := m.peers.children(root, m.cfg.Self)
 	for chunk := range chunks(fresh) {
 		for _, id := range children {
-			m.emit(SendPush{To: id, Push: Push{From: m.cfg.Self, Root: root, Entries: chunk}})
+			m.emit(SendPush{To: id, Push: Push{From: m.cfg.Self, Root: root, Entries: chunk, Era: m.era}})
 		}
 	}
 }
