--- a/internal/logservice/platform_test.go
+++ b/internal/logservice/platform_test.go
@@ -119,7 +119,7 @@
 	_, err := client.Read(t.Context(), "s", 3, 10, longPoll)
 	var outOfRange *logclient.OutOfRangeError
 	require.True(t, errors.As(err, &outOfRange), err)
-	require.Equal(t, logclient.OutOfRangeError{First: 4, Next: 6}, *outOfRange)
+	require.Equal(t, logclient.OutOfRangeError{First: 4, Next: 6, Era: 1}, *outOfRange)
 	_, err = client.Read(t.Context(), "s", 7, 10, longPoll)
 	require.True(t, errors.As(err, &outOfRange), err)
 }
