--- a/internal/core/mesh_test.go
+++ b/internal/core/mesh_test.go
@@ -55,6 +55,8 @@
 	entries     []distribution.Entry
 	snapshots   [][]byte
 	unavailable bool
+	// era is the number of restorations from an older copy.
+	era uint64
 	// lostResponseRate is the share of appends that succeed without a response.
 	lostResponseRate float64
 	polls            []poll
@@ -264,7 +266,7 @@
 
 func (m *testMesh) sendPage(n *testNode, e core.ReadLog) {
 	next := record.Revision(len(m.log.entries) + 1)
-	page := core.LogPage{Read: e.Read, First: 1, Next: next}
+	page := core.LogPage{Read: e.Read, Era: m.log.era + 1, First: 1, Next: next}
 	for i := int(e.From); i < int(next) && len(page.Entries) < e.Max; i++ {
 		page.Entries = append(page.Entries, m.log.entries[i-1])
 	}
--- a/pkg/distribution/era.go
+++ b/pkg/distribution/era.go
@@ -24,6 +24,6 @@
 // records of it the log has lost is not known: the node keeps serving with it, and a new process
 // starts from the restored log.
 func (m *Machine) logRestored(era uint64, next record.Revision) {
-	m.restored = true
+	m.restored, m.newEra = true, era
 	m.emit(LogRestored{Era: era, Before: m.era, Revision: m.buffer.contiguous, Next: next})
 }
--- a/pkg/distribution/machine.go
+++ b/pkg/distribution/machine.go
@@ -18,9 +18,9 @@
 	applied record.Revision
 	nack    string
 	// era is the era of the log from which this node has received entries, 0 if unknown.
-	// restored is set once the log has another one.
-	era      uint64
-	restored bool
+	// restored is set once the log has another one, newEra, 0 if unknown.
+	era, newEra uint64
+	restored    bool
 	// applying is set until the adapter answers ApplyEntries or InstallSnapshot.
 	applying bool
 	// installing is set while applying a snapshot.
--- a/pkg/distribution/pull.go
+++ b/pkg/distribution/pull.go
@@ -89,6 +89,10 @@
 // are trimmed, with a snapshot.
 func (m *Machine) handlePullRequest(r PullRequest) {
 	if !m.inEra(r.Era, 0) {
+		if m.restored && m.newEra > r.Era {
+			// Nodes that do not read the log learn of the restoration from others.
+			m.emit(SendResponse{To: r.From, Response: PullResponse{From: m.cfg.Self, ID: r.ID, Era: m.newEra}})
+		}
 		return
 	}
 	response := PullResponse{
