sidecar: log when a node hears of a newer configuration, from whom it gets one, and who reads the store

No line told whether a late configuration waited for a read, for a reader or for gossip. config_behind, readers_changed, and the source and delay of config_in_force; how long a read was unanswered in store_lost. No decision changed.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -132,7 +132,7 @@
 	case TargetCrashed:
 		c.recordCrash(t, e.Requests)
 	case ConfigPublished:
-		c.applyConfig(t, e.Config)
+		c.applyConfig(t, e)
 	case AnnouncementRead:
 		if a := e.Announcement; a.Node == c.self.Node && a.StartUnixMS == c.self.StartUnixMS {
 			c.announced = a
@@ -230,12 +230,20 @@
 // maxEvidenceRoutes bounds the memory used by the evidence. A target has few routes.
 const maxEvidenceRoutes = 256
 
-func (c *Control) applyConfig(t Time, config *published.Config) {
+func (c *Control) applyConfig(t Time, e ConfigPublished) {
+	config := e.Config
 	if c.config != nil && config.Version <= c.config.Version {
 		return
 	}
+	fields := []any{"version", uint64(config.Version), "routes", len(config.Routes), "source", "store"}
+	if e.From != "" {
+		fields[len(fields)-1] = string(e.From)
+	}
+	if c.missingVersion > c.configVersion() && c.missingVersion <= config.Version {
+		fields = append(fields, "behind_ms", (t.Now - c.missingSince).Milliseconds())
+	}
 	c.config = config
-	c.log("config_in_force", "version", uint64(config.Version), "routes", len(config.Routes))
+	c.log("config_in_force", fields...)
 	c.publishView(t)
 	if c.isReader() && c.large() {
 		c.broadcast(t)
@@ -398,6 +406,7 @@
 	}
 	if c.missingVersion <= c.configVersion() {
 		c.missingVersion, c.missingSince = version, t.Now
+		c.log("config_behind", "version", uint64(version), "have", uint64(c.configVersion()), "peer", string(from.Node))
 	}
 	late := t.Now-c.missingSince >= fetchDelay
 	if !late && c.readsOperatorFeed(t) || t.Now < c.nextFetch {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -47,7 +47,11 @@
 	TargetCrashed struct{ Requests []uint64 }
 	// ConfigPublished carries a configuration from the store or another node. It is
 	// prepared and valid.
-	ConfigPublished struct{ Config *published.Config }
+	ConfigPublished struct {
+		Config *published.Config
+		// From is the node that sent it, empty if it was read from the store.
+		From mesh.NodeID
+	}
 	// AnnouncementRead carries an announcement from the store.
 	AnnouncementRead struct{ Announcement directory.Announcement }
 	// MoveOrdered carries an order of the operator.
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -156,7 +156,7 @@
 		}
 	case FetchConfig:
 		if other := m.node(e.From.Node); other != nil && other.Config() != nil && !m.partitioned[n.id] {
-			m.step(n, ConfigPublished{other.Config()})
+			m.step(n, ConfigPublished{Config: other.Config(), From: other.id})
 		}
 	}
 }
@@ -394,8 +394,8 @@
 		require.NoError(t, c.Prepare())
 		return c
 	}
-	m.step(m.nodes[0], ConfigPublished{config(5)})
-	m.step(m.nodes[0], ConfigPublished{config(3)})
+	m.step(m.nodes[0], ConfigPublished{Config: config(5)})
+	m.step(m.nodes[0], ConfigPublished{Config: config(3)})
 	require.EqualValues(t, 5, m.nodes[0].Config().Version)
 	m.run(2 * time.Second)
 	for _, n := range m.nodes {
@@ -413,14 +413,14 @@
 		return c
 	}
 	for _, n := range m.nodes {
-		m.step(n, ConfigPublished{config(1)})
+		m.step(n, ConfigPublished{Config: config(1)})
 	}
 	for v := published.Version(2); v < 12; v++ {
-		m.step(m.nodes[0], ConfigPublished{config(v)})
+		m.step(m.nodes[0], ConfigPublished{Config: config(v)})
 		m.run(500 * time.Millisecond)
 		for _, n := range m.nodes[1:] {
 			require.Less(t, n.Config().Version, v, "fetched from another node")
-			m.step(n, ConfigPublished{config(v)})
+			m.step(n, ConfigPublished{Config: config(v)})
 		}
 	}
 }
--- a/internal/control/readers.go
+++ b/internal/control/readers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/mesh"
@@ -36,6 +37,7 @@
 			c.unresponsiveReaders[id] = true
 		}
 	}
+	before := c.readers
 	c.readers = nil
 	if !c.large() {
 		return
@@ -60,6 +62,9 @@
 	}
 	ranked := mesh.RankNodes("store-reader", eligible)
 	c.readers = ranked[:min(readerCount, len(ranked))]
+	if !slices.Equal(before, c.readers) {
+		c.log("readers_changed", "readers", c.readers, "eligible", len(eligible))
+	}
 	since := make(map[mesh.NodeID]time.Duration, len(c.readers))
 	for _, id := range c.readers {
 		since[id] = t.Now
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -65,6 +65,7 @@
 	var position logpos.Position
 	synced, failing := false, false
 	pause := storeRetryMin
+	var failingSince time.Duration
 	lastRecordsAt := n.clock.now() - burstGap
 	for n.ctx.Err() == nil {
 		// A node whose reads fail continues to read the operator feed until they succeed: it
@@ -95,7 +96,8 @@
 		if err != nil {
 			n.metrics.storeErrors.Add(1)
 			if !failing {
-				n.logger.Warn("store_lost", "feed", f.String(), "error", err.Error())
+				failingSince = n.clock.now()
+				n.logger.Warn("store_lost", "feed", f.String(), "waited_ms", (failingSince - began).Milliseconds(), "error", err.Error())
 				n.reportStoreAvailability(f, false)
 			}
 			failing = true
@@ -104,7 +106,7 @@
 			continue
 		}
 		if failing {
-			n.logger.Info("store_regained", "feed", f.String())
+			n.logger.Info("store_regained", "feed", f.String(), "lost_ms", (n.clock.now() - failingSince).Milliseconds())
 			n.reportStoreAvailability(f, true)
 		}
 		failing, pause = false, storeRetryMin
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -123,7 +123,7 @@
 		return
 	}
 	n.metrics.configFetches.Add(1)
-	n.step(control.ConfigPublished{Config: c})
+	n.step(control.ConfigPublished{Config: c, From: from.Node})
 }
 
 // seedInterval is the time between two rounds of calls to the seeds while no other node is
