sidecar: read the store again on a new connection when a response is late

Seen: after a silence of the store a node did not have a version 2 s after its confirmation (CONFIG). Cause: a read without a response was waited for until its long poll and a margin were over, 3.7 s for configurations and 20.7 s for other feeds, and the next read was a long poll again: one lost response decided when a node learned of a version. Change: a read is attempted again on a new connection 0.4 s after its response was due, and then every 0.4 to 1 s; the first response counts. Nothing is attempted while a response arrives, and none of the last four attempts is given up, so that slow links and a slow store still serve. After a failure the next read does not wait for records. When a retry was needed, the other feeds are read again too. The poll of configurations is 1.5 s, that of moves and statuses 2 s (20 s before). Ruled out: the store (it confirmed the version), other nodes (13 of 13 waited).

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -18,18 +18,12 @@
 // retained or the store was restored, and by Store.Snapshot if it was restored meanwhile.
 var ErrPositionLost = errors.New("the position is no longer retained")
 
-var errNoConfig = errors.New("this node has no configuration")
+var (
+	errNoConfig   = errors.New("this node has no configuration")
+	errNoResponse = errors.New("the store has not responded")
+)
 
 const (
-	// readerLongPollWait is the long-poll time of the operator feed at the readers. An
-	// unresponsive connection is detected only when a poll times out, and a configuration
-	// must be in force 2 s after the store has it.
-	readerLongPollWait = 3 * time.Second
-	// longPollWait is the long-poll time of all other reads: the operator feed at other
-	// nodes, and the other feeds at all nodes. It is long because each read is paid for. If
-	// no reader reports a newer configuration, it limits how long an unresponsive connection
-	// delays one.
-	longPollWait = 20 * time.Second
 	// minPollInterval is the least time between two reads without records. It prevents a
 	// busy loop if the store responds to long polls at once.
 	minPollInterval = 250 * time.Millisecond
@@ -49,10 +43,6 @@
 	meshStartupTime = 3 * time.Second
 	// followCheckInterval is the time between two checks whether a feed has to be followed.
 	followCheckInterval = control.TickInterval
-	// longPollTimeoutMargin is added to the long-poll time for the timeout of the request.
-	longPollTimeoutMargin = 700 * time.Millisecond
-	// snapshotTimeout limits one read of the newest records.
-	snapshotTimeout = 1500 * time.Millisecond
 	// storeRetryMin and storeRetryMax limit the backoff after a failed read.
 	storeRetryMin = 50 * time.Millisecond
 	storeRetryMax = 500 * time.Millisecond
@@ -60,86 +50,155 @@
 	writeTimeout = 1500 * time.Millisecond
 )
 
+// follower is the state of the reads of a feed.
+type follower struct {
+	node     *Node
+	feed     control.Feed
+	position logpos.Position
+	// synced is set once the feed was read to its end.
+	synced bool
+	// burst is set while records follow each other so fast that only the newest record of each
+	// key is read.
+	burst         bool
+	lastRecordsAt time.Duration
+	// failing is set since failingSince while reads fail.
+	failing      bool
+	failingSince time.Duration
+	retryDelay   time.Duration
+}
+
 // follow reads a feed until the node ends.
-func (n *Node) follow(f control.Feed) {
-	var position logpos.Position
-	synced, failing := false, false
-	pause := storeRetryMin
-	var failingSince time.Duration
-	lastRecordsAt := n.clock.now() - burstGap
+func (n *Node) follow(feed control.Feed) {
+	f := &follower{node: n, feed: feed, retryDelay: storeRetryMin, lastRecordsAt: -burstGap}
 	for n.ctx.Err() == nil {
-		// A node whose reads fail continues to read the operator feed until they succeed: it
-		// could not become a reader otherwise.
-		if !n.shouldFollow(f, synced) && !(failing && f == control.OperatorFeed) {
-			synced = synced && f != control.StatusFeed
+		if f.due() {
+			f.read()
+		} else {
 			time.Sleep(followCheckInterval)
-			continue
-		}
-		if f == control.MeshFeed && n.refreshMesh.Swap(false) {
-			synced = false
-		}
-		era := n.view.Load().StoreEra
-		if position.Era != era {
-			synced = false
-		}
-		began := n.clock.now()
-		events, next, err := n.readFeed(f, position, synced)
-		if errors.Is(err, ErrPositionLost) {
-			n.logger.Info("store_position_lost", "feed", f.String(), "era", position.Era, "position", position.Offset)
-			synced = false
-			time.Sleep(rand.N(storeRetryMin))
-			continue
-		}
-		if errors.Is(err, errReadRestarted) {
-			continue
-		}
-		if err != nil {
-			n.metrics.storeErrors.Add(1)
-			if !failing {
-				failingSince = n.clock.now()
-				n.logger.Warn("store_lost", "feed", f.String(), "waited_ms", (failingSince - began).Milliseconds(), "error", err.Error())
-				n.reportStoreAvailability(f, false)
-			}
-			failing = true
-			time.Sleep(pause/2 + time.Duration(rand.Int64N(int64(pause))))
-			pause = min(2*pause, storeRetryMax)
-			continue
-		}
-		if failing {
-			n.logger.Info("store_regained", "feed", f.String(), "lost_ms", (n.clock.now() - failingSince).Milliseconds())
-			n.reportStoreAvailability(f, true)
-		}
-		failing, pause = false, storeRetryMin
-		if !n.applyRead(f, era, events, next) {
-			synced = false
-			continue
-		}
-		if !synced {
-			synced = true
-			n.step(control.FeedCaughtUp{Feed: f})
 		}
-		position = next
-		if len(events) == 0 {
-			time.Sleep(minPollInterval - (n.clock.now() - began))
-			continue
+	}
+}
+
+// due reports whether the feed is to be read now. A node whose reads fail continues to read the
+// operator feed until they succeed: it could not become a reader otherwise.
+func (f *follower) due() bool {
+	if f.node.shouldFollow(f.feed, f.synced) || f.failing && f.feed == control.OperatorFeed {
+		return true
+	}
+	f.synced = f.synced && f.feed != control.StatusFeed
+	return false
+}
+
+// read reads the feed once and applies the result.
+func (f *follower) read() {
+	n := f.node
+	if f.feed == control.MeshFeed && n.refreshMesh.Swap(false) {
+		f.synced = false
+	}
+	era := n.view.Load().StoreEra
+	if f.position.Era != era {
+		f.synced = false
+	}
+	began := n.clock.now()
+	// After a failure, a long poll would delay the result if its response is lost as well.
+	result, err := n.readFeed(f.feed, f.position, f.synced, !f.failing && !f.burst, func() {
+		f.lost(began, errNoResponse)
+	})
+	switch {
+	case errors.Is(err, ErrPositionLost):
+		n.logger.Info("store_position_lost", "feed", f.feed.String(), "era", f.position.Era, "position", f.position.Offset)
+		f.synced = false
+		time.Sleep(rand.N(storeRetryMin))
+	case errors.Is(err, errReadRestarted) || n.ctx.Err() != nil:
+	case err != nil:
+		f.lost(began, err)
+		time.Sleep(f.retryDelay/2 + rand.N(f.retryDelay))
+		f.retryDelay = min(2*f.retryDelay, storeRetryMax)
+	default:
+		f.regained()
+		if result.retried {
+			// The reads of other feeds that were sent before may have lost their responses too.
+			f.rereadOthers()
 		}
-		now := n.clock.now()
-		if newPosition, err := n.debounceRecords(f, position, now-lastRecordsAt < burstGap); err == nil {
-			position = newPosition
+		f.apply(era, result, began)
+	}
+}
+
+// lost records that a read failed, or is late.
+func (f *follower) lost(began time.Duration, err error) {
+	n := f.node
+	n.metrics.storeErrors.Add(1)
+	if f.failing {
+		return
+	}
+	f.failing, f.failingSince = true, n.clock.now()
+	n.logger.Warn("store_lost", "feed", f.feed.String(), "waited_ms", (f.failingSince - began).Milliseconds(), "error", err.Error())
+	n.reportStoreAvailability(f.feed, false)
+}
+
+// regained records that a read succeeded.
+func (f *follower) regained() {
+	f.retryDelay = storeRetryMin
+	if !f.failing {
+		return
+	}
+	f.failing = false
+	n := f.node
+	n.logger.Info("store_regained", "feed", f.feed.String(), "lost_ms", (n.clock.now() - f.failingSince).Milliseconds())
+	n.reportStoreAvailability(f.feed, true)
+}
+
+func (f *follower) rereadOthers() {
+	for other := range control.FeedCount {
+		if other != f.feed {
+			f.node.reread(other)
 		}
-		lastRecordsAt = n.clock.now()
 	}
 }
 
+// apply applies the result of a read and pauses if there may be more records soon.
+func (f *follower) apply(era uint64, result feedRead, began time.Duration) {
+	n := f.node
+	changed := !f.synced || result.next != f.position
+	if !n.applyRead(f.feed, era, result) {
+		f.synced = false
+		return
+	}
+	if !f.synced {
+		f.synced = true
+		n.step(control.FeedCaughtUp{Feed: f.feed})
+	}
+	f.position = result.next
+	now := n.clock.now()
+	switch {
+	case f.burst && !changed:
+		f.burst = false
+		return
+	case !changed || len(result.events) == 0:
+		f.burst = false
+		time.Sleep(minPollInterval - (now - began))
+		return
+	case f.feed == control.MoveFeed:
+		// A conditional write needs the current end of the feed.
+		time.Sleep(moveDebounce)
+	case f.burst || now-f.lastRecordsAt < burstGap:
+		f.burst = true
+		time.Sleep(burstDebounce)
+	default:
+		time.Sleep(debounce)
+	}
+	f.lastRecordsAt = n.clock.now()
+}
+
 // applyRead applies the records of a read that began in an era of the store. It returns false if
 // the store was restored since: the read may hold what is lost.
-func (n *Node) applyRead(f control.Feed, era uint64, events []control.Event, next logpos.Position) bool {
-	n.step(control.StoreEraSeen{Era: next.Era, Before: era})
-	if next.Era != n.view.Load().StoreEra {
+func (n *Node) applyRead(f control.Feed, era uint64, r feedRead) bool {
+	n.step(control.StoreEraSeen{Era: r.next.Era, Before: era})
+	if r.next.Era != n.view.Load().StoreEra {
 		return false
 	}
-	n.feedEnds[f].Store(&next)
-	for _, e := range events {
+	n.feedEnds[f].Store(&r.next)
+	for _, e := range r.events {
 		n.step(e)
 	}
 	return true
@@ -170,66 +229,6 @@
 	}
 }
 
-// debounceRecords waits after new records. In a burst of changes it reads only the newest
-// record of each key until the burst has ended.
-func (n *Node) debounceRecords(f control.Feed, position logpos.Position, burst bool) (logpos.Position, error) {
-	if f == control.MoveFeed {
-		// A conditional write needs the current end of the feed.
-		time.Sleep(moveDebounce)
-		return position, nil
-	}
-	if !burst {
-		time.Sleep(debounce)
-		return position, nil
-	}
-	for n.ctx.Err() == nil {
-		time.Sleep(burstDebounce)
-		era := n.view.Load().StoreEra
-		events, next, err := n.readFeed(f, position, false)
-		if err != nil {
-			return position, err
-		}
-		if next == position || !n.applyRead(f, era, events, next) {
-			break
-		}
-		position = next
-	}
-	return position, nil
-}
-
-func (n *Node) readFeed(f control.Feed, position logpos.Position, synced bool) ([]control.Event, logpos.Position, error) {
-	if !synced {
-		ctx, cancel := context.WithTimeout(n.ctx, snapshotTimeout)
-		defer cancel()
-		return n.store.Snapshot(ctx, f)
-	}
-	wait := longPollWait
-	if f == control.OperatorFeed && n.view.Load().Reader {
-		wait = readerLongPollWait
-	}
-	ctx, cancel := context.WithTimeout(n.ctx, wait+longPollTimeoutMargin)
-	defer cancel()
-	ctx, restart := context.WithCancelCause(ctx)
-	defer restart(nil)
-	n.restartReads[f].Store(&restart)
-	events, next, err := n.store.Follow(ctx, f, position, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errReadRestarted) {
-		err = errReadRestarted
-	}
-	return events, next, err
-}
-
-// errReadRestarted cancels a read whose result is not needed: its connection may be
-// unresponsive, because another node has a newer configuration, or the store was restored.
-var errReadRestarted = errors.New("the read was restarted")
-
-// restartRead restarts the read of a feed on another connection.
-func (n *Node) restartRead(f control.Feed) {
-	if restart := n.restartReads[f].Load(); restart != nil {
-		(*restart)(errReadRestarted)
-	}
-}
-
 func (n *Node) writeAnnouncement(a directory.Announcement) {
 	if n.writeStore("announcement", func(ctx context.Context) error { return n.store.Announce(ctx, a) }) == nil {
 		// If two nodes start together, the one that announces itself later finds the other
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -47,6 +47,11 @@
 	return nil, from, ctx.Err()
 }
 
+func (fakeStore) End(_ context.Context, _ control.Feed, from logpos.Position) (logpos.Position, error) {
+	return from, nil
+}
+
+func (fakeStore) Reconnect()                                                         {}
 func (fakeStore) Announce(context.Context, directory.Announcement) error             { return nil }
 func (fakeStore) Withdraw(context.Context, mesh.NodeID) error                        { return nil }
 func (fakeStore) RecordMove(context.Context, canary.Move, logpos.Position) error     { return nil }
@@ -63,6 +68,11 @@
 	return nil, from, nil
 }
 
+func (s *nonBlockingStore) End(_ context.Context, _ control.Feed, from logpos.Position) (logpos.Position, error) {
+	s.reads.Add(1)
+	return from, nil
+}
+
 // Guards against a busy loop of reads if the store does not support long polls.
 func TestStoreThatRespondsAtOnceIsNotPolledInALoop(t *testing.T) {
 	n := newTestNode(t, 0)
@@ -82,7 +92,12 @@
 	recovered atomic.Bool
 }
 
-func (s *recoveringStore) Follow(ctx context.Context, _ control.Feed, from logpos.Position, _ time.Duration) ([]control.Event, logpos.Position, error) {
+func (s *recoveringStore) End(ctx context.Context, f control.Feed, from logpos.Position) (logpos.Position, error) {
+	_, end, err := s.Follow(ctx, f, from, 0)
+	return end, err
+}
+
+func (s *recoveringStore) Follow(_ context.Context, _ control.Feed, from logpos.Position, _ time.Duration) ([]control.Event, logpos.Position, error) {
 	if !s.recovered.Load() {
 		return nil, from, fmt.Errorf("rejected")
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -73,10 +73,11 @@
 	// unreachablePeers holds the nodes to which the last RPC failed.
 	unreachablePeers sync.Map
 
-	// refreshMesh requests a read of the newest records of the nodes, and restartReads
-	// cancel the reads of the feeds in progress.
+	// refreshMesh requests a read of the newest records of the nodes, restartReads cancel the
+	// reads of the feeds in progress, and rereads request another attempt of them.
 	refreshMesh  atomic.Bool
 	restartReads [control.FeedCount]atomic.Pointer[context.CancelCauseFunc]
+	rereads      [control.FeedCount]chan struct{}
 
 	// cachedConfig is the configuration in force in the form sent to other nodes, and
 	// history holds the changes of the last versions.
@@ -109,6 +110,9 @@
 		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), nestedCalls: newNestedCalls(),
 		counters: &rpc.Counters{},
 	}
+	for f := range control.FeedCount {
+		n.rereads[f] = make(chan struct{}, 1)
+	}
 	n.connMonitor = newConnMonitor(n.clock.now)
 	dialer := &net.Dialer{Timeout: peerDialTimeout, LocalAddr: &net.TCPAddr{IP: s.Inbound.Addr().AsSlice()}}
 	n.dialPeer = dialer.DialContext
@@ -258,6 +262,14 @@
 	}
 }
 
+// signal wakes the receiver of a channel of capacity 1.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Node) execute(effect control.Effect) {
 	switch e := effect.(type) {
 	case control.WriteAnnouncement:
--- a/internal/sidecar/restored_test.go
+++ b/internal/sidecar/restored_test.go
@@ -104,7 +104,7 @@
 	n := newTestNode(t, 0)
 	n.Step(control.StoreEraSeen{Era: 1})
 	n.Step(control.StoreEraSeen{Era: 2, Before: 1})
-	require.False(t, n.applyRead(control.OperatorFeed, 1, nil, logpos.Position{Era: 1, Offset: 9}))
+	require.False(t, n.applyRead(control.OperatorFeed, 1, feedRead{next: logpos.Position{Era: 1, Offset: 9}}))
 	require.EqualValues(t, 2, n.view.Load().StoreEra)
 	require.Nil(t, n.feedEnds[control.OperatorFeed].Load())
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -90,6 +90,11 @@
 	// they are no longer retained or the store was restored since; a snapshot then contains their
 	// latest state.
 	Follow(ctx context.Context, f control.Feed, from logpos.Position, wait time.Duration) ([]control.Event, logpos.Position, error)
+	// End returns the end of a feed that was read to a position. It returns ErrPositionLost as
+	// Follow does.
+	End(ctx context.Context, f control.Feed, from logpos.Position) (logpos.Position, error)
+	// Reconnect makes later requests use new connections: the open ones may be unresponsive.
+	Reconnect()
 	Announce(ctx context.Context, a directory.Announcement) error
 	// Withdraw deletes the announcement of a node that stops.
 	Withdraw(ctx context.Context, node mesh.NodeID) error
