control: request a configuration from all that have it in turn, without waiting for messages

Cause: a configuration was requested from the node that told of it, at most once a second, and again only when a further message told of it: one lost response or message decided. A node that reads the store itself waited for its own long poll in any case. Change: nodes that have a newer configuration are remembered and asked in turn every 0.7 s from the tick, and a node that reads the store reads it again on a new connection 0.2 s after it heard of a newer configuration.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,13 +17,6 @@
 	TickInterval = canary.EvidenceInterval
 	// announceRetry is the minimum time between two writes of the announcement.
 	announceRetry = 500 * time.Millisecond
-	// fetchDelay is how long a node that lacks a configuration which a peer has waits for
-	// its usual source. After it, a node that reads the store fetches the configuration
-	// from the peer, and any other node also reads the store. A transfer takes a tenth of
-	// a second on a slow link.
-	fetchDelay = 900 * time.Millisecond
-	// fetchInterval is the minimum time between two requests for a newer configuration.
-	fetchInterval = time.Second
 	// rankDelay is the additional delay per rank before a node writes a value that any
 	// node may write. Usually only the first node writes, and its loss costs little time.
 	rankDelay = 200 * time.Millisecond
@@ -87,13 +80,10 @@
 	gossipCursor uint64
 	stateNumber  uint64
 
-	// missingVersion is the oldest version that another node reported and this one
-	// lacks, missingSince the time of that report.
-	missingVersion published.Version
-	missingSince   time.Duration
+	fetch configFetch
 
-	nextGossip, nextAnnounce, nextFetch time.Duration
-	pendingWrites                       map[string]bool
+	nextGossip, nextAnnounce time.Duration
+	pendingWrites            map[string]bool
 
 	effects []Effect
 }
@@ -105,7 +95,7 @@
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
-		pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
+		fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
 	}
 }
 
@@ -239,10 +229,11 @@
 	if e.From != "" {
 		fields[len(fields)-1] = string(e.From)
 	}
-	if c.missingVersion > c.configVersion() && c.missingVersion <= config.Version {
-		fields = append(fields, "behind_ms", (t.Now - c.missingSince).Milliseconds())
+	if c.behind() {
+		fields = append(fields, "behind_ms", (t.Now - c.fetch.missingSince).Milliseconds())
 	}
 	c.config = config
+	c.fetch.configApplied(config.Version)
 	c.log("config_in_force", fields...)
 	c.publishView(t)
 	if c.isReader() && c.large() {
@@ -394,28 +385,6 @@
 	c.fetchMissingConfig(t, s.Config, a)
 }
 
-// fetchMissingConfig requests a newer configuration from a peer if this node does
-// not read it from the store within fetchDelay.
-func (c *Control) fetchMissingConfig(t Time, version published.Version, from directory.Announcement) {
-	if version <= c.configVersion() {
-		return
-	}
-	if c.configVersion() == 0 {
-		// A node without configuration refuses all requests, so it does not wait.
-		c.missingVersion, c.missingSince = 1, t.Now-fetchDelay
-	}
-	if c.missingVersion <= c.configVersion() {
-		c.missingVersion, c.missingSince = version, t.Now
-		c.log("config_behind", "version", uint64(version), "have", uint64(c.configVersion()), "peer", string(from.Node))
-	}
-	late := t.Now-c.missingSince >= fetchDelay
-	if !late && c.readsOperatorFeed(t) || t.Now < c.nextFetch {
-		return
-	}
-	c.nextFetch = t.Now + fetchInterval
-	c.emit(FetchConfig{From: from})
-}
-
 func (c *Control) configVersion() published.Version {
 	if c.config == nil {
 		return 0
@@ -429,11 +398,13 @@
 	c.writeAnnouncement(t)
 	for _, id := range c.dir.Expire(t.Now) {
 		delete(c.peers, id)
+		delete(c.fetch.holders, id)
 		delete(c.unresponsiveReaders, id)
 		c.log("node_expired", "peer", string(id))
 	}
 	c.expireCrashes(t)
 	c.chooseReaders(t)
+	c.retryMissingConfig(t)
 	c.advanceMoves(t)
 	if t.Now >= c.nextGossip {
 		c.nextGossip = t.Now + gossipInterval
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -202,6 +202,8 @@
 	}
 	// FetchConfig requests a newer configuration from a node.
 	FetchConfig struct{ From directory.Announcement }
+	// RereadFeed reads a feed on a new connection, beside a read in progress.
+	RereadFeed struct{ Feed Feed }
 	// LogEvent writes a log line.
 	LogEvent struct {
 		Kind   string
@@ -215,4 +217,5 @@
 func (WriteStatus) effect()       {}
 func (SendState) effect()         {}
 func (FetchConfig) effect()       {}
+func (RereadFeed) effect()        {}
 func (LogEvent) effect()          {}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -35,6 +35,10 @@
 	era uint64
 	// partitioned holds the nodes that cannot reach any other node.
 	partitioned map[mesh.NodeID]bool
+	// muted makes all messages between nodes get lost, and failedFetches holds the nodes that
+	// do not respond to requests for their configuration.
+	muted         bool
+	failedFetches map[mesh.NodeID]bool
 	// onSend, if set, is called with the number of receivers of each message.
 	onSend func(count int)
 	// wallOffset is the difference of the time of day from the steady clock.
@@ -149,13 +153,13 @@
 			m.onSend(len(e.To))
 		}
 		for _, id := range e.To {
-			if other := m.node(id); other != nil && !m.partitioned[n.id] && !m.partitioned[id] {
-				m.step(other, PeerStateReceived{m.transfer(e.State)})
-				m.step(n, PeerStateReceived{m.transfer(other.State(m.time()))})
+			if other := m.node(id); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[id] {
+				m.step(other, PeerStateReceived{State: m.transfer(e.State)})
+				m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time()))})
 			}
 		}
 	case FetchConfig:
-		if other := m.node(e.From.Node); other != nil && other.Config() != nil && !m.partitioned[n.id] {
+		if other := m.node(e.From.Node); other != nil && other.Config() != nil && !m.partitioned[n.id] && !m.failedFetches[other.id] {
 			m.step(n, ConfigPublished{Config: other.Config(), From: other.id})
 		}
 	}
--- a/internal/control/readers.go
+++ b/internal/control/readers.go
@@ -109,7 +109,7 @@
 	if c.isReader() || c.configVersion() == 0 {
 		return true
 	}
-	if c.missingVersion > c.configVersion() && t.Now-c.missingSince >= fetchDelay {
+	if c.behind() && t.Now-c.fetch.missingSince >= fetchDelay {
 		return true
 	}
 	for _, id := range c.readers {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -282,6 +282,8 @@
 		n.sendState(e)
 	case control.FetchConfig:
 		go n.fetchConfig(e.From)
+	case control.RereadFeed:
+		n.reread(e.Feed)
 	case control.LogEvent:
 		n.logger.Info(e.Kind, e.Fields...)
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -105,7 +105,6 @@
 // fetchConfig fetches the configuration of another node, for use while the store is
 // unavailable to this node.
 func (n *Node) fetchConfig(from directory.Announcement) {
-	n.reread(control.OperatorFeed)
 	ctx, cancel := context.WithTimeout(n.ctx, fetchTimeout)
 	defer cancel()
 	have, request := n.view.Load().Config, configRequest{}
