control: a reader of a large mesh vouches for its configuration only as long as the store answers it

Cause: nodes judged a reader by its messages. One whose reads get no response does not know that for seconds and talks on; one that is gone was missed after 2.5 s only. Change: each node knows as of when its configuration is the newest one: from its own reads, or from the response of a reader, which tells how old its own proof is, less the round trip. Nodes ask a reader twice a second, the next one at once if it does not respond within a tick or its proof is old. A node whose proof is older than the deadline of the settings less 0.75 s reads the store itself, and follows open moves itself. The poll of the readers is as short as that needs (0.4 s at a deadline of 2 s, 0.9 at 2.5, 1.4 at 3). Ruled out: gossip alone (behind_ms was 1 to 7 ms at most nodes: those that heard of the version had it). Tests without network: 24 cases of 40 nodes, each fails without the mechanism.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/balance"
@@ -29,6 +30,9 @@
 	Address   string
 	Service   string
 	Heartbeat time.Duration
+	// ConfigDeadline is how long after its confirmation a configuration may take to be in
+	// force, 0 for the default.
+	ConfigDeadline time.Duration
 	// Seed determines the node with which gossip starts.
 	Seed uint64
 }
@@ -56,7 +60,9 @@
 	signals   *directory.SignalTable
 	stopping  bool
 	closing   bool
-	storeLost bool
+	// configDeadline is how long a configuration may take to be in force.
+	configDeadline time.Duration
+	storeLost      bool
 	// storeEra is the era of the store, 0 if it was not read yet or names none.
 	storeEra uint64
 	// storedMoves holds the states of moves that this node has read or written in this era of the
@@ -80,6 +86,8 @@
 	gossipCursor uint64
 	stateNumber  uint64
 
+	// fresh is what the node knows of how recent its configuration is.
+	fresh freshness
 	fetch configFetch
 
 	nextGossip, nextAnnounce time.Duration
@@ -90,12 +98,15 @@
 
 // New returns the initial state of a node.
 func New(o Options) *Control {
+	if o.ConfigDeadline == 0 {
+		o.ConfigDeadline = defaultConfigDeadline
+	}
 	return &Control{
-		self:  o.Self,
+		self: o.Self, configDeadline: o.ConfigDeadline,
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
-		fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
+		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
 	}
 }
 
@@ -140,6 +151,10 @@
 		c.handleRecordedMove(t, e.Move)
 	case StatusRead:
 		c.statuses[e.Status.Service] = e.Status
+	case FeedRead:
+		c.handleFeedRead(t, e)
+	case ConfigChecked:
+		c.handleConfigChecked(t, e)
 	case FeedCaughtUp:
 		if e.Feed == MeshFeed && !c.caughtUp[e.Feed] {
 			c.probeUnheardNodes(t)
@@ -153,7 +168,7 @@
 	case StoreAvailability:
 		c.handleStoreAvailability(t, e.Available)
 	case PeerStateReceived:
-		c.handlePeerState(t, e.State)
+		c.handlePeerState(t, e)
 	case LoadMeasured:
 		c.load = e
 	case WriteCompleted:
@@ -234,6 +249,7 @@
 	}
 	c.config = config
 	c.fetch.configApplied(config.Version)
+	c.fresh.configApplied(config.Version)
 	c.log("config_in_force", fields...)
 	c.publishView(t)
 	if c.isReader() && c.large() {
@@ -350,7 +366,8 @@
 	}
 }
 
-func (c *Control) handlePeerState(t Time, s PeerState) {
+func (c *Control) handlePeerState(t Time, e PeerStateReceived) {
+	s := e.State
 	a := s.Announcement
 	if a.Node == c.self.Node {
 		return
@@ -382,6 +399,12 @@
 	if changed {
 		c.publishView(t)
 	}
+	if e.RoundTrip > 0 {
+		c.adoptClaim(t, s.freshness(), e.RoundTrip)
+		if slices.Contains(c.readers, a.Node) && c.provesRecent(s.freshness(), e.RoundTrip) {
+			c.fresh.check.provedAt = t.Now
+		}
+	}
 	c.fetchMissingConfig(t, s.Config, a)
 }
 
@@ -404,6 +427,7 @@
 	}
 	c.expireCrashes(t)
 	c.chooseReaders(t)
+	c.checkFreshness(t)
 	c.retryMissingConfig(t)
 	c.advanceMoves(t)
 	if t.Now >= c.nextGossip {
@@ -425,7 +449,7 @@
 	s := PeerState{
 		Number:       c.stateNumber,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
-		Crashes: c.ownCrashes(), StoreLost: c.storeLost, StoreEra: c.storeEra,
+		Crashes: c.ownCrashes(), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
 	}
 	if c.large() && c.isReader() {
 		for _, a := range c.dir.All() {
@@ -463,7 +487,7 @@
 func (c *Control) publishView(t Time) {
 	v := &View{
 		Config: c.config, Target: c.self.Target, Stopping: c.stopping, StoreEra: c.storeEra, CrashingRequests: c.crashingRequests(),
-		Reader: c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
+		Reader: c.isReader(), ConfigPollWait: c.pollWait(), ConfigPosition: c.fresh.position, ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
 		Signals: c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
 	for _, a := range append(c.dir.All(), c.self) {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -5,6 +5,7 @@
 
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
 )
@@ -60,6 +61,22 @@
 	MoveRecorded struct{ Move canary.Move }
 	// StatusRead carries the status of a move in the store.
 	StatusRead struct{ Status Status }
+	// FeedRead reports that a read of a feed returned all its records as of a time.
+	FeedRead struct {
+		Feed Feed
+		// AsOf is the time on the node's clock. The store has handled the read since.
+		AsOf time.Duration
+		// End is the end of the feed as of then.
+		End logpos.Position
+	}
+	// ConfigChecked carries the response of a reader to CheckConfig.
+	ConfigChecked struct {
+		From directory.Announcement
+		// Failed is set if there was no response.
+		Failed bool
+		ConfigFreshness
+		RoundTrip time.Duration
+	}
 	// FeedCaughtUp reports that a feed of the store was read to its end.
 	FeedCaughtUp struct{ Feed Feed }
 	// StoreEraSeen carries the era of a response of the store. Before is the era that was known
@@ -68,7 +85,12 @@
 	// StoreAvailability reports whether the store responds to this node.
 	StoreAvailability struct{ Available bool }
 	// PeerStateReceived carries the state of another node.
-	PeerStateReceived struct{ State PeerState }
+	PeerStateReceived struct {
+		State PeerState
+		// RoundTrip is the time since the request to which the state is the response, 0 if the
+		// node sent it unasked.
+		RoundTrip time.Duration
+	}
 	// LoadMeasured carries the load of the local target and the rate of requests that
 	// this node sends, by service.
 	LoadMeasured struct {
@@ -98,6 +120,8 @@
 func (MoveOrdered) event()       {}
 func (MoveRecorded) event()      {}
 func (StatusRead) event()        {}
+func (FeedRead) event()          {}
+func (ConfigChecked) event()     {}
 func (FeedCaughtUp) event()      {}
 func (StoreEraSeen) event()      {}
 func (StoreAvailability) event() {}
@@ -157,9 +181,12 @@
 	Number       uint64                 `json:"number"`
 	Announcement directory.Announcement `json:"announcement"`
 	Config       published.Version      `json:"config"`
-	Running      int                    `json:"running"`
-	Waiting      int                    `json:"waiting"`
-	Evidence     canary.Evidence        `json:"evidence,omitempty"`
+	// ConfigAgeMS and ConfigPosition tell how recent Config is, as in ConfigFreshness.
+	ConfigAgeMS    int64           `json:"config_age_ms,omitempty"`
+	ConfigPosition logpos.Position `json:"config_position,omitzero"`
+	Running        int             `json:"running"`
+	Waiting        int             `json:"waiting"`
+	Evidence       canary.Evidence `json:"evidence,omitempty"`
 	// Recent holds the recent responses of the node's target.
 	Recent canary.RecentCounts `json:"recent,omitzero"`
 	Moves  []canary.Move       `json:"moves,omitempty"`
@@ -182,6 +209,11 @@
 	Others []directory.Announcement `json:"others,omitempty"`
 }
 
+// freshness returns how recent the configuration of the node is.
+func (s PeerState) freshness() ConfigFreshness {
+	return ConfigFreshness{s.Config, s.ConfigAgeMS, s.ConfigPosition, s.StoreLost}
+}
+
 // Effect is an action that the caller of Step carries out.
 type Effect interface{ effect() }
 
@@ -202,6 +234,8 @@
 	}
 	// FetchConfig requests a newer configuration from a node.
 	FetchConfig struct{ From directory.Announcement }
+	// CheckConfig asks a reader for the version of its configuration and how recent that is.
+	CheckConfig struct{ To directory.Announcement }
 	// RereadFeed reads a feed on a new connection, beside a read in progress.
 	RereadFeed struct{ Feed Feed }
 	// LogEvent writes a log line.
@@ -217,5 +251,6 @@
 func (WriteStatus) effect()       {}
 func (SendState) effect()         {}
 func (FetchConfig) effect()       {}
+func (CheckConfig) effect()       {}
 func (RereadFeed) effect()        {}
 func (LogEvent) effect()          {}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -35,6 +35,13 @@
 	era uint64
 	// partitioned holds the nodes that cannot reach any other node.
 	partitioned map[mesh.NodeID]bool
+	// config is the newest configuration in the store, and silentTo holds the nodes to which
+	// the store does not respond.
+	config   *published.Config
+	silentTo map[mesh.NodeID]bool
+	// configReads counts the reads of the operator feed, readsByOthers those of nodes that are
+	// no readers, and checks the messages to readers about the configuration.
+	configReads, readsByOthers, checks int
 	// muted makes all messages between nodes get lost, and failedFetches holds the nodes that
 	// do not respond to requests for their configuration.
 	muted         bool
@@ -57,6 +64,8 @@
 	view *View
 	// meshSeen, movesSeen and statusSeen are the numbers of records that the node has read.
 	meshSeen, movesSeen, statusSeen int
+	// lastRead is the time of the last read of the operator feed.
+	lastRead time.Duration
 	// readEras holds the era in which the node has read each feed.
 	readEras [FeedCount]uint64
 }
@@ -155,9 +164,17 @@
 		for _, id := range e.To {
 			if other := m.node(id); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[id] {
 				m.step(other, PeerStateReceived{State: m.transfer(e.State)})
-				m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time()))})
+				m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time())), RoundTrip: time.Millisecond})
 			}
 		}
+	case CheckConfig:
+		m.checks++
+		checked := ConfigChecked{From: e.To, RoundTrip: time.Millisecond, Failed: true}
+		if other := m.node(e.To.Node); other != nil && !m.partitioned[n.id] && !m.partitioned[e.To.Node] {
+			checked.Failed = false
+			checked.ConfigFreshness = other.ConfigFreshness(m.time())
+		}
+		m.step(n, checked)
 	case FetchConfig:
 		if other := m.node(e.From.Node); other != nil && other.Config() != nil && !m.partitioned[n.id] && !m.failedFetches[other.id] {
 			m.step(n, ConfigPublished{Config: other.Config(), From: other.id})
@@ -167,9 +184,10 @@
 
 // read delivers the records of the store that the node has not read.
 func (m *testMesh) read(n *testNode) {
-	if m.storeDown {
+	if m.storeDown || m.silentTo[n.id] {
 		return
 	}
+	m.readOperatorFeed(n)
 	if again := m.readsAgain(n, MeshFeed, n.view.Reader || n.readEras[MeshFeed] == 0); again || n.meshSeen < m.meshEnd && n.readEras[MeshFeed] == m.era {
 		n.meshSeen = m.meshEnd
 		for _, a := range m.announcements {
@@ -194,6 +212,24 @@
 	}
 }
 
+// readOperatorFeed reads the configuration if there is a newer one, or if the node's long poll is
+// over.
+func (m *testMesh) readOperatorFeed(n *testNode) {
+	newer := m.config != nil && m.config.Version > n.configVersion()
+	if !n.view.ReadsOperatorFeed || !newer && m.now-n.lastRead < n.view.ConfigPollWait {
+		return
+	}
+	n.lastRead = m.now
+	m.configReads++
+	if !n.view.Reader {
+		m.readsByOthers++
+	}
+	if newer {
+		m.step(n, ConfigPublished{Config: m.config})
+	}
+	m.step(n, FeedRead{Feed: OperatorFeed, AsOf: m.now})
+}
+
 // readsAgain reports whether a node reads all records of a feed since the store was restored.
 func (m *testMesh) readsAgain(n *testNode, f Feed, follows bool) bool {
 	if n.readEras[f] == m.era || !follows {
@@ -222,7 +258,11 @@
 		for _, n := range m.nodes {
 			if !n.dead {
 				m.read(n)
+				before := n.view
 				m.step(n, Tick{})
+				if n.view.FollowsOtherFeeds(before) {
+					m.read(n)
+				}
 			}
 		}
 	}
--- a/internal/control/readers.go
+++ b/internal/control/readers.go
@@ -16,8 +16,8 @@
 	// maxSmallMeshNodes is the size up to which all nodes of a mesh read the store
 	// themselves: there the calls cost less than a hundredth of the value of the requests.
 	maxSmallMeshNodes = 24
-	// readerTimeout is the time without a message of any reader after which a node
-	// reads the store itself. It contacts one reader each gossipInterval.
+	// readerTimeout is added to a round of messages to all readers for the time after which
+	// one of them counts as not heard.
 	readerTimeout = 2500 * time.Millisecond
 	// fastLinkMbps is the bandwidth in Mbit/s from which a reader can send a
 	// configuration to many nodes at once.
@@ -104,18 +104,23 @@
 	return readerCount
 }
 
-// readsOperatorFeed reports whether this node itself reads the operator feed.
+// readsOperatorFeed reports whether this node itself reads the operator feed: as a reader, or
+// since no other node proves that its configuration is the newest one.
 func (c *Control) readsOperatorFeed(t Time) bool {
-	if c.isReader() || c.configVersion() == 0 {
+	if c.isReader() || c.configVersion() == 0 || !c.configFresh(t) {
 		return true
 	}
-	if c.behind() && t.Now-c.fetch.missingSince >= fetchDelay {
-		return true
-	}
-	for _, id := range c.readers {
-		if c.dir.SinceLastMessage(id, t.Now) < readerTimeout {
-			return false
-		}
+	return c.behind() && t.Now-c.fetch.missingSince >= fetchDelay
+}
+
+// pollWait returns the long-poll time of the operator feed, 0 if this node is no reader.
+func (c *Control) pollWait() time.Duration {
+	switch {
+	case !c.large():
+		return maxPollWait
+	case c.isReader(), c.configVersion() == 0:
+		return c.readerPollWait()
+	default:
+		return 0
 	}
-	return true
 }
--- a/internal/control/summary.go
+++ b/internal/control/summary.go
@@ -156,21 +156,13 @@
 }
 
 // followsMoves reports whether this node itself reads the states of moves in the store. In
-// a large mesh the readers pass them on: each state would wake the reads of all nodes, which
-// are billed.
+// a large mesh the readers pass them on while they prove that the store answers them: each
+// state would wake the reads of all nodes, which are billed.
 func (c *Control) followsMoves(t Time) bool {
 	if !c.moveOpen() && !c.movesUnverified {
 		return false
 	}
-	if !c.large() || c.isReader() {
-		return true
-	}
-	for _, id := range c.readers {
-		if c.dir.SinceLastMessage(id, t.Now) < readerTimeout {
-			return false
-		}
-	}
-	return true
+	return !c.large() || c.isReader() || !c.toldFresh(t)
 }
 
 // moveWriters returns the nodes in the order in which they write the next phase of a move:
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"time"
+
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
 )
@@ -24,8 +27,13 @@
 	CrashingRequests map[uint64]bool
 	// Reader is set if this node reads the store for the whole mesh.
 	Reader bool
-	// ReadsOperatorFeed is set if this node itself reads the operator feed.
+	// ReadsOperatorFeed is set if this node itself reads the operator feed: by long polls of
+	// ConfigPollWait, or if that is 0, once at a time.
 	ReadsOperatorFeed bool
+	ConfigPollWait    time.Duration
+	// ConfigPosition is the position in the operator feed that a reader has reached. The
+	// configuration in force is not older than the records before it.
+	ConfigPosition logpos.Position
 	// FollowsMoves is set while this node itself reads the states of moves, StatusDue while
 	// the status of a move may have to be written.
 	FollowsMoves, StatusDue bool
@@ -35,6 +43,11 @@
 	Stopping bool
 }
 
+// FollowsOtherFeeds reports whether the node reads other feeds than with another view.
+func (v *View) FollowsOtherFeeds(o *View) bool {
+	return v.Reader != o.Reader || v.ReadsOperatorFeed != o.ReadsOperatorFeed || v.FollowsMoves != o.FollowsMoves || v.StatusDue != o.StatusDue
+}
+
 // ServiceEndpoints holds the targets of a service, split by version during a move.
 type ServiceEndpoints struct {
 	// Old holds the targets that get all traffic when no move is open.
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -74,7 +74,7 @@
 		if f.due() {
 			f.read()
 		} else {
-			time.Sleep(followCheckInterval)
+			n.awaitView(feed)
 		}
 	}
 }
@@ -89,6 +89,15 @@
 	return false
 }
 
+// awaitView waits until the reducer may have decided to read a feed.
+func (n *Node) awaitView(f control.Feed) {
+	select {
+	case <-n.viewChanged[f]:
+	case <-time.After(followCheckInterval):
+	case <-n.ctx.Done():
+	}
+}
+
 // read reads the feed once and applies the result.
 func (f *follower) read() {
 	n := f.node
@@ -201,6 +210,7 @@
 	for _, e := range r.events {
 		n.step(e)
 	}
+	n.step(control.FeedRead{Feed: f, AsOf: r.asOf, End: r.end})
 	return true
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -78,6 +78,8 @@
 	refreshMesh  atomic.Bool
 	restartReads [control.FeedCount]atomic.Pointer[context.CancelCauseFunc]
 	rereads      [control.FeedCount]chan struct{}
+	// viewChanged wakes the followers of the feeds when the reducer decides anew what to read.
+	viewChanged [control.FeedCount]chan struct{}
 
 	// cachedConfig is the configuration in force in the form sent to other nodes, and
 	// history holds the changes of the last versions.
@@ -111,7 +113,7 @@
 		counters: &rpc.Counters{},
 	}
 	for f := range control.FeedCount {
-		n.rereads[f] = make(chan struct{}, 1)
+		n.rereads[f], n.viewChanged[f] = make(chan struct{}, 1), make(chan struct{}, 1)
 	}
 	n.connMonitor = newConnMonitor(n.clock.now)
 	dialer := &net.Dialer{Timeout: peerDialTimeout, LocalAddr: &net.TCPAddr{IP: s.Inbound.Addr().AsSlice()}}
@@ -126,7 +128,8 @@
 	n.callsCtx, n.endCalls = context.WithCancel(n.ctx)
 	n.control = control.New(control.Options{
 		Self:    s.announcement(time.Now().UnixMilli()),
-		Address: s.Target.String(), Service: s.Service, Heartbeat: s.HeartbeatInterval, Seed: rand.Uint64(),
+		Address: s.Target.String(), Service: s.Service, Heartbeat: s.HeartbeatInterval,
+		ConfigDeadline: s.ConfigDeadline, Seed: rand.Uint64(),
 	})
 	n.view.Store(&control.View{})
 	return n
@@ -207,6 +210,7 @@
 	n.metrics.publish()
 	expvar.Publish("config_version", expvar.Func(func() any { return n.configVersion() }))
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
+	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
 	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
@@ -235,7 +239,7 @@
 func (n *Node) Step(e control.Event) { n.step(e) }
 
 func (n *Node) step(e control.Event) {
-	restored := false
+	restored, follows := false, false
 	n.controlMu.Lock()
 	effects := n.control.Step(n.clock.time(), e)
 	for _, effect := range effects {
@@ -246,6 +250,7 @@
 				n.recordConfigDelta(before.Config, v.View.Config)
 			}
 			restored = restored || before.StoreEra != v.View.StoreEra
+			follows = follows || v.View.FollowsOtherFeeds(before)
 			if v.View.Target != nil {
 				n.gate.setTarget(v.View.Target.Process(), v.View.Target.Slots)
 			}
@@ -257,6 +262,11 @@
 			n.restartRead(control.Feed(f))
 		}
 	}
+	if follows {
+		for _, c := range n.viewChanged {
+			signal(c)
+		}
+	}
 	for _, effect := range effects {
 		n.execute(effect)
 	}
@@ -282,6 +292,8 @@
 		n.sendState(e)
 	case control.FetchConfig:
 		go n.fetchConfig(e.From)
+	case control.CheckConfig:
+		go n.checkConfig(e.To)
 	case control.RereadFeed:
 		n.reread(e.Feed)
 	case control.LogEvent:
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"sync"
 	"time"
 
 	"heathercroft.example/heathercroft/internal/control"
@@ -15,8 +16,9 @@
 
 // RPC methods between nodes.
 const (
-	methodState  = "state"
-	methodConfig = "config"
+	methodState   = "state"
+	methodConfig  = "config"
+	methodVersion = "version"
 )
 
 const (
@@ -38,7 +40,7 @@
 		if err := json.Unmarshal(params, &s); err != nil {
 			return nil, rpc.ErrBadParams
 		}
-		n.handlePeerState(s)
+		n.handlePeerState(s, 0)
 		return n.state(), nil
 	case methodConfig:
 		var r configRequest
@@ -46,6 +48,8 @@
 			return nil, rpc.ErrBadParams
 		}
 		return n.configResponse(r)
+	case methodVersion:
+		return n.configFreshness(), nil
 	default:
 		return nil, rpc.ErrUnknownMethod
 	}
@@ -66,12 +70,30 @@
 	}
 }
 
-// handlePeerState processes the state of another node.
-func (n *Node) handlePeerState(s control.PeerState) {
+// handlePeerState processes the state of another node, which came in response to a request sent
+// roundTrip ago if that is not 0.
+func (n *Node) handlePeerState(s control.PeerState, roundTrip time.Duration) {
 	n.balanceMu.Lock()
 	n.balancer.MarkZoneReachable(s.Announcement.Zone)
 	n.balanceMu.Unlock()
-	n.step(control.PeerStateReceived{State: s})
+	n.step(control.PeerStateReceived{State: s, RoundTrip: roundTrip})
+}
+
+func (n *Node) configFreshness() control.ConfigFreshness {
+	n.controlMu.Lock()
+	defer n.controlMu.Unlock()
+	return n.control.ConfigFreshness(n.clock.time())
+}
+
+// checkConfig asks a reader for the version of its configuration.
+func (n *Node) checkConfig(reader directory.Announcement) {
+	ctx, cancel := context.WithTimeout(n.ctx, stateTimeout)
+	defer cancel()
+	sent := n.clock.now()
+	var fresh control.ConfigFreshness
+	err := n.rpc.Call(ctx, reader.RPCAddress, methodVersion, struct{}{}, &fresh)
+	n.recordPeerContact(reader.Node, err)
+	n.step(control.ConfigChecked{From: reader, Failed: err != nil, ConfigFreshness: fresh, RoundTrip: n.clock.now() - sent})
 }
 
 func (n *Node) state() control.PeerState {
@@ -91,13 +113,14 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(n.ctx, stateTimeout)
 			defer cancel()
+			sent := n.clock.now()
 			var reply control.PeerState
 			err := n.rpc.Call(ctx, peer.RPCAddress, methodState, e.State, &reply)
 			n.recordPeerContact(peer.Node, err)
 			if err != nil {
 				return
 			}
-			n.handlePeerState(reply)
+			n.handlePeerState(reply, n.clock.now()-sent)
 		}()
 	}
 }
@@ -136,9 +159,11 @@
 		if len(n.view.Load().Announcements) > 1 {
 			return
 		}
+		var all sync.WaitGroup
 		for _, seed := range n.settings.Seeds {
-			n.contactSeed(netip.AddrPortFrom(seed.Addr(), n.settings.Peers.Port()))
+			all.Go(func() { n.contactSeed(netip.AddrPortFrom(seed.Addr(), n.settings.Peers.Port())) })
 		}
+		all.Wait()
 		time.Sleep(seedInterval)
 	}
 }
--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// configPollWait is the long-poll time of the operator feed. A lost response is noticed only
-	// after the poll should have ended, and what was confirmed must be in force 3 s after a
-	// failure of the store.
-	configPollWait = 1500 * time.Millisecond
 	// longPollWait is the long-poll time of the feed of announcements. It is long because each
 	// read is paid for, and new nodes also make themselves known to the others.
 	longPollWait = 20 * time.Second
@@ -26,7 +22,8 @@
 	// attemptInterval is the time without a response, after the end of a long poll, after which
 	// a read is attempted again on a new connection. A slow store takes a quarter of a second.
 	attemptInterval = 400 * time.Millisecond
-	// maxAttemptInterval limits the interval as it grows while the store does not respond.
+	// maxAttemptInterval limits the interval at readers as it grows while the store does not
+	// respond.
 	maxAttemptInterval = time.Second
 	// maxAttempts is the number of attempts at a time. The oldest one is given up for the next.
 	maxAttempts = 4
@@ -42,6 +39,11 @@
 type feedRead struct {
 	events []control.Event
 	next   logpos.Position
+	// end is the end of the feed, or the position that another node has reached if nothing was
+	// written after it.
+	end logpos.Position
+	// asOf is a time on the node's clock after which the store has handled the read.
+	asOf time.Duration
 	// retried is set if the store responded to a later attempt than the first.
 	retried bool
 }
@@ -66,7 +68,7 @@
 	case control.MeshFeed:
 		return longPollWait
 	case control.OperatorFeed:
-		return configPollWait
+		return n.view.Load().ConfigPollWait
 	default:
 		return moveLongPollWait
 	}
@@ -87,7 +89,9 @@
 	feed     control.Feed
 	position logpos.Position
 	synced   bool
-	ctx      context.Context
+	// told is the position that another node has reached for this one.
+	told logpos.Position
+	ctx  context.Context
 	// attempts are those in progress that were not given up, pending is the number of all in
 	// progress, and started that of all.
 	attempts         []*attempt
@@ -109,6 +113,12 @@
 	defer cancel(nil)
 	n.restartReads[f].Store(&cancel)
 	r := &reading{node: n, feed: f, position: position, synced: synced, ctx: ctx, results: make(chan attemptResult)}
+	v := n.view.Load()
+	if f == control.OperatorFeed && !v.Reader {
+		r.told = v.ConfigPosition
+		// A node that has not read for long may have connections that are unresponsive.
+		n.store.Reconnect()
+	}
 	drain(n.rereads[f])
 	wait := n.pollWait(f)
 	if synced && poll && wait > 0 {
@@ -134,7 +144,7 @@
 				onLost()
 			}
 			if late > lostAttempts {
-				interval = min(interval*3/2, maxAttemptInterval)
+				interval = nextInterval(interval, v.Reader)
 			}
 			if !r.transferring() {
 				r.retry()
@@ -150,6 +160,15 @@
 	}
 }
 
+// nextInterval returns the interval after the next attempt while the store does not respond.
+// Other nodes read for one that is no reader once it responds to them.
+func nextInterval(interval time.Duration, reader bool) time.Duration {
+	if reader {
+		return min(interval*3/2, maxAttemptInterval)
+	}
+	return min(2*interval, 2*maxAttemptInterval)
+}
+
 func drain(c <-chan struct{}) {
 	select {
 	case <-c:
@@ -217,21 +236,30 @@
 
 // poll waits for records after the position.
 func (r *reading) poll(ctx context.Context, wait time.Duration) (feedRead, error) {
+	sent := r.node.clock.now()
 	events, next, err := r.node.store.Follow(ctx, r.feed, r.position, wait)
-	return feedRead{events: events, next: next}, err
+	read := feedRead{events: events, next: next, end: next, asOf: sent}
+	if took := r.node.clock.now() - sent; len(events) == 0 && next == r.position && took >= wait {
+		// The store answers without records only once the wait is over.
+		read.asOf = sent + wait
+	}
+	return read, err
 }
 
-// readOnce reads the newest record of each key if there are records after the position.
+// readOnce reads the newest record of each key if there are records after the position, other than
+// those that another node has read for this one.
 func (r *reading) readOnce(ctx context.Context) (feedRead, error) {
+	sent := r.node.clock.now()
 	if r.synced {
 		end, err := r.node.store.End(ctx, r.feed, r.position)
 		if err != nil {
 			return feedRead{}, err
 		}
-		if end == r.position {
-			return feedRead{next: end}, nil
+		if end == r.position || end == r.told {
+			return feedRead{next: r.position, end: end, asOf: sent}, nil
 		}
+		sent = r.node.clock.now()
 	}
 	events, next, err := r.node.store.Snapshot(ctx, r.feed)
-	return feedRead{events: events, next: next}, err
+	return feedRead{events: events, next: next, end: next, asOf: sent}, err
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -33,6 +33,9 @@
 	HeartbeatInterval time.Duration
 	// GracePeriod is the time from the stop signal to the end of the process.
 	GracePeriod time.Duration
+	// ConfigDeadline is how long after its confirmation a configuration may take to be in
+	// force, 0 for 2 s.
+	ConfigDeadline time.Duration
 	// RetryRatio is the share of the requests for a service in RetryWindow that all nodes
 	// together may send to a second target; RetrySlack is the number of retries allowed in
 	// addition.
