sidecar: a lost response to a write holds up nothing for long

Found by reading, in the search for other places where one lost response decides: a conditional write at an outdated position was repeated and failed until the long poll of its feed ended, up to 20.7 s if the response to the poll was lost, so that no move could be recorded by that node; and a write without a response held up the next one for 1.5 s. Change: a conditional write that fails makes its feed be read again at once. The timeout of a write begins at 0.6 s and doubles to 2.4 s while it fails, so that a slow store is still met. Tests: the first one fails without the reread, the second one with a fixed timeout of 1.5 s or of 0.6 s.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -1,16 +1,12 @@
 package sidecar
 
 import (
-	"context"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/control"
-	"heathercroft.example/heathercroft/pkg/canary"
-	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/logpos"
 )
 
@@ -46,8 +42,6 @@
 	// storeRetryMin and storeRetryMax limit the backoff after a failed read.
 	storeRetryMin = 50 * time.Millisecond
 	storeRetryMax = 500 * time.Millisecond
-	// writeTimeout limits a write. A slow store takes a quarter of a second.
-	writeTimeout = 1500 * time.Millisecond
 )
 
 // follower is the state of the reads of a feed.
@@ -238,57 +232,3 @@
 		n.step(control.StoreAvailability{Available: available})
 	}
 }
-
-func (n *Node) writeAnnouncement(a directory.Announcement) {
-	if n.writeStore("announcement", func(ctx context.Context) error { return n.store.Announce(ctx, a) }) == nil {
-		// If two nodes start together, the one that announces itself later finds the other
-		// one by reading after its own announcement.
-		n.refreshMesh.Store(true)
-	}
-}
-
-func (n *Node) recordMove(m canary.Move) {
-	_ = n.writeStore("move/"+m.Service, func(ctx context.Context) error {
-		at, err := n.feedEnd(control.MoveFeed)
-		if err != nil {
-			return err
-		}
-		return n.store.RecordMove(ctx, m, at)
-	})
-}
-
-func (n *Node) writeStatus(s control.Status) {
-	_ = n.writeStore("status/"+s.Service, func(ctx context.Context) error {
-		at, err := n.feedEnd(control.StatusFeed)
-		if err != nil {
-			return err
-		}
-		return n.store.WriteStatus(ctx, s, at)
-	})
-}
-
-// feedEnd returns the position to which a feed was read, for a conditional write.
-func (n *Node) feedEnd(f control.Feed) (logpos.Position, error) {
-	end := n.feedEnds[f].Load()
-	if end == nil {
-		return logpos.Position{}, errors.Newf("the feed of %s was not read", f)
-	}
-	if era := n.view.Load().StoreEra; end.Era != era {
-		return *end, errors.Newf("the feed of %s was read in era %d of the store, which is %d now", f, end.Era, era)
-	}
-	return *end, nil
-}
-
-func (n *Node) writeStore(key string, write func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(n.ctx, writeTimeout)
-	defer cancel()
-	err := write(ctx)
-	if err != nil {
-		n.metrics.storeErrors.Add(1)
-		n.logger.Info("store_write_failed", "key", key, "error", strings.TrimSpace(err.Error()))
-	} else {
-		n.logger.Info("store_written", "key", key)
-	}
-	n.step(control.WriteCompleted{Key: key, OK: err == nil})
-	return err
-}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -79,7 +79,8 @@
 	restartReads [control.FeedCount]atomic.Pointer[context.CancelCauseFunc]
 	rereads      [control.FeedCount]chan struct{}
 	// viewChanged wakes the followers of the feeds when the reducer decides anew what to read.
-	viewChanged [control.FeedCount]chan struct{}
+	viewChanged   [control.FeedCount]chan struct{}
+	writeTimeouts *writeTimeouts
 
 	// cachedConfig is the configuration in force in the form sent to other nodes, and
 	// history holds the changes of the last versions.
@@ -110,7 +111,7 @@
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
 		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), nestedCalls: newNestedCalls(),
-		counters: &rpc.Counters{},
+		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(),
 	}
 	for f := range control.FeedCount {
 		n.rereads[f], n.viewChanged[f] = make(chan struct{}, 1), make(chan struct{}, 1)
