--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -11,7 +11,7 @@
 	// maxPollWait is the longest long-poll time of the operator feed. A lost response is noticed
 	// only after the poll should have ended, and what was confirmed must be in force 3 s after
 	// a failure of the store.
-	maxPollWait = 1500 * time.Millisecond
+	maxPollWait = 2 * time.Second
 	// defaultConfigDeadline is how long after its confirmation a configuration may take to be in
 	// force if the settings do not say.
 	defaultConfigDeadline = 2 * time.Second
