control: notice the first restoration of a store that is in era 0 before it

Change: whether the era is known is kept beside it. Test: failed before with no announcement in the restored store.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -63,8 +63,10 @@
 	// configDeadline is how long a configuration may take to be in force.
 	configDeadline time.Duration
 	storeLost      bool
-	// storeEra is the era of the store, 0 if it was not read yet or names none.
-	storeEra uint64
+	// storeEra is the era of the store, 0 if it names none. storeEraKnown is set once the store
+	// was read.
+	storeEra      uint64
+	storeEraKnown bool
 	// storedMoves holds the states of moves that this node has read or written in this era of the
 	// store. movesUnverified is set after a restoration until the store has all moves again,
 	// verifySince is when the node had read them.
--- a/internal/control/restored.go
+++ b/internal/control/restored.go
@@ -8,7 +8,11 @@
 // handleStoreEra records the era of the store. A response to a request that was sent before
 // the last change of the era tells nothing.
 func (c *Control) handleStoreEra(t Time, e StoreEraSeen) {
-	if e.Era == c.storeEra || e.Before != c.storeEra {
+	if e.Before != c.storeEra {
+		return
+	}
+	if e.Era == c.storeEra {
+		c.storeEraKnown = true
 		return
 	}
 	c.adoptStoreEra(t, e.Era)
@@ -17,9 +21,9 @@
 // adoptStoreEra handles a restoration of the store from an older copy: what this node knows to be
 // written may be lost, and only the nodes can write it again.
 func (c *Control) adoptStoreEra(t Time, era uint64) {
-	before := c.storeEra
-	c.storeEra = era
-	if before != 0 {
+	before, known := c.storeEra, c.storeEraKnown
+	c.storeEra, c.storeEraKnown = era, true
+	if known {
 		c.log("store_era_changed", "era", era, "era_before", before)
 		c.forgetWrites()
 	}
--- a/internal/control/restored_test.go
+++ b/internal/control/restored_test.go
@@ -187,3 +187,22 @@
 		})
 	}
 }
+
+// Guards against a first restoration that goes unnoticed since the store counts its eras from 0, or
+// names none before it: what only the nodes wrote must be written again.
+func TestFirstRestorationOfAStoreInEraZeroIsNoticed(t *testing.T) {
+	m := newEmptyMesh(t)
+	m.era = 0
+	older := m.copyStore()
+	for i, version := range []string{"v1", "v1", "v2", "v2"} {
+		m.start(i, version)
+	}
+	m.run(2 * time.Second)
+	want := decideMove(m, "v2", 1, false)
+	require.Len(t, m.announcements, 4)
+	m.restore(older)
+	m.run(3 * time.Second)
+	require.Len(t, m.announcements, 4)
+	require.Equal(t, want, m.statuses["s"])
+	require.Equal(t, canary.Completed, m.moves["s"].Phase)
+}
