sidecar: keep the proofs of readers young while the configuration changes, and read changes from other nodes

Cause: the response to a long poll with records proves only what was so when it was sent; then came a pause and another long poll, so that a reader's proof was up to 2.1 s old after each change; and a node whose position was old read the whole configuration although it had it from another node. Change: after new records, and when it becomes a reader, a node reads once without waiting, and its pauses are shorter. A node for which others read compares the end of the feed with the position that those have reached, and waits 0.25 s for the change from them. The part of the deadline left for reading is 0.4 of it. Nodes that are no readers repeat their attempts half as often while the store is silent to them.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -95,6 +95,9 @@
 	nextGossip, nextAnnounce time.Duration
 	pendingWrites            map[string]bool
 
+	// published is the last view.
+	published *View
+
 	effects []Effect
 }
 
@@ -104,7 +107,7 @@
 		o.ConfigDeadline = defaultConfigDeadline
 	}
 	return &Control{
-		self: o.Self, configDeadline: o.ConfigDeadline,
+		self: o.Self, configDeadline: o.ConfigDeadline, published: &View{},
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
@@ -489,7 +492,7 @@
 func (c *Control) publishView(t Time) {
 	v := &View{
 		Config: c.config, Target: c.self.Target, Stopping: c.stopping, StoreEra: c.storeEra, CrashingRequests: c.crashingRequests(),
-		Reader: c.isReader(), ConfigPollWait: c.pollWait(), ConfigPosition: c.fresh.position, ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
+		Reader: c.isReader(), ConfigPollWait: c.pollWait(), VouchesForConfig: c.large() && c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
 		Signals: c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
 	for _, a := range append(c.dir.All(), c.self) {
@@ -516,5 +519,6 @@
 	for service, s := range v.Endpoints {
 		c.setNewShare(service, s, t)
 	}
+	c.published = v
 	c.emit(PublishView{View: v})
 }
--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -15,9 +15,9 @@
 	// defaultConfigDeadline is how long after its confirmation a configuration may take to be in
 	// force if the settings do not say.
 	defaultConfigDeadline = 2 * time.Second
-	// readTime is the part of the deadline for reading the store, including the tick in which a
-	// node notices that it has to.
-	readTime = 750 * time.Millisecond
+	// readShare is the part of the deadline that is left for reading the store, including the
+	// tick in which a node notices that it has to.
+	readShare = 0.4
 	// checkInterval is the time in which a node of a large mesh asks a reader for a proof that
 	// its configuration is the newest one. A reader that does not respond within a tick is
 	// replaced by the next one.
@@ -30,7 +30,7 @@
 // a node of a large mesh reads the store itself. The deadline begins with the confirmation also if
 // the store fails only the readers.
 func (c *Control) maxConfigAge() time.Duration {
-	return max(c.configDeadline-readTime, 2*checkInterval)
+	return max(time.Duration((1-readShare)*float64(c.configDeadline)), 2*checkInterval)
 }
 
 // readerPollWait returns the long-poll time of the operator feed at the readers of a large mesh. In
@@ -146,7 +146,12 @@
 		f.position = e.End
 	}
 	c.fresh.readAsOf = max(c.fresh.readAsOf, e.AsOf)
-	if !c.isReader() {
+	c.publishReads(t)
+}
+
+// publishReads publishes the view if this node is to read other feeds than the last one says.
+func (c *Control) publishReads(t Time) {
+	if c.readsOperatorFeed(t) != c.published.ReadsOperatorFeed || c.followsMoves(t) != c.published.FollowsMoves {
 		c.publishView(t)
 	}
 }
@@ -228,7 +233,7 @@
 	switch {
 	case !e.Failed && c.provesRecent(e.ConfigFreshness, e.RoundTrip):
 		f.check.pending, f.check.tries, f.check.provedAt = false, 0, t.Now
-		c.publishView(t)
+		c.publishReads(t)
 	case len(c.readers) > 0 && c.readers[f.check.reader%len(c.readers)] == e.From.Node:
 		c.checkNextReader(t)
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -5,7 +5,6 @@
 
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/directory"
-	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
 )
@@ -31,9 +30,8 @@
 	// ConfigPollWait, or if that is 0, once at a time.
 	ReadsOperatorFeed bool
 	ConfigPollWait    time.Duration
-	// ConfigPosition is the position in the operator feed that a reader has reached. The
-	// configuration in force is not older than the records before it.
-	ConfigPosition logpos.Position
+	// VouchesForConfig is set if other nodes rely on this one to read the operator feed.
+	VouchesForConfig bool
 	// FollowsMoves is set while this node itself reads the states of moves, StatusDue while
 	// the status of a move may have to be written.
 	FollowsMoves, StatusDue bool
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -33,6 +33,10 @@
 	// record may be a whole configuration.
 	burstGap      = time.Second
 	burstDebounce = 800 * time.Millisecond
+	// vouchingDebounce and vouchingBurstDebounce replace debounce and burstDebounce at the readers
+	// of a large mesh, whose proofs would become too old meanwhile.
+	vouchingDebounce      = 100 * time.Millisecond
+	vouchingBurstDebounce = 500 * time.Millisecond
 	// meshStartupTime is the time after its start during which a node reads the mesh feed
 	// only to discover other nodes. Otherwise, each of several nodes that start together
 	// would consider itself a reader and read every announcement.
@@ -55,6 +59,9 @@
 	// key is read.
 	burst         bool
 	lastRecordsAt time.Duration
+	// vouching is set while other nodes rely on this one, and confirm if the next read must not
+	// be a long poll, which proves nothing until it ends.
+	vouching, confirm bool
 	// failing is set since failingSince while reads fail.
 	failing      bool
 	failingSince time.Duration
@@ -102,9 +109,12 @@
 	if f.position.Era != era {
 		f.synced = false
 	}
+	if vouching := f.feed == control.OperatorFeed && n.view.Load().VouchesForConfig; vouching != f.vouching {
+		f.vouching, f.confirm = vouching, vouching
+	}
 	began := n.clock.now()
 	// After a failure, a long poll would delay the result if its response is lost as well.
-	result, err := n.readFeed(f.feed, f.position, f.synced, !f.failing && !f.burst, func() {
+	result, err := n.readFeed(f.feed, f.position, f.synced, !f.failing && !f.burst && !f.confirm, func() {
 		f.lost(began, errNoResponse)
 	})
 	switch {
@@ -174,8 +184,8 @@
 	f.position = result.next
 	now := n.clock.now()
 	switch {
-	case f.burst && !changed:
-		f.burst = false
+	case (f.burst || f.confirm) && !changed:
+		f.burst, f.confirm = false, false
 		return
 	case !changed || len(result.events) == 0:
 		f.burst = false
@@ -186,11 +196,19 @@
 		time.Sleep(moveDebounce)
 	case f.burst || now-f.lastRecordsAt < burstGap:
 		f.burst = true
-		time.Sleep(burstDebounce)
+		f.sleep(burstDebounce, vouchingBurstDebounce)
 	default:
-		time.Sleep(debounce)
+		f.sleep(debounce, vouchingDebounce)
+	}
+	f.lastRecordsAt, f.confirm = n.clock.now(), f.vouching
+}
+
+// sleep waits for a time, or another one if other nodes rely on this one.
+func (f *follower) sleep(d, vouching time.Duration) {
+	if f.vouching {
+		d = vouching
 	}
-	f.lastRecordsAt = n.clock.now()
+	time.Sleep(d)
 }
 
 // applyRead applies the records of a read that began in an era of the store. It returns false if
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -240,7 +240,7 @@
 func (n *Node) Step(e control.Event) { n.step(e) }
 
 func (n *Node) step(e control.Event) {
-	restored, follows := false, false
+	restored, follows, pollsFaster := false, false, false
 	n.controlMu.Lock()
 	effects := n.control.Step(n.clock.time(), e)
 	for _, effect := range effects {
@@ -252,6 +252,7 @@
 			}
 			restored = restored || before.StoreEra != v.View.StoreEra
 			follows = follows || v.View.FollowsOtherFeeds(before)
+			pollsFaster = pollsFaster || v.View.VouchesForConfig && !before.VouchesForConfig
 			if v.View.Target != nil {
 				n.gate.setTarget(v.View.Target.Process(), v.View.Target.Slots)
 			}
@@ -263,6 +264,10 @@
 			n.restartRead(control.Feed(f))
 		}
 	}
+	if pollsFaster {
+		// The long poll in progress is too long to prove anything in time.
+		n.reread(control.OperatorFeed)
+	}
 	if follows {
 		for _, c := range n.viewChanged {
 			signal(c)
--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -28,8 +28,11 @@
 	// maxAttempts is the number of attempts at a time. The oldest one is given up for the next.
 	maxAttempts = 4
 	// transferTimeout is the time from the start of a response until it counts as lost. A
-	// configuration of 1,800 routes takes 0.4 s on a link of 10 Mbit/s.
-	transferTimeout = time.Second
+	// configuration of 1,800 routes takes 0.4 s on an idle link of 10 Mbit/s.
+	transferTimeout = 2 * time.Second
+	// fetchGrace is how long a node for which others read waits, once the feed has new records,
+	// for a configuration from them: it gets only what changed.
+	fetchGrace = 250 * time.Millisecond
 	// lostAttempts is the number of attempts without a response after which the store counts as
 	// lost.
 	lostAttempts = 2
@@ -89,9 +92,9 @@
 	feed     control.Feed
 	position logpos.Position
 	synced   bool
-	// told is the position that another node has reached for this one.
-	told logpos.Position
-	ctx  context.Context
+	// readByOthers is set if other nodes read the feed for this one.
+	readByOthers bool
+	ctx          context.Context
 	// attempts are those in progress that were not given up, pending is the number of all in
 	// progress, and started that of all.
 	attempts         []*attempt
@@ -115,7 +118,7 @@
 	r := &reading{node: n, feed: f, position: position, synced: synced, ctx: ctx, results: make(chan attemptResult)}
 	v := n.view.Load()
 	if f == control.OperatorFeed && !v.Reader {
-		r.told = v.ConfigPosition
+		r.readByOthers = v.Config != nil
 		// A node that has not read for long may have connections that are unresponsive.
 		n.store.Reconnect()
 	}
@@ -143,7 +146,7 @@
 			if late == lostAttempts {
 				onLost()
 			}
-			if late > lostAttempts {
+			if late > lostAttempts || !v.Reader {
 				interval = nextInterval(interval, v.Reader)
 			}
 			if !r.transferring() {
@@ -255,7 +258,7 @@
 		if err != nil {
 			return feedRead{}, err
 		}
-		if end == r.position || end == r.told {
+		if end == r.position || r.readByOthers && r.awaitOthers(ctx, end) {
 			return feedRead{next: r.position, end: end, asOf: sent}, nil
 		}
 		sent = r.node.clock.now()
@@ -263,3 +266,20 @@
 	events, next, err := r.node.store.Snapshot(ctx, r.feed)
 	return feedRead{events: events, next: next, end: next, asOf: sent}, err
 }
+
+// awaitOthers waits up to fetchGrace until other nodes have read the feed to its end for this one,
+// which has the configuration, and reports whether they have.
+func (r *reading) awaitOthers(ctx context.Context, end logpos.Position) bool {
+	const pause = fetchGrace / 10
+	for range fetchGrace / pause {
+		if told := r.node.configFreshness().Position; told == end || told.After(end) {
+			return true
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
--- a/internal/sidecar/read_test.go
+++ b/internal/sidecar/read_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptrace"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,7 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/logpos"
+	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
 // unresponsiveStore has a record after the position of each read and loses the responses to the
@@ -62,6 +66,7 @@
 func (s *unresponsiveStore) read(t *testing.T, poll bool) (result feedRead, lost bool, took time.Duration) {
 	n := newTestNode(t, 0)
 	n.store = s
+	n.view.Store(&control.View{Reader: true})
 	began := time.Now()
 	result, err := n.readFeed(control.OperatorFeed, logpos.Position{Offset: 7}, true, poll, func() { lost = true })
 	took = time.Since(began)
@@ -149,3 +154,93 @@
 	require.Eventually(t, func() bool { return s.ends[control.OperatorFeed].Load() > 0 }, 4*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool { return s.ends[control.MeshFeed].Load() > 0 }, meshStartupTime+4*time.Second, time.Millisecond)
 }
+
+// growingStore holds long polls until the feed grows.
+type growingStore struct {
+	fakeStore
+	end atomic.Uint64
+}
+
+func (s *growingStore) Follow(ctx context.Context, _ control.Feed, from logpos.Position, wait time.Duration) ([]control.Event, logpos.Position, error) {
+	for end := time.Now().Add(wait); time.Now().Before(end) && s.end.Load() == from.Offset; time.Sleep(time.Millisecond) {
+		if ctx.Err() != nil {
+			return nil, from, ctx.Err()
+		}
+	}
+	next := logpos.Position{Offset: s.end.Load()}
+	if next == from {
+		return nil, from, nil
+	}
+	return []control.Event{control.StatusRead{}}, next, nil
+}
+
+func (s *growingStore) End(context.Context, control.Feed, logpos.Position) (logpos.Position, error) {
+	return logpos.Position{Offset: s.end.Load()}, nil
+}
+
+func (s *growingStore) Snapshot(context.Context, control.Feed) ([]control.Event, logpos.Position, error) {
+	return []control.Event{control.StatusRead{}}, logpos.Position{Offset: s.end.Load()}, nil
+}
+
+// makeLargeMesh makes the node the only reader of a large mesh.
+func (n *testNode) makeLargeMesh() {
+	for i := range 30 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(100 + i)}), 1)
+		n.Step(control.PeerStateReceived{State: control.PeerState{StoreLost: true, Announcement: directory.Announcement{
+			Node: mesh.NodeID(fmt.Sprintf("peer-%d", i)), StartUnixMS: 1, CallAddress: address, RPCAddress: address,
+		}}})
+	}
+	n.Step(control.ConfigPublished{Config: testConfig()})
+	n.Step(control.Tick{})
+}
+
+// Guards against a reader that proves nothing for two long polls: the response to the first one
+// tells only of the time when it was sent, and the next one only at its end. All other nodes then
+// read the whole configuration themselves.
+func TestReaderProvesItsConfigurationSoonAfterNewRecords(t *testing.T) {
+	n := newTestNode(t, 0)
+	n.makeLargeMesh()
+	s := &growingStore{}
+	s.end.Store(1)
+	n.store = s
+	view := n.view.Load()
+	require.True(t, view.VouchesForConfig)
+	go n.follow(control.OperatorFeed)
+	defer n.cancel()
+	require.Eventually(t, func() bool { return n.configFreshness().AgeMS > 0 }, time.Second, time.Millisecond)
+	limit := view.ConfigPollWait + vouchingDebounce + readSlack/2
+	for i := range 4 * time.Second / (10 * time.Millisecond) {
+		// No burst of changes, in which the feed is read without long polls.
+		if i%200 == 150 {
+			s.end.Add(1)
+		}
+		age := time.Duration(n.configFreshness().AgeMS) * time.Millisecond
+		require.Less(t, age, limit)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against nodes that read a whole configuration, which others are about to send them as a
+// small change.
+func TestNodeWaitsForOthersBeforeItReadsAWholeConfiguration(t *testing.T) {
+	n := newTestNode(t, 0)
+	s := &growingStore{}
+	s.end.Store(9)
+	n.store = s
+	n.Step(control.ConfigPublished{Config: testConfig()})
+	n.view.Store(&control.View{Config: testConfig(), ReadsOperatorFeed: true})
+	go func() {
+		time.Sleep(fetchGrace / 2)
+		n.Step(control.FeedRead{Feed: control.OperatorFeed, AsOf: n.clock.now(), End: logpos.Position{Offset: 9}})
+	}()
+	at := logpos.Position{Offset: 8}
+	result, err := n.readFeed(control.OperatorFeed, at, true, false, func() {})
+	require.NoError(t, err)
+	require.Empty(t, result.events)
+	require.Equal(t, at, result.next, "a node that becomes a reader reads on from there")
+	s.end.Store(10)
+	n.view.Store(&control.View{Config: testConfig(), ReadsOperatorFeed: true})
+	result, err = n.readFeed(control.OperatorFeed, at, true, false, func() {})
+	require.NoError(t, err)
+	require.Len(t, result.events, 1)
+}
