sidecar: count an unresponsive connection before it is closed

TestUnresponsiveConnectionBetweenNodesIsReplaced failed once beside the tests of all packages: 0 connections counted instead of 1. Cause: the connections were closed first, which ends their requests, and counted afterwards; the caller could look between the two. Shown by a pause of 50 ms between them, with which the test fails each time in the same way. Not seen in 3,040 runs without it. Change: counted and logged first.

--- a/internal/sidecar/liveness.go
+++ b/internal/sidecar/liveness.go
@@ -187,13 +187,14 @@
 		return
 	}
 	unresponsive := n.connMonitor.idleSince(address, started)
-	for _, c := range unresponsive {
-		_ = c.Close()
-	}
 	if len(unresponsive) > 0 {
 		n.metrics.unresponsiveConns.Add(int64(len(unresponsive)))
 		n.logger.Warn("connection_silent", "address", address, "closed", len(unresponsive), "waited_ms", (n.clock.now() - started).Milliseconds(), "error", cause.Error())
 	}
+	// The requests of a closed connection end at once.
+	for _, c := range unresponsive {
+		_ = c.Close()
+	}
 }
 
 // errOnlyNewConnections reports that a new connection to a node works while an old one is
