Refuse entries that no node, target or operator writes, and write again what they replace

Report of other operators: one odd entry among those of the workers ended the machines that read the list, or stopped their reading. Change: announcements, targets, moves, orders, statuses, heartbeats and messages between nodes are checked as a whole against limits; the key must name what the entry does. Found besides, each with a test that fails without the mechanism: - an unreadable entry under a node's or a move's key hid the true one from nodes that start later: it is reported and written again; - an entry with a later start at the address of a living node removed that node from the directory; - an announcement, state or heartbeat with a number that its true author does not reach kept the true ones out: the author is told what is said of it and exceeds it, and lower numbers count again after 5 s, or once they go on while the higher one does not.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// maxMessageDelay is how long a message between nodes may be on its way. States that arrive
+	// out of order are told by their numbers within it.
+	maxMessageDelay = 5 * time.Second
 	// TickInterval is the time between two ticks. It bounds the delay of the analysis
 	// of evidence during a move.
 	TickInterval = canary.EvidenceInterval
@@ -92,8 +95,11 @@
 	fresh freshness
 	fetch configFetch
 
-	nextGossip, nextAnnounce time.Duration
-	pendingWrites            map[string]bool
+	// unreadableMoves holds the services whose move in the store cannot be read and is not known.
+	unreadableMoves map[string]bool
+
+	nextGossip, nextAnnounce, nextContradict time.Duration
+	pendingWrites                            map[string]bool
 
 	// published is the last view.
 	published *View
@@ -111,7 +117,7 @@
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
-		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
+		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
 	}
 }
 
@@ -154,6 +160,8 @@
 	case MoveRecorded:
 		c.recordStored(e.Move)
 		c.handleRecordedMove(t, e.Move)
+	case RecordUnreadable:
+		c.handleUnreadable(t, e)
 	case StatusRead:
 		c.statuses[e.Status.Service] = e.Status
 	case FeedRead:
@@ -268,6 +276,9 @@
 		c.supersedeFormer(t, a)
 		return false
 	}
+	if a.CallAddress == c.self.CallAddress {
+		return false
+	}
 	return c.dir.Update(a, t.Now)
 }
 
@@ -374,14 +385,20 @@
 func (c *Control) handlePeerState(t Time, e PeerStateReceived) {
 	s := e.State
 	a := s.Announcement
+	if err := s.validate(t); err != nil {
+		c.log("peer_state_refused", "peer", string(a.Node), "error", err.Error())
+		return
+	}
 	if a.Node == c.self.Node {
 		return
 	}
-	if last, ok := c.peers[a.Node]; ok && last.Announcement.StartUnixMS == a.StartUnixMS && s.Number < last.Number {
+	s.receivedAt = t.Now
+	if last, ok := c.peers[a.Node]; ok && last.Announcement.StartUnixMS == a.StartUnixMS && s.Number < last.Number && t.Now-last.receivedAt < maxMessageDelay {
 		c.dir.MarkAlive(a.Node, t.Now)
 		return
 	}
 	changed := c.dir.UpdateFromNode(a, t.Now)
+	c.contradict(t, a)
 	if changed && c.large() && c.isReader() {
 		c.announcementsToRelay = append(c.announcementsToRelay, a)
 	}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/logpos"
@@ -59,6 +61,12 @@
 	MoveOrdered struct{ Order canary.Order }
 	// MoveRecorded carries the state of a move in the store.
 	MoveRecorded struct{ Move canary.Move }
+	// RecordUnreadable reports that a record of the nodes has been replaced by one that cannot
+	// be read: the announcement of a node, or the move or status of a service.
+	RecordUnreadable struct {
+		Feed Feed
+		Name string
+	}
 	// StatusRead carries the status of a move in the store.
 	StatusRead struct{ Status Status }
 	// FeedRead reports that a read of a feed returned all its records as of a time.
@@ -119,6 +127,7 @@
 func (AnnouncementRead) event()  {}
 func (MoveOrdered) event()       {}
 func (MoveRecorded) event()      {}
+func (RecordUnreadable) event()  {}
 func (StatusRead) event()        {}
 func (FeedRead) event()          {}
 func (ConfigChecked) event()     {}
@@ -165,6 +174,18 @@
 	State   StatusState
 }
 
+// Validate reports what makes a status one that no node writes.
+func (s Status) Validate() error {
+	switch {
+	case s.Service == "" || s.Version == "":
+		return errors.New("no service or no version")
+	case s.State != StatusActive && s.State != StatusCompleted && s.State != StatusReverted:
+		return errors.Newf("unknown state %q", string(s.State))
+	default:
+		return nil
+	}
+}
+
 // StatusState is the state of a move that is reported to operators.
 type StatusState string
 
@@ -207,6 +228,9 @@
 	Summaries []MoveSummary `json:"summaries,omitempty"`
 	// Others holds announcements that the receiver may not know.
 	Others []directory.Announcement `json:"others,omitempty"`
+
+	// receivedAt is the time on the clock of the receiver.
+	receivedAt time.Duration
 }
 
 // freshness returns how recent the configuration of the node is.
@@ -232,6 +256,13 @@
 		To    []mesh.NodeID
 		State PeerState
 	}
+	// ContradictState tells a node what others say of it.
+	ContradictState struct {
+		To    directory.Announcement
+		State PeerState
+	}
+	// RewriteAnnouncement writes the announcement of another node to the store again.
+	RewriteAnnouncement struct{ Announcement directory.Announcement }
 	// FetchConfig requests a newer configuration from a node.
 	FetchConfig struct{ From directory.Announcement }
 	// CheckConfig asks a reader for the version of its configuration and how recent that is.
@@ -245,12 +276,14 @@
 	}
 )
 
-func (PublishView) effect()       {}
-func (WriteAnnouncement) effect() {}
-func (RecordMove) effect()        {}
-func (WriteStatus) effect()       {}
-func (SendState) effect()         {}
-func (FetchConfig) effect()       {}
-func (CheckConfig) effect()       {}
-func (RereadFeed) effect()        {}
-func (LogEvent) effect()          {}
+func (PublishView) effect()         {}
+func (WriteAnnouncement) effect()   {}
+func (RecordMove) effect()          {}
+func (WriteStatus) effect()         {}
+func (SendState) effect()           {}
+func (ContradictState) effect()     {}
+func (RewriteAnnouncement) effect() {}
+func (FetchConfig) effect()         {}
+func (CheckConfig) effect()         {}
+func (RereadFeed) effect()          {}
+func (LogEvent) effect()            {}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -167,6 +167,15 @@
 				m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time())), RoundTrip: time.Millisecond})
 			}
 		}
+	case ContradictState:
+		if other := m.node(e.To.Node); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[e.To.Node] {
+			m.step(other, PeerStateReceived{State: m.transfer(e.State)})
+		}
+	case RewriteAnnouncement:
+		if !m.storeDown {
+			m.announcements[e.Announcement.Node] = e.Announcement
+			m.meshEnd++
+		}
 	case CheckConfig:
 		m.checks++
 		checked := ConfigChecked{From: e.To, RoundTrip: time.Millisecond, Failed: true}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -58,6 +58,10 @@
 
 func (c *Control) handleRecordedMove(t Time, m canary.Move) {
 	if c.adoptMove(t, m) {
+		if c.unreadableMoves[m.Service] {
+			delete(c.unreadableMoves, m.Service)
+			c.movesUnverified, c.verifySince = true, t.Now
+		}
 		c.log("move_phase", "service", m.Service, "version", m.Version, "phase", string(m.Phase), "revision", m.Revision)
 		c.publishView(t)
 		if c.large() && c.readerRank() == 0 {
--- a/internal/control/restored.go
+++ b/internal/control/restored.go
@@ -5,6 +5,10 @@
 	"heathercroft.example/heathercroft/pkg/directory"
 )
 
+// maxEraStep limits by how many restorations another node may know more than this one, which reads
+// the store itself when it starts.
+const maxEraStep = 64
+
 // handleStoreEra records the era of the store. A response to a request that was sent before
 // the last change of the era tells nothing.
 func (c *Control) handleStoreEra(t Time, e StoreEraSeen) {
@@ -53,7 +57,7 @@
 // adoptPeerEra learns of a restoration from a reader. Nodes of a large mesh that do not read
 // the store themselves have to write their announcements again.
 func (c *Control) adoptPeerEra(t Time, s PeerState) {
-	if c.large() && !c.isReader() && s.StoreEra > c.storeEra {
+	if c.large() && !c.isReader() && s.StoreEra > c.storeEra && s.StoreEra-c.storeEra <= maxEraStep {
 		c.adoptStoreEra(t, s.StoreEra)
 	}
 }
--- /dev/null
+++ b/internal/control/untrusted.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"heathercroft.example/heathercroft/pkg/canary"
+	"heathercroft.example/heathercroft/pkg/directory"
+)
+
+// Limits of the numbers in a message of another node.
+const (
+	maxReportedRequests = 1 << 20
+	maxReportedRate     = 1e7
+	maxReportedCrashes  = 1 << 10
+	maxReportedCount    = 1 << 40
+	maxReportedMS       = 1e15
+)
+
+// validate reports what makes a message one that no node sends. It drops parts that are invalid on
+// their own, such as the announcement of another node that the sender read from the store.
+func (s *PeerState) validate(t Time) error {
+	if err := s.Announcement.Validate(t.UnixMS); err != nil {
+		return err
+	}
+	if !inRange(s.Running, maxReportedRequests) || !inRange(s.Waiting, maxReportedRequests) {
+		return errors.Newf("%d running and %d waiting requests", s.Running, s.Waiting)
+	}
+	if len(s.Crashes) > maxReportedCrashes {
+		return errors.Newf("%d crashing requests", len(s.Crashes))
+	}
+	for _, count := range s.Crashes {
+		if !inRange(count, maxReportedRequests) {
+			return errors.Newf("%d crashes of a request", count)
+		}
+	}
+	for service, rate := range s.PerSecond {
+		if !(rate >= 0 && rate <= maxReportedRate) {
+			return errors.Newf("a rate of %g for service %q", rate, service)
+		}
+	}
+	if !validEvidence(s.Evidence, s.Recent) {
+		return errors.New("the evidence is out of range")
+	}
+	s.Others = slices.DeleteFunc(s.Others, func(a directory.Announcement) bool { return a.Validate(t.UnixMS) != nil })
+	s.Moves = slices.DeleteFunc(s.Moves, func(m canary.Move) bool { return m.Validate(t.UnixMS) != nil })
+	s.Summaries = slices.DeleteFunc(s.Summaries, func(m MoveSummary) bool { return !m.valid() })
+	return nil
+}
+
+func inRange(n, limit int) bool { return n >= 0 && n <= limit }
+
+func validEvidence(e canary.Evidence, r canary.RecentCounts) bool {
+	if len(e) > maxEvidenceRoutes+1 || !r.Valid() {
+		return false
+	}
+	for _, counts := range e {
+		if !validCounts(counts) {
+			return false
+		}
+	}
+	return true
+}
+
+func validCounts(c canary.Counts) bool {
+	return inRange(c.Responses, maxReportedCount) && inRange(c.Failed, c.Responses) && inRange(c.LatencyCount, c.Responses) &&
+		c.LatencySumMS >= 0 && c.LatencySumMS <= maxReportedMS
+}
+
+func (s MoveSummary) valid() bool {
+	return s.Service != "" && s.PerSecond >= 0 && s.PerSecond <= maxReportedRate && inRange(s.NewTargets, maxReportedRequests) &&
+		inRange(s.OldRequests, maxReportedRequests) && s.AcknowledgedRevision >= 0 &&
+		validEvidence(s.Current.Evidence, s.Current.Recent) && validEvidence(s.Old.Evidence, s.Old.Recent)
+}
+
+// contradictInterval is the minimum time between two messages that tell a node what others say of
+// it.
+const contradictInterval = time.Second
+
+// contradict tells a node that others have a newer announcement of it than it sends. If it did not
+// write that one, it announces itself as newer.
+func (c *Control) contradict(t Time, sent directory.Announcement) {
+	known, ok := c.dir.Get(sent.Node)
+	if !ok || t.Now < c.nextContradict || !known.Supersedes(sent) {
+		return
+	}
+	c.nextContradict = t.Now + contradictInterval
+	state := c.State(t)
+	state.Others = []directory.Announcement{known}
+	// The address may be wrong in what is known.
+	c.emit(ContradictState{To: sent, State: state})
+}
+
+// handleUnreadable writes again what the nodes know of a record that was replaced by one that
+// cannot be read.
+func (c *Control) handleUnreadable(t Time, e RecordUnreadable) {
+	switch e.Feed {
+	case MeshFeed:
+		c.rewriteAnnouncement(e.Name)
+	case MoveFeed:
+		delete(c.storedMoves, e.Name)
+		c.movesUnverified, c.verifySince = true, t.Now
+		if _, known := c.moves[e.Name]; !known {
+			c.unreadableMoves[e.Name] = true
+		}
+	case StatusFeed:
+		delete(c.statuses, e.Name)
+	}
+	c.publishView(t)
+}
+
+// rewriteAnnouncement writes the announcement of a node again. In a small mesh each node reads and
+// writes its own. In a large one the first reader does it for those that do not read.
+func (c *Control) rewriteAnnouncement(name string) {
+	if name == string(c.self.Node) {
+		c.announced = directory.Announcement{}
+		return
+	}
+	for _, a := range c.dir.All() {
+		if string(a.Node) == name && !a.Leaving && c.large() && c.readerRank() == 0 {
+			c.emit(RewriteAnnouncement{Announcement: a})
+		}
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -296,6 +296,10 @@
 		go n.writeStatus(e.Status)
 	case control.SendState:
 		n.sendState(e)
+	case control.ContradictState:
+		go n.exchangeState(e.To, e.State)
+	case control.RewriteAnnouncement:
+		go n.rewriteAnnouncement(e.Announcement)
 	case control.FetchConfig:
 		go n.fetchConfig(e.From)
 	case control.CheckConfig:
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -106,25 +106,26 @@
 func (n *Node) sendState(e control.SendState) {
 	view := n.view.Load()
 	for _, id := range e.To {
-		peer, ok := view.Announcements[id]
-		if !ok || !peer.RPCAddress.IsValid() {
-			continue
+		if peer, ok := view.Announcements[id]; ok && peer.RPCAddress.IsValid() {
+			go n.exchangeState(peer, e.State)
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(n.ctx, stateTimeout)
-			defer cancel()
-			sent := n.clock.now()
-			var reply control.PeerState
-			err := n.rpc.Call(ctx, peer.RPCAddress, methodState, e.State, &reply)
-			n.recordPeerContact(peer.Node, err)
-			if err != nil {
-				return
-			}
-			n.handlePeerState(reply, n.clock.now()-sent)
-		}()
 	}
 }
 
+// exchangeState sends the state to a node and processes its state.
+func (n *Node) exchangeState(peer directory.Announcement, state control.PeerState) {
+	ctx, cancel := context.WithTimeout(n.ctx, stateTimeout)
+	defer cancel()
+	sent := n.clock.now()
+	var reply control.PeerState
+	err := n.rpc.Call(ctx, peer.RPCAddress, methodState, state, &reply)
+	n.recordPeerContact(peer.Node, err)
+	if err != nil {
+		return
+	}
+	n.handlePeerState(reply, n.clock.now()-sent)
+}
+
 // fetchConfig fetches the configuration of another node, for use while the store is
 // unavailable to this node.
 func (n *Node) fetchConfig(from directory.Announcement) {
--- a/internal/sidecar/read_test.go
+++ b/internal/sidecar/read_test.go
@@ -187,7 +187,7 @@
 	for i := range 30 {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(100 + i)}), 1)
 		n.Step(control.PeerStateReceived{State: control.PeerState{StoreLost: true, Announcement: directory.Announcement{
-			Node: mesh.NodeID(fmt.Sprintf("peer-%d", i)), StartUnixMS: 1, CallAddress: address, RPCAddress: address,
+			Node: mesh.NodeID(fmt.Sprintf("peer-%d", i)), Zone: "a", StartUnixMS: 1, CallAddress: address, RPCAddress: address,
 		}}})
 	}
 	n.Step(control.ConfigPublished{Config: testConfig()})
--- a/internal/sidecar/write.go
+++ b/internal/sidecar/write.go
@@ -55,6 +55,11 @@
 	}
 }
 
+// rewriteAnnouncement writes the announcement of another node.
+func (n *Node) rewriteAnnouncement(a directory.Announcement) {
+	_ = n.writeStore("announcement/"+string(a.Node), func(ctx context.Context) error { return n.store.Announce(ctx, a) })
+}
+
 func (n *Node) recordMove(m canary.Move) {
 	n.writeAt(control.MoveFeed, "move/"+m.Service, func(ctx context.Context, at logpos.Position) error {
 		return n.store.RecordMove(ctx, m, at)
--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -196,6 +196,11 @@
 	Failed    float64 `json:"f"`
 }
 
+// Valid reports whether the counts are in the range of counted responses.
+func (r RecentCounts) Valid() bool {
+	return r.Failed >= 0 && r.Failed <= r.Responses && r.Responses <= math.MaxInt32
+}
+
 // Update returns the counts after new responses. Without new responses the counts stay:
 // once all traffic has moved, the last responses of the old version are the only ones
 // to compare with.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -50,16 +50,17 @@
 // Process returns the process that the target currently is.
 func (t Target) Process() Process { return Process{t.ID, t.StartUnixMS} }
 
-// supersedes reports whether a is newer than b.
-func (a Announcement) supersedes(b Announcement) bool {
+// Supersedes reports whether a is newer than b.
+func (a Announcement) Supersedes(b Announcement) bool {
 	return a.StartUnixMS > b.StartUnixMS || a.StartUnixMS == b.StartUnixMS && a.Sequence > b.Sequence
 }
 
 // member is this node's record of another node.
 type member struct {
 	Announcement
-	// lastHeard is the time of the last message of the node.
+	// lastHeard is the time of the last message of the node, heard is set once there was one.
 	lastHeard time.Duration
+	heard     bool
 }
 
 // MemberLifetime is how long an unresponsive node stays in the directory. A
@@ -89,11 +90,14 @@
 // Update merges an announcement from the store or another node, which may be
 // outdated. It reports whether it changed the directory. It does not mark the node
 // as alive; only MarkAlive does.
-func (d *Directory) Update(a Announcement, now time.Duration) bool {
+func (d *Directory) Update(a Announcement, now time.Duration) bool { return d.update(a, now, false) }
+
+// update merges an announcement, which the node itself sent if direct is set.
+func (d *Directory) update(a Announcement, now time.Duration, direct bool) bool {
 	if a.Node == "" || !a.CallAddress.IsValid() {
 		return false
 	}
-	if !d.claimAddress(a) {
+	if !d.claimAddress(a, now, direct) {
 		return false
 	}
 	m, ok := d.members[a.Node]
@@ -102,7 +106,7 @@
 		d.byAddress[a.CallAddress], d.sorted = a.Node, nil
 		return true
 	}
-	if !a.supersedes(m.Announcement) {
+	if !a.Supersedes(m.Announcement) {
 		return false
 	}
 	if m.CallAddress != a.CallAddress {
@@ -126,9 +130,14 @@
 	}
 }
 
-// ownerSilence is the time without a message after which the owner of an address gives way
-// to a node that is heard at it, although it started earlier by its clock.
-const ownerSilence = 6 * time.Second
+const (
+	// ownerSilence is the time without a message after which the owner of an address gives way
+	// to a node that is heard at it, although it started earlier by its clock.
+	ownerSilence = 6 * time.Second
+	// heardOwnerSilence is that after which it gives way to a node that only others tell of. In
+	// a large mesh two nodes hear of each other every half minute.
+	heardOwnerSilence = 30 * time.Second
+)
 
 // UpdateFromNode merges an announcement that the node itself sent. Unlike one from the store
 // or another node, it shows that the node lives.
@@ -136,18 +145,20 @@
 	if owner, ok := d.byAddress[a.CallAddress]; ok && owner != a.Node && now-d.members[owner].lastHeard >= ownerSilence {
 		d.remove(owner)
 	}
-	return d.Update(a, now)
+	return d.update(a, now, true)
 }
 
 // claimAddress resolves a conflict between nodes with the same address: addresses of
-// removed nodes are reused, and the node that started last owns the address. It
-// returns false if that is not the announcing node.
-func (d *Directory) claimAddress(a Announcement) bool {
+// removed nodes are reused, and the node that started last owns the address. A node that others
+// tell of does not take the address of one that lives. It returns false if the announcing node
+// does not own the address.
+func (d *Directory) claimAddress(a Announcement, now time.Duration, direct bool) bool {
 	owner, ok := d.byAddress[a.CallAddress]
 	if !ok || owner == a.Node {
 		return true
 	}
-	if d.members[owner].StartUnixMS > a.StartUnixMS {
+	m := d.members[owner]
+	if m.StartUnixMS > a.StartUnixMS || !direct && m.heard && now-m.lastHeard < heardOwnerSilence {
 		return false
 	}
 	d.remove(owner)
@@ -157,7 +168,7 @@
 // MarkAlive records that a message of the node itself was received.
 func (d *Directory) MarkAlive(id mesh.NodeID, now time.Duration) {
 	if m, ok := d.members[id]; ok {
-		m.lastHeard = now
+		m.lastHeard, m.heard = now, true
 	}
 }
 
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -184,3 +185,26 @@
 		require.True(t, d.Update(directory.Announcement{Node: "new", StartUnixMS: 1, CallAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 1)}, 0), "the address is free again")
 	})
 }
+
+// Guards against a heartbeat of another writer with a sequence number that the target does not
+// reach: its true heartbeats would be ignored, and it would count as gone.
+func TestTargetServesAfterAHeartbeatWithAnOddSequence(t *testing.T) {
+	l := newLocalTarget()
+	require.True(t, l.HandleHeartbeat(heartbeat("x", 10, 5, false), 0, 0))
+	require.True(t, l.HandleHeartbeat(heartbeat("x", 10, math.MaxUint64, false), 100*time.Millisecond, 0))
+	for i := range 10 {
+		now := time.Duration(i+1) * l.Interval
+		l.HandleHeartbeat(heartbeat("x", 10, uint64(6+i), false), now, 0)
+		require.True(t, l.Target(now, 0).Serving, "%s", now)
+	}
+}
+
+// Guards against delayed heartbeats that count as recent: they arrive beside later ones.
+func TestDelayedHeartbeatsDoNotReplaceLaterOnes(t *testing.T) {
+	l := newLocalTarget()
+	for i := range 5 {
+		now := time.Duration(i) * l.Interval
+		require.True(t, l.HandleHeartbeat(heartbeat("x", 10, uint64(100+i), false), now, 0))
+		require.False(t, l.HandleHeartbeat(heartbeat("x", 10, uint64(10+i), false), now+l.Interval/2, 0))
+	}
+}
--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -86,7 +86,9 @@
 	switch {
 	case same && h.Sequence <= l.last.Sequence:
 		l.leaving = l.leaving || h.Draining
-		return h.Draining
+		if h.Draining || !l.confirmCandidate(h, now) {
+			return h.Draining
+		}
 	case l.known && !same && h.StartUnixMS < l.last.StartUnixMS && !l.confirmCandidate(h, now):
 		return false
 	case !same:
@@ -98,9 +100,11 @@
 	return true
 }
 
-// confirmCandidate reports whether a heartbeat shows that a process with an earlier start
-// is the current one: the clock may have been set back before it started. It must have sent two heartbeats some time apart while the
-// current process sent none. Delayed heartbeats arrive together or beside later ones.
+// confirmCandidate reports whether a heartbeat with an earlier start, or an earlier sequence number
+// of the same process, shows the present state: the clock may have been set back before the process
+// started, or another writer sent a heartbeat whose number the process does not reach. There must
+// have been two such heartbeats some time apart and none like the last accepted one meanwhile.
+// Delayed heartbeats arrive together or beside later ones.
 func (l *LocalTarget) confirmCandidate(h Heartbeat, now time.Duration) bool {
 	p := Process{h.ID, h.StartUnixMS}
 	if l.candidate != p || l.candidateAt < l.lastHeard {
