--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,11 +44,14 @@
 type Control struct {
 	self      directory.Announcement
 	announced directory.Announcement
-	local     directory.LocalTarget
-	dir       *directory.Directory
-	config    *published.Config
-	moves     map[string]*moveState
-	statuses  map[string]Status
+	// announcedRead is set once the node has read its announcement since the last read of the
+	// mesh feed.
+	announcedRead bool
+	local         directory.LocalTarget
+	dir           *directory.Directory
+	config        *published.Config
+	moves         map[string]*moveState
+	statuses      map[string]Status
 	// summaries holds the newest summary of each open move that a reader sent.
 	summaries map[string]receivedSummary
 	peers     map[mesh.NodeID]PeerState
@@ -147,7 +150,7 @@
 		c.applyConfig(t, e)
 	case AnnouncementRead:
 		if a := e.Announcement; a.Node == c.self.Node && a.StartUnixMS == c.self.StartUnixMS {
-			c.announced = a
+			c.announced, c.announcedRead = a, true
 		}
 		if c.updateDirectory(e.Announcement, t) {
 			if c.caughtUp[MeshFeed] && c.isReader() {
@@ -160,8 +163,8 @@
 	case MoveRecorded:
 		c.recordStored(e.Move)
 		c.handleRecordedMove(t, e.Move)
-	case RecordUnreadable:
-		c.handleUnreadable(t, e)
+	case RecordLost:
+		c.handleLostRecord(t, e)
 	case StatusRead:
 		c.statuses[e.Status.Service] = e.Status
 	case FeedRead:
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -61,9 +61,9 @@
 	MoveOrdered struct{ Order canary.Order }
 	// MoveRecorded carries the state of a move in the store.
 	MoveRecorded struct{ Move canary.Move }
-	// RecordUnreadable reports that a record of the nodes has been replaced by one that cannot
+	// RecordLost reports that a record of the nodes was deleted, or replaced by one that cannot
 	// be read: the announcement of a node, or the move or status of a service.
-	RecordUnreadable struct {
+	RecordLost struct {
 		Feed Feed
 		Name string
 	}
@@ -76,6 +76,8 @@
 		AsOf time.Duration
 		// End is the end of the feed as of then.
 		End logpos.Position
+		// Complete is set if the read returned the newest record of each key.
+		Complete bool
 	}
 	// ConfigChecked carries the response of a reader to CheckConfig.
 	ConfigChecked struct {
@@ -127,7 +129,7 @@
 func (AnnouncementRead) event()  {}
 func (MoveOrdered) event()       {}
 func (MoveRecorded) event()      {}
-func (RecordUnreadable) event()  {}
+func (RecordLost) event()        {}
 func (StatusRead) event()        {}
 func (FeedRead) event()          {}
 func (ConfigChecked) event()     {}
--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/published"
 )
@@ -139,6 +140,13 @@
 
 // handleFeedRead records that a read of a feed returned all records as of a time.
 func (c *Control) handleFeedRead(t Time, e FeedRead) {
+	if e.Feed == MeshFeed {
+		if e.Complete && !c.announcedRead && !c.closing {
+			// The announcement may have been deleted.
+			c.announced = directory.Announcement{}
+		}
+		c.announcedRead = false
+	}
 	if e.Feed != OperatorFeed {
 		return
 	}
--- a/internal/control/untrusted.go
+++ b/internal/control/untrusted.go
@@ -93,9 +93,9 @@
 	c.emit(ContradictState{To: sent, State: state})
 }
 
-// handleUnreadable writes again what the nodes know of a record that was replaced by one that
-// cannot be read.
-func (c *Control) handleUnreadable(t Time, e RecordUnreadable) {
+// handleLostRecord writes again what the nodes know of a record that is lost. A process may find
+// that its announcement was deleted by the withdrawal of its former process, which took effect late.
+func (c *Control) handleLostRecord(t Time, e RecordLost) {
 	switch e.Feed {
 	case MeshFeed:
 		c.rewriteAnnouncement(e.Name)
@@ -115,7 +115,9 @@
 // writes its own. In a large one the first reader does it for those that do not read.
 func (c *Control) rewriteAnnouncement(name string) {
 	if name == string(c.self.Node) {
-		c.announced = directory.Announcement{}
+		if !c.closing {
+			c.announced = directory.Announcement{}
+		}
 		return
 	}
 	for _, a := range c.dir.All() {
--- a/internal/control/untrusted_test.go
+++ b/internal/control/untrusted_test.go
@@ -206,9 +206,9 @@
 			delete(m.statuses, "s")
 			for _, n := range m.nodes {
 				if n.view.Reader {
-					m.step(n, RecordUnreadable{MeshFeed, string(victim.id)})
-					m.step(n, RecordUnreadable{MoveFeed, "s"})
-					m.step(n, RecordUnreadable{StatusFeed, "s"})
+					m.step(n, RecordLost{MeshFeed, string(victim.id)})
+					m.step(n, RecordLost{MoveFeed, "s"})
+					m.step(n, RecordLost{StatusFeed, "s"})
 				}
 			}
 			m.run(3 * time.Second)
@@ -228,7 +228,7 @@
 	delete(m.moves, "s")
 	m.muted = true
 	n := m.startFor(9, "s", "v2")
-	m.step(n, RecordUnreadable{MoveFeed, "s"})
+	m.step(n, RecordLost{MoveFeed, "s"})
 	m.run(time.Second)
 	require.Empty(t, n.Control.moves)
 	m.muted = false
@@ -236,3 +236,31 @@
 	require.Equal(t, move, m.moves["s"])
 	require.Equal(t, status, m.statuses["s"])
 }
+
+// Guards against a process that no node which starts later finds: the withdrawal of its former
+// process got no response, took effect after it had announced itself, and deleted the announcement.
+func TestAnnouncementThatALateWithdrawalDeletedIsWrittenAgain(t *testing.T) {
+	for name, read := range map[string]Event{
+		"the deletion is read":         RecordLost{MeshFeed, "node-1"},
+		"only what remains is read":    FeedRead{Feed: MeshFeed, Complete: true},
+		"what came since then is read": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMesh(t, "v1", "v1", "v1")
+			m.step(m.nodes[1], FeedRead{Feed: MeshFeed, Complete: true})
+			delete(m.announcements, "node-1")
+			if read != nil {
+				m.step(m.nodes[1], read)
+			} else {
+				m.step(m.nodes[1], FeedRead{Feed: MeshFeed})
+			}
+			m.run(time.Second)
+			require.Equal(t, read != nil, m.announcements["node-1"].Node != "")
+			m.step(m.nodes[1], Closing{})
+			delete(m.announcements, "node-1")
+			m.step(m.nodes[1], RecordLost{MeshFeed, "node-1"})
+			m.run(time.Second)
+			require.NotContains(t, m.announcements, mesh.NodeID("node-1"), "a stopping node has withdrawn itself")
+		})
+	}
+}
--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -42,6 +42,8 @@
 type feedRead struct {
 	events []control.Event
 	next   logpos.Position
+	// complete is set if the events are the newest record of each key.
+	complete bool
 	// end is the end of the feed, or the position that another node has reached if nothing was
 	// written after it.
 	end logpos.Position
@@ -264,7 +266,7 @@
 		sent = r.node.clock.now()
 	}
 	events, next, err := r.node.store.Snapshot(ctx, r.feed)
-	return feedRead{events: events, next: next, end: next, asOf: sent}, err
+	return feedRead{events: events, next: next, end: next, complete: true, asOf: sent}, err
 }
 
 // awaitOthers waits up to fetchGrace until other nodes have read the feed to its end for this one,
