distribution: after a lost response the next read of the log does not wait for records

Change: no wait while reads fail, and idle connections are closed after a timeout, since those may be unresponsive as well.

--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// Reconnect makes later calls use new connections: the idle ones may be unresponsive.
+func (c *Client) Reconnect() { c.http.CloseIdleConnections() }
+
 func (c *Client) url(stream string) string {
 	return c.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
 }
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -60,6 +60,9 @@
 	go func() {
 		defer cancel()
 		page, err := p.client.Read(ctx, streamRecords, e.From, e.Max, e.Wait)
+		if errors.Is(err, context.DeadlineExceeded) {
+			p.client.Reconnect()
+		}
 		p.loop.post(p.readResult(e.Read, page, err))
 	}()
 }
--- a/pkg/distribution/logreader.go
+++ b/pkg/distribution/logreader.go
@@ -70,7 +70,8 @@
 		m.emit(ReadSnapshotStream{Read: l.lastReadID})
 	case m.peers.reader && !m.buffer.full(m.droppableRevision()):
 		wait := time.Duration(0)
-		if l.headKnown {
+		if l.headKnown && !l.failing {
+			// The loss of the response to a long poll is noticed only after its wait.
 			wait = m.readWait()
 		}
 		m.startRead(wait)
--- a/pkg/distribution/machine_test.go
+++ b/pkg/distribution/machine_test.go
@@ -218,6 +218,38 @@
 	require.Less(t, reads, 60)
 }
 
+// Guards against a second lost response that delays a change beyond the bound on convergence: the
+// read after a failure must not be a long poll, whose loss is noticed only seconds later.
+func TestReadAfterALostResponseDoesNotWaitForRecords(t *testing.T) {
+	l := newHarness(0)
+	var read ReadLog
+	step := func(e Event) {
+		for _, r := range effectsOf[ReadLog](l.step(e)) {
+			read = r
+		}
+	}
+	advance := func(until func() bool) {
+		for !until() {
+			l.at += 100 * time.Millisecond
+			require.Less(t, l.at, time.Minute)
+			step(Tick{Now: l.at})
+		}
+	}
+	advance(func() bool { return read.Read > 0 })
+	step(LogPage{Now: l.at, Read: read.Read, First: 1, Next: 1})
+	advance(func() bool { return read.Wait > 0 })
+	poll, sentAt := read, l.at
+	advance(func() bool { return read.Read != poll.Read })
+	require.Zero(t, read.Wait)
+	lost := read
+	advance(func() bool { return read.Read != lost.Read })
+	step(LogPage{Now: l.at, Read: read.Read, First: 1, Next: 2, Entries: entries(1, 1, 1)})
+	require.EqualValues(t, 1, l.applied)
+	const convergenceBound = 9 * time.Second
+	require.Less(t, l.at-sentAt, convergenceBound, "two responses in a row were lost")
+	advance(func() bool { return read.Wait > 0 })
+}
+
 // TestReadinessRule guards against a node that becomes ready too early.
 func TestReadinessRule(t *testing.T) {
 	runOutage := func(l *harness) []SendPull {
