Records of the log, announcements of targets and messages between nodes: refuse odd values

Targets with port 0, 9e18 slots or a start of 2^63-1 were announced. Change: a newer schema is at most 100 above ours and a kind is of a to z, 0 to 9 and '-', else the entry is malformed and skipped; such an entry of a plausible schema or kind still stops the nodes, by design. Announcements of nodes and targets are checked, also in messages. A node of the code before and one of this differ on odd announcements of nodes only, which are candidates to join through.

--- a/internal/core/distribute.go
+++ b/internal/core/distribute.go
@@ -176,7 +176,7 @@
 	if r.ID != "" {
 		c.resolveRecord(r.ID, r.Outcome)
 	}
-	if b, ok := r.Record.Body.(record.NodeAnnounced); ok {
+	if b, ok := r.Record.Body.(record.NodeAnnounced); ok && r.Outcome.Code == state.Accepted {
 		c.nodeAnnounced(b)
 	}
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -6,9 +6,13 @@
 	"expvar"
 	"net/http"
 	"net/http/pprof"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/core"
 	"heathercroft.example/heathercroft/internal/query"
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/timeline"
 )
@@ -48,28 +52,25 @@
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if reason := invalidTarget(t); reason != "" {
+	if err := validateTarget(t, time.Now().UnixMilli()); err != nil {
 		badAnnouncements.Add(1)
-		http.Error(w, "announcement: "+reason, http.StatusBadRequest)
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	n.loop.post(core.TargetAnnounced{Target: t})
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func invalidTarget(t mesh.Target) string {
-	switch {
-	case t.Service == "" || t.Version == "":
-		return "service and version are required"
-	case !t.Address.IsValid():
-		return "address must be an IP address and port"
-	case t.Slots <= 0:
-		return "slots must be at least 1"
-	case t.State != mesh.TargetServing && t.State != mesh.TargetLeaving:
-		return "state must be serving or leaving"
-	default:
-		return ""
+// validateTarget reports what makes an announcement one that no target sends, as of a Unix time in
+// milliseconds.
+func validateTarget(t mesh.Target, unixMS int64) error {
+	if err := t.Validate(); err != nil {
+		return err
+	}
+	if !directory.ValidStart(t.StartedUnixMS, unixMS) {
+		return errors.Newf("started is more than %s ahead", directory.MaxClockLead)
 	}
+	return nil
 }
 
 // handleReadiness reports whether the node serves calls and, if not, the reason.
--- a/pkg/directory/validate.go
+++ b/pkg/directory/validate.go
@@ -6,15 +6,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
-// Limits of what nodes and targets announce. Entries of other writers may hold anything that
-// their encoding allows.
+// Limits of what nodes and targets announce, besides those of mesh.
 const (
-	// MaxNameBytes limits ids and names.
-	MaxNameBytes = 256
-	// MaxSlots limits the slots of a target.
-	MaxSlots = 1 << 16
 	// MaxClockLead is how far the clock of another machine may be ahead. A process that starts
 	// later must be able to exceed the start of an earlier one.
 	MaxClockLead = 24 * time.Hour
@@ -49,9 +46,9 @@
 	switch {
 	case !validName(t.ID) || !validName(t.Service):
 		return errors.New("its id or service is missing or too long")
-	case len(t.Version) > MaxNameBytes:
+	case len(t.Version) > mesh.MaxNameBytes:
 		return errors.New("its version is too long")
-	case t.Slots <= 0 || t.Slots > MaxSlots:
+	case t.Slots <= 0 || t.Slots > mesh.MaxSlots:
 		return errors.Newf("slots = %d is out of range", t.Slots)
 	case !ValidStart(t.StartUnixMS, unixMS):
 		return errors.Newf("start = %d is out of range", t.StartUnixMS)
@@ -72,7 +69,7 @@
 	return min(unixMS, math.MaxInt64-lead.Milliseconds()) + lead.Milliseconds()
 }
 
-func validName(s string) bool { return s != "" && len(s) <= MaxNameBytes }
+func validName(s string) bool { return s != "" && len(s) <= mesh.MaxNameBytes }
 
 // usable reports whether a connection to the address is possible.
 func usable(a netip.AddrPort) bool { return a.IsValid() && a.Port() != 0 }
--- a/pkg/membership/valid.go
+++ b/pkg/membership/valid.go
@@ -21,7 +21,8 @@
 	}
 	d := u.Detail
 	return d != nil && d.Info.ID == u.Node && d.Info.Session == u.Session &&
-		validID(string(d.Info.Zone)) && d.Info.RPCAddress.IsValid() && u.textBytes() <= maxTextBytes
+		validID(string(d.Info.Zone)) && d.Info.RPCAddress.IsValid() && d.Info.RPCAddress.Port() != 0 &&
+		(d.Target == nil || d.Target.Validate() == nil) && u.textBytes() <= maxTextBytes
 }
 
 // maxTextBytes bounds the text in an update. The rest of its encoding takes up to
--- a/pkg/record/codec.go
+++ b/pkg/record/codec.go
@@ -86,6 +86,9 @@
 	if err := json.Unmarshal(data, &e); err != nil {
 		return Record{}, errors.Wrapf(ErrMalformed, "envelope: %v", err)
 	}
+	if e.Schema > Schema+maxSchemaLead || !plausibleKind(e.Kind) {
+		return Record{}, errors.Wrapf(ErrMalformed, "schema %d, kind %.64q", e.Schema, string(e.Kind))
+	}
 	if e.Schema > Schema {
 		return Record{}, errors.Wrapf(ErrUnsupported, "schema %d, newest known %d", e.Schema, Schema)
 	}
@@ -104,6 +107,9 @@
 		return decodeBatch(data)
 	}
 	decode, ok := decoders[kind]
+	if !ok && !plausibleKind(kind) {
+		return nil, errors.Wrapf(ErrMalformed, "kind %.64q", string(kind))
+	}
 	if !ok {
 		return nil, errors.Wrapf(ErrUnsupported, "kind %q", string(kind))
 	}
@@ -136,6 +142,27 @@
 	return batch, nil
 }
 
+const (
+	// maxSchemaLead is by how much the schema of a newer binary may exceed Schema.
+	maxSchemaLead = 100
+	// maxKindLength limits the name of a kind in bytes.
+	maxKindLength = 64
+)
+
+// plausibleKind reports whether a newer binary may have a kind of that name: an entry that no
+// binary writes must not stop all nodes.
+func plausibleKind(k Kind) bool {
+	if len(k) > maxKindLength {
+		return false
+	}
+	for _, r := range k {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' {
+			return false
+		}
+	}
+	return true
+}
+
 // decoders holds the body decoder of each kind except KindBatch.
 var decoders = map[Kind]func(json.RawMessage) (Body, error){
 	KindPutService:      decoderOf[PutService],
--- a/pkg/state/keyslot.go
+++ b/pkg/state/keyslot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -63,7 +64,17 @@
 
 func (s *State) announceNode(b record.NodeAnnounced) Outcome {
 	if !ValidName(b.Node) || b.Session == "" || b.RPCAddress == "" {
-		return rejected(fmt.Sprintf("announcement of node %q lacks a name, session or address", b.Node))
+		return rejected(fmt.Sprintf("announcement of node %.64q lacks a name, session or address", b.Node))
+	}
+	for _, text := range []string{b.Session, b.Zone, b.Region, b.RPCAddress, b.CallAddress} {
+		if len(text) > maxNameLength {
+			return rejected(fmt.Sprintf("announcement of node %q holds a text of %d bytes", b.Node, len(text)))
+		}
+	}
+	for _, address := range []string{b.RPCAddress, b.CallAddress} {
+		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
+			return rejected(fmt.Sprintf("announcement of node %q: %q is no IP address with a port", b.Node, address))
+		}
 	}
 	s.Nodes[b.Node] = Node{NodeAnnounced: b, Revision: s.Revision}
 	s.pruneNodes()
