review: an interrupted script starts no process after it has ended the others

Two nodes of scripts that were interrupted by hand were left running; they have been ended. With the change, an interrupted script leaves none.

--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -39,6 +40,10 @@
 	record            *record
 	machines          []*machine
 
+	// starting is held while a process is started. No process is started once closed is set.
+	starting sync.Mutex
+	closed   bool
+
 	mu         sync.Mutex
 	executions []execution
 	// left is when a node confirmed that a worker leaves, in Unix milliseconds, by its id.
@@ -180,6 +185,11 @@
 	cmd.Dir = c.root
 	cmd.Env = []string{"HEATHERCROFT_CONFIG=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG")}
 	cmd.Stdout, cmd.Stderr = log, log
+	c.starting.Lock()
+	defer c.starting.Unlock()
+	if c.closed {
+		return errClosed
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -295,6 +305,11 @@
 	if err != nil {
 		return err
 	}
+	c.starting.Lock()
+	defer c.starting.Unlock()
+	if c.closed {
+		return errClosed
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -364,8 +379,13 @@
 	<-ended
 }
 
+var errClosed = errors.New("the case is over")
+
 // close ends all processes.
 func (c *cluster) close() {
+	c.starting.Lock()
+	defer c.starting.Unlock()
+	c.closed = true
 	for _, m := range c.machines {
 		kill(m.node, m.nodeEnded)
 		kill(m.worker, m.workerEnded)
