canary: a move is not completed while a node suspects the new version

Cause: Decide knew only the confirmed verdict. A suspicion takes 1 to 2.5 s to be confirmed, all traffic moves 2.8 s before the deadline, and from 1.4 s before it any node whose old version had no requests left completed the move, also one that suspected the version itself or had heard that others do. Change: a suspicion, of this node or of a live one (PeerState.Suspects, in large meshes MoveSummary.Suspected), holds the move; if it is neither confirmed nor refuted 0.6 s before the deadline, the move is reverted.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -483,7 +483,7 @@
 			}
 		}
 	}
-	s.Summaries = c.ownSummaries()
+	s.Summaries, s.Suspects = c.ownSummaries(), c.suspects()
 	for service, m := range c.moves {
 		if m.recorded {
 			s.Moves = append(s.Moves, m.move)
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -216,6 +216,8 @@
 	// PerSecond is the rate of requests that this node sends, for each service with
 	// a move.
 	PerSecond map[string]float64 `json:"per_second,omitempty"`
+	// Suspects holds the number of each move whose new version this node suspects, by service.
+	Suspects map[string]uint64 `json:"suspects,omitempty"`
 	// Crashes counts the crashes of this node's target by the fingerprint of the
 	// requests that ran.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -643,3 +643,59 @@
 	}})
 	require.True(t, restarted.view.Target.Serving)
 }
+
+// Guards against a move that is completed while nodes suspect the new version: the old version
+// stops, and a faulty one stays in use.
+func TestSuspectedVersionIsNotCompleted(t *testing.T) {
+	for _, failsAfter := range []time.Duration{250, 500, 750, 1000} {
+		failsAfter *= time.Millisecond
+		t.Run(failsAfter.String(), func(t *testing.T) {
+			var versions []string
+			for i := range 16 {
+				versions = append(versions, []string{"v1", "v2"}[i%2])
+			}
+			m := newTestMesh(t, versions...)
+			m.order("v2", 1)
+			var shiftedAt time.Duration
+			responses := 0
+			m.runWith(12*time.Second, func() {
+				if m.moves["s"].Phase != canary.Shifted && m.moves["s"].Phase != canary.Completed {
+					m.countResponses("v1", 9, false)
+					m.countResponses("v2", 1, false)
+					return
+				}
+				if shiftedAt == 0 {
+					shiftedAt = m.now
+				}
+				for range 10 {
+					responses++
+					m.countResponses("v2", 1, m.now-shiftedAt >= failsAfter && responses%2 == 0)
+				}
+			})
+			require.Equal(t, StatusReverted, m.statuses["s"].State)
+		})
+	}
+}
+
+// Guards against a move that is completed by nodes that do not suspect the new version, while
+// another one does.
+func TestSuspicionOfOneNodePreventsCompletion(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v2", "v2")
+	m.order("v2", 1)
+	suspecting := m.nodes[3]
+	m.runWith(12*time.Second, func() {
+		m.countResponses("v2", 1, false)
+		if m.moves["s"].Phase != canary.Shifted {
+			m.countResponses("v1", 5, false)
+			return
+		}
+		m.partitioned[suspecting.id] = true
+		suspecting.caughtUp[MoveFeed] = false
+		state := suspecting.State(m.time())
+		state.Suspects = map[string]uint64{"s": m.moves["s"].Number}
+		for _, n := range m.nodes[:3] {
+			m.step(n, PeerStateReceived{State: m.transfer(state)})
+		}
+	})
+	require.Equal(t, StatusReverted, m.statuses["s"].State)
+}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -224,7 +224,8 @@
 		}
 	}
 	phase := m.move.Decide(canary.Snapshot{
-		UnixMS: m.move.DeadlineUnixMS - (m.deadline - t.Now).Milliseconds(), Faulty: verdict == canary.VerdictFaulty, NewResponses: total.Responses,
+		UnixMS: m.move.DeadlineUnixMS - (m.deadline - t.Now).Milliseconds(), Faulty: verdict == canary.VerdictFaulty,
+		Suspected: verdict == canary.VerdictSuspected || known.Suspected, NewResponses: total.Responses,
 		NewTargets: known.NewTargets, OldRequests: known.OldRequests,
 		AcknowledgedByAll: known.AcknowledgedRevision >= m.move.Revision,
 	})
--- a/internal/control/summary.go
+++ b/internal/control/summary.go
@@ -27,6 +27,8 @@
 	AcknowledgedRevision int `json:"acknowledged"`
 	// PerSecond is the rate of requests for the service in the mesh.
 	PerSecond float64 `json:"per_second"`
+	// Suspected is set while a live node suspects the new version.
+	Suspected bool `json:"suspected,omitempty"`
 }
 
 // receivedSummary is a summary of a reader.
@@ -43,6 +45,7 @@
 func (c *Control) summarize(t Time, m canary.Move) MoveSummary {
 	s := MoveSummary{
 		Service: m.Service, Number: m.Number, AcknowledgedRevision: m.Revision, PerSecond: c.load.PerSecond[m.Service],
+		Suspected: c.suspects()[m.Service] == m.Number,
 	}
 	s.addTarget(c.self.Target, m, c.evidence, c.recent)
 	s.addLoad(c.self.Target, m, c.load.Running+c.load.Waiting)
@@ -57,10 +60,27 @@
 		p := c.peers[id]
 		s.addLoad(p.Announcement.Target, m, p.Running+p.Waiting)
 		s.AcknowledgedRevision = min(s.AcknowledgedRevision, revisionOf(p.Moves, m))
+		s.Suspected = s.Suspected || p.Suspects[m.Service] == m.Number
 	}
 	return s
 }
 
+// suspects returns the number of each open move whose new version this node itself suspects, by
+// service.
+func (c *Control) suspects() map[string]uint64 {
+	var out map[string]uint64
+	for service, m := range c.moves {
+		if !m.cut || !m.move.Open() {
+			continue
+		}
+		if out == nil {
+			out = map[string]uint64{}
+		}
+		out[service] = m.move.Number
+	}
+	return out
+}
+
 // addTarget adds the responses of a target.
 func (s *MoveSummary) addTarget(target *directory.Target, m canary.Move, e canary.Evidence, r canary.RecentCounts) {
 	switch {
--- a/pkg/canary/canary_test.go
+++ b/pkg/canary/canary_test.go
@@ -131,6 +131,21 @@
 	require.Equal(t, canary.Reverted, m.Decide(canary.Snapshot{UnixMS: 9900, Faulty: true, AcknowledgedByAll: true}))
 }
 
+// Guards against a version that is suspected and still gets all traffic or is completed: a
+// suspicion that is not refuted before the deadline reverts the move.
+func TestSuspicionHoldsTheMove(t *testing.T) {
+	observing := canary.NewMove(canary.Order{Service: "s", Version: "v2", Number: 1, Duration: 10 * time.Second}, 0)
+	for phase, m := range map[canary.Phase]canary.Move{canary.Observing: observing, canary.Shifted: observing.Next(canary.Shifted)} {
+		s := canary.Snapshot{Suspected: true, NewResponses: 100, NewTargets: 1, AcknowledgedByAll: true}
+		for s.UnixMS = 0; s.UnixMS < 9400; s.UnixMS += 100 {
+			require.Equal(t, phase, m.Decide(s), "at %d ms", s.UnixMS)
+		}
+		for ; s.UnixMS < 11_000; s.UnixMS += 100 {
+			require.Equal(t, canary.Reverted, m.Decide(s), "at %d ms", s.UnixMS)
+		}
+	}
+}
+
 // Guards the bound on the requests that a faulty version may get between the order and
 // its deadline: a tenth of the requests and 50 more, whenever its fault shows.
 func TestExposureIsBounded(t *testing.T) {
--- a/pkg/canary/move.go
+++ b/pkg/canary/move.go
@@ -174,6 +174,10 @@
 	// covers two conditional writes to a slow store, and leaves over a second in which
 	// a fault that shows only under load is detected.
 	completeLead = 1400 * time.Millisecond
+	// revertLead is how long before the deadline a suspicion that is neither confirmed nor
+	// refuted reverts the move: time to write the decision and its status. Completing it
+	// would stop the old version, and with it the only way back.
+	revertLead = 600 * time.Millisecond
 	// minNewResponses is how many responses of the new version a move needs before all
 	// traffic is moved.
 	minNewResponses = 8
@@ -198,6 +202,8 @@
 	UnixMS int64
 	// Faulty is set if the verdict on the new version is VerdictFaulty.
 	Faulty bool
+	// Suspected is set while this node or another live one suspects the new version.
+	Suspected bool
 	// NewResponses is how many responses of the new version were counted.
 	NewResponses int
 	// NewTargets is how many targets of the new version are serving.
@@ -215,8 +221,10 @@
 	switch {
 	case !m.Open():
 		return m.Phase
-	case s.Faulty:
+	case s.Faulty, s.Suspected && left <= revertLead:
 		return Reverted
+	case s.Suspected:
+		return m.Phase
 	case m.Phase == Observing && left <= shiftLead && s.NewTargets > 0 && s.NewResponses >= minNewResponses:
 		return Shifted
 	case m.Phase == Shifted && left <= completeLead && s.OldRequests == 0 && s.AcknowledgedByAll:
