control: the first suspicion of a new version stops its requests on all nodes at once

Cause: each node stopped its own requests only when it had itself heard, by gossip every 0.5 s, from enough targets of the version. Change: a node that begins or ends to suspect a version sends its state at once (in a large mesh to the readers, which tell the others), and a node sends nothing to a version that a live node suspects. A suspicion of others ends with theirs; only a node's own evidence confirms it. TestSuspicionStopsTheRequestsOfAllNodesAtOnce fails before for 16 nodes (the case of 48 nodes passes before as well).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -421,7 +421,8 @@
 		c.handleRecordedMove(t, m)
 	}
 	c.adoptSummaries(t, s.Summaries)
-	if changed {
+	c.adoptSuspicions(t, s)
+	if changed || len(s.Suspects) > 0 || len(s.Summaries) > 0 {
 		c.publishView(t)
 	}
 	if e.RoundTrip > 0 {
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -699,3 +699,31 @@
 	})
 	require.Equal(t, StatusReverted, m.statuses["s"].State)
 }
+
+// Guards against the requests that a version that fails under load gets until each node has heard
+// from all its targets: the first suspicion must stop them everywhere.
+func TestSuspicionStopsTheRequestsOfAllNodesAtOnce(t *testing.T) {
+	// In a large mesh the readers hear of the fault first.
+	for nodes, ticks := range map[int]time.Duration{16: 1, 48: 2} {
+		t.Run(fmt.Sprintf("nodes=%d", nodes), func(t *testing.T) {
+			var versions []string
+			for i := range nodes {
+				versions = append(versions, []string{"v1", "v2"}[i%2])
+			}
+			m := newTestMesh(t, versions...)
+			m.order("v2", 1)
+			m.runWith(7500*time.Millisecond, func() {
+				m.countResponses("v1", 9, false)
+				m.countResponses("v2", 1, false)
+			})
+			require.Equal(t, canary.Shifted, m.moves["s"].Phase)
+			for range 30 {
+				m.step(m.nodes[1], TargetResponded{Route: "r", Failed: true, Latency: 50 * time.Millisecond})
+			}
+			m.runWith(ticks*TickInterval, nil)
+			for _, n := range m.nodes {
+				require.Zero(t, n.view.Endpoints["s"].NewShare, "%s", n.id)
+			}
+		})
+	}
+}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -181,7 +181,7 @@
 		// The move may have been decided already. Send nothing to a version that may be
 		// faulty.
 		s.New, s.NewShare = nil, 0
-	case m.cut || m.move.Phase == canary.Reverted:
+	case m.cut || m.known.Suspected && m.known.Number == m.move.Number || m.move.Phase == canary.Reverted:
 		s.New, s.NewShare = nil, 0
 	default:
 		if m.known.Number != m.move.Number {
@@ -203,8 +203,33 @@
 	c.verifyMoves()
 }
 
-func (c *Control) analyze(t Time, m *moveState) {
+// updateSummary updates what is known of a move from all nodes.
+func (c *Control) updateSummary(t Time, m *moveState) {
+	before := m.known.Suspected && m.known.Number == m.move.Number
 	m.known = c.summaryOf(t, m.move)
+	if m.known.Suspected != before && c.large() && c.isReader() {
+		// The others decide from the summary.
+		c.broadcast(t)
+	}
+}
+
+// adoptSuspicions stops the requests to the versions that another node suspects, without waiting
+// for the next tick.
+func (c *Control) adoptSuspicions(t Time, s PeerState) {
+	for service := range s.Suspects {
+		if m, ok := c.moves[service]; ok && m.move.Open() && !m.known.Suspected {
+			c.updateSummary(t, m)
+		}
+	}
+	for _, summary := range s.Summaries {
+		if m, ok := c.moves[summary.Service]; ok && summary.Suspected && m.move.Open() && !m.known.Suspected {
+			c.updateSummary(t, m)
+		}
+	}
+}
+
+func (c *Control) analyze(t Time, m *moveState) {
+	c.updateSummary(t, m)
 	known := m.known
 	current, old := known.Current, known.Old
 	verdict, reason := m.analyzer.Observe(t.Now, current, old)
@@ -218,10 +243,9 @@
 		c.log(kind, "service", m.move.Service, "version", m.move.Version, "reason", reason,
 			"answers", total.Responses, "failed", total.Failed,
 			"recent_failure_rate", current.Recent.FailureRate(), "old_recent_failure_rate", old.Recent.FailureRate())
-		if c.large() && c.isReader() {
-			// The others decide from the summary.
-			c.broadcast(t)
-		}
+		m.known.Suspected = m.known.Suspected || cut
+		// The node beside a faulty target suspects it first.
+		c.propagateChange(t)
 	}
 	phase := m.move.Decide(canary.Snapshot{
 		UnixMS: m.move.DeadlineUnixMS - (m.deadline - t.Now).Milliseconds(), Faulty: verdict == canary.VerdictFaulty,
