sidecar: the URI and the header of a request between nodes are carried as they are

Cause: net/http writes an opaque URL that begins with // behind an empty scheme; the metadata between nodes escaped each & in six bytes, and JSON replaces bytes that are not UTF-8; HTTP/2 counts 32 bytes more for each field. A header over the limit of the receiving node ended the connection attempt, and the node counted as unreachable. Change: no HTML escapes, a header of its own for a URI that is not UTF-8, a limit between nodes that no accepted request exceeds; a path with // that net/http would write in another form is rejected with 400 and a reason.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -113,6 +113,11 @@
 		n.respondError(w, http.StatusNotFound, "no-route", "no route matches this host and path")
 		return
 	}
+	if _, err := requestURL(r.RequestURI); err != nil {
+		n.logRejected(r, id, http.StatusBadRequest, "bad-path")
+		n.respondError(w, http.StatusBadRequest, "bad-path", err.Error())
+		return
+	}
 	limits := view.Config.Limits
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
 		n.logRejected(r, id, http.StatusRequestEntityTooLarge, "body-too-large")
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -60,10 +59,6 @@
 	if !ok {
 		return result{outcome: retry.NotSent, reason: "node-unknown"}
 	}
-	text, err := json.Marshal(h)
-	if err != nil {
-		panic("a request between nodes is always encodable: " + err.Error())
-	}
 	var connected, wrote atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn:          func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -76,7 +71,7 @@
 	if request.body == nil {
 		req.Body = http.NoBody
 	}
-	req.Header.Set(hopHeader, string(text))
+	h.write(req.Header)
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = []string{""}
 	}
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,10 +16,12 @@
 )
 
 // hopHeader carries the metadata of a request or response between nodes, and hopPath is
-// the path of requests between nodes.
+// the path of requests between nodes. hopURIHeader carries the URI of a request if JSON, which
+// is UTF-8, would change it.
 const (
-	hopHeader = "Heathercroft-Hop"
-	hopPath   = "/heathercroft/v1/forward"
+	hopHeader    = "Heathercroft-Hop"
+	hopURIHeader = "Heathercroft-Hop-Uri"
+	hopPath      = "/heathercroft/v1/forward"
 )
 
 // hopRequest is the metadata of a request for the node of the target.
@@ -48,6 +52,35 @@
 	ExpectedServiceTimeMS float64 `json:"need_ms"`
 }
 
+// write sets the headers of a request between nodes.
+func (h hopRequest) write(header http.Header) {
+	header.Del(hopURIHeader)
+	if !utf8.ValidString(h.URI) {
+		header.Set(hopURIHeader, h.URI)
+		h.URI = ""
+	}
+	var text strings.Builder
+	e := json.NewEncoder(&text)
+	// The escapes for HTML would take six bytes for each "&" of a query.
+	e.SetEscapeHTML(false)
+	if err := e.Encode(h); err != nil {
+		panic("a request between nodes is always encodable: " + err.Error())
+	}
+	header.Set(hopHeader, strings.TrimSuffix(text.String(), "\n"))
+}
+
+// readHopRequest returns the metadata of a request between nodes.
+func readHopRequest(header http.Header) (hopRequest, error) {
+	var h hopRequest
+	if err := json.Unmarshal([]byte(header.Get(hopHeader)), &h); err != nil {
+		return h, errors.Wrap(err, "decode request of node")
+	}
+	if uri := header.Get(hopURIHeader); uri != "" {
+		h.URI = uri
+	}
+	return h, nil
+}
+
 // hopReply is the metadata of a response from the node of the target.
 type hopReply struct {
 	Outcome string `json:"outcome"`
@@ -188,7 +221,7 @@
 // hopByHopHeaders apply to one connection only.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", hopHeader,
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", hopHeader, hopURIHeader,
 }
 
 // endToEndHeaders returns a copy of the header without the hop-by-hop headers.
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -30,8 +30,8 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	var h hopRequest
-	if r.URL.Path != hopPath || json.Unmarshal([]byte(r.Header.Get(hopHeader)), &h) != nil {
+	h, err := readHopRequest(r.Header)
+	if r.URL.Path != hopPath || err != nil {
 		http.Error(w, "not a request between nodes", http.StatusBadRequest)
 		return
 	}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -194,7 +194,13 @@
 }
 
 func listen(t *testing.T, handler http.Handler) *httptest.Server {
+	return listenWith(t, handler, maxHeaderBytes)
+}
+
+// listenWith serves with a limit on the header of a request in bytes.
+func listenWith(t *testing.T, handler http.Handler, headerBytes int) *httptest.Server {
 	s := httptest.NewUnstartedServer(handler)
+	s.Config.MaxHeaderBytes = headerBytes
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -252,7 +258,7 @@
 func newTestNode(t *testing.T, i int) *testNode {
 	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
 	serving := &atomic.Pointer[Node]{}
-	inbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }))
+	inbound := listenWith(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }), maxHopHeaderBytes)
 	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		serving.Load().outboundHandler().ServeHTTP(w, r)
 	}))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -144,6 +144,10 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is the maximum header size, the same as in the published limits.
 	maxHeaderBytes = 32 << 10
+	// maxHopHeaderBytes is the maximum header size of a request between nodes. HTTP/2 counts 32
+	// bytes for each field in addition to its text, and the shortest field of a caller has
+	// four bytes.
+	maxHopHeaderBytes = 12 * maxHeaderBytes
 	// messageMemoryShare is the share of the process's memory for the bodies of requests and
 	// responses. The garbage collector needs as much again before it frees them.
 	messageMemoryShare = 0.25
@@ -179,14 +183,15 @@
 func (n *Node) Run(ctx context.Context, registry http.Handler) error {
 	var servers []transport.Server
 	for _, l := range []struct {
-		address netip.AddrPort
-		handler http.Handler
+		address     netip.AddrPort
+		handler     http.Handler
+		headerBytes int
 	}{
-		{n.settings.Control, registry},
-		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
-		{n.settings.Inbound, http.HandlerFunc(n.serveInbound)},
-		{n.settings.Outbound, n.outboundHandler()},
-		{n.settings.Metrics, expvar.Handler()},
+		{n.settings.Control, registry, maxHeaderBytes},
+		{n.settings.Ready, http.HandlerFunc(n.serveReady), maxHeaderBytes},
+		{n.settings.Inbound, http.HandlerFunc(n.serveInbound), maxHopHeaderBytes},
+		{n.settings.Outbound, n.outboundHandler(), maxHeaderBytes},
+		{n.settings.Metrics, expvar.Handler(), maxHeaderBytes},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -197,7 +202,7 @@
 		}
 		server := app.HTTPServer(pipeline.Listen(listener), l.handler)
 		server.ConnContext = pipeline.ConnContext
-		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
+		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, l.headerBytes
 		server.HTTP2 = &http.HTTP2Config{
 			MaxReceiveBufferPerStream: peerStreamWindow, MaxReceiveBufferPerConnection: peerConnWindow,
 		}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -230,8 +230,12 @@
 }
 
 func (c *targetClient) roundTrip(conn *targetConn, request *targetRequest) (r *response, keep bool, err error) {
+	target, err := requestURL(request.uri)
+	if err != nil {
+		return nil, false, err
+	}
 	req := &http.Request{
-		Method: request.method, URL: &url.URL{Opaque: request.uri}, Host: request.host, Header: request.header,
+		Method: request.method, URL: target, Host: request.host, Header: request.header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: request.body.length(),
 	}
 	if req.ContentLength != 0 {
@@ -257,6 +261,22 @@
 	}
 }
 
+// requestURL returns a URL that net/http writes as the given URI of a request.
+func requestURL(uri string) (*url.URL, error) {
+	if !strings.HasPrefix(uri, "//") {
+		return &url.URL{Opaque: uri}, nil
+	}
+	// An opaque URL would be written with an empty scheme before the slashes.
+	u, err := url.ParseRequestURI(uri)
+	if err != nil {
+		return nil, errors.Wrap(err, "request URI")
+	}
+	if u.RequestURI() != uri {
+		return nil, errors.Newf("request URI %q has characters that must be escaped", uri)
+	}
+	return u, nil
+}
+
 // bodyLength returns the declared length of a response's body, or -1.
 func bodyLength(resp *http.Response) int64 {
 	if resp.Request != nil && resp.Request.Method == http.MethodHead || resp.Body == http.NoBody {
