--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -89,6 +89,10 @@
 	// unresponsiveReaders holds readers that sent nothing for aliveTimeout, until their
 	// next message.
 	unresponsiveReaders map[mesh.NodeID]bool
+	// expired holds the nodes that were removed from the directory, in the order in which they
+	// are probed.
+	expired          []expiredNode
+	nextExpiredProbe time.Duration
 	// nextReader selects the reader that gets the next gossip message, round robin.
 	nextReader   int
 	gossipCursor uint64
@@ -444,12 +448,7 @@
 	c.recent, c.sinceTick = c.recent.Update(c.sinceTick), canary.Counts{}
 	c.refreshAnnouncement(t)
 	c.writeAnnouncement(t)
-	for _, id := range c.dir.Expire(t.Now) {
-		delete(c.peers, id)
-		delete(c.fetch.holders, id)
-		delete(c.unresponsiveReaders, id)
-		c.log("node_expired", "peer", string(id))
-	}
+	c.expireNodes(t)
 	c.expireCrashes(t)
 	c.chooseReaders(t)
 	c.checkFreshness(t)
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -258,6 +258,11 @@
 		To    []mesh.NodeID
 		State PeerState
 	}
+	// ProbeNode sends the state to a node that the view does not contain.
+	ProbeNode struct {
+		To    directory.Announcement
+		State PeerState
+	}
 	// ContradictState tells a node what others say of it.
 	ContradictState struct {
 		To    directory.Announcement
@@ -283,6 +288,7 @@
 func (RecordMove) effect()          {}
 func (WriteStatus) effect()         {}
 func (SendState) effect()           {}
+func (ProbeNode) effect()           {}
 func (ContradictState) effect()     {}
 func (RewriteAnnouncement) effect() {}
 func (FetchConfig) effect()         {}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -167,6 +167,11 @@
 				m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time())), RoundTrip: time.Millisecond})
 			}
 		}
+	case ProbeNode:
+		if other := m.node(e.To.Node); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[e.To.Node] {
+			m.step(other, PeerStateReceived{State: m.transfer(e.State)})
+			m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time())), RoundTrip: time.Millisecond})
+		}
 	case ContradictState:
 		if other := m.node(e.To.Node); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[e.To.Node] {
 			m.step(other, PeerStateReceived{State: m.transfer(e.State)})
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -301,6 +301,8 @@
 		go n.writeStatus(e.Status)
 	case control.SendState:
 		n.sendState(e)
+	case control.ProbeNode:
+		go n.exchangeState(e.To, e.State)
 	case control.ContradictState:
 		go n.exchangeState(e.To, e.State)
 	case control.RewriteAnnouncement:
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -174,17 +174,26 @@
 
 // Expire removes and returns the nodes whose last message is older than
 // MemberLifetime.
-func (d *Directory) Expire(now time.Duration) []mesh.NodeID {
-	var gone []mesh.NodeID
+func (d *Directory) Expire(now time.Duration) []Announcement {
+	var gone []Announcement
 	for id, m := range d.members {
 		if now-m.lastHeard > MemberLifetime {
 			d.remove(id)
-			gone = append(gone, id)
+			gone = append(gone, m.Announcement)
 		}
 	}
+	slices.SortFunc(gone, compareNodes)
 	return gone
 }
 
+// Owner returns the node that has an address for requests between nodes.
+func (d *Directory) Owner(callAddress netip.AddrPort) (mesh.NodeID, bool) {
+	id, ok := d.byAddress[callAddress]
+	return id, ok
+}
+
+func compareNodes(a, b Announcement) int { return strings.Compare(string(a.Node), string(b.Node)) }
+
 // Len returns the number of known nodes.
 func (d *Directory) Len() int { return len(d.members) }
 
@@ -215,7 +224,7 @@
 	for _, m := range d.members {
 		out = append(out, m.Announcement)
 	}
-	slices.SortFunc(out, func(a, b Announcement) int { return strings.Compare(string(a.Node), string(b.Node)) })
+	slices.SortFunc(out, compareNodes)
 	d.sorted = slices.Clip(out)
 	return d.sorted
 }
