--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -21,7 +21,12 @@
 	"heathercroft.example/heathercroft/platform"
 )
 
-// #include <stdlib.h>
+/*
+#include <signal.h>
+
+// Ignores SIGHUP until the Go runtime handles it. It would end a process that has just started.
+__attribute__((constructor)) static void ignore_reload(void) { signal(SIGHUP, SIG_IGN); }
+*/
 import "C"
 
 // heapGrowthPercent is the heap growth that triggers a garbage collection. Memory is paid
@@ -29,6 +34,8 @@
 const heapGrowthPercent = 15
 
 func main() {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	cli := kingpin.New("heathercroft-sidecar", "Carries requests and applies published configurations beside one target instance.")
 	path := cli.Flag("settings", "Settings file of the platform.").Default(platform.Path()).String()
 	advertise := cli.Flag("advertise", "IP address at which other nodes reach this one, if it is not the one at which it listens.").String()
@@ -54,7 +61,7 @@
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return logBuffer.Dropped() }))
 	store := platform.NewStore(s.Store, s.Node.Inbound.Addr(), logger)
 	n := sidecar.New(s.Node, platform.Headers(), store, logger)
-	go reload(*path, store, logger)
+	go reload(reloads, *path, store, logger)
 	if err := n.Run(context.Background(), platform.Registry(n.Step, logger)); err != nil {
 		app.Fail(app.ExitFailure, err)
 	}
@@ -64,12 +71,10 @@
 // change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// reload reloads the settings after SIGHUP and after changes of the file, because the
+// reload reloads the settings after a signal and after changes of the file, because the
 // address of the store may change while the node runs. Settings that cannot be loaded
 // change nothing.
-func reload(path string, store *platform.Store, logger *slog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func reload(signals <-chan os.Signal, path string, store *platform.Store, logger *slog.Logger) {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	last := modificationTime(path)
