control: log who confirmed a departure and what a node learns of its former process

Nothing in the logs told which process of a node had taken the report of a target that it leaves (draining heartbeat, DELETE, leaving signal), whether it was confirmed, where it was kept, and what the next process of the node found of it. No change of logic.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -47,11 +47,13 @@
 	// announcedRead is set once the node has read its announcement since the last read of the
 	// mesh feed.
 	announcedRead bool
-	local         directory.LocalTarget
-	dir           *directory.Directory
-	config        *published.Config
-	moves         map[string]*moveState
-	statuses      map[string]Status
+	// former is the newest announcement of a former process of this node that was received.
+	former   directory.Announcement
+	local    directory.LocalTarget
+	dir      *directory.Directory
+	config   *published.Config
+	moves    map[string]*moveState
+	statuses map[string]Status
 	// summaries holds the newest summary of each open move that a reader sent.
 	summaries map[string]receivedSummary
 	peers     map[mesh.NodeID]PeerState
@@ -136,6 +138,7 @@
 		if c.local.MarkLeaving(e.ID, t.UnixMS) {
 			c.log("target_left", "target", e.ID)
 		}
+		c.logDeparture(e.ID, "delete")
 		c.refreshAnnouncement(t)
 	case TargetUnreachable:
 		c.local.MarkUnreachable(t.Now)
@@ -173,6 +176,7 @@
 		c.handleConfigChecked(t, e)
 	case FeedCaughtUp:
 		if e.Feed == MeshFeed && !c.caughtUp[e.Feed] {
+			c.log("former_process_read", "found", c.former.Node != "", "process", c.self.StartUnixMS)
 			c.probeUnheardNodes(t)
 		}
 		if e.Feed == MoveFeed {
@@ -205,7 +209,11 @@
 
 func (c *Control) handleHeartbeat(t Time, h directory.Heartbeat) {
 	before := c.self.Target
-	if !c.local.HandleHeartbeat(h, t.Now, t.UnixMS) {
+	accepted := c.local.HandleHeartbeat(h, t.Now, t.UnixMS)
+	if h.Draining {
+		c.logDeparture(h.ID, "draining")
+	}
+	if !accepted {
 		c.log("heartbeat_ignored", "target", h.ID, "sequence", h.Sequence, "draining", h.Draining)
 		return
 	}
@@ -220,6 +228,11 @@
 	}
 }
 
+// logDeparture logs a report of a target that it leaves, which the process that received it keeps.
+func (c *Control) logDeparture(target, report string) {
+	c.log("departure_reported", "target", target, "report", report, "process", c.self.StartUnixMS, "kept", "memory")
+}
+
 func (c *Control) countResponse(e TargetResponded) {
 	if len(c.evidence) > maxEvidenceRoutes {
 		c.evidence = canary.Evidence{}
@@ -243,6 +256,7 @@
 	}
 	if e.Signals.Leaving && c.local.MarkProcessLeaving(e.Target, t.UnixMS) {
 		c.log("target_left", "target", e.Target.ID)
+		c.logDeparture(e.Target.ID, "signal")
 		c.refreshAnnouncement(t)
 	}
 	c.publishView(t)
@@ -289,7 +303,14 @@
 // target has left. A heartbeat that the target sent before, and that arrives late, must not
 // bring it back.
 func (c *Control) adoptDepartures(t Time, former directory.Announcement) {
-	if former.StartUnixMS == c.self.StartUnixMS || former.Target == nil || !former.Target.Leaving {
+	if former.StartUnixMS == c.self.StartUnixMS {
+		return
+	}
+	if c.former.Node == "" || former.Supersedes(c.former) {
+		c.former = former
+		c.log("former_process", "former", former.StartUnixMS, "process", c.self.StartUnixMS, "target", targetID(former), "leaving", targetLeaving(former))
+	}
+	if !targetLeaving(former) {
 		return
 	}
 	if c.local.MarkProcessLeaving(former.Target.Process(), t.UnixMS) {
