sidecar: a confirmed departure outlives the process that confirmed it

Callers saw: requests reached targets seconds after a node had confirmed that these leave, once the node beside them had been stopped or killed and started again; what ran there when the target exited was lost (502).

Cause: what a process had confirmed lived in its memory, and in three ways its end forgot it. - A planned stop deleted the record with the departure; the next process took a late heartbeat. - A process that started used its target after the first heartbeat, before it had read what the former one confirmed. - A departure was confirmed before the store or any other node had it. If the write of an announcement was under way at that time, the departure was never written: the result of that write was taken for one of the newer announcement.

Now departures are a list in the announcement (16 at most, 10 min), taken over by each process of the node from the store and from other nodes, which remember them beyond the next announcement. The last record of a stopping node stays in the store, marked as stopped, if it has departures; nodes neither contact nor add it, and one deletes it once they have expired. The node's writes are in order, with the last one among them (internal/control instead of sidecar.withdraw). A heartbeat that drains or a DELETE gets 200 once the store or a node that is not leaving itself has the announcement with the departure, 503 after 0.8 s without either. A starting node uses no target until it has read the store and asked the others (0.5 s at most, only if the store has an announcement of a former process), or after 1 s without the store, until a node that knows has answered.

Ruled out: keeping the target in use of the memory of other nodes only (they replace what they know by the next announcement, and a node alone has none), and writes at a stop that don't wait for the one before (either may be last in the store).

--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -55,7 +55,7 @@
 	store := platform.NewStore(s.Store, s.Node.Inbound.Addr(), logger)
 	n := sidecar.New(s.Node, platform.Headers(), store, logger)
 	go reload(*path, store, logger)
-	if err := n.Run(context.Background(), platform.Registry(n.Step, logger)); err != nil {
+	if err := n.Run(context.Background(), platform.Registry(n.Report, logger)); err != nil {
 		app.Fail(app.ExitFailure, err)
 	}
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -47,13 +47,18 @@
 	// announcedRead is set once the node has read its announcement since the last read of the
 	// mesh feed.
 	announcedRead bool
-	// former is the newest announcement of a former process of this node that was received.
-	former   directory.Announcement
-	local    directory.LocalTarget
-	dir      *directory.Directory
-	config   *published.Config
-	moves    map[string]*moveState
-	statuses map[string]Status
+	// writing is the announcement that is being written.
+	writing    directory.Announcement
+	former     formerProcess
+	departures departures
+	// stopped holds the departures in the records of other nodes that stopped.
+	stopped     map[mesh.NodeID][]directory.Departure
+	nextRemoval time.Duration
+	local       directory.LocalTarget
+	dir         *directory.Directory
+	config      *published.Config
+	moves       map[string]*moveState
+	statuses    map[string]Status
 	// summaries holds the newest summary of each open move that a reader sent.
 	summaries map[string]receivedSummary
 	peers     map[mesh.NodeID]PeerState
@@ -68,6 +73,8 @@
 	signals   *directory.SignalTable
 	stopping  bool
 	closing   bool
+	// withdrawn is set once the announcement of a stopping node was deleted.
+	withdrawn bool
 	// configDeadline is how long a configuration may take to be in force.
 	configDeadline time.Duration
 	storeLost      bool
@@ -123,6 +130,7 @@
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
 		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
+		former: formerProcess{answered: map[mesh.NodeID]bool{}, awaited: map[mesh.NodeID]bool{}}, stopped: map[mesh.NodeID][]directory.Departure{},
 	}
 }
 
@@ -138,7 +146,7 @@
 		if c.local.MarkLeaving(e.ID, t.UnixMS) {
 			c.log("target_left", "target", e.ID)
 		}
-		c.logDeparture(e.ID, "delete")
+		c.keepDeparture(t, c.local.LeftProcess(e.ID), "delete")
 		c.refreshAnnouncement(t)
 	case TargetUnreachable:
 		c.local.MarkUnreachable(t.Now)
@@ -154,7 +162,9 @@
 	case AnnouncementRead:
 		if a := e.Announcement; a.Node == c.self.Node && a.StartUnixMS == c.self.StartUnixMS {
 			c.announced, c.announcedRead = a, true
+			c.setKept(a.Sequence, "store")
 		}
+		c.trackStopped(e.Announcement)
 		if c.updateDirectory(e.Announcement, t) {
 			if c.caughtUp[MeshFeed] && c.isReader() {
 				c.announcementsToRelay = append(c.announcementsToRelay, e.Announcement)
@@ -175,14 +185,14 @@
 	case ConfigChecked:
 		c.handleConfigChecked(t, e)
 	case FeedCaughtUp:
-		if e.Feed == MeshFeed && !c.caughtUp[e.Feed] {
-			c.log("former_process_read", "found", c.former.Node != "", "process", c.self.StartUnixMS)
-			c.probeUnheardNodes(t)
-		}
 		if e.Feed == MoveFeed {
 			c.verifySince = t.Now
 		}
+		first := !c.caughtUp[e.Feed]
 		c.caughtUp[e.Feed] = true
+		if first && e.Feed == MeshFeed {
+			c.meshCaughtUp(t)
+		}
 	case StoreEraSeen:
 		c.handleStoreEra(t, e)
 	case StoreAvailability:
@@ -210,13 +220,20 @@
 func (c *Control) handleHeartbeat(t Time, h directory.Heartbeat) {
 	before := c.self.Target
 	accepted := c.local.HandleHeartbeat(h, t.Now, t.UnixMS)
-	if h.Draining {
-		c.logDeparture(h.ID, "draining")
+	if p, ok := c.local.ProcessOf(h, t.UnixMS); ok && h.Draining {
+		if !accepted {
+			c.local.MarkProcessLeaving(p, t.UnixMS)
+		}
+		c.keepDeparture(t, p, "draining")
 	}
 	if !accepted {
+		if c.departures.changed {
+			c.refreshAnnouncement(t)
+		}
 		c.log("heartbeat_ignored", "target", h.ID, "sequence", h.Sequence, "draining", h.Draining)
 		return
 	}
+	c.logWait(h.ID)
 	c.refreshAnnouncement(t)
 	after := c.self.Target
 	if before == nil || after == nil || before.ID != after.ID || before.Serving != after.Serving {
@@ -228,11 +245,6 @@
 	}
 }
 
-// logDeparture logs a report of a target that it leaves, which the process that received it keeps.
-func (c *Control) logDeparture(target, report string) {
-	c.log("departure_reported", "target", target, "report", report, "process", c.self.StartUnixMS, "kept", "memory")
-}
-
 func (c *Control) countResponse(e TargetResponded) {
 	if len(c.evidence) > maxEvidenceRoutes {
 		c.evidence = canary.Evidence{}
@@ -256,7 +268,7 @@
 	}
 	if e.Signals.Leaving && c.local.MarkProcessLeaving(e.Target, t.UnixMS) {
 		c.log("target_left", "target", e.Target.ID)
-		c.logDeparture(e.Target.ID, "signal")
+		c.keepDeparture(t, e.Target, "signal")
 		c.refreshAnnouncement(t)
 	}
 	c.publishView(t)
@@ -289,36 +301,17 @@
 
 func (c *Control) updateDirectory(a directory.Announcement, t Time) bool {
 	if a.Node == c.self.Node {
-		c.adoptDepartures(t, a)
+		c.adoptFormer(t, a)
 		c.supersedeFormer(t, a)
 		return false
 	}
 	if a.CallAddress == c.self.CallAddress {
 		return false
 	}
+	c.dir.RecordDepartures(a, t.UnixMS)
 	return c.dir.Update(a, t.Now)
 }
 
-// adoptDepartures takes from the announcement of a former process of this node that its
-// target has left. A heartbeat that the target sent before, and that arrives late, must not
-// bring it back.
-func (c *Control) adoptDepartures(t Time, former directory.Announcement) {
-	if former.StartUnixMS == c.self.StartUnixMS {
-		return
-	}
-	if c.former.Node == "" || former.Supersedes(c.former) {
-		c.former = former
-		c.log("former_process", "former", former.StartUnixMS, "process", c.self.StartUnixMS, "target", targetID(former), "leaving", targetLeaving(former))
-	}
-	if !targetLeaving(former) {
-		return
-	}
-	if c.local.MarkProcessLeaving(former.Target.Process(), t.UnixMS) {
-		c.log("target_left", "target", former.Target.ID)
-	}
-	c.refreshAnnouncement(t)
-}
-
 // supersedeFormer makes the announcement of this process newer than that of a former one.
 // The clock may have been set back between them, and other nodes would ignore this process.
 func (c *Control) supersedeFormer(t Time, former directory.Announcement) {
@@ -336,14 +329,14 @@
 // refreshAnnouncement updates the node's own announcement and propagates a change.
 func (c *Control) refreshAnnouncement(t Time) {
 	target := c.local.Target(t.Now, t.UnixMS)
-	if target != nil && c.closing {
+	if target != nil && (c.closing || !c.former.known) {
 		target.Serving = false
 	}
-	if sameTarget(target, c.self.Target) && c.self.Leaving == c.stopping && c.self.Sequence > 0 {
+	if sameTarget(target, c.self.Target) && c.self.Leaving == c.stopping && c.self.Stopped == c.closing && !c.departures.changed && c.self.Sequence > 0 {
 		return
 	}
-	c.self.Target = target
-	c.self.Leaving = c.stopping
+	c.self.Target, c.departures.changed = target, false
+	c.self.Leaving, c.self.Stopped = c.stopping, c.closing
 	c.self.Sequence++
 	c.nextAnnounce = 0
 	c.publishView(t)
@@ -374,14 +367,33 @@
 // a change of its target's identity, and when its target leaves. Other changes are sent between nodes:
 // the store only serves discovery, and each write to it is read by all.
 func (c *Control) writeAnnouncement(t Time) {
-	same := c.announced.Sequence > 0 && targetID(c.announced) == targetID(c.self) && targetLeaving(c.announced) == targetLeaving(c.self)
-	// A node first reads what its former process announced.
-	if !c.caughtUp[MeshFeed] || same || c.pendingWrites[announceKey] || t.Now < c.nextAnnounce || c.self.Target == nil && t.Now < announceDelay {
+	// A node first reads what its former process announced. Its writes are in order: none is begun
+	// before the one before it has ended.
+	if !c.caughtUp[MeshFeed] || c.pendingWrites[announceKey] || t.Now < c.nextAnnounce {
+		return
+	}
+	withdraws := c.closing && len(directory.MergeDepartures(c.self.Departed, nil, t.UnixMS)) == 0
+	switch {
+	case withdraws && c.withdrawn, !withdraws && sameRecord(c.announced, c.self):
+		return
+	case withdraws:
+		c.log("announcement_withdrawn", "process", c.self.StartUnixMS)
+		c.writing = directory.Announcement{}
+		c.emit(WithdrawAnnouncement{})
+	case c.self.Target == nil && t.Now < announceDelay && len(c.self.Departed) == 0:
 		return
+	default:
+		c.writing = c.self
+		c.emit(WriteAnnouncement{Announcement: c.self})
 	}
 	c.pendingWrites[announceKey] = true
 	c.nextAnnounce = t.Now + announceRetry
-	c.emit(WriteAnnouncement{Announcement: c.self})
+}
+
+// sameRecord reports whether the announcement in the store need not be replaced by another one.
+func sameRecord(stored, a directory.Announcement) bool {
+	return stored.Sequence > 0 && targetID(stored) == targetID(a) && targetLeaving(stored) == targetLeaving(a) && stored.Stopped == a.Stopped &&
+		slices.Equal(stored.Departed, a.Departed)
 }
 
 func targetID(a directory.Announcement) string {
@@ -397,8 +409,10 @@
 	delete(c.pendingWrites, e.Key)
 	if e.Key == announceKey {
 		if e.OK {
-			c.announced = c.self
+			c.announced, c.withdrawn = c.writing, c.writing.Node == ""
+			c.setKept(c.writing.Sequence, "store")
 		}
+		c.writeAnnouncement(t)
 		return
 	}
 	if e.OK {
@@ -416,6 +430,11 @@
 	if a.Node == c.self.Node {
 		return
 	}
+	if s.Receiver != nil {
+		c.receiverKnowledge(t, a, *s.Receiver)
+		s.Receiver = nil
+	}
+	c.dir.RecordDepartures(a, t.UnixMS)
 	s.receivedAt = t.Now
 	if last, ok := c.peers[a.Node]; ok && last.Announcement.StartUnixMS == a.StartUnixMS && s.Number < last.Number && t.Now-last.receivedAt < maxMessageDelay {
 		c.dir.MarkAlive(a.Node, t.Now)
@@ -463,8 +482,10 @@
 
 func (c *Control) handleTick(t Time) {
 	c.recent, c.sinceTick = c.recent.Update(c.sinceTick), canary.Counts{}
+	c.checkFormer(t)
 	c.refreshAnnouncement(t)
 	c.writeAnnouncement(t)
+	c.dir.ExpireDepartures(t.UnixMS)
 	for _, id := range c.dir.Expire(t.Now) {
 		delete(c.peers, id)
 		delete(c.fetch.holders, id)
@@ -473,6 +494,7 @@
 	}
 	c.expireCrashes(t)
 	c.chooseReaders(t)
+	c.removeStopped(t)
 	c.checkFreshness(t)
 	c.retryMissingConfig(t)
 	c.advanceMoves(t)
@@ -495,7 +517,7 @@
 	s := PeerState{
 		Number:       c.stateNumber,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
-		Crashes: c.ownCrashes(), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
+		Asks: c.asks(), Crashes: c.ownCrashes(), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
 	}
 	if c.large() && c.isReader() {
 		for _, a := range c.dir.All() {
--- /dev/null
+++ b/internal/control/departures_test.go
@@ -0,0 +1,299 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/mesh"
+)
+
+// startUnread starts a node that has read nothing yet.
+func (m *testMesh) startUnread(i int) *testNode {
+	id := mesh.NodeID(fmt.Sprintf("node-%d", i))
+	n := &testNode{id: id, view: &View{}, Control: New(Options{
+		Self:    directory.Announcement{Node: id, Zone: "a", StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
+		Address: address(i).String(), Service: "s", Heartbeat: time.Hour, Seed: uint64(i),
+	})}
+	m.nodes = append(m.nodes, n)
+	return n
+}
+
+// readFirst makes a node that was started by startUnread read the store.
+func (m *testMesh) readFirst(n *testNode) {
+	m.read(n)
+	for f := range FeedCount {
+		m.step(n, FeedCaughtUp{f})
+		n.readEras[f] = m.era
+	}
+	m.step(n, StoreEraSeen{Era: m.era, Before: n.view.StoreEra})
+}
+
+func heartbeatOf(i int, target string, start int64, sequence uint64, draining bool) HeartbeatReceived {
+	return HeartbeatReceived{directory.Heartbeat{
+		ID: target, Address: address(i).String(), Service: "s", Version: "v1", Slots: 4, Sequence: sequence, StartUnixMS: start, Draining: draining,
+	}}
+}
+
+// stop stops a node as planned. during is called before the node ends.
+func (m *testMesh) stop(n *testNode, during func()) {
+	m.step(n, Stopping{})
+	m.run(time.Second)
+	m.step(n, Closing{})
+	if during != nil {
+		during()
+	}
+	m.run(time.Second)
+	m.kill(n)
+}
+
+func (m *testMesh) kill(n *testNode) {
+	n.dead = true
+	m.now += 100 * time.Millisecond
+}
+
+// requireOut checks that no node uses a target of node-0.
+func (m *testMesh) requireOut(n *testNode) {
+	m.t.Helper()
+	require.True(m.t, n.view.Target == nil || !n.view.Target.Serving, "node-0 uses the target")
+	for _, other := range m.nodes {
+		if s := other.view.Endpoints["s"]; !other.dead && s != nil {
+			for _, e := range s.Old {
+				require.NotEqual(m.t, n.id, e.Node, "%s uses the target of %s", other.id, n.id)
+			}
+		}
+	}
+}
+
+// Guards against a target that left and is in use again after planned stops and kills of its node,
+// because a stop deleted the record with the departure, and a late heartbeat reaches a later process.
+func TestTargetThatLeftStaysOutAfterPlannedStops(t *testing.T) {
+	leave := TargetLeaving{ID: "t-0"}
+	for name, end := range map[string]func(m *testMesh, n *testNode){
+		"DELETE before the stop":      func(m *testMesh, n *testNode) { m.step(n, leave); m.stop(n, nil) },
+		"draining before the stop":    func(m *testMesh, n *testNode) { m.step(n, heartbeatOf(0, "t-0", 1, 2, true)); m.stop(n, nil) },
+		"DELETE in the stop":          func(m *testMesh, n *testNode) { m.stop(n, func() { m.step(n, leave) }) },
+		"DELETE after the last write": func(m *testMesh, n *testNode) { m.stop(n, func() { m.run(500 * time.Millisecond); m.step(n, leave) }) },
+		"two targets in one stop": func(m *testMesh, n *testNode) {
+			m.stop(n, func() { m.step(n, leave); m.step(n, TargetLeaving{ID: "t-9"}) })
+		},
+		"a later target after it": func(m *testMesh, n *testNode) {
+			m.step(n, leave)
+			m.step(n, heartbeatOf(0, "t-8", m.now.Milliseconds()+1, 1, false))
+			m.stop(n, nil)
+		},
+		"stop, then kill": func(m *testMesh, n *testNode) {
+			m.step(n, leave)
+			m.stop(n, nil)
+			next := m.startUnread(0)
+			m.readFirst(next)
+			m.run(time.Second)
+			m.kill(next)
+		},
+		"kill, then stop of a process without a heartbeat": func(m *testMesh, n *testNode) {
+			m.step(n, leave)
+			m.kill(n)
+			next := m.startUnread(0)
+			m.readFirst(next)
+			m.run(time.Second)
+			m.stop(next, nil)
+		},
+	} {
+		for _, nodes := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%s, %d nodes", name, nodes), func(t *testing.T) {
+				m := newTestMesh(t, []string{"v1", "v1", "v1"}[:nodes]...)
+				m.now += time.Minute
+				end(m, m.nodes[0])
+				restarted := m.startUnread(0)
+				m.step(restarted, heartbeatOf(0, "t-0", 1, 9, false))
+				m.readFirst(restarted)
+				m.run(time.Second)
+				m.requireOut(restarted)
+				m.step(restarted, heartbeatOf(0, "t-0", 1, 10, false))
+				m.run(time.Second)
+				m.requireOut(restarted)
+				m.step(restarted, heartbeatOf(0, "t-0", m.now.Milliseconds(), 1, false))
+				require.True(t, restarted.view.Target.Serving, "a later process under the same id serves at once")
+			})
+		}
+	}
+}
+
+// Guards against a node that starts and uses its target before it knows what its former process
+// confirmed: the store does not respond to it.
+func TestNodeUsesItsTargetOnceItKnowsItsFormerProcess(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		t.Run(fmt.Sprintf("left=%v", left), func(t *testing.T) {
+			m := newTestMesh(t, "v1", "v1", "v1")
+			if left {
+				m.step(m.nodes[0], TargetLeaving{ID: "t-0"})
+			}
+			m.run(time.Second)
+			m.kill(m.nodes[0])
+			m.silentTo, m.muted = map[mesh.NodeID]bool{"node-0": true}, true
+			restarted := m.startUnread(0)
+			began := m.now
+			m.step(restarted, heartbeatOf(0, "t-0", 1, 9, false))
+			m.run(3 * time.Second)
+			require.False(t, restarted.view.Target.Serving)
+			// Another node responds. The clock of a node starts with its process.
+			m.muted = false
+			reply := m.nodes[1].Reply(m.time(), restarted.State(m.time()))
+			for _, e := range restarted.Step(Time{Now: m.now - began, UnixMS: m.now.Milliseconds()}, PeerStateReceived{State: m.transfer(reply)}) {
+				m.execute(restarted, e)
+			}
+			require.Equal(t, !left, restarted.view.Target.Serving)
+		})
+	}
+}
+
+// Guards against a start that waits although there is nothing to learn: the first start of a
+// system, and of a node that never ran.
+func TestFirstStartDoesNotWait(t *testing.T) {
+	m := newEmptyMesh(t)
+	m.muted = true
+	for i := range 3 {
+		n := m.startUnread(i)
+		m.step(n, heartbeatOf(i, fmt.Sprintf("t-%d", i), 1, 1, false))
+		m.readFirst(n)
+		require.True(t, n.view.Target.Serving)
+	}
+}
+
+// Guards against a departure that is confirmed while only one process knows it.
+func TestDepartureIsKeptOutsideTheProcess(t *testing.T) {
+	for _, report := range []Event{TargetLeaving{ID: "t-0"}, heartbeatOf(0, "t-0", 1, 2, true)} {
+		t.Run(fmt.Sprintf("%T", report), func(t *testing.T) {
+			m := newTestMesh(t, "v1", "v1", "v1")
+			n := m.nodes[0]
+			m.storeDown, m.muted = true, true
+			m.step(n, report)
+			m.run(time.Second)
+			require.False(t, n.view.Target.Serving, "the node itself does not use the target")
+			require.False(t, n.DepartureKept(report))
+			m.muted = false
+			m.run(time.Second)
+			require.True(t, n.DepartureKept(report), "another node has it")
+			m.step(n, report)
+			require.True(t, n.DepartureKept(report), "a repeated report is confirmed at once")
+			// The store has only the record from before.
+			m.kill(n)
+			m.storeDown = false
+			restarted := m.startUnread(0)
+			m.step(restarted, heartbeatOf(0, "t-0", 1, 9, false))
+			m.readFirst(restarted)
+			m.run(2 * time.Second)
+			m.requireOut(restarted)
+			require.True(t, restarted.DepartureKept(report))
+		})
+	}
+}
+
+// Guards against the report of a departure that is lost because the write of the announcement
+// before it was under way, and against writes that overtake each other.
+func TestDepartureDuringAWriteIsWritten(t *testing.T) {
+	m := newEmptyMesh(t)
+	n := m.startUnread(0)
+	writes := func(e Event) (written []directory.Announcement) {
+		for _, effect := range n.Step(m.time(), e) {
+			if w, ok := effect.(WriteAnnouncement); ok {
+				written = append(written, w.Announcement)
+			}
+		}
+		return written
+	}
+	writes(FeedCaughtUp{MeshFeed})
+	require.Len(t, writes(heartbeatOf(0, "t-0", 1, 1, false)), 1)
+	require.Empty(t, writes(TargetLeaving{ID: "t-0"}), "the first write is under way")
+	require.False(t, n.DepartureKept(TargetLeaving{ID: "t-0"}))
+	next := writes(WriteCompleted{announceKey, true})
+	require.Len(t, next, 1)
+	require.True(t, directory.Covers(next[0].Departed, directory.Process{ID: "t-0", StartUnixMS: 1}))
+	require.False(t, n.DepartureKept(TargetLeaving{ID: "t-0"}))
+	writes(WriteCompleted{announceKey, true})
+	require.True(t, n.DepartureKept(TargetLeaving{ID: "t-0"}))
+}
+
+// Guards against records of stopped nodes that stay in the store for ever, and against nodes that
+// contact or select a stopped node.
+func TestRecordOfAStoppedNodeIsKeptForItsDepartures(t *testing.T) {
+	for _, nodes := range []int{4, 30} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			m := newTestMesh(t, manyTargets(nodes)...)
+			m.stop(m.nodes[1], nil)
+			require.NotContains(t, m.announcements, mesh.NodeID("node-1"), "nothing is kept")
+			m.step(m.nodes[0], TargetLeaving{ID: "t-0"})
+			m.stop(m.nodes[0], nil)
+			require.True(t, m.announcements["node-0"].Stopped)
+			for _, n := range m.nodes[2:] {
+				a, ok := n.dir.Get("node-0")
+				require.False(t, ok && !a.Stopped, "%s", n.id)
+			}
+			started := m.start(100, "v1")
+			m.run(time.Second)
+			_, known := started.dir.Get("node-0")
+			require.False(t, known)
+			// In a restored store the record may be lost; the nodes remember the departure.
+			require.NotEmpty(t, m.nodes[2].dir.Departures("node-0"))
+			m.now += directory.DepartureRetention
+			m.run(12 * time.Second)
+			require.NotContains(t, m.announcements, mesh.NodeID("node-0"))
+			require.Empty(t, m.nodes[2].dir.Departures("node-0"))
+		})
+	}
+}
+
+// Guards against a departure that a restored store has lost, and that the next process of the node
+// does not find.
+func TestDepartureIsWrittenAgainAfterARestoration(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1")
+	older := m.copyStore()
+	m.step(m.nodes[0], TargetLeaving{ID: "t-0"})
+	m.step(m.nodes[0], heartbeatOf(0, "t-8", m.now.Milliseconds(), 1, false))
+	m.run(time.Second)
+	m.restore(older)
+	m.run(2500 * time.Millisecond)
+	require.True(t, directory.Covers(m.announcements["node-0"].Departed, directory.Process{ID: "t-0", StartUnixMS: 1}))
+	m.stop(m.nodes[0], nil)
+	m.restore(older)
+	restarted := m.startUnread(0)
+	m.step(restarted, heartbeatOf(0, "t-0", 1, 9, false))
+	m.readFirst(restarted)
+	m.run(2 * time.Second)
+	m.requireOut(restarted)
+}
+
+// Guards against a message whose statement about the receiver no node makes: it confirms no
+// departure and takes no target out of use.
+func TestOddKnowledgeOfTheReceiverIsIgnored(t *testing.T) {
+	good := directory.Departure{Process: directory.Process{ID: "t-0", StartUnixMS: 1}, AtUnixMS: 1}
+	for name, odd := range map[string]ReceiverKnowledge{
+		"sequence":   {Sequence: math.MaxUint64},
+		"start":      {Departed: []directory.Departure{{Process: directory.Process{ID: "t-0", StartUnixMS: math.MaxInt64}, AtUnixMS: 1}}},
+		"at":         {Departed: []directory.Departure{{Process: directory.Process{ID: "t-0", StartUnixMS: 1}, AtUnixMS: math.MaxInt64}}},
+		"no start":   {Departed: []directory.Departure{{Process: directory.Process{ID: "t-0"}, AtUnixMS: 1}}},
+		"no target":  {Departed: []directory.Departure{{Process: directory.Process{StartUnixMS: 1}, AtUnixMS: 1}}},
+		"too many":   {Departed: make([]directory.Departure, directory.MaxDepartures+1)},
+		"one is odd": {Departed: []directory.Departure{good, {}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMesh(t, "v1", "v1")
+			n := m.nodes[0]
+			m.storeDown, m.muted = true, true
+			state := m.nodes[1].State(m.time())
+			odd.StartUnixMS = n.self.StartUnixMS
+			state.Receiver = &odd
+			m.step(n, PeerStateReceived{State: state})
+			require.True(t, n.view.Target.Serving)
+			m.step(n, TargetLeaving{ID: "t-0"})
+			state.Number++
+			state.Receiver = &odd
+			m.step(n, PeerStateReceived{State: state})
+			require.False(t, n.DepartureKept(TargetLeaving{ID: "t-0"}))
+		})
+	}
+}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -230,6 +230,10 @@
 	Summaries []MoveSummary `json:"summaries,omitempty"`
 	// Others holds announcements that the receiver may not know.
 	Others []directory.Announcement `json:"others,omitempty"`
+	// Asks is set if the sender needs Receiver in the response.
+	Asks bool `json:"asks,omitempty"`
+	// Receiver is set in responses to messages that ask for it.
+	Receiver *ReceiverKnowledge `json:"receiver,omitempty"`
 
 	// receivedAt is the time on the clock of the receiver.
 	receivedAt time.Duration
@@ -248,6 +252,12 @@
 	PublishView struct{ View *View }
 	// WriteAnnouncement writes the node's announcement to the store.
 	WriteAnnouncement struct{ Announcement directory.Announcement }
+	// WithdrawAnnouncement deletes it, and RemoveStopped that of another node which has stopped, if
+	// the feed has not changed since it was read.
+	WithdrawAnnouncement struct{}
+	RemoveStopped        struct{ Node mesh.NodeID }
+	// DepartureKept reports that departures are kept outside this process that were not before.
+	DepartureKept struct{}
 	// RecordMove writes a move to the store if the feed has not changed since it was
 	// read.
 	RecordMove struct{ Move canary.Move }
@@ -278,14 +288,17 @@
 	}
 )
 
-func (PublishView) effect()         {}
-func (WriteAnnouncement) effect()   {}
-func (RecordMove) effect()          {}
-func (WriteStatus) effect()         {}
-func (SendState) effect()           {}
-func (ContradictState) effect()     {}
-func (RewriteAnnouncement) effect() {}
-func (FetchConfig) effect()         {}
-func (CheckConfig) effect()         {}
-func (RereadFeed) effect()          {}
-func (LogEvent) effect()            {}
+func (PublishView) effect()          {}
+func (WriteAnnouncement) effect()    {}
+func (WithdrawAnnouncement) effect() {}
+func (RemoveStopped) effect()        {}
+func (DepartureKept) effect()        {}
+func (RecordMove) effect()           {}
+func (WriteStatus) effect()          {}
+func (SendState) effect()            {}
+func (ContradictState) effect()      {}
+func (RewriteAnnouncement) effect()  {}
+func (FetchConfig) effect()          {}
+func (CheckConfig) effect()          {}
+func (RereadFeed) effect()           {}
+func (LogEvent) effect()             {}
--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -141,7 +141,7 @@
 // handleFeedRead records that a read of a feed returned all records as of a time.
 func (c *Control) handleFeedRead(t Time, e FeedRead) {
 	if e.Feed == MeshFeed {
-		if e.Complete && !c.announcedRead && !c.closing {
+		if e.Complete && !c.announcedRead {
 			// The announcement may have been deleted.
 			c.announced = directory.Announcement{}
 		}
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -49,7 +49,7 @@
 
 func (c *Control) broadcast(t Time) {
 	var to []mesh.NodeID
-	for _, a := range c.dir.All() {
+	for _, a := range c.contacts() {
 		to = append(to, a.Node)
 	}
 	if len(to) > 0 {
@@ -61,7 +61,7 @@
 // whether there is a newer configuration. The message includes the announcement of
 // one other node. A reader that learned of new nodes sends to all.
 func (c *Control) gossip(t Time) {
-	all := c.dir.All()
+	all := c.contacts()
 	if len(all) == 0 {
 		return
 	}
@@ -100,21 +100,6 @@
 	return false
 }
 
-// probeUnheardNodes sends the state to the known nodes without a recent message,
-// whose replies show that they are alive. If two nodes start together, one exchange
-// is enough for both.
-func (c *Control) probeUnheardNodes(t Time) {
-	var to []mesh.NodeID
-	for _, a := range c.dir.All() {
-		if c.dir.SinceLastMessage(a.Node, t.Now) > aliveTimeout {
-			to = append(to, a.Node)
-		}
-	}
-	if len(to) > 0 {
-		c.emit(SendState{To: to, State: c.State(t)})
-	}
-}
-
 // fanout returns the number of nodes to which the state is sent in a round. In a large
 // mesh the readers distribute changes and the evidence on a version. Nodes without their
 // summaries need the evidence from each other.
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -142,6 +142,17 @@
 			m.meshEnd++
 		}
 		m.step(n, WriteCompleted{announceKey, ok})
+	case WithdrawAnnouncement:
+		if !m.storeDown {
+			delete(m.announcements, n.id)
+			m.meshEnd++
+		}
+		m.step(n, WriteCompleted{announceKey, !m.storeDown})
+	case RemoveStopped:
+		if !m.storeDown && n.readEras[MeshFeed] == m.era && n.meshSeen == m.meshEnd {
+			delete(m.announcements, e.Node)
+			m.meshEnd++
+		}
 	case RecordMove:
 		ok := !m.storeDown && n.readEras[MoveFeed] == m.era && n.movesSeen == m.moveEnd
 		if ok {
@@ -164,7 +175,7 @@
 		for _, id := range e.To {
 			if other := m.node(id); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[id] {
 				m.step(other, PeerStateReceived{State: m.transfer(e.State)})
-				m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time())), RoundTrip: time.Millisecond})
+				m.step(n, PeerStateReceived{State: m.transfer(other.Reply(m.time(), e.State)), RoundTrip: time.Millisecond})
 			}
 		}
 	case ContradictState:
--- a/internal/control/restored.go
+++ b/internal/control/restored.go
@@ -43,11 +43,11 @@
 		m.statusSince = 0
 	}
 	c.movesUnverified = len(c.moves) > 0
-	if c.closing {
-		// The node has withdrawn its announcement.
+	clear(c.stopped)
+	if c.withdrawn {
 		return
 	}
-	c.announced = directory.Announcement{}
+	c.announced, c.departures.kept = directory.Announcement{}, 0
 	if c.isReader() {
 		// The store may still have the announcement.
 		c.caughtUp[MeshFeed] = false
--- a/internal/control/untrusted.go
+++ b/internal/control/untrusted.go
@@ -8,6 +8,7 @@
 
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
 // Limits of the numbers in a message of another node.
@@ -45,6 +46,9 @@
 		return errors.New("the evidence is out of range")
 	}
 	s.Others = slices.DeleteFunc(s.Others, func(a directory.Announcement) bool { return a.Validate(t.UnixMS) != nil })
+	if s.Receiver != nil && directory.ValidateDepartures(s.Receiver.Departed, t.UnixMS) != nil {
+		s.Receiver = nil
+	}
 	s.Moves = slices.DeleteFunc(s.Moves, func(m canary.Move) bool { return m.Validate(t.UnixMS) != nil })
 	s.Summaries = slices.DeleteFunc(s.Summaries, func(m MoveSummary) bool { return !m.valid() })
 	return nil
@@ -98,6 +102,7 @@
 func (c *Control) handleLostRecord(t Time, e RecordLost) {
 	switch e.Feed {
 	case MeshFeed:
+		delete(c.stopped, mesh.NodeID(e.Name))
 		c.rewriteAnnouncement(e.Name)
 	case MoveFeed:
 		delete(c.storedMoves, e.Name)
@@ -115,7 +120,7 @@
 // writes its own. In a large one the first reader does it for those that do not read.
 func (c *Control) rewriteAnnouncement(name string) {
 	if name == string(c.self.Node) {
-		if !c.closing {
+		if !c.withdrawn {
 			c.announced = directory.Announcement{}
 		}
 		return
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -54,6 +54,7 @@
 func (fakeStore) Reconnect()                                                         {}
 func (fakeStore) Announce(context.Context, directory.Announcement) error             { return nil }
 func (fakeStore) Withdraw(context.Context, mesh.NodeID) error                        { return nil }
+func (fakeStore) RemoveStopped(context.Context, mesh.NodeID, logpos.Position) error  { return nil }
 func (fakeStore) RecordMove(context.Context, canary.Move, logpos.Position) error     { return nil }
 func (fakeStore) WriteStatus(context.Context, control.Status, logpos.Position) error { return nil }
 
@@ -176,6 +177,7 @@
 	t.Cleanup(n.Node.cancel)
 	before.cancel()
 	n.Step(control.ConfigPublished{Config: before.view.Load().Config})
+	n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
 	n.heartbeat(1, 2)
 	for _, o := range others {
 		n.Step(control.PeerStateReceived{State: o.state()})
@@ -221,6 +223,7 @@
 	require.NoError(t, config.Prepare())
 	for i, n := range nodes {
 		n.Step(control.ConfigPublished{Config: config})
+		n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
 		n.heartbeat(1, 1)
 		for j, other := range nodes {
 			if i != j {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -81,6 +81,8 @@
 	// viewChanged wakes the followers of the feeds when the reducer decides anew what to read.
 	viewChanged   [control.FeedCount]chan struct{}
 	writeTimeouts *writeTimeouts
+	// departureKept wakes the reports of departures that are not yet confirmed.
+	departureKept *broadcast
 
 	// cachedConfig is the configuration in force in the form sent to other nodes, and
 	// history holds the changes of the last versions.
@@ -111,7 +113,7 @@
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
 		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), nestedCalls: newNestedCalls(),
-		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(),
+		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(), departureKept: newBroadcast(),
 	}
 	for f := range control.FeedCount {
 		n.rereads[f], n.viewChanged[f] = make(chan struct{}, 1), make(chan struct{}, 1)
@@ -235,8 +237,7 @@
 	return 0
 }
 
-// Step processes an event of the platform adapter, such as a heartbeat. The request path
-// uses the changed state when Step returns.
+// Step processes an event. The request path uses the changed state when Step returns.
 func (n *Node) Step(e control.Event) { n.step(e) }
 
 func (n *Node) step(e control.Event) {
@@ -290,6 +291,12 @@
 	switch e := effect.(type) {
 	case control.WriteAnnouncement:
 		go n.writeAnnouncement(e.Announcement)
+	case control.WithdrawAnnouncement:
+		go n.withdraw()
+	case control.RemoveStopped:
+		go n.removeStopped(e.Node)
+	case control.DepartureKept:
+		n.departureKept.notify()
 	case control.RecordMove:
 		go n.recordMove(e.Move)
 	case control.WriteStatus:
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -41,7 +41,7 @@
 			return nil, rpc.ErrBadParams
 		}
 		n.handlePeerState(s, 0)
-		return n.state(), nil
+		return n.reply(s), nil
 	case methodConfig:
 		var r configRequest
 		if err := json.Unmarshal(params, &r); err != nil {
@@ -102,6 +102,13 @@
 	return n.control.State(n.clock.time())
 }
 
+// reply returns the state in response to that of another node.
+func (n *Node) reply(received control.PeerState) control.PeerState {
+	n.controlMu.Lock()
+	defer n.controlMu.Unlock()
+	return n.control.Reply(n.clock.time(), received)
+}
+
 // sendState sends the state to nodes and processes theirs.
 func (n *Node) sendState(e control.SendState) {
 	view := n.view.Load()
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -101,8 +101,9 @@
 	Announce(ctx context.Context, a directory.Announcement) error
 	// Withdraw deletes the announcement of a node that stops.
 	Withdraw(ctx context.Context, node mesh.NodeID) error
-	// RecordMove and WriteStatus write only if the feed ends at the position. If the store was
+	// RemoveStopped deletes the announcement of another node, RecordMove and WriteStatus write, only if the feed ends at the position. If the store was
 	// restored since, they fail, but may have written.
+	RemoveStopped(ctx context.Context, node mesh.NodeID, at logpos.Position) error
 	RecordMove(ctx context.Context, m canary.Move, at logpos.Position) error
 	WriteStatus(ctx context.Context, s control.Status, at logpos.Position) error
 }
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -47,7 +47,6 @@
 	n.refusing.Store(true)
 	n.waitIdle(drainQuietPeriod, end-closeReserve)
 	n.step(control.Closing{})
-	go n.withdraw()
 	n.waitIdle(0, end)
 	// A caller whose request is given up is told so, since it may have run.
 	n.endCalls()
@@ -63,12 +62,6 @@
 	return n.closing.Load() && int64(deadline) > n.stopEnd.Load()
 }
 
-// withdraw deletes this node's record from the store. Nodes that start later would
-// otherwise contact a machine that is gone, and each attempt would delay a caller.
-func (n *Node) withdraw() {
-	_ = n.writeStore("withdrawal", func(ctx context.Context) error { return n.store.Withdraw(ctx, n.settings.Node) })
-}
-
 // waitIdle waits until nothing has been in flight for the quiet time, but at most until
 // end.
 func (n *Node) waitIdle(quiet, end time.Duration) {
--- a/internal/sidecar/write.go
+++ b/internal/sidecar/write.go
@@ -12,6 +12,7 @@
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/logpos"
+	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
 const (
@@ -55,6 +56,20 @@
 	}
 }
 
+// withdraw deletes this node's record from the store. Nodes that start later would
+// otherwise contact a machine that is gone, and each attempt would delay a caller.
+func (n *Node) withdraw() {
+	_ = n.writeStore("announcement", func(ctx context.Context) error { return n.store.Withdraw(ctx, n.settings.Node) })
+}
+
+// removeStopped deletes the record of another node that has stopped, unless the node has announced
+// itself since.
+func (n *Node) removeStopped(node mesh.NodeID) {
+	n.writeAt(control.MeshFeed, "stopped/"+string(node), func(ctx context.Context, at logpos.Position) error {
+		return n.store.RemoveStopped(ctx, node, at)
+	})
+}
+
 // rewriteAnnouncement writes the announcement of another node.
 func (n *Node) rewriteAnnouncement(a directory.Announcement) {
 	_ = n.writeStore("announcement/"+string(a.Node), func(ctx context.Context) error { return n.store.Announce(ctx, a) })
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -25,8 +25,14 @@
 	// LinkMbps is the bandwidth of the node's link in Mbit/s, 0 if not known.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// Leaving is set once the node is shutting down and should get no new requests.
-	Leaving bool    `json:"leaving,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+	// Stopped is set in the last announcement of a process that ends as planned: nothing is sent to
+	// it, and the announcement is kept for its departures only.
+	Stopped bool    `json:"stopped,omitempty"`
 	Target  *Target `json:"target,omitempty"`
+	// Departed holds the targets beside the node that left, as confirmed by any of its processes:
+	// at most MaxDepartures, for DepartureRetention.
+	Departed []Departure `json:"departed,omitempty"`
 }
 
 // Target is the state of the target beside a node.
@@ -73,13 +79,15 @@
 	members map[mesh.NodeID]*member
 	// byAddress holds the node that owns each address.
 	byAddress map[netip.AddrPort]mesh.NodeID
+	// departures holds what all processes of a node announced of targets that left.
+	departures map[mesh.NodeID][]Departure
 	// sorted is the result of All, nil after a change.
 	sorted []Announcement
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{members: map[mesh.NodeID]*member{}, byAddress: map[netip.AddrPort]mesh.NodeID{}}
+	return &Directory{members: map[mesh.NodeID]*member{}, byAddress: map[netip.AddrPort]mesh.NodeID{}, departures: map[mesh.NodeID][]Departure{}}
 }
 
 // initialMessageAge is the time since the last message that is assumed for a node
@@ -97,6 +105,9 @@
 	if a.Node == "" || !a.CallAddress.IsValid() {
 		return false
 	}
+	if _, known := d.members[a.Node]; a.Stopped && !known {
+		return false
+	}
 	if !d.claimAddress(a, now, direct) {
 		return false
 	}
--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -130,14 +130,33 @@
 // was received yet. It reports whether it is the current target.
 func (l *LocalTarget) MarkLeaving(id string, unixMS int64) bool {
 	if !l.known || l.last.ID != id {
-		l.remember(id, unixMS)
+		l.remember(id, max(unixMS, l.departed[id]))
 		return false
 	}
-	l.remember(id, l.last.StartUnixMS)
+	l.remember(id, max(l.last.StartUnixMS, l.departed[id]))
 	l.leaving = true
 	return true
 }
 
+// LeftProcess returns the last process of a target that is known to have left.
+func (l *LocalTarget) LeftProcess(id string) Process { return Process{id, l.departed[id]} }
+
+// ProcessOf returns the process that sent a heartbeat which was handled, and false if it is not one
+// of the target beside this node.
+func (l *LocalTarget) ProcessOf(h Heartbeat, unixMS int64) (Process, bool) {
+	if h.ID == "" || h.Address != l.Address || h.Service != l.Service {
+		return Process{}, false
+	}
+	switch {
+	case h.StartUnixMS != 0:
+	case l.known && l.last.ID == h.ID:
+		h.StartUnixMS = l.last.StartUnixMS
+	default:
+		h.StartUnixMS = unixMS
+	}
+	return Process{h.ID, h.StartUnixMS}, true
+}
+
 // remember records that the processes of a target that started at or before a time have
 // ended.
 func (l *LocalTarget) remember(id string, startUnixMS int64) {
@@ -168,7 +187,8 @@
 // affected. A process whose start is not known counts as the current one.
 func (l *LocalTarget) MarkProcessLeaving(p Process, unixMS int64) bool {
 	wasLeaving := l.leaving
-	if p.StartUnixMS == 0 || l.known && p == (Process{l.last.ID, l.last.StartUnixMS}) {
+	if p.StartUnixMS == 0 || l.known && p.ID == l.last.ID && l.last.StartUnixMS <= p.StartUnixMS {
+		l.remember(p.ID, max(p.StartUnixMS, l.departed[p.ID]))
 		return l.MarkLeaving(p.ID, unixMS) && !wasLeaving
 	}
 	l.remember(p.ID, max(p.StartUnixMS, l.departed[p.ID]))
--- a/pkg/directory/validate.go
+++ b/pkg/directory/validate.go
@@ -35,11 +35,12 @@
 		return errors.Newf("start = %d is out of range", a.StartUnixMS)
 	case !(a.LinkMbps >= 0 && a.LinkMbps <= maxLinkMbps):
 		return errors.Newf("link_mbps = %g is out of range", a.LinkMbps)
-	case a.Target == nil:
-		return nil
-	default:
-		return errors.Wrap(a.Target.validate(unixMS), "target")
+	case a.Target != nil:
+		if err := a.Target.validate(unixMS); err != nil {
+			return errors.Wrap(err, "target")
+		}
 	}
+	return ValidateDepartures(a.Departed, unixMS)
 }
 
 func (t Target) validate(unixMS int64) error {
