control: what the nodes know of a request that crashes targets outlives the processes that saw the crashes

A page that was asked for often and was running at two crashes by chance was refused everywhere for a minute (none of 1,153 requests). Cause: each process counted the crashes of its own target, the mesh added up what the present processes reported, and a count ended 60 s after the last crash, also while the request still came. A count could only grow. Change: a crash has an identity (node, process, number); all nodes hold the records of all and merge them, so that any of them tells a started one; the node beside the target refuses as well, for callers whose node has just started. A record ends 60 s after a caller last asked. A completion anywhere refutes the crashes before it. After the second crash the nodes that are asked may run the request once more, one after the other 2 s apart; after the third none does. 64 records of 4 crashes; the weakest goes first.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -69,10 +69,12 @@
 	// last tick.
 	recent    canary.RecentCounts
 	sinceTick canary.Counts
-	crashes   map[uint64]crash
-	signals   *directory.SignalTable
-	stopping  bool
-	closing   bool
+	crashes   map[uint64]*crashRecord
+	// crashNumber is the number of crashes of the local target that this process has seen.
+	crashNumber uint64
+	signals     *directory.SignalTable
+	stopping    bool
+	closing     bool
 	// withdrawn is set once the announcement of a stopping node was deleted.
 	withdrawn bool
 	// configDeadline is how long a configuration may take to be in force.
@@ -133,7 +135,7 @@
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
-		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: map[uint64]crash{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
+		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: map[uint64]*crashRecord{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
 		former: formerProcess{answered: map[mesh.NodeID]bool{}, awaited: map[mesh.NodeID]bool{}}, stopped: map[mesh.NodeID][]directory.Departure{},
 	}
 }
@@ -161,6 +163,10 @@
 		c.handleSignals(t, e)
 	case TargetCrashed:
 		c.recordCrash(t, e.Requests)
+	case RequestCompleted:
+		c.recordCompletion(t, e.Fingerprint)
+	case RequestSeen:
+		c.recordSeen(t, e.Fingerprint)
 	case ConfigPublished:
 		c.applyConfig(t, e)
 	case AnnouncementRead:
@@ -449,11 +455,11 @@
 	if changed && c.large() && c.isReader() {
 		c.announcementsToRelay = append(c.announcementsToRelay, a)
 	}
+	changed = c.adoptCrashes(t, s.Crashes) || changed
 	delete(c.unresponsiveReaders, a.Node)
 	c.adoptPeerEra(t, s)
 	if known, ok := c.dir.Get(a.Node); ok && known.StartUnixMS == a.StartUnixMS {
 		c.dir.MarkAlive(a.Node, t.Now)
-		changed = changed || len(s.Crashes) > 0
 		c.peers[a.Node] = s
 	}
 	for _, o := range s.Others {
@@ -517,7 +523,7 @@
 	s := PeerState{
 		Number:       c.stateNumber,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
-		Asks: c.asks(), Crashes: c.ownCrashes(), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
+		Asks: c.asks(), Crashes: c.crashRecords(t), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
 	}
 	if c.large() && c.isReader() {
 		for _, a := range c.dir.All() {
@@ -553,8 +559,9 @@
 func (c *Control) Announcements() []directory.Announcement { return c.dir.All() }
 
 func (c *Control) publishView(t Time) {
+	suspects, refused := c.crashingRequests(t)
 	v := &View{
-		Config: c.config, Target: c.self.Target, Stopping: c.stopping, StoreEra: c.storeEra, CrashingRequests: c.crashingRequests(),
+		Config: c.config, Target: c.self.Target, Stopping: c.stopping, StoreEra: c.storeEra, CrashingRequests: refused, CrashSuspects: suspects,
 		Reader: c.isReader(), ConfigPollWait: c.pollWait(), VouchesForConfig: c.large() && c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
 		Signals: c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -48,6 +48,10 @@
 	// TargetCrashed carries the fingerprints of the requests that ran when the local
 	// target crashed.
 	TargetCrashed struct{ Requests []uint64 }
+	// RequestCompleted reports that the local target has run a request that was running when
+	// targets crashed, and RequestSeen that a caller asks for one.
+	RequestCompleted struct{ Fingerprint uint64 }
+	RequestSeen      struct{ Fingerprint uint64 }
 	// ConfigPublished carries a configuration from the store or another node. It is
 	// prepared and valid.
 	ConfigPublished struct {
@@ -125,6 +129,8 @@
 func (TargetResponded) event()   {}
 func (TargetSignaled) event()    {}
 func (TargetCrashed) event()     {}
+func (RequestCompleted) event()  {}
+func (RequestSeen) event()       {}
 func (ConfigPublished) event()   {}
 func (AnnouncementRead) event()  {}
 func (MoveOrdered) event()       {}
@@ -218,9 +224,8 @@
 	PerSecond map[string]float64 `json:"per_second,omitempty"`
 	// Suspects holds the number of each move whose new version this node suspects, by service.
 	Suspects map[string]uint64 `json:"suspects,omitempty"`
-	// Crashes counts the crashes of this node's target by the fingerprint of the
-	// requests that ran.
-	Crashes map[uint64]int `json:"crashes,omitempty"`
+	// Crashes holds what the node knows of the requests that were running when targets crashed.
+	Crashes []CrashRecord `json:"crash_records,omitempty"`
 	// StoreLost is set while the store does not respond to the node.
 	StoreLost bool `json:"store_lost,omitempty"`
 	// StoreEra is the era of the store, as far as the node knows.
--- a/internal/control/untrusted.go
+++ b/internal/control/untrusted.go
@@ -15,7 +15,7 @@
 const (
 	maxReportedRequests = 1 << 20
 	maxReportedRate     = 1e7
-	maxReportedCrashes  = 1 << 10
+	maxReportedSeenMS   = 24 * 60 * 60 * 1000
 	maxReportedCount    = 1 << 40
 	maxReportedMS       = 1e15
 )
@@ -29,12 +29,12 @@
 	if !inRange(s.Running, maxReportedRequests) || !inRange(s.Waiting, maxReportedRequests) {
 		return errors.Newf("%d running and %d waiting requests", s.Running, s.Waiting)
 	}
-	if len(s.Crashes) > maxReportedCrashes {
+	if len(s.Crashes) > maxCrashRecords {
 		return errors.Newf("%d crashing requests", len(s.Crashes))
 	}
-	for _, count := range s.Crashes {
-		if !inRange(count, maxReportedRequests) {
-			return errors.Newf("%d crashes of a request", count)
+	for _, r := range s.Crashes {
+		if err := r.validate(); err != nil {
+			return err
 		}
 	}
 	for service, rate := range s.PerSecond {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -22,8 +22,10 @@
 	// Signals holds what targets said about themselves in responses that passed through this
 	// node.
 	Signals map[directory.Process]directory.Signals
-	// CrashingRequests holds the fingerprints of requests that crashed targets.
+	// CrashingRequests holds the fingerprints of requests that crashed targets and are refused,
+	// CrashSuspects those of all that were running at a crash.
 	CrashingRequests map[uint64]bool
+	CrashSuspects    map[uint64]CrashSuspect
 	// Reader is set if this node reads the store for the whole mesh.
 	Reader bool
 	// ReadsOperatorFeed is set if this node itself reads the operator feed: by long polls of
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -73,6 +73,8 @@
 	attempts      []attemptRecord
 	config        published.Version
 	fingerprint   uint64
+	// crashTrial is set if this run is to show whether the request crashes targets.
+	crashTrial bool
 	// targetsReached counts the attempts that reached a target.
 	targetsReached int
 	// failure is the result of the last attempt that may have run, nil if there is none.
@@ -155,10 +157,17 @@
 		c.nested, c.isRetry = true, parent.IsRetry
 		n.nestedCalls.countCall(parent.Route, c.service)
 	}
-	if view.CrashingRequests[c.fingerprint] {
-		n.logRejected(r, id, http.StatusServiceUnavailable, "crashing-request")
-		n.refuse(w, "crashing-request", time.Duration(maxRetryAfterRatio*float64(left)))
-		return
+	if suspect, ok := view.CrashSuspects[c.fingerprint]; ok {
+		n.recordSeen(c.fingerprint)
+		if view.CrashingRequests[c.fingerprint] {
+			c.crashTrial = n.crashTrials.allow(c.fingerprint, suspect, arrived)
+			if !c.crashTrial {
+				n.logRejected(r, id, http.StatusServiceUnavailable, reasonCrashing)
+				n.refuse(w, reasonCrashing, time.Duration(maxRetryAfterRatio*float64(left)))
+				return
+			}
+			n.logger.Info("crash_trial", "request", id, "route", route.Name, "crashes", suspect.Crashes)
+		}
 	}
 	// The body may have arrived late in the stop.
 	if parent == nil && n.mayOutlastStop(c.deadline) {
@@ -289,6 +298,13 @@
 			// the budget of the called service serves other calls.
 			return last
 		}
+		if last.reason == reasonCrashing || c.crashTrial && reachedTarget(last.outcome) {
+			// One target is enough for a trial.
+			if !last.outcome.NotRun() {
+				c.failure = &last
+			}
+			break
+		}
 		if reachedTarget(last.outcome) {
 			c.targetsReached++
 		}
@@ -373,10 +389,10 @@
 	h := hopRequest{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, TargetStart: e.StartUnixMS, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
 		Rank:        int(admission.RankOf(c.nested, c.route.Priority, c.attemptKind)),
-		Fingerprint: c.fingerprint,
-		Retryable:   c.route.Kind.Repeatable(),
-		IsRetry:     c.isRetry || c.targetsReached > 0,
-		TimeLeftMS:  milliseconds(max(c.deadline-now-forwardDeadlineMargin, 0)), SoftTimeLeftMS: milliseconds(c.softDeadline - now), ExpectedServiceTimeMS: milliseconds(c.expectedServiceTime),
+		Fingerprint: c.fingerprint, CrashTrial: c.crashTrial,
+		Retryable:  c.route.Kind.Repeatable(),
+		IsRetry:    c.isRetry || c.targetsReached > 0,
+		TimeLeftMS: milliseconds(max(c.deadline-now-forwardDeadlineMargin, 0)), SoftTimeLeftMS: milliseconds(c.softDeadline - now), ExpectedServiceTimeMS: milliseconds(c.expectedServiceTime),
 	}
 	if s := n.view.Load().Signals[h.process()]; s.Limited {
 		h.KnownLimit = &s.RateLimit
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -102,3 +102,76 @@
 		n.step(control.TargetCrashed{Requests: requests})
 	}
 }
+
+const (
+	// trialRankDelay is the time between the trials of two nodes: that in which the others hear of
+	// the crash that a trial has caused.
+	trialRankDelay = 2 * time.Second
+	// seenInterval is the time between two reports that callers ask for a request.
+	seenInterval = time.Second
+	// maxTrials limits the memory, which is cleared beyond it.
+	maxTrials = 256
+)
+
+// crashTrials decides when a refused request runs once more, and when to report that callers ask
+// for one.
+type crashTrials struct {
+	mu     sync.Mutex
+	refuse map[uint64]refusedCrash
+	seen   map[uint64]time.Duration
+}
+
+// refusedCrash is a request that this node refuses.
+type refusedCrash struct {
+	since, lastTrial time.Duration
+	tried            bool
+}
+
+func newCrashTrials() *crashTrials {
+	return &crashTrials{refuse: map[uint64]refusedCrash{}, seen: map[uint64]time.Duration{}}
+}
+
+// allow reports whether a refused request runs once more. The nodes that callers ask take turns.
+func (c *crashTrials) allow(fingerprint uint64, suspect control.CrashSuspect, now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.refuse[fingerprint]
+	if !ok {
+		if len(c.refuse) >= maxTrials {
+			clear(c.refuse)
+		}
+		r.since = now
+	}
+	due := suspect.MayBeTried() && now-r.since >= time.Duration(suspect.TrialRank+1)*trialRankDelay &&
+		(!r.tried || now-r.lastTrial >= maxTrialTurns*trialRankDelay)
+	if due {
+		r.tried, r.lastTrial = true, now
+	}
+	c.refuse[fingerprint] = r
+	return due
+}
+
+// maxTrialTurns is the number of turns after which a node tries a request again, if its last trial
+// neither completed nor crashed a target.
+const maxTrialTurns = 4
+
+// seenDue reports whether to report that callers ask for a request.
+func (c *crashTrials) seenDue(fingerprint uint64, now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if last, ok := c.seen[fingerprint]; ok && now-last < seenInterval {
+		return false
+	}
+	if len(c.seen) >= maxTrials {
+		clear(c.seen)
+	}
+	c.seen[fingerprint] = now
+	return true
+}
+
+// recordSeen reports that a caller asks for a request that was running at a crash.
+func (n *Node) recordSeen(fingerprint uint64) {
+	if n.crashTrials.seenDue(fingerprint, n.clock.now()) {
+		n.step(control.RequestSeen{Fingerprint: fingerprint})
+	}
+}
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -37,6 +37,8 @@
 	Rank        int    `json:"rank"`
 	// Fingerprint identifies equal requests.
 	Fingerprint uint64 `json:"fingerprint"`
+	// CrashTrial is set if the request is refused and this run shows whether it crashes targets.
+	CrashTrial bool `json:"crash_trial,omitempty"`
 	// Retryable is set if the request may be sent again after a failure.
 	Retryable bool `json:"repeatable,omitempty"`
 	// IsRetry is set if the request may have run before, or is made on behalf of one that
@@ -158,6 +160,8 @@
 	// reasonMemory is the reason of a refusal by a node that holds too many bytes of other
 	// requests and responses.
 	reasonMemory = "memory"
+	// reasonCrashing is the reason of a refusal of a request that crashes targets.
+	reasonCrashing = "crashing-request"
 	// reasonStopping is the reason of a refusal by a node that stops.
 	reasonStopping = "node-stops"
 )
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -89,6 +89,10 @@
 	if reason := refusalReason(n.view.Load().Target, h); reason != "" {
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
+	if n.view.Load().CrashingRequests[h.Fingerprint] && !h.CrashTrial {
+		// The node of the caller may have started since the crashes.
+		return result{outcome: retry.RefusedByNode, reason: reasonCrashing}
+	}
 	if n.messages.Full(fullMemoryShare) {
 		return result{outcome: retry.RefusedByNode, reason: reasonMemory}
 	}
@@ -169,6 +173,9 @@
 	cold := t != nil && t.ColdUntilUnixMS > time.Now().UnixMilli()
 	switch res.outcome {
 	case retry.ResponseReceived:
+		if _, ok := n.view.Load().CrashSuspects[h.Fingerprint]; ok {
+			n.step(control.RequestCompleted{Fingerprint: h.Fingerprint})
+		}
 		failed := !res.succeeded()
 		n.step(control.TargetResponded{Route: h.Route, Failed: failed, Cold: cold, Latency: res.targetTime})
 		n.metrics.targetTime.observe(res.targetTime)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -69,6 +69,7 @@
 	nestedCalls   *nestedCalls
 	link          *linkMeter
 	crashDetector *crashDetector
+	crashTrials   *crashTrials
 	budgets       sync.Map
 	// unreachablePeers holds the nodes to which the last RPC failed.
 	unreachablePeers sync.Map
@@ -112,7 +113,7 @@
 func New(s Settings, h Headers, store Store, logger *slog.Logger) *Node {
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
-		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), nestedCalls: newNestedCalls(),
+		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), crashTrials: newCrashTrials(), nestedCalls: newNestedCalls(),
 		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(), departureKept: newBroadcast(),
 	}
 	for f := range control.FeedCount {
