stop: a log line tells what connections carry at the exit

At the end of a planned stop nothing told which answers were still under way: the log ended with `stopped`, whose in_flight counts handlers, and at times with the shutdown timeout. Each server now tracks its connections: requests without a complete response (HTTP/1, taken over for pipelining, HTTP/2 streams), bytes that were written and not acknowledged by the peer, and bytes received and not read, which make the kernel reset the connection. The line connections_at_exit gives them for each listener, as a warning if there are any; the sidecar's metrics have the same under `connections`.

No decision changes. The target's own ConnState hook goes on to be called.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -18,6 +18,8 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"heathercroft.example/heathercroft/internal/conns"
 )
 
 // readHeaderTimeout is the time limit for reading the header of a request.
@@ -31,11 +33,23 @@
 	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})).With("process", process)
 }
 
-// HTTPServer returns a kratos HTTP server for HTTP/1.1 and cleartext HTTP/2. All
+// Server is a kratos HTTP server whose connections are tracked.
+type Server struct {
+	*khttp.Server
+	name  string
+	conns *conns.Tracker
+}
+
+// HTTPServer returns a server for HTTP/1.1 and cleartext HTTP/2; the log has its name. All
 // requests bypass the kratos router, which would clean the path: a proxied path
 // must stay as the caller sent it. The server has no timeout for a whole request,
-// since uploads may take arbitrarily long.
-func HTTPServer(listener net.Listener, handler http.Handler) *khttp.Server {
+// since uploads may take arbitrarily long. wrap wraps the listener of tracked connections.
+func HTTPServer(name string, listener net.Listener, handler http.Handler, wrap ...func(net.Listener) net.Listener) *Server {
+	tracker := conns.New()
+	listener = tracker.Listen(listener)
+	for _, w := range wrap {
+		listener = w(listener)
+	}
 	srv := khttp.NewServer(
 		khttp.Listener(listener),
 		// Without an endpoint, kratos lists the network interfaces to find the
@@ -50,7 +64,8 @@
 	srv.Protocols = protocols
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	srv.MaxHeaderBytes = maxHeaderBytes
-	return srv
+	srv.ConnState = tracker.SetState
+	return &Server{Server: srv, name: name, conns: tracker}
 }
 
 // Options configures a daemon.
@@ -80,6 +95,7 @@
 		opts = append(opts, kratos.BeforeStop(o.BeforeStop))
 	}
 	err := kratos.New(opts...).Run()
+	logConnections(o)
 	if errors.Is(err, context.DeadlineExceeded) {
 		// Idle connections may stay open for longer than StopTimeout.
 		o.Logger.Warn("shutdown timeout reached; closed the remaining connections", "limit_ms", o.StopTimeout.Milliseconds())
@@ -88,6 +104,32 @@
 	return errors.Wrapf(err, "run %s", o.Name)
 }
 
+// Connections returns what the connections of the servers carry, by the name of the server.
+// Servers without connections are left out.
+func Connections(servers []transport.Server) map[string]conns.Summary {
+	open := map[string]conns.Summary{}
+	for _, s := range servers {
+		if server, ok := s.(*Server); ok {
+			if summary := server.conns.Summary(); summary != (conns.Summary{}) {
+				open[server.name] = summary
+			}
+		}
+	}
+	return open
+}
+
+// logConnections logs what the connections carry that end with the process.
+func logConnections(o Options) {
+	level, fields := slog.LevelInfo, []any{}
+	for name, summary := range Connections(o.Servers) {
+		if summary.Carries() {
+			level = slog.LevelWarn
+		}
+		fields = append(fields, slog.Any(name, summary))
+	}
+	o.Logger.Log(context.Background(), level, "connections_at_exit", fields...)
+}
+
 // Exit codes of the daemons.
 const (
 	ExitFailure     = 1
--- a/internal/callpath/kratos_test.go
+++ b/internal/callpath/kratos_test.go
@@ -26,8 +26,8 @@
 	}), fastSettings())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := app.HTTPServer(listener, m.nodes["node-b"].CallHandler())
-	callpath.ConfigureServer(server.Server)
+	server := app.HTTPServer("callers", listener, m.nodes["node-b"].CallHandler())
+	callpath.ConfigureServer(server.Server.Server)
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Start(context.Background()) }()
 	t.Cleanup(func() {
--- a/internal/logservice/daemon.go
+++ b/internal/logservice/daemon.go
@@ -24,7 +24,7 @@
 	}
 	server := New(s, logger)
 	expvar.Publish("platform", expvar.Func(func() any { return server.Status().Counters }))
-	httpServer := app.HTTPServer(listener, server)
+	httpServer := app.HTTPServer("log", listener, server)
 	httpServer.RegisterOnShutdown(server.Close)
 	logger.Info("log service started", "address", listener.Addr().String())
 	return app.Run(ctx, app.Options{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,6 @@
 		}
 		*l.to = listener
 	}
-	n.listeners.caller = netutil.LimitListener(n.listeners.caller, n.settings.Limits.MaxConnections)
 	return nil
 }
 
@@ -112,10 +111,12 @@
 
 // Run serves until a stop signal, then drains and stops.
 func (n *Node) Run(ctx context.Context) error {
-	callServer := app.HTTPServer(n.listeners.call, n.calls.NodeHandler())
-	callpath.ConfigureServer(callServer.Server)
-	callerServer := app.HTTPServer(n.listeners.caller, n.callerHandler())
-	callpath.ConfigureServer(callerServer.Server)
+	callServer := app.HTTPServer("nodes", n.listeners.call, n.calls.NodeHandler())
+	callpath.ConfigureServer(callServer.Server.Server)
+	callerServer := app.HTTPServer("callers", n.listeners.caller, n.callerHandler(), func(l net.Listener) net.Listener {
+		return netutil.LimitListener(l, n.settings.Limits.MaxConnections)
+	})
+	callpath.ConfigureServer(callerServer.Server.Server)
 	n.publishMetrics()
 	return app.Run(ctx, app.Options{
 		Name:   "heathercroft-node",
@@ -125,8 +126,8 @@
 			rpc.NewServer(n.listeners.rpc, peerHandler{n.loop}, n.counters),
 			callServer,
 			callerServer,
-			app.HTTPServer(n.listeners.outbound, n.calls.OutboundHandler()),
-			app.HTTPServer(n.listeners.admin, n.adminHandler()),
+			app.HTTPServer("outbound", n.listeners.outbound, n.calls.OutboundHandler()),
+			app.HTTPServer("admin", n.listeners.admin, n.adminHandler()),
 		},
 		StopTimeout: stopTimeout,
 		BeforeStop:  n.drain,
--- a/internal/pipeline/handler.go
+++ b/internal/pipeline/handler.go
@@ -20,7 +20,10 @@
 	// IdleTimeout the time without requests.
 	MaxHeaderBytes             int
 	HeaderTimeout, IdleTimeout time.Duration
-	Logger                     *slog.Logger
+	// ConnState, if not nil, is called when a connection that was taken over becomes active
+	// or idle, as the hook of http.Server is for the others.
+	ConnState func(net.Conn, http.ConnState)
+	Logger    *slog.Logger
 }
 
 // Handler serves pipelined requests. The server needs the listener that Listen returns and
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -228,6 +228,7 @@
 	s.open = append(s.open, e)
 	if len(s.open) == 1 {
 		close(e.turn)
+		s.setState(http.StateActive)
 	}
 	close(e.attached)
 	// An error means that the connection is closed, which the next read reports.
@@ -302,13 +303,21 @@
 	case len(s.open) > 0:
 		close(s.open[0].turn)
 	case s.closing:
+		s.setState(http.StateIdle)
 		// The reader waits for the client and has to close the connection.
 		_ = s.conn.SetReadDeadline(time.Now())
 	default:
+		s.setState(http.StateIdle)
 		s.setIdleDeadline()
 	}
 }
 
+func (s *session) setState(state http.ConnState) {
+	if s.handler.ConnState != nil {
+		s.handler.ConnState(s.conn, state)
+	}
+}
+
 // setIdleDeadline limits the time until the next request. An error means that the
 // connection is closed, which the next read reports.
 func (s *session) setIdleDeadline() {
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -254,7 +254,7 @@
 	serving := &atomic.Pointer[Node]{}
 	inbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }))
 	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		serving.Load().outboundHandler().ServeHTTP(w, r)
+		serving.Load().outboundHandler(nil).ServeHTTP(w, r)
 	}))
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -157,10 +157,11 @@
 
 // outboundHandler handles the requests of callers, which may send repeatable requests
 // before the earlier ones are answered.
-func (n *Node) outboundHandler() http.Handler {
+// connState is called with the state of their connections.
+func (n *Node) outboundHandler(connState func(net.Conn, http.ConnState)) http.Handler {
 	return pipeline.NewHandler(http.HandlerFunc(n.serveOutbound), pipeline.Options{
 		Concurrent: n.mayRunTwice, MaxRequests: maxPipelinedRequests, MaxHeaderBytes: maxHeaderBytes,
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Logger: n.logger,
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: connState, Logger: n.logger,
 	})
 }
 
@@ -178,15 +179,19 @@
 // the control address.
 func (n *Node) Run(ctx context.Context, registry http.Handler) error {
 	var servers []transport.Server
+	var outbound *app.Server
+	outboundState := func(c net.Conn, state http.ConnState) { outbound.ConnState(c, state) }
 	for _, l := range []struct {
+		name    string
 		address netip.AddrPort
 		handler http.Handler
+		server  **app.Server
 	}{
-		{n.settings.Control, registry},
-		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
-		{n.settings.Inbound, http.HandlerFunc(n.serveInbound)},
-		{n.settings.Outbound, n.outboundHandler()},
-		{n.settings.Metrics, expvar.Handler()},
+		{"control", n.settings.Control, registry, new(*app.Server)},
+		{"ready", n.settings.Ready, http.HandlerFunc(n.serveReady), new(*app.Server)},
+		{"inbound", n.settings.Inbound, http.HandlerFunc(n.serveInbound), new(*app.Server)},
+		{"outbound", n.settings.Outbound, n.outboundHandler(outboundState), &outbound},
+		{"metrics", n.settings.Metrics, expvar.Handler(), new(*app.Server)},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -195,7 +200,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen at %s", l.address)
 		}
-		server := app.HTTPServer(pipeline.Listen(listener), l.handler)
+		server := app.HTTPServer(l.name, listener, l.handler, pipeline.Listen)
+		*l.server = server
 		server.ConnContext = pipeline.ConnContext
 		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
 		server.HTTP2 = &http.HTTP2Config{
@@ -213,6 +219,7 @@
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
 	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
+	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
 	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
 	go n.runTicker()
--- a/internal/target/daemon.go
+++ b/internal/target/daemon.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -30,9 +31,13 @@
 	}
 	server := New(s, address, logger)
 	expvar.Publish("target", expvar.Func(func() any { return server.Status() }))
-	httpServer := app.HTTPServer(listener, server)
+	httpServer := app.HTTPServer("calls", listener, server)
 	httpServer.ConnContext = server.ConnContext
-	httpServer.ConnState = server.ConnState
+	track := httpServer.ConnState
+	httpServer.ConnState = func(c net.Conn, state http.ConnState) {
+		track(c, state)
+		server.ConnState(c, state)
+	}
 	httpServer.RegisterOnShutdown(server.Close)
 	logger.Info("target started", "address", address.String(), "zone", string(s.Zone), "service", s.Service, "version", s.Version)
 
