log: write the last lines before the process exits

The sidecar's log goes through a buffer that never blocks, and the process exited without waiting for it: in a process test of a stop the lines behind `stopped` (shutdown timeout, connections_at_exit) were missing in one of two runs. The process now waits for the buffer at its end, for 50 ms at most, since the output may be blocked. TestFlushWritesTheLastLines holds both.

--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -55,11 +55,16 @@
 	store := platform.NewStore(s.Store, s.Node.Inbound.Addr(), logger)
 	n := sidecar.New(s.Node, platform.Headers(), store, logger)
 	go reload(*path, store, logger)
-	if err := n.Run(context.Background(), platform.Registry(n.Step, logger)); err != nil {
+	err = n.Run(context.Background(), platform.Registry(n.Step, logger))
+	logBuffer.Flush(logFlushTimeout)
+	if err != nil {
 		app.Fail(app.ExitFailure, err)
 	}
 }
 
+// logFlushTimeout limits the wait for the output of the last log lines.
+const logFlushTimeout = 50 * time.Millisecond
+
 // settingsPollInterval is the time between two checks of the settings file, which may
 // change without a signal.
 const settingsPollInterval = 2 * time.Second
--- a/internal/app/logbuffer.go
+++ b/internal/app/logbuffer.go
@@ -23,6 +23,8 @@
 type LogBuffer struct {
 	out     io.Writer
 	lines   chan []byte
+	// pending is the number of lines that were accepted and not written.
+	pending atomic.Int64
 	dropped atomic.Int64
 	failed  atomic.Int64
 }
@@ -41,6 +43,16 @@
 // Failed returns the number of failed writes.
 func (b *LogBuffer) Failed() int64 { return b.failed.Load() }
 
+// flushPollInterval is the time between two checks of the lines that are not written.
+const flushPollInterval = time.Millisecond
+
+// Flush waits until all lines are written, at most for the limit: the output may be blocked.
+func (b *LogBuffer) Flush(limit time.Duration) {
+	for end := time.Now().Add(limit); b.pending.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(flushPollInterval)
+	}
+}
+
 func (b *LogBuffer) write() {
 	var reported int64
 	var last time.Time
@@ -48,6 +60,7 @@
 		if _, err := b.out.Write(line); err != nil {
 			b.failed.Add(1)
 		}
+		b.pending.Add(-1)
 		if dropped := b.dropped.Load(); dropped > reported && time.Since(last) > dropReportInterval {
 			slog.New(slog.NewJSONHandler(b.out, nil)).Warn("log_lines_dropped", "count", dropped-reported)
 			reported, last = dropped, time.Now()
@@ -61,9 +74,11 @@
 		b.dropped.Add(1)
 		return
 	}
+	b.pending.Add(1)
 	select {
 	case b.lines <- line:
 	default:
+		b.pending.Add(-1)
 		b.dropped.Add(1)
 	}
 }
--- a/internal/app/logbuffer_test.go
+++ b/internal/app/logbuffer_test.go
@@ -57,3 +57,16 @@
 	require.Eventually(t, func() bool { return strings.Contains(out.text(), `"msg":"important"`) }, 10*time.Second, 10*time.Millisecond)
 	require.Eventually(t, func() bool { return strings.Contains(out.text(), "log_lines_dropped") }, 10*time.Second, 10*time.Millisecond)
 }
+
+// Guards against a process that exits before its last lines are written, and against one that
+// waits for an output that is blocked.
+func TestFlushWritesTheLastLines(t *testing.T) {
+	out := &blockingWriter{open: make(chan struct{})}
+	b := app.NewLogBuffer(out)
+	slog.New(b.Handler(slog.LevelInfo)).Info("last")
+	b.Flush(10 * time.Millisecond)
+	require.Empty(t, out.text())
+	close(out.open)
+	b.Flush(10 * time.Second)
+	require.Contains(t, out.text(), `"msg":"last"`)
+}
