stop: a process ends when its responses are received, not when its handlers return

Cause: the drain counts handlers. When the last one has returned, its bytes are in the buffers of net/http, of the HTTP/2 connection to another node or of the kernel; the servers got 300 ms (100 ms in heathercroft-node), then the process exited. The kernel discards what is unsent and resets the connection as soon as the peer sends anything on it: the next request of a kept connection, or the window update with which each HTTP/2 client acknowledges what it reads. Idle HTTP/2 connections stay open for 1 s after GOAWAY, so nearly every stop ran into the limit. Connections taken over for pipelining were in nobody's count.

Fix: internal/conns tracks each connection, including those taken over. A close is a close for writing; the connection is then read until the peer closes it. A stop closes the listener, closes HTTP/1 connections that carry nothing, answers requests that were read (net/http drops them after Shutdown), sends GOAWAY, and ends when all peers have acknowledged everything (SIOCOUTQ), so early if nothing is under way; at most until 100 ms before the end of the grace period. heathercroft-node: at most 5 s and its drain limit. One implementation for all daemons, in internal/app. Requests that arrive after the drain are refused as not run instead of aborted.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,8 +37,22 @@
 // Server is a kratos HTTP server whose connections are tracked.
 type Server struct {
 	*khttp.Server
-	name  string
-	conns *conns.Tracker
+	name   string
+	conns  *conns.Tracker
+	onStop []func()
+}
+
+// RegisterOnShutdown registers a function that is called when the server stops. It replaces
+// that of http.Server, which would call it after the requests in flight have ended.
+func (s *Server) RegisterOnShutdown(f func()) { s.onStop = append(s.onStop, f) }
+
+// Stop implements transport.Server. It returns when the requests that were read are answered
+// and the responses received, or with the error of ctx.
+func (s *Server) Stop(ctx context.Context) error {
+	for _, f := range s.onStop {
+		go f()
+	}
+	return s.conns.Stop(ctx, s.Server.Stop)
 }
 
 // HTTPServer returns a server for HTTP/1.1 and cleartext HTTP/2; the log has its name. All
@@ -73,6 +88,9 @@
 	Name    string
 	Logger  *slog.Logger
 	Servers []transport.Server
+	// GracePeriod is the time limit from the stop signal to the end of the process, 0 for none.
+	// The part of it that BeforeStop leaves is for responses that were not received yet.
+	GracePeriod time.Duration
 	// StopTimeout is the time limit for the graceful shutdown of the servers.
 	StopTimeout time.Duration
 	// BeforeStop runs after the stop signal and before the servers shut down, for
@@ -80,24 +98,60 @@
 	BeforeStop func(context.Context) error
 }
 
+const (
+	// exitMargin is the part of the grace period for the exit of the process.
+	exitMargin = 100 * time.Millisecond
+	// minCloseTime is the time for the shutdown of the servers if nothing of the grace period is
+	// left.
+	minCloseTime = 100 * time.Millisecond
+)
+
+// boundedServer is a server whose stop ends with the grace period of the daemon.
+type boundedServer struct {
+	transport.Server
+	// end is the end of the grace period, nil if there is none.
+	end *atomic.Pointer[time.Time]
+}
+
+// Stop implements transport.Server.
+func (s boundedServer) Stop(ctx context.Context) error {
+	if end := s.end.Load(); end != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, max(time.Until(*end)-exitMargin, minCloseTime))
+		defer cancel()
+	}
+	return s.Server.Stop(ctx)
+}
+
 // Run runs a daemon until SIGTERM, SIGINT or the end of ctx, then shuts it down
 // gracefully.
 func Run(ctx context.Context, o Options) error {
 	klog.SetLogger(slogAdapter{o.Logger})
+	var end atomic.Pointer[time.Time]
+	servers := make([]transport.Server, 0, len(o.Servers))
+	for _, s := range o.Servers {
+		servers = append(servers, boundedServer{s, &end})
+	}
 	opts := []kratos.Option{
 		kratos.Context(ctx),
 		kratos.Name(o.Name),
-		kratos.Server(o.Servers...),
+		kratos.Server(servers...),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(o.StopTimeout),
-	}
-	if o.BeforeStop != nil {
-		opts = append(opts, kratos.BeforeStop(o.BeforeStop))
+		kratos.BeforeStop(func(ctx context.Context) error {
+			if o.GracePeriod > 0 {
+				at := time.Now().Add(o.GracePeriod)
+				end.Store(&at)
+			}
+			if o.BeforeStop == nil {
+				return nil
+			}
+			return o.BeforeStop(ctx)
+		}),
 	}
 	err := kratos.New(opts...).Run()
 	logConnections(o)
 	if errors.Is(err, context.DeadlineExceeded) {
-		// Idle connections may stay open for longer than StopTimeout.
 		o.Logger.Warn("shutdown timeout reached; closed the remaining connections", "limit_ms", o.StopTimeout.Milliseconds())
 		return nil
 	}
--- a/internal/app/logbuffer.go
+++ b/internal/app/logbuffer.go
@@ -21,8 +21,8 @@
 // LogBuffer writes log lines asynchronously, so that a slow or closed output does
 // not block the callers. Lines that exceed the capacity are dropped and counted.
 type LogBuffer struct {
-	out     io.Writer
-	lines   chan []byte
+	out   io.Writer
+	lines chan []byte
 	// pending is the number of lines that were accepted and not written.
 	pending atomic.Int64
 	dropped atomic.Int64
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -1,12 +1,21 @@
 // Package conns tracks the connections of the servers of a process, so that a process that
-// stops knows which of them still carry a request or a response.
+// stops knows which of them still carry a request or a response, and closes them without losing
+// it.
+//
+// A handler returns before its response is received: the last bytes are in the buffers of
+// net/http and of the kernel. The kernel discards them and resets the connection when bytes of
+// the peer were not read at the close or arrive after it. A connection is therefore first closed
+// for writing and read until the peer closes it.
 package conns
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
@@ -16,6 +25,11 @@
 type Tracker struct {
 	mu   sync.Mutex
 	open map[endpoints]*conn
+	// listener is the listener of the connections. stopping is set when it is closed, and
+	// stopEnd is the time until which connections are then kept for their peers.
+	listener net.Listener
+	stopping bool
+	stopEnd  time.Time
 	// unsent and unread count the connections that were closed with such bytes.
 	unsent, unread int
 }
@@ -58,18 +72,24 @@
 // Summary returns what the open connections carry now.
 func (t *Tracker) Summary() Summary {
 	t.mu.Lock()
-	open := make([]*conn, 0, len(t.open))
-	for _, c := range t.open {
-		open = append(open, c)
-	}
 	s := Summary{ClosedUnacknowledged: t.unsent, ClosedUnread: t.unread}
 	t.mu.Unlock()
-	for _, c := range open {
+	for _, c := range t.list() {
 		c.addTo(&s)
 	}
 	return s
 }
 
+func (t *Tracker) list() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	open := make([]*conn, 0, len(t.open))
+	for _, c := range t.open {
+		open = append(open, c)
+	}
+	return open
+}
+
 // SetState records the state of a connection. It is the ConnState hook of an http.Server, and
 // is called for connections that were taken over from it, too.
 func (t *Tracker) SetState(nc net.Conn, state http.ConnState) {
@@ -94,28 +114,47 @@
 type listener struct {
 	net.Listener
 	tracker *Tracker
+	once    sync.Once
+	closed  chan struct{}
 }
 
-// Listen returns a listener whose connections are tracked.
-func (t *Tracker) Listen(l net.Listener) net.Listener { return listener{l, t} }
+// Listen returns a listener whose connections are tracked. It is called once.
+func (t *Tracker) Listen(l net.Listener) net.Listener {
+	t.listener = l
+	return &listener{Listener: l, tracker: t, closed: make(chan struct{})}
+}
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
+		if l.tracker.isStopping() {
+			// The server counts as running until the requests that it has read are answered.
+			<-l.closed
+		}
 		return nil, err
 	}
 	tcp, ok := nc.(*net.TCPConn)
 	if !ok {
 		return nc, nil
 	}
-	c := &conn{TCPConn: tcp, tracker: l.tracker, id: endpointsOf(tcp)}
+	c := &conn{TCPConn: tcp, tracker: l.tracker, id: endpointsOf(tcp), lastReceived: time.Now()}
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
 	l.tracker.open[c.id] = c
 	return c, nil
 }
 
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	err := l.Listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "close listener")
+}
+
 // http2Preface begins each HTTP/2 connection. No HTTP/1 request begins with it.
 const http2Preface = "PRI"
 
@@ -127,33 +166,151 @@
 
 	mu sync.Mutex
 	// received is set when bytes were received since the last change of state, begun when any
-	// were.
+	// were. lastReceived is when they were, at first when the connection was accepted.
 	received, begun bool
+	lastReceived    time.Time
 	http2, hijacked bool
 	state           http.ConnState
-	closed          bool
+	// ended is set when the peer has closed its side or the connection was reset.
+	ended bool
+	// closed is set when this process uses the connection no more. It is then read until the
+	// peer closes it.
+	closed   bool
+	closedAt time.Time
+
+	// readMu is held during a read.
+	readMu sync.Mutex
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
 	n, err := c.TCPConn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.http2 = c.http2 || !c.begun && n >= len(http2Preface) && string(p[:len(http2Preface)]) == http2Preface
-		c.received, c.begun = true, true
+		c.received, c.begun, c.lastReceived = true, true, time.Now()
 	}
+	c.ended = c.ended || err != nil && !isTimeout(err)
 	return n, err
 }
 
-// Close implements net.Conn.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(end time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetReadDeadline(end)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(end time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetDeadline(end)
+}
+
+// Close implements net.Conn. It closes the connection for writing and returns at once; the
+// connection is closed when the peer has closed it, too, or a limit is reached.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return nil
 	}
-	c.closed = true
+	c.closed, c.closedAt = true, time.Now()
+	if unsent, _ := c.queued(); c.ended && unsent == 0 || c.CloseWrite() != nil {
+		return c.release()
+	}
+	// This ends a read in progress.
+	if err := c.TCPConn.SetReadDeadline(c.closedAt); err != nil {
+		return c.release()
+	}
+	go c.linger()
+	return nil
+}
+
+const (
+	// lingerTimeout is how long a closed connection is read for a peer that has acknowledged
+	// everything, and unsentTimeout for one that has not. Both apply while the process does not
+	// stop.
+	lingerTimeout = 500 * time.Millisecond
+	unsentTimeout = 5 * time.Second
+	// peerCloseTime is how long a process that stops waits for a peer that has acknowledged
+	// everything to close its side.
+	peerCloseTime = 250 * time.Millisecond
+	// lingerPollInterval is the time between two checks of a closed connection.
+	lingerPollInterval = 10 * time.Millisecond
+	// lingerBufferBytes is the size of the buffer for bytes that are discarded.
+	lingerBufferBytes = 4 << 10
+)
+
+// linger reads and discards what the peer sends until it closes the connection.
+func (c *conn) linger() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	discarded := make([]byte, lingerBufferBytes)
+	for {
+		unsent, _ := c.queued()
+		now := time.Now()
+		if c.ended && unsent == 0 || !now.Before(c.lingerEnd(unsent)) {
+			break
+		}
+		if c.ended {
+			time.Sleep(lingerPollInterval)
+			continue
+		}
+		if c.TCPConn.SetReadDeadline(now.Add(lingerPollInterval)) != nil {
+			break
+		}
+		_, err := c.TCPConn.Read(discarded)
+		if err == nil || isTimeout(err) {
+			continue
+		}
+		if !errors.Is(err, io.EOF) {
+			// The connection was reset.
+			break
+		}
+		c.mu.Lock()
+		c.ended = true
+		c.mu.Unlock()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// The peer cannot be told of an error.
+	_ = c.release()
+}
+
+// lingerEnd returns until when a closed connection is kept.
+func (c *conn) lingerEnd(unsent int) time.Time {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	switch {
+	case c.tracker.stopping && unsent > 0:
+		return c.tracker.stopEnd
+	case c.tracker.stopping:
+		return c.closedAt.Add(peerCloseTime)
+	case unsent > 0:
+		return c.closedAt.Add(unsentTimeout)
+	default:
+		return c.closedAt.Add(lingerTimeout)
+	}
+}
+
+// release closes the connection to both sides. mu must be held.
+func (c *conn) release() error {
 	unsent, unread := c.queued()
 	t := c.tracker
 	t.mu.Lock()
@@ -188,11 +345,18 @@
 		return 0, 0
 	}
 	err = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			unread = n
+		}
 		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
 			unsent = n
 		}
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
-			unread = n
+		if unsent == 0 {
+			return
+		}
+		// A connection that was reset keeps its count.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_CLOSE {
+			unsent = 0
 		}
 	})
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,6 +129,7 @@
 			app.HTTPServer("outbound", n.listeners.outbound, n.calls.OutboundHandler()),
 			app.HTTPServer("admin", n.listeners.admin, n.adminHandler()),
 		},
+		GracePeriod: n.settings.Drain.Limit.Std(),
 		StopTimeout: stopTimeout,
 		BeforeStop:  n.drain,
 	})
@@ -152,10 +153,9 @@
 	})
 }
 
-// stopTimeout limits the shutdown after the listeners are closed. Nothing is in flight
-// after the drain, and new connections to a closed listener are reset, which callers
-// can't distinguish from a crash.
-const stopTimeout = 100 * time.Millisecond
+// stopTimeout limits the wait for peers that have not received their responses after the drain.
+// New connections are refused meanwhile, which callers can't distinguish from a crash.
+const stopTimeout = 5 * time.Second
 
 // drain announces that the node leaves, refuses new requests and waits for those in
 // flight.
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -84,11 +84,6 @@
 func (n *Node) serveOutbound(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	if n.closed.Load() {
-		// The listeners are about to close, and this connection with them. The response to a
-		// request that is forwarded now would be lost.
-		panic(http.ErrAbortHandler)
-	}
 	n.closeWhenStopping(w)
 	arrived := n.clock.now()
 	id := r.Header.Get(n.headers.RequestID)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -94,9 +94,9 @@
 	inFlight        atomic.Int64
 	timelyResponses atomic.Uint64
 	stopping        atomic.Bool
-	// closing makes each response close its connection, refusing refuses new requests of
-	// callers as not run, and closed stops forwarding.
-	closing, refusing, closed atomic.Bool
+	// closing makes each response close its connection, and refusing refuses new requests of
+	// callers as not run.
+	closing, refusing atomic.Bool
 	// stopEnd is the time on the node's clock at which a stopping node gives up the requests in
 	// flight, 0 while it does not stop. callsCtx ends at that time.
 	stopEnd  atomic.Int64
@@ -230,7 +230,7 @@
 	defer n.cancel()
 	return app.Run(ctx, app.Options{
 		Name: "heathercroft-sidecar", Logger: n.logger, Servers: servers,
-		StopTimeout: stopTimeout, BeforeStop: n.drain,
+		GracePeriod: n.settings.GracePeriod, StopTimeout: n.settings.GracePeriod, BeforeStop: n.drain,
 	})
 }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -24,14 +24,14 @@
 	// answerPeriod is the time in which the requests that are given up at the end of a stop get
 	// their responses.
 	answerPeriod = 150 * time.Millisecond
-	// stopMargin is the part of the grace period reserved for the exit of the process.
+	// stopMargin is the part of the grace period reserved for the delivery of the last responses
+	// and the exit of the process.
 	stopMargin = 500 * time.Millisecond
-	// stopTimeout limits the closing of the listeners after the drain.
-	stopTimeout = 300 * time.Millisecond
 )
 
 // drain announces the stop to the other nodes and the callers, and finishes the requests
-// in flight.
+// in flight. Responses that the callers and the other nodes have not received then are
+// delivered by the servers.
 func (n *Node) drain(context.Context) error {
 	started := n.clock.now()
 	end := started + n.settings.GracePeriod - stopMargin
@@ -49,10 +49,10 @@
 	n.step(control.Closing{})
 	go n.withdraw()
 	n.waitIdle(0, end)
-	// A caller whose request is given up is told so, since it may have run.
+	// A caller whose request is given up is told so, since it may have run. Later requests are
+	// refused as not run.
 	n.endCalls()
 	n.waitIdle(0, n.clock.now()+answerPeriod)
-	n.closed.Store(true)
 	n.logger.Info("stopped", "in_flight", n.inFlight.Load())
 	return nil
 }
