--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,6 @@
 		}
 		*l.to = listener
 	}
-	n.listeners.caller = netutil.LimitListener(n.listeners.caller, n.settings.Limits.MaxConnections)
 	return nil
 }
 
@@ -112,10 +111,12 @@
 
 // Run serves until a stop signal, then drains and stops.
 func (n *Node) Run(ctx context.Context) error {
-	callServer := app.HTTPServer(n.listeners.call, n.calls.NodeHandler())
-	callpath.ConfigureServer(callServer.Server)
-	callerServer := app.HTTPServer(n.listeners.caller, n.callerHandler())
-	callpath.ConfigureServer(callerServer.Server)
+	callServer := app.HTTPServer("nodes", n.listeners.call, n.calls.NodeHandler())
+	callpath.ConfigureServer(callServer.Server.Server)
+	callerServer := app.HTTPServer("callers", n.listeners.caller, n.callerHandler(), func(l net.Listener) net.Listener {
+		return netutil.LimitListener(l, n.settings.Limits.MaxConnections)
+	})
+	callpath.ConfigureServer(callerServer.Server.Server)
 	n.publishMetrics()
 	return app.Run(ctx, app.Options{
 		Name:   "heathercroft-node",
@@ -125,9 +126,10 @@
 			rpc.NewServer(n.listeners.rpc, peerHandler{n.loop}, n.counters),
 			callServer,
 			callerServer,
-			app.HTTPServer(n.listeners.outbound, n.calls.OutboundHandler()),
-			app.HTTPServer(n.listeners.admin, n.adminHandler()),
+			app.HTTPServer("outbound", n.listeners.outbound, n.calls.OutboundHandler()),
+			app.HTTPServer("admin", n.listeners.admin, n.adminHandler()),
 		},
+		GracePeriod: n.settings.Drain.Limit.Std(),
 		StopTimeout: stopTimeout,
 		BeforeStop:  n.drain,
 	})
@@ -151,10 +153,9 @@
 	})
 }
 
-// stopTimeout limits the shutdown after the listeners are closed. Nothing is in flight
-// after the drain, and new connections to a closed listener are reset, which callers
-// can't distinguish from a crash.
-const stopTimeout = 100 * time.Millisecond
+// stopTimeout limits the wait for peers that have not received their responses after the drain.
+// New connections are refused meanwhile, which callers can't distinguish from a crash.
+const stopTimeout = 5 * time.Second
 
 // drain announces that the node leaves, refuses new requests and waits for those in
 // flight.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -97,9 +97,9 @@
 	inFlight        atomic.Int64
 	timelyResponses atomic.Uint64
 	stopping        atomic.Bool
-	// closing makes each response close its connection, refusing refuses new requests of
-	// callers as not run, and closed stops forwarding.
-	closing, refusing, closed atomic.Bool
+	// closing makes each response close its connection, and refusing refuses new requests of
+	// callers as not run.
+	closing, refusing atomic.Bool
 	// stopEnd is the time on the node's clock at which a stopping node gives up the requests in
 	// flight, 0 while it does not stop. callsCtx ends at that time.
 	stopEnd  atomic.Int64
@@ -164,10 +164,11 @@
 
 // outboundHandler handles the requests of callers, which may send repeatable requests
 // before the earlier ones are answered.
-func (n *Node) outboundHandler() http.Handler {
+// connState is called with the state of their connections.
+func (n *Node) outboundHandler(connState func(net.Conn, http.ConnState)) http.Handler {
 	return pipeline.NewHandler(http.HandlerFunc(n.serveOutbound), pipeline.Options{
 		Concurrent: n.mayRunTwice, MaxRequests: maxPipelinedRequests, MaxHeaderBytes: maxHeaderBytes,
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Logger: n.logger,
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: connState, Logger: n.logger,
 	})
 }
 
@@ -185,16 +186,20 @@
 // the control address.
 func (n *Node) Run(ctx context.Context, registry http.Handler) error {
 	var servers []transport.Server
+	var outbound *app.Server
+	outboundState := func(c net.Conn, state http.ConnState) { outbound.ConnState(c, state) }
 	for _, l := range []struct {
+		name        string
 		address     netip.AddrPort
 		handler     http.Handler
 		headerBytes int
+		server      **app.Server
 	}{
-		{n.settings.Control, registry, maxHeaderBytes},
-		{n.settings.Ready, http.HandlerFunc(n.serveReady), maxHeaderBytes},
-		{n.settings.Inbound, http.HandlerFunc(n.serveInbound), maxHopHeaderBytes},
-		{n.settings.Outbound, n.outboundHandler(), maxHeaderBytes},
-		{n.settings.Metrics, expvar.Handler(), maxHeaderBytes},
+		{"control", n.settings.Control, registry, maxHeaderBytes, new(*app.Server)},
+		{"ready", n.settings.Ready, http.HandlerFunc(n.serveReady), maxHeaderBytes, new(*app.Server)},
+		{"inbound", n.settings.Inbound, http.HandlerFunc(n.serveInbound), maxHopHeaderBytes, new(*app.Server)},
+		{"outbound", n.settings.Outbound, n.outboundHandler(outboundState), maxHeaderBytes, &outbound},
+		{"metrics", n.settings.Metrics, expvar.Handler(), maxHeaderBytes, new(*app.Server)},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -203,7 +208,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen at %s", l.address)
 		}
-		server := app.HTTPServer(pipeline.Listen(listener), l.handler)
+		server := app.HTTPServer(l.name, listener, l.handler, pipeline.Listen)
+		*l.server = server
 		server.ConnContext = pipeline.ConnContext
 		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, l.headerBytes
 		server.HTTP2 = &http.HTTP2Config{
@@ -221,6 +227,7 @@
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
 	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
+	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
 	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
 	go n.runTicker()
@@ -231,7 +238,7 @@
 	defer n.cancel()
 	return app.Run(ctx, app.Options{
 		Name: "heathercroft-sidecar", Logger: n.logger, Servers: servers,
-		StopTimeout: stopTimeout, BeforeStop: n.drain,
+		GracePeriod: n.settings.GracePeriod, StopTimeout: n.settings.GracePeriod, BeforeStop: n.drain,
 	})
 }
 
