sidecar: endless responses leave memory for the requests of others

Callers on a machine whose target sent a few responses without end got 503 "memory" until those responses reached their deadlines, and responses of requests in flight were lost as may-have-run. The bound on all bodies of a process held, but a handful of large messages could use all of it.

Cause: bounded.Memory gave its bytes to whoever came first, so three responses of which more than a third of the bound each had arrived, and which then trickled on, kept it for as long as their requests lasted.

Ruled out: heads. Each is limited to 64 KiB on the connection, and there are at most as many as the target has slots.

Leases up to 64 KiB may use the whole bound; larger ones together at most 70 %. A node refuses requests at 85 % instead of 75 %, above what large messages alone can hold. Another large response beside endless ones may still be refused memory.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -43,14 +43,25 @@
 	return n, err
 }
 
+const (
+	// maxSmallLease is the size in bytes up to which a lease may use the whole bound.
+	maxSmallLease = 64 << 10
+	// largeShare is the share of the bound for all larger leases. A few messages that never end
+	// must not use up the memory of the others.
+	largeShare = 0.7
+)
+
 // Memory bounds the bytes that all leases hold.
 type Memory struct {
-	limit int64
-	held  atomic.Int64
+	limit, largeLimit int64
+	// held counts the bytes of all leases, large those of the leases over maxSmallLease.
+	held, large atomic.Int64
 }
 
 // NewMemory returns a bound of the given number of bytes; 0 means no bound.
-func NewMemory(limit int64) *Memory { return &Memory{limit: limit} }
+func NewMemory(limit int64) *Memory {
+	return &Memory{limit: limit, largeLimit: int64(largeShare * float64(limit))}
+}
 
 // Held returns the bytes in use.
 func (m *Memory) Held() int64 { return m.held.Load() }
@@ -70,25 +81,49 @@
 // Lease returns an empty lease.
 func (m *Memory) Lease() *Lease { return &Lease{memory: m} }
 
-// Grow adds bytes to the lease, or returns ErrMemory.
+// Grow adds bytes to the lease, or returns ErrMemory. A lease that grows beyond
+// maxSmallLease competes with the other large ones only.
 func (l *Lease) Grow(bytes int64) error {
 	if l == nil {
 		return nil
 	}
-	if held := l.memory.held.Add(bytes); l.memory.limit > 0 && held > l.memory.limit {
-		l.memory.held.Add(-bytes)
+	m := l.memory
+	large := largeBytes(l.bytes+bytes) - largeBytes(l.bytes)
+	if !reserve(&m.large, large, m.largeLimit) {
+		return ErrMemory
+	}
+	if !reserve(&m.held, bytes, m.limit) {
+		m.large.Add(-large)
 		return ErrMemory
 	}
 	l.bytes += bytes
 	return nil
 }
 
+// reserve adds bytes to a counter unless it would exceed the limit; 0 means no limit.
+func reserve(counter *atomic.Int64, bytes, limit int64) bool {
+	if held := counter.Add(bytes); limit > 0 && bytes > 0 && held > limit {
+		counter.Add(-bytes)
+		return false
+	}
+	return true
+}
+
+// largeBytes returns the bytes of a lease that count as those of a large one.
+func largeBytes(bytes int64) int64 {
+	if bytes <= maxSmallLease {
+		return 0
+	}
+	return bytes
+}
+
 // Release returns all bytes of the lease.
 func (l *Lease) Release() {
 	if l == nil {
 		return
 	}
 	l.memory.held.Add(-l.bytes)
+	l.memory.large.Add(-largeBytes(l.bytes))
 	l.bytes = 0
 }
 
--- a/internal/bounded/bounded_test.go
+++ b/internal/bounded/bounded_test.go
@@ -89,3 +89,29 @@
 	require.NoError(t, err)
 	require.Equal(t, "456789", string(got))
 }
+
+// Guards against large messages that leave no memory for small ones.
+func TestLargeMessagesLeaveRoomForSmallOnes(t *testing.T) {
+	const limit, large = 1 << 20, 100 << 10
+	memory := bounded.NewMemory(limit)
+	var leases []*bounded.Lease
+	for {
+		l := memory.Lease()
+		leases = append(leases, l)
+		if err := l.Grow(large); err != nil {
+			require.ErrorIs(t, err, bounded.ErrMemory)
+			break
+		}
+	}
+	require.LessOrEqual(t, memory.Held(), int64(limit*7/10))
+	small := memory.Lease()
+	require.NoError(t, small.Grow(60<<10))
+	require.ErrorIs(t, small.Grow(10<<10), bounded.ErrMemory, "the lease would become large")
+	leases[0].Release()
+	require.NoError(t, small.Grow(10<<10))
+	for _, l := range append(leases, small) {
+		l.Release()
+	}
+	require.Zero(t, memory.Held())
+	require.NoError(t, memory.Lease().Grow(limit*7/10), "the share of the large ones must be free again")
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -148,8 +148,9 @@
 	// responses. The garbage collector needs as much again before it frees them.
 	messageMemoryShare = 0.25
 	// fullMemoryShare is the part of it at which the node takes no more requests for its
-	// target. The rest is for the responses of those that run.
-	fullMemoryShare = 0.75
+	// target. The rest is for the responses of those that run. Large messages alone cannot
+	// use as much.
+	fullMemoryShare = 0.85
 	// maxPipelinedRequests is the number of requests that a caller's connection may have
 	// without a response.
 	maxPipelinedRequests = 16
