callpath: end a request whose target sends only informational responses

Cause: net/http resets its limit on the size of heads after each 1xx response if Got1xxResponse is set, which the call path sets to forward them, and leaves the count to its user. Nobody counted.

Ruled out by the same file, passing before: heads without end other than 1xx (64 KiB limit), bodies (streamed, not kept: under 32 MiB of heap for two nodes, and closed when the caller leaves), chunk extensions and trailers, and bytes behind a complete response on an idle connection (the connection is closed within a second).

An attempt ends after 1,024 informational responses as may-have-run, on connections to targets and between nodes. A keyed request whose caller has left still reads a body without end for up to DetachedTimeout (30 s) and keeps 64 KiB of it.

--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -258,14 +258,25 @@
 	return req.WithContext(ctx)
 }
 
+// maxInformational limits the informational responses of one attempt, including 100
+// Continue. net/http limits neither their number nor their size once they are forwarded.
+const maxInformational = 1024
+
+// errTooManyInformational ends an attempt that gets only informational responses.
+var errTooManyInformational = errors.New("too many informational responses")
+
 // informationalForwarder returns a function that forwards informational (1xx)
 // responses until stop is called. It does not forward 100 Continue, which the
-// server sends itself when the body is read.
+// server sends itself when the body is read. It returns errTooManyInformational after
+// maxInformational responses.
 func (c *call) informationalForwarder() (forward func(int, textproto.MIMEHeader) error, stop func()) {
-	ended := false
+	ended, count := false, 0
 	forward = func(code int, header textproto.MIMEHeader) error {
 		c.informationalMu.Lock()
 		defer c.informationalMu.Unlock()
+		if count++; count > maxInformational {
+			return errTooManyInformational
+		}
 		if !ended && code != http.StatusContinue && code != http.StatusSwitchingProtocols {
 			c.writeInformational(code, header)
 		}
