sidecar: bound the idle connections to the target in number and age

Nodes ran out of descriptors, and targets refused connections beyond their limit, if requests that must run once came after pauses of over 200 ms.

Cause: such a request does not use a connection that was idle for longer. targetClient.get put it back and opened another, which lay on top from then on. Those below were only looked at when the top was taken, so they were neither used nor closed, also when they had expired or the target had closed them.

TestIdleConnectionsToTheTargetExpire and TestEndlessBytesAfterAResponseCloseTheConnection failed before: without a next request nothing closed a connection, nor noticed bytes without end behind a complete response. TestConnectionsToTheTargetStayUnderItsLimit failed before with 5 connections, 3 allowed.

A connection is opened only if none is idle, or in place of an idle one, so that there are never more than requests at a time. Idle ones are checked every 500 ms, whatever requests come. The requests at a target are limited by its slots and by max_connections of its service, less one for the probe after a lost response. If the limit is too low for an old connection beside the new one, the node waits up to 20 ms until the target has closed the old one.

Not covered: a target that keeps working for a request that the node has given up still counts its connection.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -255,7 +255,7 @@
 			follows = follows || v.View.FollowsOtherFeeds(before)
 			pollsFaster = pollsFaster || v.View.VouchesForConfig && !before.VouchesForConfig
 			if v.View.Target != nil {
-				n.gate.setTarget(v.View.Target.Process(), v.View.Target.Slots)
+				n.limitTarget(v.View)
 			}
 		}
 	}
@@ -279,6 +279,24 @@
 	}
 }
 
+// targetProbeConnections is the number of connections to the target without a request: after
+// a lost response, the node tries whether the target still listens.
+const targetProbeConnections = 1
+
+// limitTarget applies the limits of the local target: a request runs on each of its slots,
+// and on each connection that its service allows.
+func (n *Node) limitTarget(v *control.View) {
+	slots, connections := v.Target.Slots, 0
+	if v.Config != nil {
+		connections = v.Config.Services[v.Target.Service].Connections
+	}
+	if connections > 0 {
+		slots = min(slots, max(connections-targetProbeConnections, 1))
+	}
+	n.target.awaitsClose.Store(connections > 0 && connections < 2*slots+targetProbeConnections)
+	n.gate.setTarget(v.Target.Process(), slots)
+}
+
 // signal wakes the receiver of a channel of capacity 1.
 func signal(c chan<- struct{}) {
 	select {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +36,11 @@
 	// keepAliveMargin is subtracted from the keep-alive timeout of the target, so that no
 	// request is sent on a connection that the target is about to close.
 	keepAliveMargin = 500 * time.Millisecond
+	// idleCheckInterval is the time between two checks of the idle connections.
+	idleCheckInterval = 500 * time.Millisecond
+	// targetCloseTimeout limits how long a new connection to a target that allows few waits
+	// until the target has closed the one whose place it takes.
+	targetCloseTimeout = 20 * time.Millisecond
 	// targetBufferBytes is the size of the read and write buffers of a connection.
 	targetBufferBytes = 4 << 10
 	// maxResponseHeaderBytes limits the head of a response. A faulty target may send one
@@ -75,10 +81,16 @@
 	address string
 	headers Headers
 	now     func() time.Duration
+	// awaitsClose is set if the target allows too few connections for one that it has not yet
+	// closed and the one in its place.
+	awaitsClose atomic.Bool
 
-	mu     sync.Mutex
-	idle   []*targetConn
-	opened int64
+	mu sync.Mutex
+	// idle holds the idle connections, the least recently used first.
+	idle []*targetConn
+	// checkScheduled is set while a call of checkIdle is scheduled.
+	checkScheduled bool
+	opened         int64
 }
 
 type targetConn struct {
@@ -115,7 +127,6 @@
 		keep = false
 	}
 	if keep {
-		conn.lastUsed = c.now()
 		c.put(conn)
 	} else {
 		_ = conn.Close()
@@ -147,24 +158,23 @@
 	}
 }
 
+// get returns a connection for one request. The number of connections never exceeds the
+// highest number of requests at a time: a new one is opened only if no other is idle, or in
+// place of an idle one that the request must not use.
 func (c *targetClient) get(ctx context.Context, retryable bool) (*targetConn, error) {
 	for {
-		conn := c.pop()
-		if conn == nil {
-			break
+		conn, replaced := c.pop(retryable)
+		if replaced {
+			c.retire(conn)
 		}
-		idle := c.now() - conn.lastUsed
-		if !retryable && idle > maxIdleNonRetryable {
-			// The other connections have been idle for longer. Keep them for retryable
-			// requests.
-			c.put(conn)
+		if conn == nil || replaced {
 			break
 		}
-		if c.now() < conn.expires && conn.reader.Buffered() == 0 && openAndEmpty(conn.Conn) {
+		if c.usable(conn) {
 			conn.wrote, conn.reused = false, true
 			return conn, nil
 		}
-		_ = conn.Close()
+		c.retire(conn)
 	}
 	dialer := net.Dialer{Timeout: targetDialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", c.address)
@@ -178,17 +188,63 @@
 	return &targetConn{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, targetBufferBytes), expires: c.now() + targetIdleTimeout}, nil
 }
 
-// pop takes the most recently used connection, so that the others can expire.
-func (c *targetClient) pop() *targetConn {
+// pop takes the most recently used connection, so that the others can expire. If that one
+// has been idle for too long for a request that is not retryable, so have all others: pop
+// takes the oldest one, which the new connection replaces.
+func (c *targetClient) pop(retryable bool) (conn *targetConn, replaced bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle) == 0 {
-		return nil
+		return nil, false
+	}
+	take := len(c.idle) - 1
+	if !retryable && c.now()-c.idle[take].lastUsed > maxIdleNonRetryable {
+		take, replaced = 0, true
+	}
+	conn = c.idle[take]
+	c.idle = slices.Delete(c.idle, take, take+1)
+	return conn, replaced
+}
+
+// retire closes an idle connection before another is opened. If the target allows too few
+// connections for both, it waits until the target has closed it.
+func (c *targetClient) retire(conn *targetConn) {
+	defer func() { _ = conn.Close() }()
+	tcp, ok := conn.Conn.(*net.TCPConn)
+	if !ok || !c.awaitsClose.Load() || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(targetCloseTimeout)) != nil {
+		return
+	}
+	// An error or unexpected bytes do not matter: the connection is closed anyway.
+	_, _ = tcp.Read(make([]byte, 1))
+}
+
+// usable reports whether an idle connection may carry a request.
+func (c *targetClient) usable(conn *targetConn) bool {
+	return c.now() < conn.expires && conn.reader.Buffered() == 0 && openAndEmpty(conn.Conn)
+}
+
+// checkIdle closes the idle connections that have expired, that the target has closed and
+// on which it sent bytes, which would fill the buffers of the connection.
+func (c *targetClient) checkIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = slices.DeleteFunc(c.idle, func(conn *targetConn) bool {
+		if c.usable(conn) {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	})
+	c.checkScheduled = false
+	c.scheduleCheck()
+}
+
+// scheduleCheck schedules a check if there are idle connections. mu must be held.
+func (c *targetClient) scheduleCheck() {
+	if len(c.idle) > 0 && !c.checkScheduled {
+		c.checkScheduled = true
+		time.AfterFunc(idleCheckInterval, c.checkIdle)
 	}
-	last := len(c.idle) - 1
-	conn := c.idle[last]
-	c.idle = c.idle[:last]
-	return conn
 }
 
 // closeIdleBefore closes the connections that have been idle since before a request that
@@ -206,10 +262,13 @@
 	})
 }
 
+// put keeps a connection for later requests.
 func (c *targetClient) put(conn *targetConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	conn.lastUsed = c.now()
 	c.idle = append(c.idle, conn)
+	c.scheduleCheck()
 }
 
 // openAndEmpty reports whether an idle connection is open and has no bytes to read. A
