sidecar: keep descriptors free of callers, and say when they are short

A node whose callers used up its descriptors took no more connections, did not even answer the readiness check, and had none left for its target, the store and other nodes.

Cause: nothing limited the connections of callers, and the node did not know how many descriptors it may have.

A node whose callers have all of theirs, or that has under a sixteenth of all descriptors free, is not ready until a margin is free. It logs descriptors_short and descriptors_regained and publishes descriptors_open, descriptors_limit, descriptors_short, caller_connections and caller_connections_limit.

Not covered: connections of other nodes for calls are not limited by themselves, only by the number of nodes; messages between nodes are (512).

--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/internal/sidecar"
 	"heathercroft.example/heathercroft/platform"
 )
@@ -52,6 +53,7 @@
 	logBuffer := app.NewLogBuffer(os.Stdout)
 	logger := slog.New(logBuffer.Handler(slog.LevelInfo)).With("process", "heathercroft-sidecar", "node", string(s.Node.Node))
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return logBuffer.Dropped() }))
+	s.Node.Descriptors = descriptorLimit(s.Node.Descriptors, logger)
 	store := platform.NewStore(s.Store, s.Node.Inbound.Addr(), logger)
 	n := sidecar.New(s.Node, platform.Headers(), store, logger)
 	go reload(*path, store, logger)
@@ -60,6 +62,21 @@
 	}
 }
 
+// descriptorLimit returns the lower one of the limits of the platform and of the operating
+// system. A limit of 0 is unknown.
+func descriptorLimit(configured int, logger *slog.Logger) int {
+	limit, err := descriptors.SystemLimit()
+	switch {
+	case err != nil:
+		logger.Warn("descriptor_limit_unknown", "error", err.Error())
+		return configured
+	case configured == 0:
+		return limit
+	default:
+		return min(configured, limit)
+	}
+}
+
 // settingsPollInterval is the time between two checks of the settings file, which may
 // change without a signal.
 const settingsPollInterval = 2 * time.Second
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/internal/pipeline"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/balance"
@@ -64,7 +65,9 @@
 	// configSince is when the configuration in force was received.
 	configSince atomic.Int64
 	// messages bounds the bodies that the node holds.
-	messages      *bounded.Memory
+	messages *bounded.Memory
+	// descriptors keeps file descriptors free of callers.
+	descriptors   *descriptors.Guard
 	active        activeRequests
 	nestedCalls   *nestedCalls
 	link          *linkMeter
@@ -124,6 +127,7 @@
 	n.link = &linkMeter{now: n.clock.now, mbps: s.LinkMbps}
 	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now}
 	n.messages = bounded.NewMemory(int64(messageMemoryShare * float64(s.MemoryBytes)))
+	n.descriptors = descriptors.NewGuard(s.Descriptors)
 	n.rpc = rpc.NewClient(n.counters, s.Inbound.Addr())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.callsCtx, n.endCalls = context.WithCancel(n.ctx)
@@ -196,6 +200,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen at %s", l.address)
 		}
+		if l.address == n.settings.Outbound {
+			listener = n.descriptors.Callers(listener)
+		}
 		server := app.HTTPServer(pipeline.Listen(listener), l.handler)
 		server.ConnContext = pipeline.ConnContext
 		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
@@ -215,8 +222,14 @@
 	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
-	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
+	expvar.Publish("descriptors_open", expvar.Func(func() any { return n.descriptors.State().Open }))
+	expvar.Publish("descriptors_limit", expvar.Func(func() any { return n.descriptors.State().Limit }))
+	expvar.Publish("caller_connections", expvar.Func(func() any { return n.descriptors.State().Callers }))
+	expvar.Publish("caller_connections_limit", expvar.Func(func() any { return n.descriptors.State().CallerLimit }))
+	expvar.Publish("descriptors_short", expvar.Func(func() any { return n.descriptors.Short() }))
+	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service, "descriptors", n.settings.Descriptors)
 	go n.runTicker()
+	go n.watchDescriptors()
 	go n.contactSeeds()
 	for f := range control.FeedCount {
 		go n.follow(f)
@@ -357,9 +370,40 @@
 	n.balancer.Retain(all)
 }
 
-// serveReady is the readiness check for callers.
+// descriptorInterval is the time between two counts of the open descriptors.
+const descriptorInterval = time.Second
+
+// watchDescriptors logs when the node becomes short of descriptors and when it has enough
+// again.
+func (n *Node) watchDescriptors() {
+	tick := time.NewTicker(descriptorInterval)
+	defer tick.Stop()
+	uncounted := false
+	for {
+		s, short, changed, err := n.descriptors.Check()
+		if err != nil && !uncounted {
+			n.logger.Warn("descriptors_uncounted", "error", err.Error())
+		}
+		uncounted = err != nil
+		fields := []any{"open", s.Open, "limit", s.Limit, "callers", s.Callers, "caller_limit", s.CallerLimit}
+		switch {
+		case changed && short:
+			n.logger.Warn("descriptors_short", fields...)
+		case changed:
+			n.logger.Info("descriptors_regained", fields...)
+		}
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// serveReady is the readiness check for callers. A node that is short of descriptors serves
+// the connections that it has.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.view.Load().Config == nil || n.stopping.Load() {
+	if n.view.Load().Config == nil || n.stopping.Load() || n.descriptors.Short() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -44,6 +44,8 @@
 	RetrySlack  float64
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// Descriptors is the limit of file descriptors of the process, 0 for none.
+	Descriptors int
 	// LinkMbps is the bandwidth of the machine's link in Mbit/s, 0 if unknown.
 	LinkMbps float64
 }
