--- a/internal/callpath/raw_test.go
+++ b/internal/callpath/raw_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -41,3 +43,33 @@
 		_, _ = io.WriteString(conn, data)
 	}
 }
+
+// countingListener counts the open connections of a target and the most at a time.
+type countingListener struct {
+	net.Listener
+	open, most *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	open := l.open.Add(1)
+	for most := l.most.Load(); open > most && !l.most.CompareAndSwap(most, open); most = l.most.Load() {
+	}
+	return &countedConn{Conn: conn, open: l.open}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
