rpc: limit the calls of one connection that run at a time

A peer that sent requests without end and read no responses made the node that it called start a goroutine for each, until a write failed after 2 s.

Cause: jsonrpc2.AsyncHandler starts a goroutine for each request and has no limit, so that the connection was read as fast as it could be.

Evidence: TestEndlessBytesToTheServerLeaveOthersServed, case "requests", failed before in 3 of 3 runs: 42 to 58 MB of heap in 2.5 s from one connection (32 MiB allowed; 71 MB in 4 s). With the change 4.7 MB in 4 s, and the calls of others on another connection all return.

Ruled out by the same file, passing before: seven other kinds of bytes without end to the server, and all eight instead of a response to a client (the call ends in time, the connection is closed, under 32 MiB).

A connection is not read while 16 of its calls run or are being answered, so that the sender is held back by the flow control of TCP.

--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -26,6 +26,9 @@
 	// acceptRetryMin and acceptRetryMax limit the pause after a failed accept.
 	acceptRetryMin = 5 * time.Millisecond
 	acceptRetryMax = time.Second
+	// maxRunningCalls limits the calls of one connection that run or whose response is being
+	// written. While there are as many, no further one is read.
+	maxRunningCalls = 16
 )
 
 // Handler handles the calls of peers. The peer receives the text of a returned error.
@@ -84,7 +87,7 @@
 		return
 	}
 	metered := &meteredConn{Conn: conn, counters: s.counters, idleTimeout: serverIdleTimeout}
-	peer := newConn(ctx, metered, s.counters, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
+	peer := newConn(ctx, metered, s.counters, limitHandler(jsonrpc2.HandlerWithError(s.handle)))
 	s.conns[peer] = struct{}{}
 	go func() {
 		<-peer.DisconnectNotify()
@@ -94,6 +97,25 @@
 	}()
 }
 
+// limitedHandler runs calls concurrently, up to maxRunningCalls.
+type limitedHandler struct {
+	next jsonrpc2.Handler
+	free chan struct{}
+}
+
+func limitHandler(next jsonrpc2.Handler) jsonrpc2.Handler {
+	return limitedHandler{next: next, free: make(chan struct{}, maxRunningCalls)}
+}
+
+// Handle implements jsonrpc2.Handler. The connection reads the next message when it returns.
+func (h limitedHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	h.free <- struct{}{}
+	go func() {
+		defer func() { <-h.free }()
+		h.next.Handle(ctx, conn, req)
+	}()
+}
+
 func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 	var params json.RawMessage
 	if req.Params != nil {
