node: not ready while callers have all of their connections

heathercroft-node said that it was ready while it accepted no connection of a caller, because callers had as many as it allows. Its limit, 4,096 by default, did not depend on the descriptors that the process may have.

Cause: netutil.LimitListener waits silently, and the readiness check did not ask it.

TestLowerLimitOfCallersApplies shows the limits that result.

The node uses the guard of internal/descriptors, as heathercroft-sidecar does: the lower one of [limits] connections and what its RLIMIT_NOFILE leaves. It logs the same lines and publishes heathercroft_descriptors_open, heathercroft_descriptors_limit, heathercroft_caller_connections and heathercroft_caller_connections_limit. golang.org/x/net/netutil is no longer used.

--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -3,12 +3,15 @@
 package descriptors
 
 import (
+	"context"
+	"log/slog"
 	"math"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -61,10 +64,10 @@
 		callers -= s.CallerLimit / marginParts
 		open -= s.Limit / marginParts
 	}
-	return s.Callers >= callers || s.Open >= open
+	return s.CallerLimit > 0 && s.Callers >= callers || s.Limit > 0 && s.Open >= open
 }
 
-// Guard limits the connections of callers. The zero Guard limits nothing.
+// Guard limits the connections of callers.
 type Guard struct {
 	limit, callerLimit int
 	callers            atomic.Int64
@@ -75,22 +78,29 @@
 	short bool
 }
 
-// NewGuard returns a guard for a process that may have limit descriptors.
-func NewGuard(limit int) *Guard {
-	callers := max(limit-reserved, limit/2)
-	return &Guard{limit: limit, callerLimit: callers, free: make(chan struct{}, callers)}
+// NewGuard returns a guard for a process that may have limit descriptors and maxCallers
+// connections of callers. A limit of 0 means that there is none.
+func NewGuard(limit, maxCallers int) *Guard {
+	g := &Guard{limit: limit, callerLimit: maxCallers}
+	if limit > 0 {
+		g.callerLimit = max(limit-reserved, limit/2)
+		if maxCallers > 0 {
+			g.callerLimit = min(g.callerLimit, maxCallers)
+		}
+	}
+	g.free = make(chan struct{}, g.callerLimit)
+	return g
 }
 
 // Check counts the open descriptors. It reports whether the process is short of them and
 // whether that has changed since the last call. With an error, the state holds the
 // connections of callers only.
 func (g *Guard) Check() (s State, short, changed bool, err error) {
-	if g.limit == 0 {
-		return State{}, false, false, nil
-	}
-	open, err := Open()
-	if errors.Is(err, syscall.EMFILE) {
-		open, err = g.limit, nil
+	open := 0
+	if g.limit > 0 {
+		if open, err = Open(); errors.Is(err, syscall.EMFILE) {
+			open, err = g.limit, nil
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -100,12 +110,42 @@
 	return g.state, g.short, g.short != before, err
 }
 
+// checkInterval is the time between two checks of Watch.
+const checkInterval = time.Second
+
+// Watch checks the descriptors until ctx ends, and logs when the process becomes short of
+// them and when it has enough again.
+func (g *Guard) Watch(ctx context.Context, logger *slog.Logger) {
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	uncounted := false
+	for {
+		s, short, changed, err := g.Check()
+		if err != nil && !uncounted {
+			logger.Warn("descriptors_uncounted", "error", err.Error())
+		}
+		uncounted = err != nil
+		fields := []any{"open", s.Open, "limit", s.Limit, "callers", s.Callers, "caller_limit", s.CallerLimit}
+		switch {
+		case changed && short:
+			logger.Warn("descriptors_short", fields...)
+		case changed:
+			logger.Info("descriptors_regained", fields...)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // Short reports whether the process is short of descriptors, as of the last Check, or the
 // callers have all of their connections now.
 func (g *Guard) Short() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.short || g.limit > 0 && int(g.callers.Load()) >= g.callerLimit
+	return g.short || g.callerLimit > 0 && int(g.callers.Load()) >= g.callerLimit
 }
 
 // State returns the state of the last Check.
@@ -118,7 +158,7 @@
 // Callers returns a listener for callers. While they have all of their connections, it
 // accepts no other.
 func (g *Guard) Callers(l net.Listener) net.Listener {
-	if g.limit == 0 {
+	if g.callerLimit == 0 {
 		return l
 	}
 	return &listener{Listener: l, guard: g, closed: make(chan struct{})}
--- a/internal/descriptors/descriptors_test.go
+++ b/internal/descriptors/descriptors_test.go
@@ -15,7 +15,7 @@
 // connection is accepted until another one is closed, and the process says that it is short.
 func TestCallersCannotUseAllDescriptors(t *testing.T) {
 	const limit, callers = 2000, 1000
-	g := descriptors.NewGuard(limit)
+	g := descriptors.NewGuard(limit, 0)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	l := g.Callers(inner)
@@ -76,7 +76,7 @@
 // Guards against an accept that is not ended by the close of a listener whose callers have
 // all connections.
 func TestFullListenerCanBeClosed(t *testing.T) {
-	g := descriptors.NewGuard(2)
+	g := descriptors.NewGuard(2, 0)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	l := g.Callers(inner)
@@ -97,3 +97,16 @@
 	require.NoError(t, client.Close())
 	require.NoError(t, c.Close())
 }
+
+// Guards against a limit of callers that is ignored, or that takes descriptors which are
+// reserved.
+func TestLowerLimitOfCallersApplies(t *testing.T) {
+	for _, test := range []struct{ limit, maxCallers, want int }{
+		{0, 0, 0}, {0, 7, 7}, {4100, 0, 3076}, {4100, 10, 10}, {4100, 4096, 3076}, {1000, 0, 500},
+	} {
+		s, short, _, err := descriptors.NewGuard(test.limit, test.maxCallers).Check()
+		require.NoError(t, err)
+		require.Equal(t, test.want, s.CallerLimit)
+		require.False(t, short)
+	}
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -85,6 +85,10 @@
 		status := c.DistributionStatus()
 		a = response{Ready: status.Ready, Reason: status.Reason, Revision: uint64(c.Revision())}
 	})
+	if a.Ready && n.descriptors.Short() {
+		// The calls on the connections that it has are served.
+		a.Ready, a.Reason = false, "the node is short of file descriptors"
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if !a.Ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,6 +29,10 @@
 		"heathercroft_platform_read_bytes_total":         func() int64 { return int64(l.platform.client.Traffic.In.Load()) },
 		"heathercroft_platform_written_bytes_total":      func() int64 { return int64(l.platform.client.Traffic.Out.Load()) },
 		"heathercroft_timeline_events_overwritten_total": func() int64 { return int64(n.recorder.Dropped()) },
+		"heathercroft_descriptors_open":                  func() int64 { return int64(n.descriptors.State().Open) },
+		"heathercroft_descriptors_limit":                 func() int64 { return int64(n.descriptors.State().Limit) },
+		"heathercroft_caller_connections":                func() int64 { return int64(n.descriptors.State().Callers) },
+		"heathercroft_caller_connections_limit":          func() int64 { return int64(n.descriptors.State().CallerLimit) },
 	} {
 		expvar.Publish(name, expvar.Func(func() any { return value() }))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,11 +14,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kratos/kratos/v2/transport"
-	"golang.org/x/net/netutil"
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/callpath"
 	"heathercroft.example/heathercroft/internal/core"
+	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/internal/logclient"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/internal/settings"
@@ -38,6 +38,8 @@
 	evidence  *evidence
 	counters  *rpc.Counters
 	listeners listeners
+	// descriptors keeps file descriptors free of callers.
+	descriptors *descriptors.Guard
 }
 
 // listeners are the open sockets of a node.
@@ -81,7 +83,12 @@
 		}
 		*l.to = listener
 	}
-	n.listeners.caller = netutil.LimitListener(n.listeners.caller, n.settings.Limits.MaxConnections)
+	limit, err := descriptors.SystemLimit()
+	if err != nil {
+		return err
+	}
+	n.descriptors = descriptors.NewGuard(limit, n.settings.Limits.MaxConnections)
+	n.listeners.caller = n.descriptors.Callers(n.listeners.caller)
 	return nil
 }
 
@@ -117,6 +124,9 @@
 	callerServer := app.HTTPServer(n.listeners.caller, n.callerHandler())
 	callpath.ConfigureServer(callerServer.Server)
 	n.publishMetrics()
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go n.descriptors.Watch(watch, n.logger)
 	return app.Run(ctx, app.Options{
 		Name:   "heathercroft-node",
 		Logger: n.logger,
@@ -181,9 +191,9 @@
 	}})
 }
 
-// maxIdlePlatformConnections and platformIdleTimeout limit the idle connections to
-// the platform: a reader uses one for its long poll and one for appends.
 const (
+	// maxIdlePlatformConnections and platformIdleTimeout limit the idle connections to
+	// the platform: a reader uses one for its long poll and one for appends.
 	maxIdlePlatformConnections = 2
 	platformIdleTimeout        = 30 * time.Second
 )
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -127,7 +127,7 @@
 	n.link = &linkMeter{now: n.clock.now, mbps: s.LinkMbps}
 	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now}
 	n.messages = bounded.NewMemory(int64(messageMemoryShare * float64(s.MemoryBytes)))
-	n.descriptors = descriptors.NewGuard(s.Descriptors)
+	n.descriptors = descriptors.NewGuard(s.Descriptors, 0)
 	n.rpc = rpc.NewClient(n.counters, s.Inbound.Addr())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.callsCtx, n.endCalls = context.WithCancel(n.ctx)
@@ -229,7 +229,7 @@
 	expvar.Publish("descriptors_short", expvar.Func(func() any { return n.descriptors.Short() }))
 	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service, "descriptors", n.settings.Descriptors)
 	go n.runTicker()
-	go n.watchDescriptors()
+	go n.descriptors.Watch(n.ctx, n.logger)
 	go n.contactSeeds()
 	for f := range control.FeedCount {
 		go n.follow(f)
@@ -370,36 +370,6 @@
 	n.balancer.Retain(all)
 }
 
-// descriptorInterval is the time between two counts of the open descriptors.
-const descriptorInterval = time.Second
-
-// watchDescriptors logs when the node becomes short of descriptors and when it has enough
-// again.
-func (n *Node) watchDescriptors() {
-	tick := time.NewTicker(descriptorInterval)
-	defer tick.Stop()
-	uncounted := false
-	for {
-		s, short, changed, err := n.descriptors.Check()
-		if err != nil && !uncounted {
-			n.logger.Warn("descriptors_uncounted", "error", err.Error())
-		}
-		uncounted = err != nil
-		fields := []any{"open", s.Open, "limit", s.Limit, "callers", s.Callers, "caller_limit", s.CallerLimit}
-		switch {
-		case changed && short:
-			n.logger.Warn("descriptors_short", fields...)
-		case changed:
-			n.logger.Info("descriptors_regained", fields...)
-		}
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
 // serveReady is the readiness check for callers. A node that is short of descriptors serves
 // the connections that it has.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
