node: limit the heads of the platform's responses

A head without end from the platform took 47 to 107 MB of memory of a heathercroft-node until it was given up, at net/http's default of 10 MiB. A node has 32 MB for control.

Evidence: TestEndlessResponseOfThePlatformIsAnError failed before in "header field" (47 and 52 MB) and "header fields" (88 to 107 MB); 32 MiB are allowed. With a limit of 64 KiB it passes, count 8. Bodies, trailers and informational responses without end passed before: net/http counts the latter with the head, and a body is given up at 8 MiB, which takes up to 27 MB.

A failed try, not kept: reading bodies with bounded.ReadAll did not lower their peak (26 to 30 MB).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,6 +188,7 @@
 	dialer := net.Dialer{Timeout: s.AppendTimeout.Std(), LocalAddr: localTCP(local)}
 	return logclient.New(s.URL.String(), &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePlatformConnections, IdleConnTimeout: platformIdleTimeout,
+		MaxResponseHeaderBytes: maxPlatformHeaderBytes,
 	}})
 }
 
@@ -196,6 +197,8 @@
 	// the platform: a reader uses one for its long poll and one for appends.
 	maxIdlePlatformConnections = 2
 	platformIdleTimeout        = 30 * time.Second
+	// maxPlatformHeaderBytes limits the head of a response of the platform.
+	maxPlatformHeaderBytes = 64 << 10
 )
 
 // localTCP binds outgoing connections to the node's own address.
