--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,11 +14,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kratos/kratos/v2/transport"
-	"golang.org/x/net/netutil"
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/callpath"
 	"heathercroft.example/heathercroft/internal/core"
+	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/internal/logclient"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/internal/settings"
@@ -38,6 +38,8 @@
 	evidence  *evidence
 	counters  *rpc.Counters
 	listeners listeners
+	// descriptors keeps file descriptors free of callers.
+	descriptors *descriptors.Guard
 }
 
 // listeners are the open sockets of a node.
@@ -81,6 +83,11 @@
 		}
 		*l.to = listener
 	}
+	limit, err := descriptors.SystemLimit()
+	if err != nil {
+		return err
+	}
+	n.descriptors = descriptors.NewGuard(limit, n.settings.Limits.MaxConnections)
 	return nil
 }
 
@@ -113,11 +120,12 @@
 func (n *Node) Run(ctx context.Context) error {
 	callServer := app.HTTPServer("nodes", n.listeners.call, n.calls.NodeHandler())
 	callpath.ConfigureServer(callServer.Server.Server)
-	callerServer := app.HTTPServer("callers", n.listeners.caller, n.callerHandler(), func(l net.Listener) net.Listener {
-		return netutil.LimitListener(l, n.settings.Limits.MaxConnections)
-	})
+	callerServer := app.HTTPServer("callers", n.listeners.caller, n.callerHandler(), n.descriptors.Callers)
 	callpath.ConfigureServer(callerServer.Server.Server)
 	n.publishMetrics()
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go n.descriptors.Watch(watch, n.logger)
 	return app.Run(ctx, app.Options{
 		Name:   "heathercroft-node",
 		Logger: n.logger,
@@ -179,14 +187,17 @@
 	dialer := net.Dialer{Timeout: s.AppendTimeout.Std(), LocalAddr: localTCP(local)}
 	return logclient.New(s.URL.String(), &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePlatformConnections, IdleConnTimeout: platformIdleTimeout,
+		MaxResponseHeaderBytes: maxPlatformHeaderBytes,
 	}})
 }
 
-// maxIdlePlatformConnections and platformIdleTimeout limit the idle connections to
-// the platform: a reader uses one for its long poll and one for appends.
 const (
+	// maxIdlePlatformConnections and platformIdleTimeout limit the idle connections to
+	// the platform: a reader uses one for its long poll and one for appends.
 	maxIdlePlatformConnections = 2
 	platformIdleTimeout        = 30 * time.Second
+	// maxPlatformHeaderBytes limits the head of a response of the platform.
+	maxPlatformHeaderBytes = 64 << 10
 )
 
 // localTCP binds outgoing connections to the node's own address.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/internal/pipeline"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/balance"
@@ -64,7 +65,9 @@
 	// configSince is when the configuration in force was received.
 	configSince atomic.Int64
 	// messages bounds the bodies that the node holds.
-	messages      *bounded.Memory
+	messages *bounded.Memory
+	// descriptors keeps file descriptors free of callers.
+	descriptors   *descriptors.Guard
 	active        activeRequests
 	nestedCalls   *nestedCalls
 	link          *linkMeter
@@ -127,6 +130,7 @@
 	n.link = &linkMeter{now: n.clock.now, mbps: s.LinkMbps}
 	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now}
 	n.messages = bounded.NewMemory(int64(messageMemoryShare * float64(s.MemoryBytes)))
+	n.descriptors = descriptors.NewGuard(s.Descriptors, 0)
 	n.rpc = rpc.NewClient(n.counters, s.Inbound.Addr())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.callsCtx, n.endCalls = context.WithCancel(n.ctx)
@@ -155,8 +159,9 @@
 	// responses. The garbage collector needs as much again before it frees them.
 	messageMemoryShare = 0.25
 	// fullMemoryShare is the part of it at which the node takes no more requests for its
-	// target. The rest is for the responses of those that run.
-	fullMemoryShare = 0.75
+	// target. The rest is for the responses of those that run. Large messages alone cannot
+	// use as much.
+	fullMemoryShare = 0.85
 	// maxPipelinedRequests is the number of requests that a caller's connection may have
 	// without a response.
 	maxPipelinedRequests = 16
@@ -208,7 +213,11 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen at %s", l.address)
 		}
-		server := app.HTTPServer(l.name, listener, l.handler, pipeline.Listen)
+		wrap := []func(net.Listener) net.Listener{pipeline.Listen}
+		if l.address == n.settings.Outbound {
+			wrap = []func(net.Listener) net.Listener{n.descriptors.Callers, pipeline.Listen}
+		}
+		server := app.HTTPServer(l.name, listener, l.handler, wrap...)
 		*l.server = server
 		server.ConnContext = pipeline.ConnContext
 		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, l.headerBytes
@@ -229,8 +238,14 @@
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
 	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
-	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service)
+	expvar.Publish("descriptors_open", expvar.Func(func() any { return n.descriptors.State().Open }))
+	expvar.Publish("descriptors_limit", expvar.Func(func() any { return n.descriptors.State().Limit }))
+	expvar.Publish("caller_connections", expvar.Func(func() any { return n.descriptors.State().Callers }))
+	expvar.Publish("caller_connections_limit", expvar.Func(func() any { return n.descriptors.State().CallerLimit }))
+	expvar.Publish("descriptors_short", expvar.Func(func() any { return n.descriptors.Short() }))
+	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service, "descriptors", n.settings.Descriptors)
 	go n.runTicker()
+	go n.descriptors.Watch(n.ctx, n.logger)
 	go n.contactSeeds()
 	for f := range control.FeedCount {
 		go n.follow(f)
@@ -268,7 +283,7 @@
 			follows = follows || v.View.FollowsOtherFeeds(before)
 			pollsFaster = pollsFaster || v.View.VouchesForConfig && !before.VouchesForConfig
 			if v.View.Target != nil {
-				n.gate.setTarget(v.View.Target.Process(), v.View.Target.Slots)
+				n.limitTarget(v.View)
 			}
 		}
 	}
@@ -292,6 +307,24 @@
 	}
 }
 
+// targetProbeConnections is the number of connections to the target without a request: after
+// a lost response, the node tries whether the target still listens.
+const targetProbeConnections = 1
+
+// limitTarget applies the limits of the local target: a request runs on each of its slots,
+// and on each connection that its service allows.
+func (n *Node) limitTarget(v *control.View) {
+	slots, connections := v.Target.Slots, 0
+	if v.Config != nil {
+		connections = v.Config.Services[v.Target.Service].Connections
+	}
+	if connections > 0 {
+		slots = min(slots, max(connections-targetProbeConnections, 1))
+	}
+	n.target.awaitsClose.Store(connections > 0 && connections < 2*slots+targetProbeConnections)
+	n.gate.setTarget(v.Target.Process(), slots)
+}
+
 // signal wakes the receiver of a channel of capacity 1.
 func signal(c chan<- struct{}) {
 	select {
@@ -360,9 +393,10 @@
 	n.balancer.Retain(all)
 }
 
-// serveReady is the readiness check for callers.
+// serveReady is the readiness check for callers. A node that is short of descriptors serves
+// the connections that it has.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.view.Load().Config == nil || n.stopping.Load() {
+	if n.view.Load().Config == nil || n.stopping.Load() || n.descriptors.Short() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
