--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -28,6 +28,12 @@
 	"heathercroft.example/heathercroft/pkg/published"
 )
 
+// testingT is implemented by tests and by checks of a property.
+type testingT interface {
+	require.TestingT
+	Cleanup(func())
+}
+
 // testHeaders uses header names that differ from those of any deployment.
 var testHeaders = Headers{
 	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", CallerService: "X-Caller",
@@ -129,7 +135,7 @@
 	handler http.HandlerFunc
 }
 
-func newFakeTarget(t *testing.T, id string) *fakeTarget {
+func newFakeTarget(t testingT, id string) *fakeTarget {
 	f := &fakeTarget{id: id}
 	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.runs.Add(1)
@@ -193,7 +199,7 @@
 	}})
 }
 
-func listen(t *testing.T, handler http.Handler) *httptest.Server {
+func listen(t testingT, handler http.Handler) *httptest.Server {
 	s := httptest.NewUnstartedServer(handler)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -205,14 +211,14 @@
 	return s
 }
 
-func addressOf(t *testing.T, s *httptest.Server) netip.AddrPort {
+func addressOf(t testingT, s *httptest.Server) netip.AddrPort {
 	a, err := netip.ParseAddrPort(s.Listener.Addr().String())
 	require.NoError(t, err)
 	return a
 }
 
 // newMesh starts nodes of the service "shop" that know each other and the configuration.
-func newMesh(t *testing.T, count int) []*testNode {
+func newMesh(t testingT, count int) []*testNode {
 	nodes := make([]*testNode, count)
 	for i := range nodes {
 		nodes[i] = newTestNode(t, i)
@@ -249,7 +255,7 @@
 	}
 }
 
-func newTestNode(t *testing.T, i int) *testNode {
+func newTestNode(t testingT, i int) *testNode {
 	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
 	serving := &atomic.Pointer[Node]{}
 	inbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }))
