sidecar: whether a request was written is an atomic value

A body of over 16 KiB is written by a goroutine of its own, which sets targetConn.wrote, while do reads it to tell a request that was not sent from one that may run. Found by the race detector in TestTargetsGetTheWholeBodyOrSeeThatItIsBroken (go test -race, 60 checks: two reports, both target.go do against targetConn.Write); none in the same run after the change. No wrong answer was seen.

--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -90,14 +91,14 @@
 	expires time.Duration
 	// lastUsed is when the last request on the connection ended.
 	lastUsed time.Duration
-	wrote    bool
+	wrote    atomic.Bool
 	// reused is set if the connection carried an earlier request.
 	reused bool
 }
 
 // Write implements io.Writer and records that the target may have received the request.
 func (c *targetConn) Write(p []byte) (int, error) {
-	c.wrote = true
+	c.wrote.Store(true)
 	return c.Conn.Write(p)
 }
 
@@ -123,7 +124,7 @@
 	switch {
 	case err == nil:
 		return r, c.classify(r), nil
-	case !conn.wrote:
+	case !conn.wrote.Load():
 		return nil, retry.ResetBeforeWrite, err
 	case ctx.Err() != nil:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -161,7 +162,8 @@
 			break
 		}
 		if c.now() < conn.expires && conn.reader.Buffered() == 0 && openAndEmpty(conn.Conn) {
-			conn.wrote, conn.reused = false, true
+			conn.wrote.Store(false)
+			conn.reused = true
 			return conn, nil
 		}
 		_ = conn.Close()
