--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -61,7 +59,7 @@
 type targetRequest struct {
 	method, host, uri string
 	header            http.Header
-	body              *payload
+	body              *attemptBody
 	// retryable is set if the request may be sent again after a failure.
 	retryable bool
 	// lease holds the memory of the response.
@@ -102,14 +100,14 @@
 	expires time.Duration
 	// lastUsed is when the last request on the connection ended.
 	lastUsed time.Duration
-	wrote    bool
+	wrote    atomic.Bool
 	// reused is set if the connection carried an earlier request.
 	reused bool
 }
 
 // Write implements io.Writer and records that the target may have received the request.
 func (c *targetConn) Write(p []byte) (int, error) {
-	c.wrote = true
+	c.wrote.Store(true)
 	return c.Conn.Write(p)
 }
 
@@ -134,7 +132,7 @@
 	switch {
 	case err == nil:
 		return r, c.classify(r), nil
-	case !conn.wrote:
+	case !conn.wrote.Load():
 		return nil, retry.ResetBeforeWrite, err
 	case ctx.Err() != nil:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -171,7 +169,8 @@
 			break
 		}
 		if c.usable(conn) {
-			conn.wrote, conn.reused = false, true
+			conn.wrote.Store(false)
+			conn.reused = true
 			return conn, nil
 		}
 		c.retire(conn)
@@ -298,7 +297,7 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: request.body.length(),
 	}
 	if req.ContentLength != 0 {
-		req.Body = io.NopCloser(request.body.reader())
+		req.Body = request.body
 	}
 	written := make(chan error, 1)
 	if request.body.inline() {
@@ -406,39 +405,3 @@
 	}
 	conn.expires = c.now() + limit
 }
-
-// payload is a request body. It is buffered in memory up to a limit, so that it can be
-// sent again; the rest can be read only once.
-type payload struct {
-	head []byte
-	// rest follows head; it is nil if head is the whole body.
-	rest     io.Reader
-	size     int64
-	consumed bool
-}
-
-func (p *payload) length() int64 {
-	if p == nil {
-		return 0
-	}
-	if p.rest == nil {
-		return int64(len(p.head))
-	}
-	return p.size
-}
-
-func (p *payload) inline() bool { return p == nil || p.rest == nil && len(p.head) <= maxInlineBody }
-
-// rewindable reports whether the body can be sent from its start.
-func (p *payload) rewindable() bool { return p == nil || p.rest == nil || !p.consumed }
-
-func (p *payload) reader() io.Reader {
-	if p == nil {
-		return http.NoBody
-	}
-	if p.rest == nil {
-		return bytes.NewReader(p.head)
-	}
-	p.consumed = true
-	return io.MultiReader(bytes.NewReader(p.head), p.rest)
-}
