control: a start doesn't wait for machines that are gone; departures that no node may announce

Now they don't wait for nodes that leave, or whose target has left, and for others at most 0.25 s, ended by any event instead of the tick.

Found by reading: a DELETE with an id too long for an announcement made it one that other nodes refuse; such a departure isn't announced now, and confirmed, since no target can register so. Expired departures are dropped without a write. The log tells of a withdrawal once it has succeeded.

Tests: TestStartDoesNotWaitForMachinesThatAreGone and TestAnnouncementStaysValidWithAnyDeparture came with the change and weren't run without it. TestRecordOfAStoppedNodeIsKeptForItsDepartures asks now whether a stopped node is contacted.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -210,6 +210,7 @@
 		c.closing = true
 		c.refreshAnnouncement(t)
 	}
+	c.checkFormer(t)
 	return c.effects
 }
 
@@ -377,7 +378,6 @@
 	case withdraws && c.withdrawn, !withdraws && sameRecord(c.announced, c.self):
 		return
 	case withdraws:
-		c.log("announcement_withdrawn", "process", c.self.StartUnixMS)
 		c.writing = directory.Announcement{}
 		c.emit(WithdrawAnnouncement{})
 	case c.self.Target == nil && t.Now < announceDelay && len(c.self.Departed) == 0:
@@ -411,6 +411,9 @@
 		if e.OK {
 			c.announced, c.withdrawn = c.writing, c.writing.Node == ""
 			c.setKept(c.writing.Sequence, "store")
+			if c.withdrawn {
+				c.log("announcement_withdrawn", "process", c.self.StartUnixMS)
+			}
 		}
 		c.writeAnnouncement(t)
 		return
@@ -482,10 +485,9 @@
 
 func (c *Control) handleTick(t Time) {
 	c.recent, c.sinceTick = c.recent.Update(c.sinceTick), canary.Counts{}
-	c.checkFormer(t)
 	c.refreshAnnouncement(t)
 	c.writeAnnouncement(t)
-	c.dir.ExpireDepartures(t.UnixMS)
+	c.expireDepartures(t)
 	for _, id := range c.dir.Expire(t.Now) {
 		delete(c.peers, id)
 		delete(c.fetch.holders, id)
--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -13,8 +13,9 @@
 	// what another node knows of its former process.
 	storeFirstTime = time.Second
 	// formerAnswerTime is how long a node that has read the announcement of its former process
-	// waits for what the other nodes know: the store may lack the last departures.
-	formerAnswerTime = 500 * time.Millisecond
+	// waits for what the other nodes know: the store may lack the last departures. Messages between
+	// zones take some tens of milliseconds.
+	formerAnswerTime = 250 * time.Millisecond
 	// hearsayTime is the time since its start after which a node that could not read the store has
 	// heard of the departures at the other nodes. It exceeds one gossip cycle through a large mesh.
 	hearsayTime = aliveTimeoutWithoutReader
@@ -103,11 +104,28 @@
 
 // keepDeparture includes a departure in the announcement.
 func (c *Control) keepDeparture(t Time, p directory.Process, report string) {
+	departed := []directory.Departure{{Process: p, AtUnixMS: t.UnixMS}}
 	if directory.Covers(c.self.Departed, p) {
 		return
 	}
+	if err := directory.ValidateDepartures(departed, t.UnixMS); err != nil {
+		// No target can have registered as such a process, and other nodes would refuse the
+		// announcement.
+		c.log("departure_invalid", "report", report, "error", err.Error())
+		return
+	}
 	c.log("departure_reported", "target", p.ID, "target_start", p.StartUnixMS, "report", report, "process", c.self.StartUnixMS)
-	c.addDepartures([]directory.Departure{{Process: p, AtUnixMS: t.UnixMS}}, c.self.Sequence+1, t)
+	c.addDepartures(departed, c.self.Sequence+1, t)
+}
+
+// expireDepartures drops departures that are no longer kept. That is no change of the announcement:
+// other nodes drop them as well.
+func (c *Control) expireDepartures(t Time) {
+	c.dir.ExpireDepartures(t.UnixMS)
+	if slices.ContainsFunc(c.self.Departed, func(d directory.Departure) bool { return d.Expired(t.UnixMS) }) {
+		c.self.Departed = directory.MergeDepartures(c.self.Departed, nil, t.UnixMS)
+		c.announced.Departed = directory.MergeDepartures(c.announced.Departed, nil, t.UnixMS)
+	}
 }
 
 func (c *Control) addDepartures(departed []directory.Departure, announcedIn uint64, t Time) {
@@ -178,7 +196,8 @@
 	var to []mesh.NodeID
 	for _, a := range c.contacts() {
 		unasked := c.former.newest.Node != "" && !c.former.answered[a.Node] && !c.former.known
-		if unasked {
+		// The machines of targets that left are taken away, often without a planned stop.
+		if unasked && !a.Leaving && !targetLeaving(a) {
 			c.former.awaited[a.Node] = true
 		}
 		if unasked || c.dir.SinceLastMessage(a.Node, t.Now) > aliveTimeout {
--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -233,6 +234,15 @@
 				a, ok := n.dir.Get("node-0")
 				require.False(t, ok && !a.Stopped, "%s", n.id)
 			}
+			for _, n := range m.nodes[2:] {
+				n.broadcast(m.time())
+				n.gossip(m.time())
+				for _, e := range n.effects {
+					if s, ok := e.(SendState); ok {
+						require.NotContains(t, s.To, mesh.NodeID("node-0"))
+					}
+				}
+			}
 			started := m.start(100, "v1")
 			m.run(time.Second)
 			_, known := started.dir.Get("node-0")
@@ -267,6 +277,29 @@
 	m.requireOut(restarted)
 }
 
+// Guards against the report of a departure that makes other nodes refuse the announcement, and
+// against departures that are announced for ever.
+func TestAnnouncementStaysValidWithAnyDeparture(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1")
+	n := m.nodes[0]
+	odd := TargetLeaving{ID: strings.Repeat("t", mesh.MaxNameBytes+1)}
+	m.step(n, odd)
+	for i := range 3 * directory.MaxDepartures {
+		m.now += time.Millisecond
+		m.step(n, TargetLeaving{ID: fmt.Sprint("other-", i)})
+	}
+	m.run(time.Second)
+	require.NoError(t, n.self.Validate(m.time().UnixMS))
+	require.Len(t, n.self.Departed, directory.MaxDepartures)
+	require.True(t, n.DepartureKept(odd), "no target can be used under this id")
+	require.True(t, n.view.Target.Serving)
+	m.now += directory.DepartureRetention
+	writes := m.meshEnd
+	m.run(time.Second)
+	require.Empty(t, n.self.Departed)
+	require.Equal(t, writes, m.meshEnd, "nothing is written for that")
+}
+
 // Guards against a message whose statement about the receiver no node makes: it confirms no
 // departure and takes no target out of use.
 func TestOddKnowledgeOfTheReceiverIsIgnored(t *testing.T) {
@@ -297,3 +330,25 @@
 		})
 	}
 }
+
+// Guards against a start that waits for the answers of machines that are gone: after an outage of
+// all machines, all targets would wait.
+func TestStartDoesNotWaitForMachinesThatAreGone(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		t.Run(fmt.Sprintf("left=%v", left), func(t *testing.T) {
+			m := newTestMesh(t, "v1", "v1", "v1")
+			if left {
+				m.step(m.nodes[1], TargetLeaving{ID: "t-1"})
+			}
+			m.run(time.Second)
+			m.kill(m.nodes[1])
+			m.kill(m.nodes[0])
+			restarted := m.startUnread(0)
+			m.step(restarted, heartbeatOf(0, "t-0", 1, 9, false))
+			m.readFirst(restarted)
+			require.Equal(t, left, restarted.view.Target.Serving)
+			m.run(formerAnswerTime + TickInterval)
+			require.True(t, restarted.view.Target.Serving)
+		})
+	}
+}
