--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -194,6 +194,32 @@
 	}
 }
 
+// Guards against a departure in a large mesh that is confirmed late, and is unknown to the next
+// process: without the store, a node tells only the readers of it at once.
+func TestDepartureIsKeptByTheReadersOfALargeMesh(t *testing.T) {
+	m := newTestMesh(t, manyTargets(30)...)
+	var n *testNode
+	for i, candidate := range m.nodes {
+		if !candidate.view.Reader {
+			n = m.nodes[i]
+		}
+	}
+	m.storeDown = true
+	target := *n.view.Target
+	m.step(n, TargetLeaving{ID: target.ID})
+	require.True(t, n.DepartureKept(TargetLeaving{ID: target.ID}))
+	m.kill(n)
+	m.storeDown = false
+	var i int
+	_, err := fmt.Sscanf(string(n.id), "node-%d", &i)
+	require.NoError(t, err)
+	restarted := m.startUnread(i)
+	m.step(restarted, heartbeatOf(i, target.ID, target.StartUnixMS, 9, false))
+	m.readFirst(restarted)
+	m.run(2 * time.Second)
+	m.requireOut(restarted)
+}
+
 // Guards against the report of a departure that is lost because the write of the announcement
 // before it was under way, and against writes that overtake each other.
 func TestDepartureDuringAWriteIsWritten(t *testing.T) {
