--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -220,6 +220,7 @@
 		c.closing = true
 		c.refreshAnnouncement(t)
 	}
+	c.checkFormer(t)
 	return c.effects
 }
 
@@ -387,7 +388,6 @@
 	case withdraws && c.withdrawn, !withdraws && sameRecord(c.announced, c.self):
 		return
 	case withdraws:
-		c.log("announcement_withdrawn", "process", c.self.StartUnixMS)
 		c.writing = directory.Announcement{}
 		c.emit(WithdrawAnnouncement{})
 	case c.self.Target == nil && t.Now < announceDelay && len(c.self.Departed) == 0:
@@ -421,6 +421,9 @@
 		if e.OK {
 			c.announced, c.withdrawn = c.writing, c.writing.Node == ""
 			c.setKept(c.writing.Sequence, "store")
+			if c.withdrawn {
+				c.log("announcement_withdrawn", "process", c.self.StartUnixMS)
+			}
 		}
 		c.writeAnnouncement(t)
 		return
@@ -493,10 +496,9 @@
 
 func (c *Control) handleTick(t Time) {
 	c.recent, c.sinceTick = c.recent.Update(c.sinceTick), canary.Counts{}
-	c.checkFormer(t)
 	c.refreshAnnouncement(t)
 	c.writeAnnouncement(t)
-	c.dir.ExpireDepartures(t.UnixMS)
+	c.expireDepartures(t)
 	c.expireNodes(t)
 	c.expireCrashes(t)
 	c.chooseReaders(t)
