sidecar: fix a data race on whether a request was written

The node read whether a byte of a request had been written to the target while the request's body was still being written by another goroutine. A stale "no" says "not run" of a request that may run.

Cause: targetConn.wrote was a plain bool; a body over 16 KiB is written beside the reading of the response.

A wrong outcome was not seen. It was set before the write and read after the close of the connection, so that only its visibility was open.

--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -102,14 +102,16 @@
 	expires time.Duration
 	// lastUsed is when the last request on the connection ended.
 	lastUsed time.Duration
-	wrote    bool
+	// wrote is set before the first byte of a request is written, which may happen while the
+	// response is read.
+	wrote atomic.Bool
 	// reused is set if the connection carried an earlier request.
 	reused bool
 }
 
 // Write implements io.Writer and records that the target may have received the request.
 func (c *targetConn) Write(p []byte) (int, error) {
-	c.wrote = true
+	c.wrote.Store(true)
 	return c.Conn.Write(p)
 }
 
@@ -134,7 +136,7 @@
 	switch {
 	case err == nil:
 		return r, c.classify(r), nil
-	case !conn.wrote:
+	case !conn.wrote.Load():
 		return nil, retry.ResetBeforeWrite, err
 	case ctx.Err() != nil:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -171,7 +173,8 @@
 			break
 		}
 		if c.usable(conn) {
-			conn.wrote, conn.reused = false, true
+			conn.wrote.Store(false)
+			conn.reused = true
 			return conn, nil
 		}
 		c.retire(conn)
