--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -100,7 +100,9 @@
 	expires time.Duration
 	// lastUsed is when the last request on the connection ended.
 	lastUsed time.Duration
-	wrote    atomic.Bool
+	// wrote is set before the first byte of a request is written, which may happen while the
+	// response is read.
+	wrote atomic.Bool
 	// reused is set if the connection carried an earlier request.
 	reused bool
 }
