callpath: no attempt starts once bytes beyond the buffer may be read

What callers could see: none was seen. (2) A read that is pending when its attempt is given up hands the end of the body to that attempt's transport, which completes the request.

Now beyondHead is set before the read, under the lock that also decides which attempt is current. While the buffer has room, no more is read at once than fits. startAttempt refuses instead of giving out a reader that fails later, and rewind cuts off the reader of the last attempt before its result is thrown away; if that comes too late, this result is delivered. A read that was pending returns errAttemptEnded once its attempt is over. A body of exactly 16 KiB whose end has not been read with its last bytes no longer counts as buffered.

TestBodyIsConsumedWhileBytesBeyondTheBufferAreRead and TestEndOfTheBodyDoesNotReachAnEndedAttempt were red before and pass. TestAttemptsReadABodyFromItsFirstByteOrNotAtAll (new) fails without the checks in startAttempt and readBuffered ("a part that ends like the whole body").

--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -19,7 +19,8 @@
 var errAttemptEnded = errors.New("attempt is over")
 
 // requestBody is the body of an inbound request. Successive attempts each read it
-// from the start. Bytes beyond maxReplayBytes can be read only once.
+// from the start, and only the last one gets bytes. Bytes beyond maxReplayBytes are
+// read once; after the first read of them, no further attempt can start.
 type requestBody struct {
 	src io.Reader
 	// unblock makes a pending read of src return.
@@ -35,7 +36,7 @@
 	err    error
 	// offset is the number of bytes read from src.
 	offset int
-	// beyondHead is set once bytes beyond head were read.
+	// beyondHead is set before bytes beyond head are read, with mu held.
 	beyondHead atomic.Bool
 	current    atomic.Pointer[attemptBody]
 }
@@ -85,12 +86,30 @@
 	return setDeadline(time.Time{}) == nil && err == io.EOF
 }
 
+// rewind invalidates the reader of the previous attempt and reports whether another
+// attempt can start. If it cannot, the reader stays valid.
+func (b *requestBody) rewind() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.beyondHead.Load() {
+		return false
+	}
+	b.current.Store(nil)
+	return true
+}
+
 // startAttempt invalidates the reader of the previous attempt and returns one that
-// starts at the first byte.
-func (b *requestBody) startAttempt() *attemptBody {
-	a := &attemptBody{body: b}
+// starts at the first byte. ok is false if bytes beyond head were read.
+func (b *requestBody) startAttempt() (a *attemptBody, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current.Store(nil)
+	if b.beyondHead.Load() {
+		return nil, false
+	}
+	a = &attemptBody{body: b}
 	b.current.Store(a)
-	return a
+	return a, true
 }
 
 // end makes further reads fail and waits for a pending one. The inbound request
@@ -116,7 +135,9 @@
 		b.readMu.Unlock()
 		return
 	}
+	b.mu.Lock()
 	b.beyondHead.Store(true)
+	b.mu.Unlock()
 	b.unblock()
 }
 
@@ -158,18 +179,48 @@
 // prefix returns up to n bytes of head. Bytes of head never change once written.
 func (b *requestBody) prefix(n int) []byte { return b.head[:min(n, len(b.head))] }
 
-// read reads from src and buffers what fits into head. readMu must be held.
+// read reads from src and buffers the bytes while head has room. readMu must be held.
 func (b *requestBody) read(p []byte) (int, error) {
+	b.mu.Lock()
+	p = b.limit(p)
+	b.mu.Unlock()
+	return b.readSource(p)
+}
+
+// readFor is like read, and fails if a is not the current attempt.
+func (b *requestBody) readFor(a *attemptBody, p []byte) (int, error) {
+	b.mu.Lock()
+	if b.current.Load() != a {
+		b.mu.Unlock()
+		return 0, errAttemptEnded
+	}
+	p = b.limit(p)
+	b.mu.Unlock()
+	n, err := b.readSource(p)
+	if b.current.Load() != a {
+		// The end of the body must not complete a request that was given up.
+		return 0, errAttemptEnded
+	}
+	return n, err
+}
+
+// limit returns the part of p to which the next bytes of src can be read: as much as
+// head has room for, or all of it once bytes beyond head are read. mu must be held.
+func (b *requestBody) limit(p []byte) []byte {
+	if room := maxReplayBytes - len(b.head); room > 0 {
+		return p[:min(len(p), room)]
+	}
+	b.beyondHead.Store(true)
+	return p
+}
+
+func (b *requestBody) readSource(p []byte) (int, error) {
 	n, err := b.src.Read(p)
 	b.total.Add(int64(n))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.offset += n
-	room := maxReplayBytes - len(b.head)
-	if n > room {
-		b.beyondHead.Store(true)
-	}
-	b.head = append(b.head, p[:min(n, room)]...)
+	b.head = append(b.head, p[:min(n, maxReplayBytes-len(b.head))]...)
 	if err != nil {
 		b.err = err
 	}
@@ -194,7 +245,7 @@
 	if n, err := a.readBuffered(p); n > 0 || err != nil {
 		return n, err
 	}
-	n, err := b.read(p)
+	n, err := b.readFor(a, p)
 	a.pos += n
 	if n > 0 {
 		return n, nil
--- a/internal/callpath/body_internal_test.go
+++ b/internal/callpath/body_internal_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"expvar"
 	"io"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // heldSource returns data, and its end only after release is closed.
@@ -69,3 +72,67 @@
 		require.Fail(t, "the read does not end")
 	}
 }
+
+// piecewise returns a body in pieces of the size.
+type piecewise struct {
+	rest  []byte
+	piece int
+}
+
+func (p *piecewise) Read(to []byte) (int, error) {
+	if len(p.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(to, p.rest[:min(p.piece, len(p.rest))])
+	p.rest = p.rest[n:]
+	return n, nil
+}
+
+// Guards against bytes of a body that are given out twice, or left out, when attempts
+// follow each other while the reader of an earlier one still reads.
+func TestAttemptsReadABodyFromItsFirstByteOrNotAtAll(t *testing.T) {
+	const largest = 3 * maxReplayBytes
+	all := make([]byte, largest)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(all)
+	rapid.Check(t, func(t *rapid.T) {
+		whole := all[:rapid.IntRange(0, largest).Draw(t, "size")]
+		source := &piecewise{rest: whole, piece: rapid.IntRange(1, 20_000).Draw(t, "size of a piece")}
+		b := newRequestBody(source, new(expvar.Int), func() {})
+		type outcome struct {
+			got []byte
+			err error
+		}
+		var readers sync.WaitGroup
+		outcomes := make([]outcome, 5)
+		for i := range rapid.IntRange(1, 5).Draw(t, "attempts") {
+			a, ok := b.startAttempt()
+			if !ok {
+				require.GreaterOrEqual(t, len(whole), maxReplayBytes, "a small body can always be sent again")
+				break
+			}
+			limit := rapid.IntRange(0, largest+1).Draw(t, "bytes read")
+			read := func() {
+				o := &outcomes[i]
+				buffer := make([]byte, 5000)
+				for len(o.got) < limit && o.err == nil {
+					var n int
+					n, o.err = a.Read(buffer[:min(len(buffer), limit-len(o.got))])
+					o.got = append(o.got, buffer[:n]...)
+				}
+			}
+			if rapid.Bool().Draw(t, "outlives its attempt") {
+				readers.Go(read)
+			} else {
+				read()
+			}
+		}
+		readers.Wait()
+		b.end()
+		for _, o := range outcomes {
+			require.True(t, bytes.HasPrefix(whole, o.got), "bytes that do not follow each other")
+			if o.err == io.EOF {
+				require.Equal(t, len(whole), len(o.got), "a part that ends like the whole body")
+			}
+		}
+	})
+}
--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -232,6 +232,10 @@
 			return refused(retry.NotSent, NotRun(CodeNoEndpoint, "no endpoint of service "+route.Service.Name+" can be used now"))
 		}
 		if last != nil {
+			if !c.body.rewind() {
+				// The attempt read on after the decision to retry.
+				return last
+			}
 			last.discard()
 			n.metrics.retries.Add(1)
 		}
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -145,7 +145,11 @@
 	forward, stop := c.informationalForwarder()
 	defer stop()
 	ctx := httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{Got1xxResponse: forward})
-	req := n.outbound(ctx, c, target.Address.String(), attempt)
+	req, ok := n.outbound(ctx, c, target.Address.String(), attempt)
+	if !ok {
+		n.pool.put(conn, false)
+		return bodyConsumedResult(), false
+	}
 	if req.Body == nil {
 		req.Body = http.NoBody
 	}
@@ -157,7 +161,7 @@
 		wrote := conn.raw.wrote.Load()
 		n.pool.put(conn, false)
 		n.metrics.brokenConnections.Add(1)
-		if !wrote && conn.reused && c.ctx.Err() == nil && !c.body.consumed() {
+		if !wrote && conn.reused && c.ctx.Err() == nil && c.body.rewind() {
 			return nil, true
 		}
 		return n.targetFailed(c, err, wrote), false
--- a/internal/callpath/keyed.go
+++ b/internal/callpath/keyed.go
@@ -40,7 +40,7 @@
 			// The same owner would refuse again.
 			return n.deps.Keys.Owner(c.key).Node != owner.Node && budget.Allow(n.deps.Now())
 		})
-		if action != retry.Retry {
+		if action != retry.Retry || !c.body.rewind() {
 			n.deliver(c, a)
 			return
 		}
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -139,7 +139,11 @@
 		Got1xxResponse:   forward,
 	}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(c.ctx, trace))
-	req := n.outbound(ctx, c, to.String(), c.inherited+retries)
+	req, ok := n.outbound(ctx, c, to.String(), c.inherited+retries)
+	if !ok {
+		cancel()
+		return bodyConsumedResult(), false
+	}
 	if req.ContentLength == 0 {
 		req.Body = http.NoBody
 		if !retry.Idempotent(req.Method) {
@@ -214,8 +218,15 @@
 	return refused(retry.NotSent, NotRun(code, message))
 }
 
-// outbound returns the request to send to a node or target.
-func (n *Node) outbound(ctx context.Context, c *call, host string, attempt int) *http.Request {
+// bodyConsumedResult is the result of an attempt that was not started, because an
+// earlier one has read more of the body than is buffered.
+func bodyConsumedResult() *attemptResult {
+	return refused(retry.NotSent, NotRun(CodeUnreachable, "the body cannot be sent again"))
+}
+
+// outbound returns the request to send to a node or target. ok is false if the body
+// cannot be sent from its first byte.
+func (n *Node) outbound(ctx context.Context, c *call, host string, attempt int) (req *http.Request, ok bool) {
 	in := c.req
 	h := in.Header.Clone()
 	trailers := strings.Contains(strings.ToLower(h.Get("Te")), "trailers")
@@ -245,17 +256,21 @@
 	h[HeaderDepth] = []string{strconv.Itoa(depth)}
 	u := *in.URL
 	u.Scheme, u.Host = "http", host
-	req := &http.Request{
+	req = &http.Request{
 		Method: in.Method, URL: &u, Host: in.Host, Header: h, ContentLength: in.ContentLength,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if in.ContentLength != 0 {
-		req.Body = c.body.startAttempt()
+		body, ok := c.body.startAttempt()
+		if !ok {
+			return nil, false
+		}
+		req.Body = body
 		if in.ContentLength < 0 {
 			req.Trailer = in.Trailer
 		}
 	}
-	return req.WithContext(ctx)
+	return req.WithContext(ctx), true
 }
 
 // informationalForwarder returns a function that forwards informational (1xx)
