test: the property of bodies in sidecar checks its readers after they have ended

A failed requirement in a reader's goroutine would have ended the process instead of failing the check. Without the check in requestBody.open it fails with "bytes that do not follow each other"; with it, it passes (-race).

--- a/internal/sidecar/body_test.go
+++ b/internal/sidecar/body_test.go
@@ -302,8 +302,13 @@
 		if buffered < len(whole) {
 			body.rest = &piecewise{rest: whole[buffered:], piece: piece}
 		}
+		type outcome struct {
+			got []byte
+			err error
+		}
 		var readers sync.WaitGroup
 		var opened []*attemptBody
+		outcomes := make([]outcome, 5)
 		restTaken := false
 		for i := range rapid.IntRange(1, 5).Draw(t, "attempts") {
 			a, ok := body.open()
@@ -315,32 +320,32 @@
 			opened = append(opened, a)
 			limit := rapid.IntRange(0, len(whole)+1).Draw(t, "bytes read")
 			restTaken = restTaken || limit > buffered
-			read := func() (got []byte, err error) {
+			read := func() {
+				o := &outcomes[i]
 				var p [100]byte
-				for len(got) < limit && err == nil {
+				for len(o.got) < limit && o.err == nil {
 					var n int
-					n, err = a.Read(p[:min(len(p), limit-len(got))])
-					got = append(got, p[:n]...)
-				}
-				return got, err
-			}
-			check := func(got []byte, err error) {
-				require.True(t, bytes.HasPrefix(whole, got), "bytes that do not follow each other")
-				if err == io.EOF {
-					require.Equal(t, len(whole), len(got), "a part that ends like the whole body")
+					n, o.err = a.Read(p[:min(len(p), limit-len(o.got))])
+					o.got = append(o.got, p[:n]...)
 				}
 			}
 			if rapid.Bool().Draw(t, fmt.Sprintf("reader %d outlives its attempt", i)) {
 				// Its reads may come after the end of the attempt or not.
 				restTaken = restTaken || body.rest != nil
-				readers.Go(func() { check(read()) })
+				readers.Go(read)
 			} else {
-				check(read())
+				read()
 			}
 			a.end()
 		}
 		readers.Wait()
 		body.end()
+		for _, o := range outcomes {
+			require.True(t, bytes.HasPrefix(whole, o.got), "bytes that do not follow each other")
+			if o.err == io.EOF {
+				require.Equal(t, len(whole), len(o.got), "a part that ends like the whole body")
+			}
+		}
 		for _, a := range opened {
 			n, err := a.Read(make([]byte, 1))
 			require.Zero(t, n)
