--- a/test/process/leave_test.go
+++ b/test/process/leave_test.go
@@ -133,9 +133,13 @@
 		return "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", fmt.Errorf("status %d, read answer: %w", resp.StatusCode, err)
+	}
 	var a target.Answer
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
-		return "", err
+	if err := json.Unmarshal(data, &a); err != nil {
+		return "", fmt.Errorf("status %d, not the answer of a target: %w: %s", resp.StatusCode, err, data)
 	}
 	if resp.StatusCode != http.StatusOK || a.ReceivedHash != fmt.Sprintf("%016x", digest.Sum64()) {
 		return a.Target, fmt.Errorf("status %d, received %d bytes with hash %s", resp.StatusCode, a.ReceivedBytes, a.ReceivedHash)
