--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -216,6 +216,8 @@
 	// PerSecond is the rate of requests that this node sends, for each service with
 	// a move.
 	PerSecond map[string]float64 `json:"per_second,omitempty"`
+	// Suspects holds the number of each move whose new version this node suspects, by service.
+	Suspects map[string]uint64 `json:"suspects,omitempty"`
 	// Crashes counts the crashes of this node's target by the fingerprint of the
 	// requests that ran.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
@@ -230,6 +232,10 @@
 	Summaries []MoveSummary `json:"summaries,omitempty"`
 	// Others holds announcements that the receiver may not know.
 	Others []directory.Announcement `json:"others,omitempty"`
+	// Asks is set if the sender needs Receiver in the response.
+	Asks bool `json:"asks,omitempty"`
+	// Receiver is set in responses to messages that ask for it.
+	Receiver *ReceiverKnowledge `json:"receiver,omitempty"`
 
 	// receivedAt is the time on the clock of the receiver.
 	receivedAt time.Duration
@@ -248,6 +254,12 @@
 	PublishView struct{ View *View }
 	// WriteAnnouncement writes the node's announcement to the store.
 	WriteAnnouncement struct{ Announcement directory.Announcement }
+	// WithdrawAnnouncement deletes it, and RemoveStopped that of another node which has stopped, if
+	// the feed has not changed since it was read.
+	WithdrawAnnouncement struct{}
+	RemoveStopped        struct{ Node mesh.NodeID }
+	// DepartureKept reports that departures are kept outside this process that were not before.
+	DepartureKept struct{}
 	// RecordMove writes a move to the store if the feed has not changed since it was
 	// read.
 	RecordMove struct{ Move canary.Move }
@@ -258,6 +270,11 @@
 		To    []mesh.NodeID
 		State PeerState
 	}
+	// ProbeNode sends the state to a node that the view does not contain.
+	ProbeNode struct {
+		To    directory.Announcement
+		State PeerState
+	}
 	// ContradictState tells a node what others say of it.
 	ContradictState struct {
 		To    directory.Announcement
@@ -278,14 +295,18 @@
 	}
 )
 
-func (PublishView) effect()         {}
-func (WriteAnnouncement) effect()   {}
-func (RecordMove) effect()          {}
-func (WriteStatus) effect()         {}
-func (SendState) effect()           {}
-func (ContradictState) effect()     {}
-func (RewriteAnnouncement) effect() {}
-func (FetchConfig) effect()         {}
-func (CheckConfig) effect()         {}
-func (RereadFeed) effect()          {}
-func (LogEvent) effect()            {}
+func (PublishView) effect()          {}
+func (WriteAnnouncement) effect()    {}
+func (WithdrawAnnouncement) effect() {}
+func (RemoveStopped) effect()        {}
+func (DepartureKept) effect()        {}
+func (RecordMove) effect()           {}
+func (WriteStatus) effect()          {}
+func (SendState) effect()            {}
+func (ProbeNode) effect()            {}
+func (ContradictState) effect()      {}
+func (RewriteAnnouncement) effect()  {}
+func (FetchConfig) effect()          {}
+func (CheckConfig) effect()          {}
+func (RereadFeed) effect()           {}
+func (LogEvent) effect()             {}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -142,6 +142,17 @@
 			m.meshEnd++
 		}
 		m.step(n, WriteCompleted{announceKey, ok})
+	case WithdrawAnnouncement:
+		if !m.storeDown {
+			delete(m.announcements, n.id)
+			m.meshEnd++
+		}
+		m.step(n, WriteCompleted{announceKey, !m.storeDown})
+	case RemoveStopped:
+		if !m.storeDown && n.readEras[MeshFeed] == m.era && n.meshSeen == m.meshEnd {
+			delete(m.announcements, e.Node)
+			m.meshEnd++
+		}
 	case RecordMove:
 		ok := !m.storeDown && n.readEras[MoveFeed] == m.era && n.movesSeen == m.moveEnd
 		if ok {
@@ -164,9 +175,14 @@
 		for _, id := range e.To {
 			if other := m.node(id); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[id] {
 				m.step(other, PeerStateReceived{State: m.transfer(e.State)})
-				m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time())), RoundTrip: time.Millisecond})
+				m.step(n, PeerStateReceived{State: m.transfer(other.Reply(m.time(), e.State)), RoundTrip: time.Millisecond})
 			}
 		}
+	case ProbeNode:
+		if other := m.node(e.To.Node); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[e.To.Node] {
+			m.step(other, PeerStateReceived{State: m.transfer(e.State)})
+			m.step(n, PeerStateReceived{State: m.transfer(other.State(m.time())), RoundTrip: time.Millisecond})
+		}
 	case ContradictState:
 		if other := m.node(e.To.Node); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[e.To.Node] {
 			m.step(other, PeerStateReceived{State: m.transfer(e.State)})
@@ -643,3 +659,87 @@
 	}})
 	require.True(t, restarted.view.Target.Serving)
 }
+
+// Guards against a move that is completed while nodes suspect the new version: the old version
+// stops, and a faulty one stays in use.
+func TestSuspectedVersionIsNotCompleted(t *testing.T) {
+	for _, failsAfter := range []time.Duration{250, 500, 750, 1000} {
+		failsAfter *= time.Millisecond
+		t.Run(failsAfter.String(), func(t *testing.T) {
+			var versions []string
+			for i := range 16 {
+				versions = append(versions, []string{"v1", "v2"}[i%2])
+			}
+			m := newTestMesh(t, versions...)
+			m.order("v2", 1)
+			var shiftedAt time.Duration
+			responses := 0
+			m.runWith(12*time.Second, func() {
+				if m.moves["s"].Phase != canary.Shifted && m.moves["s"].Phase != canary.Completed {
+					m.countResponses("v1", 9, false)
+					m.countResponses("v2", 1, false)
+					return
+				}
+				if shiftedAt == 0 {
+					shiftedAt = m.now
+				}
+				for range 10 {
+					responses++
+					m.countResponses("v2", 1, m.now-shiftedAt >= failsAfter && responses%2 == 0)
+				}
+			})
+			require.Equal(t, StatusReverted, m.statuses["s"].State)
+		})
+	}
+}
+
+// Guards against a move that is completed by nodes that do not suspect the new version, while
+// another one does.
+func TestSuspicionOfOneNodePreventsCompletion(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v2", "v2")
+	m.order("v2", 1)
+	suspecting := m.nodes[3]
+	m.runWith(12*time.Second, func() {
+		m.countResponses("v2", 1, false)
+		if m.moves["s"].Phase != canary.Shifted {
+			m.countResponses("v1", 5, false)
+			return
+		}
+		m.partitioned[suspecting.id] = true
+		suspecting.caughtUp[MoveFeed] = false
+		state := suspecting.State(m.time())
+		state.Suspects = map[string]uint64{"s": m.moves["s"].Number}
+		for _, n := range m.nodes[:3] {
+			m.step(n, PeerStateReceived{State: m.transfer(state)})
+		}
+	})
+	require.Equal(t, StatusReverted, m.statuses["s"].State)
+}
+
+// Guards against the requests that a version that fails under load gets until each node has heard
+// from all its targets: the first suspicion must stop them everywhere.
+func TestSuspicionStopsTheRequestsOfAllNodesAtOnce(t *testing.T) {
+	// In a large mesh the readers hear of the fault first.
+	for nodes, ticks := range map[int]time.Duration{16: 1, 48: 2} {
+		t.Run(fmt.Sprintf("nodes=%d", nodes), func(t *testing.T) {
+			var versions []string
+			for i := range nodes {
+				versions = append(versions, []string{"v1", "v2"}[i%2])
+			}
+			m := newTestMesh(t, versions...)
+			m.order("v2", 1)
+			m.runWith(7500*time.Millisecond, func() {
+				m.countResponses("v1", 9, false)
+				m.countResponses("v2", 1, false)
+			})
+			require.Equal(t, canary.Shifted, m.moves["s"].Phase)
+			for range 30 {
+				m.step(m.nodes[1], TargetResponded{Route: "r", Failed: true, Latency: 50 * time.Millisecond})
+			}
+			m.runWith(ticks*TickInterval, nil)
+			for _, n := range m.nodes {
+				require.Zero(t, n.view.Endpoints["s"].NewShare, "%s", n.id)
+			}
+		})
+	}
+}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -54,6 +54,7 @@
 func (fakeStore) Reconnect()                                                         {}
 func (fakeStore) Announce(context.Context, directory.Announcement) error             { return nil }
 func (fakeStore) Withdraw(context.Context, mesh.NodeID) error                        { return nil }
+func (fakeStore) RemoveStopped(context.Context, mesh.NodeID, logpos.Position) error  { return nil }
 func (fakeStore) RecordMove(context.Context, canary.Move, logpos.Position) error     { return nil }
 func (fakeStore) WriteStatus(context.Context, control.Status, logpos.Position) error { return nil }
 
@@ -176,6 +177,7 @@
 	t.Cleanup(n.Node.cancel)
 	before.cancel()
 	n.Step(control.ConfigPublished{Config: before.view.Load().Config})
+	n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
 	n.heartbeat(1, 2)
 	for _, o := range others {
 		n.Step(control.PeerStateReceived{State: o.state()})
@@ -194,7 +196,13 @@
 }
 
 func listen(t *testing.T, handler http.Handler) *httptest.Server {
+	return listenWith(t, handler, maxHeaderBytes)
+}
+
+// listenWith serves with a limit on the header of a request in bytes.
+func listenWith(t *testing.T, handler http.Handler, headerBytes int) *httptest.Server {
 	s := httptest.NewUnstartedServer(handler)
+	s.Config.MaxHeaderBytes = headerBytes
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -221,6 +229,7 @@
 	require.NoError(t, config.Prepare())
 	for i, n := range nodes {
 		n.Step(control.ConfigPublished{Config: config})
+		n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
 		n.heartbeat(1, 1)
 		for j, other := range nodes {
 			if i != j {
@@ -252,7 +261,7 @@
 func newTestNode(t *testing.T, i int) *testNode {
 	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
 	serving := &atomic.Pointer[Node]{}
-	inbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }))
+	inbound := listenWith(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }), maxHopHeaderBytes)
 	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		serving.Load().outboundHandler().ServeHTTP(w, r)
 	}))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -81,6 +81,8 @@
 	// viewChanged wakes the followers of the feeds when the reducer decides anew what to read.
 	viewChanged   [control.FeedCount]chan struct{}
 	writeTimeouts *writeTimeouts
+	// departureKept wakes the reports of departures that are not yet confirmed.
+	departureKept *broadcast
 
 	// cachedConfig is the configuration in force in the form sent to other nodes, and
 	// history holds the changes of the last versions.
@@ -111,7 +113,7 @@
 	n := &Node{
 		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
 		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), nestedCalls: newNestedCalls(),
-		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(),
+		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(), departureKept: newBroadcast(),
 	}
 	for f := range control.FeedCount {
 		n.rereads[f], n.viewChanged[f] = make(chan struct{}, 1), make(chan struct{}, 1)
@@ -144,6 +146,10 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is the maximum header size, the same as in the published limits.
 	maxHeaderBytes = 32 << 10
+	// maxHopHeaderBytes is the maximum header size of a request between nodes. HTTP/2 counts 32
+	// bytes for each field in addition to its text, and the shortest field of a caller has
+	// four bytes.
+	maxHopHeaderBytes = 12 * maxHeaderBytes
 	// messageMemoryShare is the share of the process's memory for the bodies of requests and
 	// responses. The garbage collector needs as much again before it frees them.
 	messageMemoryShare = 0.25
@@ -179,14 +185,15 @@
 func (n *Node) Run(ctx context.Context, registry http.Handler) error {
 	var servers []transport.Server
 	for _, l := range []struct {
-		address netip.AddrPort
-		handler http.Handler
+		address     netip.AddrPort
+		handler     http.Handler
+		headerBytes int
 	}{
-		{n.settings.Control, registry},
-		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
-		{n.settings.Inbound, http.HandlerFunc(n.serveInbound)},
-		{n.settings.Outbound, n.outboundHandler()},
-		{n.settings.Metrics, expvar.Handler()},
+		{n.settings.Control, registry, maxHeaderBytes},
+		{n.settings.Ready, http.HandlerFunc(n.serveReady), maxHeaderBytes},
+		{n.settings.Inbound, http.HandlerFunc(n.serveInbound), maxHopHeaderBytes},
+		{n.settings.Outbound, n.outboundHandler(), maxHeaderBytes},
+		{n.settings.Metrics, expvar.Handler(), maxHeaderBytes},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -197,7 +204,7 @@
 		}
 		server := app.HTTPServer(pipeline.Listen(listener), l.handler)
 		server.ConnContext = pipeline.ConnContext
-		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
+		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, l.headerBytes
 		server.HTTP2 = &http.HTTP2Config{
 			MaxReceiveBufferPerStream: peerStreamWindow, MaxReceiveBufferPerConnection: peerConnWindow,
 		}
@@ -235,8 +242,7 @@
 	return 0
 }
 
-// Step processes an event of the platform adapter, such as a heartbeat. The request path
-// uses the changed state when Step returns.
+// Step processes an event. The request path uses the changed state when Step returns.
 func (n *Node) Step(e control.Event) { n.step(e) }
 
 func (n *Node) step(e control.Event) {
@@ -290,12 +296,20 @@
 	switch e := effect.(type) {
 	case control.WriteAnnouncement:
 		go n.writeAnnouncement(e.Announcement)
+	case control.WithdrawAnnouncement:
+		go n.withdraw()
+	case control.RemoveStopped:
+		go n.removeStopped(e.Node)
+	case control.DepartureKept:
+		n.departureKept.notify()
 	case control.RecordMove:
 		go n.recordMove(e.Move)
 	case control.WriteStatus:
 		go n.writeStatus(e.Status)
 	case control.SendState:
 		n.sendState(e)
+	case control.ProbeNode:
+		go n.exchangeState(e.To, e.State)
 	case control.ContradictState:
 		go n.exchangeState(e.To, e.State)
 	case control.RewriteAnnouncement:
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -25,8 +25,14 @@
 	// LinkMbps is the bandwidth of the node's link in Mbit/s, 0 if not known.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// Leaving is set once the node is shutting down and should get no new requests.
-	Leaving bool    `json:"leaving,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+	// Stopped is set in the last announcement of a process that ends as planned: nothing is sent to
+	// it, and the announcement is kept for its departures only.
+	Stopped bool    `json:"stopped,omitempty"`
 	Target  *Target `json:"target,omitempty"`
+	// Departed holds the targets beside the node that left, as confirmed by any of its processes:
+	// at most MaxDepartures, for DepartureRetention.
+	Departed []Departure `json:"departed,omitempty"`
 }
 
 // Target is the state of the target beside a node.
@@ -73,13 +79,15 @@
 	members map[mesh.NodeID]*member
 	// byAddress holds the node that owns each address.
 	byAddress map[netip.AddrPort]mesh.NodeID
+	// departures holds what all processes of a node announced of targets that left.
+	departures map[mesh.NodeID][]Departure
 	// sorted is the result of All, nil after a change.
 	sorted []Announcement
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{members: map[mesh.NodeID]*member{}, byAddress: map[netip.AddrPort]mesh.NodeID{}}
+	return &Directory{members: map[mesh.NodeID]*member{}, byAddress: map[netip.AddrPort]mesh.NodeID{}, departures: map[mesh.NodeID][]Departure{}}
 }
 
 // initialMessageAge is the time since the last message that is assumed for a node
@@ -97,6 +105,9 @@
 	if a.Node == "" || !a.CallAddress.IsValid() {
 		return false
 	}
+	if _, known := d.members[a.Node]; a.Stopped && !known {
+		return false
+	}
 	if !d.claimAddress(a, now, direct) {
 		return false
 	}
@@ -174,17 +185,26 @@
 
 // Expire removes and returns the nodes whose last message is older than
 // MemberLifetime.
-func (d *Directory) Expire(now time.Duration) []mesh.NodeID {
-	var gone []mesh.NodeID
+func (d *Directory) Expire(now time.Duration) []Announcement {
+	var gone []Announcement
 	for id, m := range d.members {
 		if now-m.lastHeard > MemberLifetime {
 			d.remove(id)
-			gone = append(gone, id)
+			gone = append(gone, m.Announcement)
 		}
 	}
+	slices.SortFunc(gone, compareNodes)
 	return gone
 }
 
+// Owner returns the node that has an address for requests between nodes.
+func (d *Directory) Owner(callAddress netip.AddrPort) (mesh.NodeID, bool) {
+	id, ok := d.byAddress[callAddress]
+	return id, ok
+}
+
+func compareNodes(a, b Announcement) int { return strings.Compare(string(a.Node), string(b.Node)) }
+
 // Len returns the number of known nodes.
 func (d *Directory) Len() int { return len(d.members) }
 
@@ -215,7 +235,7 @@
 	for _, m := range d.members {
 		out = append(out, m.Announcement)
 	}
-	slices.SortFunc(out, func(a, b Announcement) int { return strings.Compare(string(a.Node), string(b.Node)) })
+	slices.SortFunc(out, compareNodes)
 	d.sorted = slices.Clip(out)
 	return d.sorted
 }
