--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,11 +14,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kratos/kratos/v2/transport"
-	"golang.org/x/net/netutil"
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/callpath"
 	"heathercroft.example/heathercroft/internal/core"
+	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/internal/logclient"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/internal/settings"
@@ -38,6 +38,8 @@
 	evidence  *evidence
 	counters  *rpc.Counters
 	listeners listeners
+	// descriptors keeps file descriptors free of callers.
+	descriptors *descriptors.Guard
 }
 
 // listeners are the open sockets of a node.
@@ -81,7 +83,11 @@
 		}
 		*l.to = listener
 	}
-	n.listeners.caller = netutil.LimitListener(n.listeners.caller, n.settings.Limits.MaxConnections)
+	limit, err := descriptors.SystemLimit()
+	if err != nil {
+		return err
+	}
+	n.descriptors = descriptors.NewGuard(limit, n.settings.Limits.MaxConnections)
 	return nil
 }
 
@@ -112,11 +118,14 @@
 
 // Run serves until a stop signal, then drains and stops.
 func (n *Node) Run(ctx context.Context) error {
-	callServer := app.HTTPServer(n.listeners.call, n.calls.NodeHandler())
-	callpath.ConfigureServer(callServer.Server)
-	callerServer := app.HTTPServer(n.listeners.caller, n.callerHandler())
-	callpath.ConfigureServer(callerServer.Server)
+	callServer := app.HTTPServer("nodes", n.listeners.call, n.calls.NodeHandler())
+	callpath.ConfigureServer(callServer.Server.Server)
+	callerServer := app.HTTPServer("callers", n.listeners.caller, n.callerHandler(), n.descriptors.Callers)
+	callpath.ConfigureServer(callerServer.Server.Server)
 	n.publishMetrics()
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go n.descriptors.Watch(watch, n.logger)
 	return app.Run(ctx, app.Options{
 		Name:   "heathercroft-node",
 		Logger: n.logger,
@@ -125,9 +134,10 @@
 			rpc.NewServer(n.listeners.rpc, peerHandler{n.loop}, n.counters),
 			callServer,
 			callerServer,
-			app.HTTPServer(n.listeners.outbound, n.calls.OutboundHandler()),
-			app.HTTPServer(n.listeners.admin, n.adminHandler()),
+			app.HTTPServer("outbound", n.listeners.outbound, n.calls.OutboundHandler()),
+			app.HTTPServer("admin", n.listeners.admin, n.adminHandler()),
 		},
+		GracePeriod: n.settings.Drain.Limit.Std(),
 		StopTimeout: stopTimeout,
 		BeforeStop:  n.drain,
 	})
@@ -151,10 +161,9 @@
 	})
 }
 
-// stopTimeout limits the shutdown after the listeners are closed. Nothing is in flight
-// after the drain, and new connections to a closed listener are reset, which callers
-// can't distinguish from a crash.
-const stopTimeout = 100 * time.Millisecond
+// stopTimeout limits the wait for peers that have not received their responses after the drain.
+// New connections are refused meanwhile, which callers can't distinguish from a crash.
+const stopTimeout = 5 * time.Second
 
 // drain announces that the node leaves, refuses new requests and waits for those in
 // flight.
@@ -178,14 +187,17 @@
 	dialer := net.Dialer{Timeout: s.AppendTimeout.Std(), LocalAddr: localTCP(local)}
 	return logclient.New(s.URL.String(), &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePlatformConnections, IdleConnTimeout: platformIdleTimeout,
+		MaxResponseHeaderBytes: maxPlatformHeaderBytes,
 	}})
 }
 
-// maxIdlePlatformConnections and platformIdleTimeout limit the idle connections to
-// the platform: a reader uses one for its long poll and one for appends.
 const (
+	// maxIdlePlatformConnections and platformIdleTimeout limit the idle connections to
+	// the platform: a reader uses one for its long poll and one for appends.
 	maxIdlePlatformConnections = 2
 	platformIdleTimeout        = 30 * time.Second
+	// maxPlatformHeaderBytes limits the head of a response of the platform.
+	maxPlatformHeaderBytes = 64 << 10
 )
 
 // localTCP binds outgoing connections to the node's own address.
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -50,12 +50,19 @@
 	}
 	n.link.received(body.length())
 	if n.mayOutlastStop(arrived + fromMilliseconds(h.TimeLeftMS)) {
+		n.endBody(w, r, body)
 		n.writeHopReply(w, r, result{outcome: retry.RefusedByNode, reason: reasonStopping})
 		return
 	}
-	request := &targetRequest{method: r.Method, host: r.Host, uri: h.URI, header: endToEndHeaders(r.Header), body: body, retryable: h.Retryable, lease: lease}
+	attemptBody, ok := body.open()
+	if !ok {
+		panic("a body that was not read can be opened")
+	}
+	request := &targetRequest{method: r.Method, host: r.Host, uri: h.URI, header: endToEndHeaders(r.Header), body: attemptBody, retryable: h.Retryable, lease: lease}
 	res := n.runLocal(ctx, h, request)
-	if r.Context().Err() != nil {
+	senderLeft := r.Context().Err() != nil
+	n.endBody(w, r, body)
+	if senderLeft {
 		return
 	}
 	n.writeHopReply(w, r, res)
@@ -89,6 +96,10 @@
 	if reason := refusalReason(n.view.Load().Target, h); reason != "" {
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
+	if n.view.Load().CrashingRequests[h.Fingerprint] && !h.CrashTrial {
+		// The node of the caller may have started since the crashes.
+		return result{outcome: retry.RefusedByNode, reason: reasonCrashing}
+	}
 	if n.messages.Full(fullMemoryShare) {
 		return result{outcome: retry.RefusedByNode, reason: reasonMemory}
 	}
@@ -169,6 +180,9 @@
 	cold := t != nil && t.ColdUntilUnixMS > time.Now().UnixMilli()
 	switch res.outcome {
 	case retry.ResponseReceived:
+		if _, ok := n.view.Load().CrashSuspects[h.Fingerprint]; ok {
+			n.step(control.RequestCompleted{Fingerprint: h.Fingerprint})
+		}
 		failed := !res.succeeded()
 		n.step(control.TargetResponded{Route: h.Route, Failed: failed, Cold: cold, Latency: res.targetTime})
 		n.metrics.targetTime.observe(res.targetTime)
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -12,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +34,11 @@
 	// keepAliveMargin is subtracted from the keep-alive timeout of the target, so that no
 	// request is sent on a connection that the target is about to close.
 	keepAliveMargin = 500 * time.Millisecond
+	// idleCheckInterval is the time between two checks of the idle connections.
+	idleCheckInterval = 500 * time.Millisecond
+	// targetCloseTimeout limits how long a new connection to a target that allows few waits
+	// until the target has closed the one whose place it takes.
+	targetCloseTimeout = 20 * time.Millisecond
 	// targetBufferBytes is the size of the read and write buffers of a connection.
 	targetBufferBytes = 4 << 10
 	// maxResponseHeaderBytes limits the head of a response. A faulty target may send one
@@ -55,7 +59,7 @@
 type targetRequest struct {
 	method, host, uri string
 	header            http.Header
-	body              *payload
+	body              *attemptBody
 	// retryable is set if the request may be sent again after a failure.
 	retryable bool
 	// lease holds the memory of the response.
@@ -75,10 +79,16 @@
 	address string
 	headers Headers
 	now     func() time.Duration
+	// awaitsClose is set if the target allows too few connections for one that it has not yet
+	// closed and the one in its place.
+	awaitsClose atomic.Bool
 
-	mu     sync.Mutex
-	idle   []*targetConn
-	opened int64
+	mu sync.Mutex
+	// idle holds the idle connections, the least recently used first.
+	idle []*targetConn
+	// checkScheduled is set while a call of checkIdle is scheduled.
+	checkScheduled bool
+	opened         int64
 }
 
 type targetConn struct {
@@ -90,14 +100,14 @@
 	expires time.Duration
 	// lastUsed is when the last request on the connection ended.
 	lastUsed time.Duration
-	wrote    bool
+	wrote    atomic.Bool
 	// reused is set if the connection carried an earlier request.
 	reused bool
 }
 
 // Write implements io.Writer and records that the target may have received the request.
 func (c *targetConn) Write(p []byte) (int, error) {
-	c.wrote = true
+	c.wrote.Store(true)
 	return c.Conn.Write(p)
 }
 
@@ -115,7 +125,6 @@
 		keep = false
 	}
 	if keep {
-		conn.lastUsed = c.now()
 		c.put(conn)
 	} else {
 		_ = conn.Close()
@@ -123,7 +132,7 @@
 	switch {
 	case err == nil:
 		return r, c.classify(r), nil
-	case !conn.wrote:
+	case !conn.wrote.Load():
 		return nil, retry.ResetBeforeWrite, err
 	case ctx.Err() != nil:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -147,24 +156,24 @@
 	}
 }
 
+// get returns a connection for one request. The number of connections never exceeds the
+// highest number of requests at a time: a new one is opened only if no other is idle, or in
+// place of an idle one that the request must not use.
 func (c *targetClient) get(ctx context.Context, retryable bool) (*targetConn, error) {
 	for {
-		conn := c.pop()
-		if conn == nil {
-			break
+		conn, replaced := c.pop(retryable)
+		if replaced {
+			c.retire(conn)
 		}
-		idle := c.now() - conn.lastUsed
-		if !retryable && idle > maxIdleNonRetryable {
-			// The other connections have been idle for longer. Keep them for retryable
-			// requests.
-			c.put(conn)
+		if conn == nil || replaced {
 			break
 		}
-		if c.now() < conn.expires && conn.reader.Buffered() == 0 && openAndEmpty(conn.Conn) {
-			conn.wrote, conn.reused = false, true
+		if c.usable(conn) {
+			conn.wrote.Store(false)
+			conn.reused = true
 			return conn, nil
 		}
-		_ = conn.Close()
+		c.retire(conn)
 	}
 	dialer := net.Dialer{Timeout: targetDialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", c.address)
@@ -178,17 +187,63 @@
 	return &targetConn{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, targetBufferBytes), expires: c.now() + targetIdleTimeout}, nil
 }
 
-// pop takes the most recently used connection, so that the others can expire.
-func (c *targetClient) pop() *targetConn {
+// pop takes the most recently used connection, so that the others can expire. If that one
+// has been idle for too long for a request that is not retryable, so have all others: pop
+// takes the oldest one, which the new connection replaces.
+func (c *targetClient) pop(retryable bool) (conn *targetConn, replaced bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle) == 0 {
-		return nil
+		return nil, false
+	}
+	take := len(c.idle) - 1
+	if !retryable && c.now()-c.idle[take].lastUsed > maxIdleNonRetryable {
+		take, replaced = 0, true
+	}
+	conn = c.idle[take]
+	c.idle = slices.Delete(c.idle, take, take+1)
+	return conn, replaced
+}
+
+// retire closes an idle connection before another is opened. If the target allows too few
+// connections for both, it waits until the target has closed it.
+func (c *targetClient) retire(conn *targetConn) {
+	defer func() { _ = conn.Close() }()
+	tcp, ok := conn.Conn.(*net.TCPConn)
+	if !ok || !c.awaitsClose.Load() || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(targetCloseTimeout)) != nil {
+		return
+	}
+	// An error or unexpected bytes do not matter: the connection is closed anyway.
+	_, _ = tcp.Read(make([]byte, 1))
+}
+
+// usable reports whether an idle connection may carry a request.
+func (c *targetClient) usable(conn *targetConn) bool {
+	return c.now() < conn.expires && conn.reader.Buffered() == 0 && openAndEmpty(conn.Conn)
+}
+
+// checkIdle closes the idle connections that have expired, that the target has closed and
+// on which it sent bytes, which would fill the buffers of the connection.
+func (c *targetClient) checkIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = slices.DeleteFunc(c.idle, func(conn *targetConn) bool {
+		if c.usable(conn) {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	})
+	c.checkScheduled = false
+	c.scheduleCheck()
+}
+
+// scheduleCheck schedules a check if there are idle connections. mu must be held.
+func (c *targetClient) scheduleCheck() {
+	if len(c.idle) > 0 && !c.checkScheduled {
+		c.checkScheduled = true
+		time.AfterFunc(idleCheckInterval, c.checkIdle)
 	}
-	last := len(c.idle) - 1
-	conn := c.idle[last]
-	c.idle = c.idle[:last]
-	return conn
 }
 
 // closeIdleBefore closes the connections that have been idle since before a request that
@@ -206,10 +261,13 @@
 	})
 }
 
+// put keeps a connection for later requests.
 func (c *targetClient) put(conn *targetConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	conn.lastUsed = c.now()
 	c.idle = append(c.idle, conn)
+	c.scheduleCheck()
 }
 
 // openAndEmpty reports whether an idle connection is open and has no bytes to read. A
@@ -239,7 +297,7 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: request.body.length(),
 	}
 	if req.ContentLength != 0 {
-		req.Body = io.NopCloser(request.body.reader())
+		req.Body = request.body
 	}
 	written := make(chan error, 1)
 	if request.body.inline() {
@@ -347,39 +405,3 @@
 	}
 	conn.expires = c.now() + limit
 }
-
-// payload is a request body. It is buffered in memory up to a limit, so that it can be
-// sent again; the rest can be read only once.
-type payload struct {
-	head []byte
-	// rest follows head; it is nil if head is the whole body.
-	rest     io.Reader
-	size     int64
-	consumed bool
-}
-
-func (p *payload) length() int64 {
-	if p == nil {
-		return 0
-	}
-	if p.rest == nil {
-		return int64(len(p.head))
-	}
-	return p.size
-}
-
-func (p *payload) inline() bool { return p == nil || p.rest == nil && len(p.head) <= maxInlineBody }
-
-// rewindable reports whether the body can be sent from its start.
-func (p *payload) rewindable() bool { return p == nil || p.rest == nil || !p.consumed }
-
-func (p *payload) reader() io.Reader {
-	if p == nil {
-		return http.NoBody
-	}
-	if p.rest == nil {
-		return bytes.NewReader(p.head)
-	}
-	p.consumed = true
-	return io.MultiReader(bytes.NewReader(p.head), p.rest)
-}
