sidecar: connections between nodes stay flat; endless callers leave slots

TestEndlessRequestsOfCallersAreBounded failed once at a load of over 70 in the case "chunks": 503 "waited". Its four endless requests held all four slots of the target, so that others waited for them and not for memory.

--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -19,6 +19,7 @@
 
 	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/published"
 )
 
@@ -209,6 +210,10 @@
 			config.Version, config.Limits = 2, published.Limits{}
 			require.NoError(t, config.Prepare())
 			n.Step(control.ConfigPublished{Config: config})
+			// The endless requests must not hold all slots.
+			n.Step(control.HeartbeatReceived{Heartbeat: directory.Heartbeat{
+				ID: n.target.id, Address: n.settings.Target.String(), Service: "shop", Version: "v1", Slots: 4 * atOnce, Sequence: 2, StartUnixMS: 1,
+			}})
 			n.target.serve(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("X-Signature", "s")
 				if r.Header.Get("X-Id") == "endless" {
--- a/internal/sidecar/idle_test.go
+++ b/internal/sidecar/idle_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/pkg/published"
 )
 
@@ -186,3 +187,51 @@
 	status, _, body = n.call(t, http.MethodPost, "/write/x", "r2")
 	require.Equal(t, http.StatusOK, status, body)
 }
+
+// Guards against connections to other nodes and of callers that are neither used nor closed.
+func TestConnectionsBetweenNodesAndOfCallersAreReused(t *testing.T) {
+	const clients, rounds = 8, 6
+	n, other := newTestNode(t, 0), newTestNode(t, 1)
+	inbound := &countingTarget{}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(other.serveInbound))
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.Config.Protocols = protocols
+	s.Listener = countingListener{s.Listener, inbound}
+	s.Start()
+	t.Cleanup(s.Close)
+	config := testConfig()
+	require.NoError(t, config.Prepare())
+	n.Step(control.ConfigPublished{Config: config})
+	other.Step(control.ConfigPublished{Config: config})
+	other.heartbeat(1, 1)
+	state := other.state()
+	state.Announcement.CallAddress = addressOf(t, s)
+	n.Step(control.PeerStateReceived{State: state})
+	before, err := descriptors.Open()
+	require.NoError(t, err)
+	first := int64(0)
+	for i := range rounds {
+		var all sync.WaitGroup
+		for j := range clients {
+			all.Go(func() {
+				status, _, body := n.call(t, http.MethodPost, "/write/x", fmt.Sprintf("w%d-%d", i, j))
+				assert.Equal(t, http.StatusOK, status, body)
+			})
+		}
+		all.Wait()
+		time.Sleep(maxIdleNonRetryable + 30*time.Millisecond)
+		if i == 0 {
+			first = inbound.open.Load()
+		}
+	}
+	require.LessOrEqual(t, first, int64(clients))
+	require.LessOrEqual(t, inbound.open.Load(), first)
+	after, err := descriptors.Open()
+	require.NoError(t, err)
+	// Each request needs at most a connection of its caller, one between nodes and one to the
+	// target, with both ends in this process.
+	require.LessOrEqual(t, after-before, 2*3*clients)
+	require.Eventually(t, func() bool { return inbound.open.Load() == 0 }, 2*peerIdleTimeout, 50*time.Millisecond, "idle connections between nodes expire")
+}
