--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -16,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/pkg/record"
 )
 
@@ -109,12 +109,12 @@
 		return 0, nil, nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	if err != nil {
-		return 0, nil, nil, errors.Wrap(err, "read answer")
-	}
-	if len(body) > maxResponseBytes {
+	body, err := bounded.ReadAll(res.Body, res.ContentLength, maxResponseBytes, nil)
+	switch {
+	case errors.Is(err, bounded.ErrTooLarge):
 		return 0, nil, nil, errors.Mark(errors.Newf("answer is over %d bytes", maxResponseBytes), ErrMalformed)
+	case err != nil:
+		return 0, nil, nil, errors.Wrap(err, "read answer")
 	}
 	return res.StatusCode, res.Header, body, nil
 }
