--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -15,7 +16,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"heathercroft.example/heathercroft/internal/bounded"
 	"heathercroft.example/heathercroft/pkg/record"
 )
 
@@ -109,13 +109,13 @@
 		return 0, nil, nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := bounded.ReadAll(res.Body, res.ContentLength, maxResponseBytes, nil)
-	switch {
-	case errors.Is(err, bounded.ErrTooLarge):
-		return 0, nil, nil, errors.Mark(errors.Newf("answer is over %d bytes", maxResponseBytes), ErrMalformed)
-	case err != nil:
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
+	if err != nil {
 		return 0, nil, nil, errors.Wrap(err, "read answer")
 	}
+	if len(body) > maxResponseBytes {
+		return 0, nil, nil, errors.Mark(errors.Newf("answer is over %d bytes", maxResponseBytes), ErrMalformed)
+	}
 	return res.StatusCode, res.Header, body, nil
 }
 
