--- a/internal/callpath/body_test.go
+++ b/internal/callpath/body_test.go
@@ -8,8 +8,10 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -184,3 +186,66 @@
 func (c checkTB) Cleanup(f func())                  { c.check.Cleanup(f) }
 func (c checkTB) Errorf(format string, args ...any) { c.check.Errorf(format, args...) }
 func (c checkTB) FailNow()                          { c.check.FailNow() }
+
+// stalling returns a part of a body and then nothing until done is closed.
+type stalling struct {
+	rest []byte
+	done <-chan struct{}
+}
+
+func (s *stalling) Read(to []byte) (int, error) {
+	if len(s.rest) == 0 {
+		<-s.done
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := copy(to, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+// Guards against a caller that stops in the middle of a body and gets no answer at its
+// deadline, because the answer waits for the read of the body.
+func TestCallerThatStopsInsideABodyIsAnsweredAtItsDeadline(t *testing.T) {
+	const (
+		left      = 800 * time.Millisecond
+		tolerance = 500 * time.Millisecond
+		declared  = 4 << 20
+	)
+	for _, sent := range []int{replayBytes / 2, 8 * replayBytes} {
+		for _, http2 := range []bool{false, true} {
+			for _, length := range []int64{-1, declared} {
+				for _, trouble := range []string{"serves", "target refuses", "target resets", "no target", "target down"} {
+					t.Run(fmt.Sprintf("%d/%t/%d/%s", sent, http2, length, trouble), func(t *testing.T) {
+						runs := &bodyRuns{}
+						m := newMesh(t)
+						entry := m.add("node-a", "", fastSettings())
+						addBodyNode(m, "node-b", trouble, runs, replayBytes/4)()
+						ctx, cancel := context.WithTimeout(t.Context(), 2*left)
+						defer cancel()
+						protocols := new(http.Protocols)
+						protocols.SetHTTP1(!http2)
+						protocols.SetUnencryptedHTTP2(http2)
+						transport := &http.Transport{Protocols: protocols}
+						t.Cleanup(transport.CloseIdleConnections)
+						body := &stalling{rest: make([]byte, sent), done: ctx.Done()}
+						req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry.caller.URL+"/courier", body)
+						require.NoError(t, err)
+						req.ContentLength = length
+						req.Header.Set(callpath.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+						began := time.Now()
+						resp, err := transport.RoundTrip(req)
+						took := time.Since(began)
+						require.NoError(t, err, "no answer after %s", took)
+						cancel()
+						_ = resp.Body.Close()
+						require.Less(t, took, left+tolerance)
+						require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+						runs.mu.Lock()
+						defer runs.mu.Unlock()
+						require.Empty(t, runs.whole, "a target took a part for the whole body")
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -53,7 +53,8 @@
 	restEnded bool
 }
 
-// attemptBody is the request body of one attempt. The nil body is empty.
+// attemptBody is the request body of one attempt. The nil body is empty. net/http does not send
+// it again on its own, since the requests have no GetBody.
 type attemptBody struct {
 	body *requestBody
 	// position is the number of bytes of head that were read.
