control: write the announcement again that a late write of the former process has replaced

Cause: a record of the node by another process left the record of this one as known to be stored, so that departures that were confirmed because the store had them were gone from it (found by the review; a node alone, or with peers that restart, would use the target). TestAnnouncementIsWrittenAgainAfterALateWriteOfTheFormerProcess fails before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -173,6 +173,9 @@
 		if a := e.Announcement; a.Node == c.self.Node && a.StartUnixMS == c.self.StartUnixMS {
 			c.announced, c.announcedRead = a, true
 			c.setKept(a.Sequence, "store")
+		} else if a.Node == c.self.Node {
+			// A write of a former process took effect late.
+			c.announced = directory.Announcement{}
 		}
 		c.trackStopped(e.Announcement)
 		if c.updateDirectory(e.Announcement, t) {
--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -378,3 +378,21 @@
 		})
 	}
 }
+
+// Guards against the loss of a confirmed departure when a write of the former process takes effect
+// after that of this one.
+func TestAnnouncementIsWrittenAgainAfterALateWriteOfTheFormerProcess(t *testing.T) {
+	m := newTestMesh(t, "v1")
+	former := m.announcements["node-0"]
+	m.kill(m.nodes[0])
+	n := m.startUnread(0)
+	m.readFirst(n)
+	m.step(n, heartbeatOf(0, "t-0", 1, 2, false))
+	m.step(n, TargetLeaving{ID: "t-0"})
+	m.run(time.Second)
+	require.Len(t, m.announcements["node-0"].Departed, 1)
+	m.announcements["node-0"] = former
+	m.meshEnd++
+	m.run(3 * time.Second)
+	require.Len(t, m.announcements["node-0"].Departed, 1)
+}
