control: a node uses its target after 8 s if nobody tells what its former process confirmed

Cause: after a start of all nodes, while the announcements in the store cannot be read, no node has read them, and each waited until it had run for 30 s, a node alone for ever, although it had a configuration and said that it is ready (found by the review: 31 s with 3 nodes). A heartbeat from before a departure is late by a few seconds at most. TestTargetIsUsedWithoutTheAnnouncementsAfterAWhile fails before.

--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -19,6 +19,10 @@
 	// hearsayTime is the time since its start after which a node that could not read the store has
 	// heard of the departures at the other nodes. It exceeds one gossip cycle through a large mesh.
 	hearsayTime = aliveTimeoutWithoutReader
+	// maxFormerWait is the time since its start after which a node with a configuration uses its
+	// target although neither the store nor another node tells what a former process confirmed.
+	// Heartbeats are late by a few seconds at most.
+	maxFormerWait = 8 * time.Second
 	// removalInterval is the minimum time between two removals of records of stopped nodes.
 	removalInterval = 10 * time.Second
 )
@@ -233,10 +237,14 @@
 	}
 	source := "store"
 	if !c.caughtUp[MeshFeed] {
-		if t.Now < storeFirstTime || !c.former.complete {
+		switch {
+		case t.Now >= storeFirstTime && c.former.complete:
+			source = "node"
+		case t.Now >= maxFormerWait && c.config != nil:
+			source = "none"
+		default:
 			return
 		}
-		source = "node"
 	} else if len(c.former.awaited) > 0 && t.Now < c.former.deadline {
 		return
 	}
--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -11,6 +11,7 @@
 
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/published"
 )
 
 // startUnread starts a node that has read nothing yet.
@@ -379,6 +380,29 @@
 	}
 }
 
+// Guards against a target that gets no requests for long after a start of all nodes while the
+// announcements in the store cannot be read.
+func TestTargetIsUsedWithoutTheAnnouncementsAfterAWhile(t *testing.T) {
+	m := newEmptyMesh(t)
+	m.silentTo = map[mesh.NodeID]bool{"node-0": true, "node-1": true}
+	nodes := []*testNode{m.startUnread(0), m.startUnread(1)}
+	for i, n := range nodes {
+		config := &published.Config{Version: 1}
+		require.NoError(t, config.Prepare())
+		m.step(n, ConfigPublished{Config: config})
+		m.step(n, heartbeatOf(i, fmt.Sprint("t-", i), 1, 1, false))
+		m.step(n, PeerStateReceived{State: nodes[1-i].State(m.time())})
+	}
+	m.run(maxFormerWait - 2*time.Second)
+	for _, n := range nodes {
+		require.False(t, n.view.Target.Serving, "%s", n.id)
+	}
+	m.run(3 * time.Second)
+	for _, n := range nodes {
+		require.True(t, n.view.Target.Serving, "%s", n.id)
+	}
+}
+
 // Guards against the loss of a confirmed departure when a write of the former process takes effect
 // after that of this one.
 func TestAnnouncementIsWrittenAgainAfterALateWriteOfTheFormerProcess(t *testing.T) {
