--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,7 +137,7 @@
 			app.HTTPServer("outbound", n.listeners.outbound, n.calls.OutboundHandler()),
 			app.HTTPServer("admin", n.listeners.admin, n.adminHandler()),
 		},
-		GracePeriod: n.settings.Drain.Limit.Std(),
+		GracePeriod: n.settings.Drain.Limit.Std() + stopTimeout,
 		StopTimeout: stopTimeout,
 		BeforeStop:  n.drain,
 	})
