sidecar: a stopping node refuses the requests of other nodes for 0.2 s before it closes their connections

Callers: 502 for a request that did not run. A longer delay than 0.2 s between two nodes, or one that has not heard, still meets it. TestStopRefusesRequestsOfOtherNodesForAWhile fails without the wait.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -21,6 +21,9 @@
 	// closeReserve is the time reserved for the requests in flight after the last one was
 	// accepted.
 	closeReserve = 1200 * time.Millisecond
+	// closeNoticeTime is how long requests of other nodes are refused as not run before their
+	// connections close: one that crosses the close may have run, as far as its sender knows.
+	closeNoticeTime = 200 * time.Millisecond
 	// answerPeriod is the time in which the requests that are given up at the end of a stop get
 	// their responses.
 	answerPeriod = 150 * time.Millisecond
@@ -47,7 +50,7 @@
 	n.refusing.Store(true)
 	n.waitIdle(drainQuietPeriod, end-closeReserve)
 	n.step(control.Closing{})
-	n.waitIdle(0, end)
+	n.waitIdle(closeNoticeTime, end)
 	// A caller whose request is given up is told so, since it may have run. Later requests are
 	// refused as not run.
 	n.endCalls()
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -107,3 +107,14 @@
 	require.Zero(t, nodes[1].target.runs.Load())
 	require.NoError(t, <-drained)
 }
+
+// Guards against requests of other nodes that cross the end of a stop: their connection would close
+// before they are refused as not run.
+func TestStopRefusesRequestsOfOtherNodesForAWhile(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	drained := n.startDrain(t)
+	require.Eventually(t, func() bool { return !n.view.Load().Target.Serving }, 5*time.Second, time.Millisecond)
+	closing := time.Now()
+	require.NoError(t, <-drained)
+	require.GreaterOrEqual(t, time.Since(closing), closeNoticeTime-10*time.Millisecond)
+}
