--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -180,6 +180,22 @@
 
 	// readMu is held during a read.
 	readMu sync.Mutex
+
+	releaseMu sync.Mutex
+	released  bool
+	onRelease func()
+}
+
+// OnRelease sets a function that is called once the descriptor of the connection is closed, which
+// is after Close while the peer has not received everything.
+func (c *conn) OnRelease(f func()) {
+	c.releaseMu.Lock()
+	c.onRelease = f
+	released := c.released
+	c.releaseMu.Unlock()
+	if released {
+		f()
+	}
 }
 
 // Read implements net.Conn.
@@ -324,7 +340,15 @@
 		t.unread++
 	}
 	t.mu.Unlock()
-	return errors.Wrap(c.TCPConn.Close(), "close connection")
+	err := c.TCPConn.Close()
+	c.releaseMu.Lock()
+	c.released = true
+	f := c.onRelease
+	c.releaseMu.Unlock()
+	if f != nil {
+		f()
+	}
+	return errors.Wrap(err, "close connection")
 }
 
 func (c *conn) setState(state http.ConnState) {
--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -201,12 +201,20 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	err := c.Conn.Close()
+	if tracked, ok := c.Conn.(interface{ OnRelease(f func()) }); ok {
+		tracked.OnRelease(c.release)
+		return errors.Wrap(c.Conn.Close(), "close")
+	}
+	defer c.release()
+	return errors.Wrap(c.Conn.Close(), "close")
+}
+
+// release makes room for another caller.
+func (c *conn) release() {
 	c.once.Do(func() {
 		c.guard.callers.Add(-1)
 		<-c.guard.free
 	})
-	return err
 }
 
 // CloseWrite implements the interface with which net/http closes a connection without
--- a/internal/descriptors/descriptors_test.go
+++ b/internal/descriptors/descriptors_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"heathercroft.example/heathercroft/internal/conns"
 	"heathercroft.example/heathercroft/internal/descriptors"
 )
 
@@ -110,3 +111,24 @@
 		require.False(t, short)
 	}
 }
+
+// Guards against callers that use up the descriptors through connections that are closed here, and
+// that they leave open.
+func TestClosedConnectionsCountUntilTheirDescriptorIsFree(t *testing.T) {
+	const callers = 10
+	g := descriptors.NewGuard(0, callers)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := g.Callers(conns.New().Listen(inner))
+	t.Cleanup(func() { _ = l.Close() })
+	for range callers {
+		client, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = client.Close() })
+		c, err := l.Accept()
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+	}
+	require.True(t, g.Short())
+	require.Eventually(t, func() bool { return !g.Short() }, 5*time.Second, 10*time.Millisecond)
+}
