--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -235,7 +235,6 @@
 	require.NoError(t, config.Prepare())
 	for i, n := range nodes {
 		n.Step(control.ConfigPublished{Config: config})
-		n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
 		n.heartbeat(1, 1)
 		for j, other := range nodes {
 			if i != j {
@@ -279,6 +278,8 @@
 		Peers:             netip.MustParseAddrPort(peers.Addr().String()),
 		HeartbeatInterval: time.Minute, GracePeriod: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 	}, testHeaders, fakeStore{}, slog.New(slog.DiscardHandler))
+	// The node has read the empty store.
+	n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
 	serving.Store(n)
 	node := &testNode{Node: n, target: target, outbound: outbound, serving: serving}
 	server := rpc.NewServer(peers, node, n.counters)
