control: a start without the store asks all nodes what the former process confirmed

Cause: the departure was confirmed because one node had it; the next process took the first answer of any node that had read the announcements earlier, which had not heard of it (former_process_known, found false, source node). Change: without the store for 1 s, the node asks every node that it knows or learns of from their answers, and waits for all of them, at most 2 s after the first complete answer. TestStartWithoutTheStoreAsksAllNodes fails before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -136,7 +136,7 @@
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
 		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: map[uint64]*crashRecord{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
-		former: formerProcess{answered: map[mesh.NodeID]bool{}, awaited: map[mesh.NodeID]bool{}}, stopped: map[mesh.NodeID][]directory.Departure{},
+		former: formerProcess{answered: map[mesh.NodeID]bool{}, asked: map[mesh.NodeID]bool{}, awaited: map[mesh.NodeID]bool{}}, stopped: map[mesh.NodeID][]directory.Departure{},
 	}
 }
 
@@ -528,7 +528,7 @@
 	s := PeerState{
 		Number:       c.stateNumber,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
-		Asks: c.asks(), Crashes: c.crashRecords(t), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
+		Asks: c.asks(), Starting: c.startsWithoutStore(t), Crashes: c.crashRecords(t), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
 	}
 	if c.large() && c.isReader() {
 		for _, a := range c.dir.All() {
--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -19,6 +19,10 @@
 	// hearsayTime is the time since its start after which a node that could not read the store has
 	// heard of the departures at the other nodes. It exceeds one gossip cycle through a large mesh.
 	hearsayTime = aliveTimeoutWithoutReader
+	// hearsayAnswerTime is how long a node that cannot read the store waits for the answers of the
+	// other nodes after the first one that should know all departures. The store may have lacked
+	// those that few nodes have heard of.
+	hearsayAnswerTime = 2 * time.Second
 	// maxFormerWait is the time since its start after which a node with a configuration uses its
 	// target although neither the store nor another node tells what a former process confirmed.
 	// Heartbeats are late by a few seconds at most.
@@ -49,8 +53,9 @@
 	// complete is set once a node has answered that knows all departures.
 	complete bool
 	// answered holds the nodes that said what they know, awaited those that have yet to say it,
-	// until deadline.
+	// until deadline. asked holds those that were asked without the store.
 	answered map[mesh.NodeID]bool
+	asked    map[mesh.NodeID]bool
 	awaited  map[mesh.NodeID]bool
 	deadline time.Duration
 	// waitLogged is set once it was logged that a target waits.
@@ -82,6 +87,10 @@
 		return s
 	}
 	to := received.Announcement.Node
+	if received.Starting {
+		s.Others = c.contacts()
+		s.Others = slices.Clone(s.Others[:min(len(s.Others), maxRelayedAnnouncements)])
+	}
 	known, _ := c.dir.Get(to)
 	s.Receiver = &ReceiverKnowledge{
 		StartUnixMS: known.StartUnixMS, Sequence: known.Sequence, Departed: c.dir.Departures(to),
@@ -224,9 +233,13 @@
 		return
 	}
 	c.former.answered[from.Node] = true
-	c.former.complete = c.former.complete || k.Complete
+	if k.Complete && !c.former.complete {
+		c.former.complete = true
+		if !c.caughtUp[MeshFeed] {
+			c.former.deadline = t.Now + hearsayAnswerTime
+		}
+	}
 	delete(c.former.awaited, from.Node)
-	c.checkFormer(t)
 }
 
 // checkFormer decides whether it is known what the former processes of this node confirmed: from
@@ -237,8 +250,12 @@
 	}
 	source := "store"
 	if !c.caughtUp[MeshFeed] {
+		if !c.startsWithoutStore(t) {
+			return
+		}
+		missing := c.askContacts(t)
 		switch {
-		case t.Now >= storeFirstTime && c.former.complete:
+		case c.former.complete && (missing == 0 || t.Now >= c.former.deadline):
 			source = "node"
 		case t.Now >= maxFormerWait && c.config != nil:
 			source = "none"
@@ -250,10 +267,36 @@
 	}
 	c.former.known = true
 	c.log("former_process_known", "found", c.former.newest.Node != "", "source", source, "departed", len(c.self.Departed), "silent", len(c.former.awaited))
-	c.former.answered, c.former.awaited = nil, nil
+	c.former.answered, c.former.awaited, c.former.asked = nil, nil, nil
 	c.refreshAnnouncement(t)
 }
 
+// startsWithoutStore reports whether this node has to learn from other nodes what its former
+// process confirmed.
+func (c *Control) startsWithoutStore(t Time) bool {
+	return !c.former.known && !c.caughtUp[MeshFeed] && t.Now >= storeFirstTime
+}
+
+// askContacts asks the nodes that were not asked yet for what they know of this one. It returns how
+// many have not answered.
+func (c *Control) askContacts(t Time) (missing int) {
+	var to []mesh.NodeID
+	for _, a := range c.contacts() {
+		if !c.former.asked[a.Node] {
+			// An earlier answer did not hold the announcements that the node knows.
+			c.former.asked[a.Node], c.former.answered[a.Node] = true, false
+			to = append(to, a.Node)
+		}
+		if !c.former.answered[a.Node] {
+			missing++
+		}
+	}
+	if len(to) > 0 {
+		c.emit(SendState{To: to, State: c.State(t)})
+	}
+	return missing
+}
+
 // logWait logs that a target has to wait until it is known what the former process confirmed.
 func (c *Control) logWait(target string) {
 	if !c.former.known && !c.former.waitLogged {
--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -420,3 +420,29 @@
 	m.run(3 * time.Second)
 	require.Len(t, m.announcements["node-0"].Departed, 1)
 }
+
+// Guards against a target that has left and is in use again after a start without the store: the
+// first node that answered had not heard of the departure, which another one had acknowledged.
+func TestStartWithoutTheStoreAsksAllNodes(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v1", "v1")
+	m.storeDown, m.muted = true, true
+	former := m.nodes[0]
+	m.step(former, TargetLeaving{ID: "t-0"})
+	// Only node-3 hears of it.
+	state := former.State(m.time())
+	m.step(m.nodes[3], PeerStateReceived{State: m.transfer(state)})
+	m.step(former, PeerStateReceived{State: m.transfer(m.nodes[3].Reply(m.time(), state)), RoundTrip: time.Millisecond})
+	require.True(t, former.DepartureKept(TargetLeaving{ID: "t-0"}))
+	m.kill(former)
+	m.run(2 * time.Second)
+	restarted := m.startUnread(0)
+	m.step(restarted, heartbeatOf(0, "t-0", 1, 1, false))
+	m.muted = false
+	// The restarted node knows one other node, as from its seeds.
+	m.step(restarted, PeerStateReceived{State: m.transfer(m.nodes[1].Reply(m.time(), restarted.State(m.time())))})
+	require.False(t, restarted.view.Target.Serving)
+	for range 20 {
+		m.run(TickInterval)
+		require.False(t, restarted.view.Target.Serving)
+	}
+}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -237,6 +237,9 @@
 	Summaries []MoveSummary `json:"summaries,omitempty"`
 	// Others holds announcements that the receiver may not know.
 	Others []directory.Announcement `json:"others,omitempty"`
+	// Starting is set while the sender cannot read the announcements in the store. The response
+	// holds those that the receiver knows.
+	Starting bool `json:"starting,omitempty"`
 	// Asks is set if the sender needs Receiver in the response.
 	Asks bool `json:"asks,omitempty"`
 	// Receiver is set in responses to messages that ask for it.
