--- a/internal/callpath/endless_test.go
+++ b/internal/callpath/endless_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/callpath"
+	"heathercroft.example/heathercroft/internal/testbed"
 )
 
 // endlessAfter reads one request, and writes head once and then repeated until the connection
@@ -33,29 +33,6 @@
 	}
 }
 
-// maxHeap samples the heap until the returned function is called, which returns the highest
-// value in bytes above that at the start.
-func maxHeap() (peak func() int64) {
-	runtime.GC()
-	var start, m runtime.MemStats
-	runtime.ReadMemStats(&start)
-	stop, highest := make(chan struct{}), make(chan int64)
-	go func() {
-		var most int64
-		for {
-			runtime.ReadMemStats(&m)
-			most = max(most, int64(m.HeapAlloc)-int64(start.HeapAlloc))
-			select {
-			case <-stop:
-				highest <- most
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	return func() int64 { close(stop); return <-highest }
-}
-
 // maxEndlessHeap is more memory in bytes than two nodes need for a response of any length.
 const maxEndlessHeap = 32 << 20
 
@@ -76,7 +53,7 @@
 				a := m.add("node-a", "", fastSettings())
 				b := m.add("node-b", rawTarget(t, endlessAfter(test.head, test.repeated, ended)), fastSettings())
 				node := map[string]*testNode{"node of the caller": a, "node of the target": b}[entry]
-				peak, result := maxHeap(), make(chan reply, 1)
+				peak, result := testbed.HeapGrowth(), make(chan reply, 1)
 				go func() { result <- m.do(node, "POST", "/courier", "") }()
 				select {
 				case got := <-result:
@@ -115,7 +92,7 @@
 			m := newMesh(t)
 			a := m.add("node-a", "", fastSettings())
 			m.add("node-b", rawTarget(t, endlessAfter(test.head, test.repeated, ended)), fastSettings())
-			peak := maxHeap()
+			peak := testbed.HeapGrowth()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			req, err := http.NewRequestWithContext(ctx, "POST", a.caller.URL+"/courier", nil)
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/settings"
+	"heathercroft.example/heathercroft/internal/testbed"
 )
 
 // Guards against heads and bodies of the platform without end: the request must fail, and the
@@ -57,7 +57,7 @@
 			client := platformClient(settings.Platform{
 				URL: settings.BaseURL{Address: netip.MustParseAddrPort(listener.Addr().String())}, AppendTimeout: settings.Duration(time.Second),
 			}, netip.Addr{})
-			peak := peakHeap()
+			peak := testbed.HeapGrowth()
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			_, err = client.Read(ctx, "s", 0, 10, time.Second)
@@ -72,26 +72,3 @@
 		})
 	}
 }
-
-// peakHeap samples the heap until the returned function is called, which returns the highest
-// value in bytes above that at the start.
-func peakHeap() func() int64 {
-	runtime.GC()
-	var start, m runtime.MemStats
-	runtime.ReadMemStats(&start)
-	stop, highest := make(chan struct{}), make(chan int64)
-	go func() {
-		var most int64
-		for {
-			runtime.ReadMemStats(&m)
-			most = max(most, int64(m.HeapAlloc)-int64(start.HeapAlloc))
-			select {
-			case <-stop:
-				highest <- most
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	return func() int64 { close(stop); return <-highest }
-}
--- a/internal/rpc/endless_test.go
+++ b/internal/rpc/endless_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -14,34 +13,12 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/rpc"
+	"heathercroft.example/heathercroft/internal/testbed"
 )
 
 // maxEndlessHeap is the most memory in bytes that a message of any length may need.
 const maxEndlessHeap = 32 << 20
 
-// peakHeap samples the heap until the returned function is called, which returns the highest
-// value in bytes above that at the start.
-func peakHeap() func() int64 {
-	runtime.GC()
-	var start, m runtime.MemStats
-	runtime.ReadMemStats(&start)
-	stop, highest := make(chan struct{}), make(chan int64)
-	go func() {
-		var most int64
-		for {
-			runtime.ReadMemStats(&m)
-			most = max(most, int64(m.HeapAlloc)-int64(start.HeapAlloc))
-			select {
-			case <-stop:
-				highest <- most
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	return func() int64 { close(stop); return <-highest }
-}
-
 // message returns a text with its length in front.
 func message(text string) string {
 	return string(binary.AppendUvarint(nil, uint64(len(text)))) + text
@@ -83,7 +60,7 @@
 			}()
 			client := rpc.NewClient(&rpc.Counters{}, netip.Addr{})
 			t.Cleanup(client.Close)
-			peak := peakHeap()
+			peak := testbed.HeapGrowth()
 			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 			defer cancel()
 			began := time.Now()
@@ -106,7 +83,7 @@
 	for name, test := range endlessMessages {
 		t.Run(name, func(t *testing.T) {
 			peer, _ := startServer(t)
-			peak := peakHeap()
+			peak := testbed.HeapGrowth()
 			conn, err := net.Dial("tcp", peer.String())
 			require.NoError(t, err)
 			stopped := make(chan struct{})
