published: organisations with hashed keys and caps, public routes, allowed regions, cold rates

The configuration may hold organisations, whose keys are kept as hashes only, regions of routes and the rate that cold targets take. Nothing uses them yet.

--- a/pkg/published/config.go
+++ b/pkg/published/config.go
@@ -62,6 +62,10 @@
 	// MaxAttempts is the maximum number of targets that one request is sent to.
 	MaxAttempts      int               `json:"max_attempts"`
 	WeightedServices []WeightedService `json:"parts"`
+	// Public is set if requests of the route need no key of an organisation.
+	Public bool `json:"public,omitempty"`
+	// AllowedRegions holds the regions whose targets may get requests of the route. Empty means all.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 }
 
 // Service holds the settings that all targets of a service share.
@@ -70,6 +74,11 @@
 	HealthPath string `json:"health_path"`
 	// Connections is the number of connections that a target accepts.
 	Connections int `json:"connections"`
+	// ColdTime is how long a target is cold after its start.
+	ColdTime time.Duration `json:"cold_time,omitempty"`
+	// ColdRate is the number of requests per second that a cold target takes from all nodes
+	// together, 0 if it takes any number.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 }
 
 // Limits bounds the size and duration of client requests.
@@ -86,8 +95,13 @@
 	Routes   []Route            `json:"routes"`
 	Services map[string]Service `json:"services"`
 	Limits   Limits             `json:"limits"`
+	// Organisations holds the organisations whose requests are accepted. If there are any, a
+	// request needs a key of one, unless its route is public.
+	Organisations []Organisation `json:"organisations,omitempty"`
 
-	routesByHost map[string][]*Route
+	routesByHost        map[string][]*Route
+	organisationsByKey  map[KeyHash]*Organisation
+	organisationsByName map[string]*Organisation
 }
 
 // Prepare validates the whole configuration and builds its index.
@@ -110,7 +124,12 @@
 		seen[key] = r.Name
 		c.routesByHost[key.host] = append(c.routesByHost[key.host], r)
 	}
-	return nil
+	for name, s := range c.Services {
+		if s.ColdRate < 0 || s.ColdTime < 0 {
+			return errors.Newf("service %q: cold rate %g and cold time %s must not be negative", name, s.ColdRate, s.ColdTime)
+		}
+	}
+	return c.indexOrganisations()
 }
 
 func (c *Config) checkRoute(r *Route) error {
--- a/pkg/published/delta.go
+++ b/pkg/published/delta.go
@@ -20,6 +20,8 @@
 	// Services and Limits are nil if they are unchanged.
 	Services map[string]Service `json:"services,omitempty"`
 	Limits   *Limits            `json:"limits,omitempty"`
+	// Organisations is nil if they are unchanged.
+	Organisations *organisationDelta `json:"organisations,omitempty"`
 }
 
 // Diff returns the delta from c to next. ok is false if c or next has two routes
@@ -63,13 +65,15 @@
 	if c.Limits != next.Limits {
 		d.Limits = &next.Limits
 	}
+	d.Organisations = c.diffOrganisations(next)
 	return d, true
 }
 
 func (r *Route) equal(o *Route) bool {
 	return r.Name == o.Name && r.Host == o.Host && r.Prefix == o.Prefix && r.Kind == o.Kind &&
 		r.Timeout == o.Timeout && r.Objective == o.Objective && r.Priority == o.Priority &&
-		r.MaxAttempts == o.MaxAttempts && slices.Equal(r.WeightedServices, o.WeightedServices)
+		r.MaxAttempts == o.MaxAttempts && slices.Equal(r.WeightedServices, o.WeightedServices) &&
+		r.Public == o.Public && slices.Equal(r.AllowedRegions, o.AllowedRegions)
 }
 
 // Apply returns the later configuration, prepared and validated as a whole. It does
@@ -78,7 +82,7 @@
 	if d.Base != c.Version || d.Version <= d.Base {
 		return nil, errors.Newf("delta from version %d to %d does not follow version %d", d.Base, d.Version, c.Version)
 	}
-	next := &Config{Version: d.Version, Services: c.Services, Limits: c.Limits}
+	next := &Config{Version: d.Version, Services: c.Services, Limits: c.Limits, Organisations: d.Organisations.apply(c.Organisations)}
 	if d.Services != nil {
 		next.Services = d.Services
 	}
