balance: a node that answers nothing gets no further requests

Cause: the load that a node reported counts for less as the report ages, so that a node that answers nothing looks idle. Ruled out: the liveness probe of the connection, which closes connections after 1.8 s at the earliest, since a slow link must not abort requests.

Change: the time for which a response has been overdue counts as the wait that the next request has to expect.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -341,9 +341,10 @@
 	defer body.end()
 	c.tried = append(c.tried, e.Node)
 	n.balanceMu.Lock()
+	now := n.clock.now()
 	n.balancer.Begin(e, c.expectedBytes)
+	n.balancer.ExpectResponse(e, c.expectedServiceTime, now)
 	n.balanceMu.Unlock()
-	now := n.clock.now()
 	h := hopRequest{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, TargetStart: e.StartUnixMS, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
 		Rank:        int(admission.RankOf(c.nested, c.route.Priority, c.attemptKind)),
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -125,6 +125,11 @@
 
 	unreachableCount int
 	unreachableUntil time.Duration
+
+	// awaitedSince is when the first of this node's requests in flight was sent, or when the last
+	// response of the endpoint's node arrived if that was later. responseTime is how long a
+	// response to any of them is expected to take.
+	awaitedSince, responseTime time.Duration
 }
 
 type endpointKey struct {
@@ -240,11 +245,22 @@
 	if over := load + 1 - slots; over > 0 {
 		wait = time.Duration(over * float64(meanServiceTime) / slots)
 	}
-	wait = max(wait, s.rateLimitWait(r, now))
+	wait = max(wait, s.rateLimitWait(r, now), s.overdue(now))
 	use := s.linkUtilization * max(0, 1-age)
 	return wait, admission.WithMargins(wait, serviceTime) + e.transferTime(s.ownBytesInFlight+r.Bytes, use)
 }
 
+// overdue returns how long the endpoint's node has sent nothing although a response is due. A
+// request that is sent now has to expect at least as much. Otherwise a node that has lost power,
+// or has no processor time left, would look idle once its last load report is old, and would get
+// one request after the other until each has reached its deadline.
+func (s *endpointState) overdue(now time.Duration) time.Duration {
+	if s.ownInFlight == 0 || s.responseTime == 0 {
+		return 0
+	}
+	return max(0, now-s.awaitedSince-s.responseTime)
+}
+
 // availableRate estimates how many requests the rate limit of the target allows now. Between
 // reports this node counts on its share of the limit only. Once the report is too old, one
 // request finds out whether the limit has ended.
@@ -343,6 +359,17 @@
 	s.ownBytesInFlight += bytes
 }
 
+// ExpectResponse records that a response to the request just begun is due after the service time
+// of a target with a slowdown of 1.
+func (b *Balancer) ExpectResponse(e Endpoint, serviceTime, now time.Duration) {
+	s := b.stateOf(e)
+	expected := admission.WithMargins(0, time.Duration(float64(max(serviceTime, s.meanServiceTime))*max(s.slowdown, 1)))
+	if s.ownInFlight <= 1 {
+		s.awaitedSince, s.responseTime = now, 0
+	}
+	s.responseTime = max(s.responseTime, expected)
+}
+
 // End counts the completion of a request.
 func (b *Balancer) End(e Endpoint, bytes int64) {
 	s := b.stateOf(e)
@@ -354,7 +381,7 @@
 func (b *Balancer) UpdateLoad(e Endpoint, r LoadReport, now time.Duration) {
 	s := b.stateOf(e)
 	s.otherInFlight = max(0, float64(r.Running+r.Waiting-s.ownInFlight))
-	s.reportedAt = now
+	s.reportedAt, s.awaitedSince = now, now
 	s.meanServiceTime = r.MeanServiceTime
 	s.linkUtilization = r.LinkUtilization
 	s.reportedFailureRate = r.FailureRate
