sidecar: keys of organisations are judged at the caller's node and again when a request is sent on

A configuration with organisations needs a key in each request, other than of public routes and nested calls. The caller's node resolves it by its hash, answers 401 otherwise, and removes the key and any name of an organisation from what it forwards; the target's node names the organisation to the target.

A request is judged anew before each attempt, and by the target's node, before and after the wait for a slot, if that node knows a later version. hopRequest carries the hash of the key and the version for that, and no key. Nested calls are served for the organisation of their parent, also for 1 s after its end. A call with a key is no nested call.

An unreadable head or trailer is no longer quoted in the log, since it may hold a key.

The parent id of the test headers is now empty for ids without a parent, as Headers.ParentID says.

--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -127,7 +127,7 @@
 	r, err := http.ReadRequest(s.reader)
 	s.limit.Unlimit()
 	if err != nil {
-		return nil, errors.Wrap(err, "read request")
+		return nil, unreadable(err)
 	}
 	if r.ProtoMajor != 1 || r.Host == "" || !httpguts.ValidHostHeader(r.Host) {
 		return nil, errors.New("not an HTTP/1.1 request with a valid host")
@@ -135,7 +135,7 @@
 	for name, values := range r.Header {
 		for _, v := range values {
 			if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(v) {
-				return nil, errors.Newf("invalid header field %q", name)
+				return nil, errMalformedHead
 			}
 		}
 	}
@@ -143,6 +143,23 @@
 	return r.WithContext(ctx), nil
 }
 
+// errMalformedHead does not quote the head, since it may hold a key.
+var errMalformedHead = errors.New("malformed request head")
+
+// unreadable returns the error of a head that could not be read, without a part of the head.
+func unreadable(err error) error {
+	var network net.Error
+	for _, known := range []error{bounded.ErrTooLarge, io.EOF, io.ErrUnexpectedEOF, net.ErrClosed} {
+		if errors.Is(err, known) {
+			return errors.Wrap(err, "read request")
+		}
+	}
+	if errors.As(err, &network) {
+		return errors.Wrap(err, "read request")
+	}
+	return errMalformedHead
+}
+
 // reject responds to a request that cannot be read, after the responses before it, and
 // closes the connection. It returns the cause if the client cannot get a response.
 func (s *session) reject(ctx context.Context, cause error) error {
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -55,6 +55,12 @@
 	isRetry bool
 	header  http.Header
 	body    *requestBody
+	// key is the key that the request carries, organisation the one that it counts for, nil
+	// if there is none, and judgedBy is the version of the configuration that says so. A nested
+	// call has the organisation of its parent, for fairness only.
+	key          callerKey
+	organisation *published.Organisation
+	judgedBy     published.Version
 	// lease holds the memory of the request and its responses.
 	lease *bounded.Lease
 	// arrived, deadline and softDeadline are on the node's clock. The caller gets a final
@@ -84,6 +90,7 @@
 	defer n.inFlight.Add(-1)
 	n.closeWhenStopping(w)
 	arrived := n.clock.now()
+	key := n.takeKey(r.Header)
 	id := r.Header.Get(n.headers.RequestID)
 	if id != "" {
 		w.Header().Set(n.headers.RequestID, id)
@@ -106,6 +113,11 @@
 		n.respondError(w, http.StatusNotFound, "no-route", "no route matches this host and path")
 		return
 	}
+	parent, organisation, reason := n.identify(view.Config, route, key, parent, n.headers.ParentID(id))
+	if reason != "" {
+		n.rejectKey(w, r, id, reason)
+		return
+	}
 	if _, err := requestURL(r.RequestURI); err != nil {
 		n.logRejected(r, id, http.StatusBadRequest, "bad-path")
 		n.respondError(w, http.StatusBadRequest, "bad-path", err.Error())
@@ -135,14 +147,14 @@
 	n.link.received(body.length())
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		n.logRejected(r, id, http.StatusRequestTimeout, "body-unread: "+err.Error())
+		n.logRejected(r, id, http.StatusRequestTimeout, "body-unread: "+bodyErrorText(err))
 		n.respondError(w, http.StatusRequestTimeout, "body-unread", "the body did not arrive in time")
 		return
 	}
 	c := &call{
 		id: id, w: w, r: r, route: route, header: endToEndHeaders(r.Header), body: body, lease: lease,
-		fingerprint: fingerprint(r, body),
-		arrived:     arrived, deadline: arrived + left, config: view.Config.Version, service: route.PickService(n.splits.next(route.Name)),
+		key: key, organisation: organisation, judgedBy: view.Config.Version, fingerprint: fingerprint(r, body),
+		arrived: arrived, deadline: arrived + left, config: view.Config.Version, service: route.PickService(n.splits.next(route.Name)),
 	}
 	if parent != nil {
 		c.nested, c.isRetry = true, parent.IsRetry
@@ -255,6 +267,9 @@
 			// the budget of the called service serves other calls.
 			return last
 		}
+		if last.reason == reasonKeyWithdrawn {
+			break
+		}
 		if last.reason == reasonCrashing || c.crashTrial && reachedTarget(last.outcome) {
 			// One target is enough for a trial.
 			if !last.outcome.NotRun() {
@@ -339,6 +354,9 @@
 // attempt sends the call to one target and records the result.
 func (n *Node) attempt(ctx context.Context, c *call, e balance.Endpoint, body *attemptBody) result {
 	defer body.end()
+	if !n.judgeAgain(c) {
+		return result{outcome: retry.NotSent, reason: reasonKeyWithdrawn}
+	}
 	c.tried = append(c.tried, e.Node)
 	n.balanceMu.Lock()
 	n.balancer.Begin(e, c.expectedBytes)
@@ -352,6 +370,7 @@
 		IsRetry:    c.isRetry || c.targetsReached > 0,
 		TimeLeftMS: milliseconds(max(c.deadline-now-forwardDeadlineMargin, 0)), SoftTimeLeftMS: milliseconds(c.softDeadline - now), ExpectedServiceTimeMS: milliseconds(c.expectedServiceTime),
 	}
+	n.identity(c, &h)
 	if s := n.view.Load().Signals[h.process()]; s.Limited {
 		h.KnownLimit = &s.RateLimit
 	}
--- a/internal/sidecar/calllog.go
+++ b/internal/sidecar/calllog.go
@@ -55,7 +55,11 @@
 		n.timelyResponses.Add(1)%successLogInterval != 0 {
 		return
 	}
-	n.logger.Info("call_ended", "request", c.id, "route", c.route.Name, "service", c.service, "outcome", outcome,
+	logger := n.logger
+	if c.organisation != nil {
+		logger = logger.With("organisation", c.organisation.Name)
+	}
+	logger.Info("call_ended", "request", c.id, "route", c.route.Name, "service", c.service, "outcome", outcome,
 		"reason", reason, "status", status, "held_ms", elapsed.Milliseconds(), "useful_ms", (c.softDeadline - c.arrived).Milliseconds(),
 		"deadline_ms", (c.deadline - c.arrived).Milliseconds(), "config_version", uint64(c.config), "standing", int(c.attemptKind),
 		"inner", c.nested, "repeat", c.isRetry, "attempts", c.attempts)
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -12,6 +12,7 @@
 	"heathercroft.example/heathercroft/pkg/admission"
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/published"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
@@ -44,6 +45,13 @@
 	// IsRetry is set if the request may have run before, or is made on behalf of one that
 	// may have.
 	IsRetry bool `json:"repeat,omitempty"`
+	// Organisation is the name of the organisation of the request, "" if it has none.
+	Organisation string `json:"organisation,omitempty"`
+	// KeyHash is the hash of the key of the request, ConfigVersion the version of the
+	// configuration by which the sending node judged it. A node that knows a later version
+	// judges again.
+	KeyHash       published.KeyHash `json:"key_hash,omitempty"`
+	ConfigVersion published.Version `json:"config,omitempty"`
 	// KnownLimit is the limit in requests per second that the target named in its last
 	// response through the sending node.
 	KnownLimit *float64 `json:"known_limit,omitempty"`
@@ -154,6 +162,9 @@
 
 func (h hopRequest) rank() admission.Rank { return admission.Rank(h.Rank) }
 
+// nested reports whether the request is a nested call.
+func (h hopRequest) nested() bool { return h.rank() == admission.NestedRank }
+
 const (
 	// reasonNoResponse is the reason of an attempt that timed out.
 	reasonNoResponse = "no-answer"
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -44,7 +44,7 @@
 	defer lease.Release()
 	body, err := n.readBody(w, r, fromMilliseconds(h.TimeLeftMS), lease)
 	if err != nil {
-		n.logger.Info("body_unread", "request", h.ID, "route", h.Route, "error", err.Error())
+		n.logger.Info("body_unread", "request", h.ID, "route", h.Route, "error", bodyErrorText(err))
 		n.writeHopReply(w, r, result{outcome: retry.RefusedByNode, reason: "body-unread"})
 		return
 	}
@@ -96,6 +96,9 @@
 	if reason := refusalReason(n.view.Load().Target, h); reason != "" {
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
+	if !n.judgeAtTarget(&h) {
+		return result{outcome: retry.RefusedByNode, reason: reasonKeyWithdrawn}
+	}
 	if n.view.Load().CrashingRequests[h.Fingerprint] && !h.CrashTrial {
 		// The node of the caller may have started since the crashes.
 		return result{outcome: retry.RefusedByNode, reason: reasonCrashing}
@@ -124,13 +127,18 @@
 		release(false)
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
+	if !n.judgeAtTarget(&h) {
+		release(false)
+		return result{outcome: retry.RefusedByNode, reason: reasonKeyWithdrawn}
+	}
 	left -= waited
+	n.setOrganisation(request.header, h.Organisation)
 	request.header.Set(n.headers.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	request.header.Set(n.headers.Target, h.Target)
 	request.header.Set(n.headers.CallerService, h.Caller)
 	n.nestedCalls.countRun(h.Route)
 	active := n.active.add(h)
-	defer n.active.remove(active)
+	defer n.endActive(active)
 	started := n.clock.now()
 	n.sent.count(h.Target, started)
 	n.metrics.sentToTarget.Add(1)
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -38,7 +38,13 @@
 var testHeaders = Headers{
 	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", CallerService: "X-Caller",
 	Signature: "X-Signature", NotRun: "X-Not-Run", RateLimit: "X-Limit", Leaving: "X-Leaving",
-	ParentID: func(id string) string { before, _, _ := strings.Cut(id, "/"); return before },
+	APIKey: "X-Key", Organisation: "X-Organisation",
+	ParentID: func(id string) string {
+		if before, _, found := strings.Cut(id, "/"); found {
+			return before
+		}
+		return ""
+	},
 }
 
 // fakeStore is always empty and discards writes.
--- a/internal/sidecar/nested.go
+++ b/internal/sidecar/nested.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"heathercroft.example/heathercroft/pkg/retry"
 )
@@ -15,6 +16,8 @@
 	hopRequest
 	// callFailed is set when a call that the target made for the request had no success.
 	callFailed atomic.Bool
+	// ended is set when the request is no longer served.
+	ended atomic.Bool
 }
 
 func (r *activeRequests) add(h hopRequest) *activeRequest {
@@ -25,8 +28,32 @@
 
 func (r *activeRequests) remove(a *activeRequest) { r.byID.CompareAndDelete(a.ID, a) }
 
+// endedParentTime is how long the record of a request is kept after its end if calls need a key.
+// A target goes on for up to half a second after its request was cancelled, and its calls carry
+// no key.
+const endedParentTime = time.Second
+
+// endActive records that the request is no longer served.
+func (n *Node) endActive(a *activeRequest) {
+	c := n.view.Load().Config
+	if c == nil || len(c.Organisations) == 0 {
+		n.active.remove(a)
+		return
+	}
+	a.ended.Store(true)
+	time.AfterFunc(endedParentTime, func() { n.active.remove(a) })
+}
+
 // parent returns the request on whose behalf the local target makes a call, or nil.
 func (r *activeRequests) parent(id string) *activeRequest {
+	if a := r.recent(id); a != nil && !a.ended.Load() {
+		return a
+	}
+	return nil
+}
+
+// recent returns a request that the local target serves, or served until shortly, or nil.
+func (r *activeRequests) recent(id string) *activeRequest {
 	if id == "" {
 		return nil
 	}
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -37,6 +37,9 @@
 		return
 	}
 	switch {
+	case res.reason == reasonKeyWithdrawn:
+		n.logEnded(c, outcomeRefused, res.reason, http.StatusUnauthorized)
+		n.respondKeyError(c.w, res.reason)
 	case res.outcome.NotRun():
 		n.refuseCall(c, res)
 	case n.callsCtx.Err() != nil && timedOut:
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -81,6 +81,10 @@
 	RateLimit string
 	// Leaving is set on responses of targets that are shutting down.
 	Leaving string
+	// APIKey holds the key of an organisation in requests of callers.
+	APIKey string
+	// Organisation names the organisation of a request to a target.
+	Organisation string
 	// ParentID returns the id of the request on whose behalf a target makes a call, or ""
 	// if the id does not contain it.
 	ParentID func(id string) string
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -23,6 +23,9 @@
 	LateClientRetry
 )
 
+// NestedRank is the rank of nested calls, and of no other request.
+const NestedRank Rank = 0
+
 // lateRank is the first rank of late retries, behind all requests that can still meet
 // their objective.
 const lateRank = 1 << 20
@@ -35,7 +38,7 @@
 func RankOf(nested bool, priority int, kind AttemptKind) Rank {
 	switch {
 	case nested:
-		return 0
+		return NestedRank
 	case kind == LateClientRetry:
 		return Rank(lateRank + max(priority, 0))
 	case kind == ClientRetry:
--- a/pkg/published/organisation.go
+++ b/pkg/published/organisation.go
@@ -80,9 +80,12 @@
 
 // OrganisationOfKey returns the organisation that holds a key, or nil.
 func (c *Config) OrganisationOfKey(key string) *Organisation {
-	return c.organisationsByKey[HashKey(key)]
+	return c.OrganisationOfHash(HashKey(key))
 }
 
+// OrganisationOfHash returns the organisation that holds the key with a hash, or nil.
+func (c *Config) OrganisationOfHash(h KeyHash) *Organisation { return c.organisationsByKey[h] }
+
 // Organisation returns the organisation of a name, or nil.
 func (c *Config) Organisation(name string) *Organisation { return c.organisationsByName[name] }
 
