--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -81,6 +81,8 @@
 	RateLimit string
 	// Leaving is set on responses of targets that are shutting down.
 	Leaving string
+	// Load holds the load of the target in responses: see signals.Headers.
+	Load string
 	// ParentID returns the id of the request on whose behalf a target makes a call, or ""
 	// if the id does not contain it.
 	ParentID func(id string) string
