admission, balance: the disturbance of a machine is separate from the speed of its target

Machines are disturbed in spells of 600 ms, in which work takes 2.5 times as long. The averages of slowdown and service time took some 20 requests to notice a spell and as many to forget it. The node beside the target now divides both by the disturbance that the target reports, and the nodes of callers do so with the usual time of a route. The present disturbance multiplies the expected times; it decays with its age over 600 ms. The reply between nodes holds it, with its age, only while it is not usual (about 40 bytes). Targets that do not send it are treated as before.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -385,7 +385,9 @@
 		if !res.callFailed {
 			n.balancer.RecordResponse(e, !res.succeeded(), now)
 		}
-		n.serviceTimes.observe(c.route.Name, float64(res.targetTime))
+		// The usual time of the route does not contain the disturbance of a machine.
+		disturbance := admission.NewDisturbance(res.load.Disturbance, now-res.load.DisturbanceAge).Factor(now)
+		n.serviceTimes.observe(c.route.Name, float64(res.targetTime)/disturbance)
 		if res.response.status < http.StatusMultipleChoices {
 			n.responseBytes.observe(c.route.Name, float64(responseHeaderBytes+len(res.response.body)))
 		}
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -44,6 +44,7 @@
 	defer g.mu.Unlock()
 	if g.target != p {
 		g.target = p
+		g.queue.SetDisturbance(0, g.now())
 		g.wake(g.queue.ResetLimit(g.now()))
 	}
 	if slots > 0 && g.queue.Slots() != slots {
@@ -62,6 +63,16 @@
 	}
 }
 
+// setDisturbance records by how many times longer than usual work takes on the machine of the
+// target, 0 if the target does not tell.
+func (g *gate) setDisturbance(p directory.Process, factor float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == p {
+		g.queue.SetDisturbance(factor, g.now())
+	}
+}
+
 // adoptLimit applies a limit that another node knows.
 func (g *gate) adoptLimit(p directory.Process, perSecond float64) {
 	g.mu.Lock()
@@ -172,6 +183,10 @@
 	report := balance.LoadReport{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slowdown: g.queue.Slowdown(), MeanServiceTime: g.queue.MeanServiceTime(),
 	}
-	report.RateLimit, report.RateAvailable, report.RateLimited = g.queue.RateLimit(g.now())
+	now := g.now()
+	report.RateLimit, report.RateAvailable, report.RateLimited = g.queue.RateLimit(now)
+	if factor, age, ok := g.queue.Disturbance().Report(now); ok {
+		report.Disturbance, report.DisturbanceAge = factor, age
+	}
 	return report
 }
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -106,6 +107,10 @@
 	Signals *directory.Signals `json:"signals,omitempty"`
 	// Process is the process of the target that responded.
 	Process directory.Process `json:"process,omitzero"`
+	// DisturbancePercent is how long work took on the machine of the target, in percent of the
+	// usual time, and DisturbanceAgeMS the age of that. They are omitted if it is usual.
+	DisturbancePercent int `json:"disturbed,omitempty"`
+	DisturbanceAgeMS   int `json:"disturbed_age_ms,omitempty"`
 }
 
 // hopLimit is the state of a rate limit.
@@ -180,6 +185,9 @@
 		Slowdown: r.load.Slowdown, MeanServiceTimeMS: milliseconds(r.load.MeanServiceTime), LinkUtilization: r.load.LinkUtilization, FailureRate: r.load.FailureRate, TargetTimeMS: milliseconds(r.targetTime), CallFailed: r.callFailed,
 		Signals: r.signals, Process: r.process,
 	}
+	if r.load.Disturbance > 0 {
+		h.DisturbancePercent, h.DisturbanceAgeMS = int(math.Round(100*r.load.Disturbance)), int(r.load.DisturbanceAge.Milliseconds())
+	}
 	if r.load.RateLimited {
 		h.Limit = &hopLimit{PerSecond: r.load.RateLimit, Available: r.load.RateAvailable}
 	}
@@ -206,6 +214,10 @@
 		signals: in.Signals, process: in.Process,
 		load: balance.LoadReport{Running: in.Running, Waiting: in.Waiting, Slowdown: in.Slowdown, MeanServiceTime: fromMilliseconds(in.MeanServiceTimeMS), LinkUtilization: in.LinkUtilization, FailureRate: in.FailureRate},
 	}
+	if in.DisturbancePercent > 0 {
+		r.load.Disturbance = float64(in.DisturbancePercent) / 100
+		r.load.DisturbanceAge = time.Duration(max(in.DisturbanceAgeMS, 0)) * time.Millisecond
+	}
 	if in.Limit != nil {
 		r.load.RateLimited, r.load.RateLimit, r.load.RateAvailable = true, in.Limit.PerSecond, in.Limit.Available
 	}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -136,9 +136,14 @@
 	n.metrics.sentToTarget.Add(1)
 	response, outcome, err := n.target.do(ctx, request)
 	took := n.clock.now() - started
+	ownResponse := response != nil && response.status != http.StatusMisdirectedRequest
+	if ownResponse {
+		// The queue judges the time of the request by the disturbance in its response.
+		n.recordLoad(h.ID, target.Process(), response)
+	}
 	release(outcome == retry.ResponseReceived)
 	res := result{outcome: outcome, response: response, targetTime: took}
-	if response != nil && response.status != http.StatusMisdirectedRequest {
+	if ownResponse {
 		res.process = target.Process()
 		res.signals = n.recordSignals(h.ID, res.process, response, started)
 	}
--- /dev/null
+++ b/internal/sidecar/load_test.go
@@ -0,0 +1,98 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/internal/signals"
+	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/directory"
+	"heathercroft.example/heathercroft/pkg/retry"
+)
+
+// serveLoad makes the target send a load signal, unless it is empty.
+func (f *fakeTarget) serveLoad(load string) {
+	f.serve(func(w http.ResponseWriter, _ *http.Request) {
+		if load != "" {
+			w.Header().Set("X-Load", load)
+		}
+		w.Header().Set("X-Signature", "s")
+	})
+}
+
+// Guards against a disturbance of a target's machine that the other nodes do not learn, and
+// against a load signal that is passed on in announcements: it changes with each response.
+func TestNodesLearnTheDisturbanceOfATargetFromItsLoadSignal(t *testing.T) {
+	nodes := newMesh(t, 2)
+	nodes[0].target.serveLoad("3,1,4,250")
+	nodes[1].target.serveLoad("0,0,4,100")
+	for range 6 {
+		status, _, _ := nodes[1].call(t, http.MethodGet, "/read/x", "r")
+		require.Equal(t, http.StatusOK, status)
+	}
+	// Whichever target the calls of the other node reached, this one gets a call of its own.
+	h := hopRequest{ID: "r", URI: "/read/x", Target: "target-0", Service: "shop", Route: "read", TimeLeftMS: 1000, SoftTimeLeftMS: 900, ExpectedServiceTimeMS: 10, TargetStart: 1}
+	res := nodes[0].runLocal(t.Context(), h, &targetRequest{method: http.MethodGet, host: "shop.test", uri: "/read/x", header: http.Header{}, retryable: true, lease: nodes[0].messages.Lease()})
+	require.Equal(t, retry.ResponseReceived, res.outcome)
+	require.InDelta(t, 2.5, res.load.Disturbance, 0)
+	require.Equal(t, signals.Load{Running: 3, Waiting: 1, Slots: 4, Disturbance: 2.5}, nodes[0].targetLoad())
+	require.Empty(t, nodes[0].view.Load().Signals)
+
+	text, err := json.Marshal(res.hopReply())
+	require.NoError(t, err)
+	read, err := readHopReply(http.Header{hopHeader: {string(text)}})
+	require.NoError(t, err)
+	require.InDelta(t, 2.5, read.load.Disturbance, 0)
+	require.InDelta(t, res.load.DisturbanceAge, read.load.DisturbanceAge, float64(time.Millisecond))
+}
+
+// Guards against a malformed load signal that changes the limit of the target or the
+// disturbance that it told before, and against a log line for each such response.
+func TestMalformedLoadSignalChangesNothing(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	for i, load := range []string{"0,0,4,200", "many", "1,2,3,1e9", "1"} {
+		n.target.serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Load", load)
+			w.Header().Set("X-Limit", "40")
+			w.Header().Set("X-Signature", "s")
+		})
+		status, _, body := n.call(t, http.MethodGet, "/read/x", "r")
+		require.Equal(t, http.StatusOK, status, body)
+		require.InDelta(t, 40, limitOf(n.gate), 0, "step %d", i)
+		require.InDelta(t, 2, n.targetLoad().Disturbance, 0, "step %d", i)
+		time.Sleep(30 * time.Millisecond)
+	}
+	require.EqualValues(t, 3, n.metrics.malformedSignals.Value())
+}
+
+// Guards against a change for targets without a load signal or without its fourth figure,
+// and against bytes between nodes for them and for undisturbed machines.
+func TestTargetsWithoutADisturbanceReportNone(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	for _, load := range []string{"", "3,1,4", "3,1,4,100", "3,1,4,103"} {
+		n.target.serveLoad(load)
+		status, _, _ := n.call(t, http.MethodGet, "/read/x", "r")
+		require.Equal(t, http.StatusOK, status)
+		require.Zero(t, n.gate.load().Disturbance, load)
+		text, err := json.Marshal(result{load: n.gate.load()}.hopReply())
+		require.NoError(t, err)
+		require.NotContains(t, string(text), "disturbed")
+	}
+}
+
+// Guards against the disturbance of a former process of the target that is taken for that
+// of the present one.
+func TestDisturbanceBelongsToAProcess(t *testing.T) {
+	g := newGate(func() time.Duration { return time.Second })
+	first, second := directory.Process{ID: "t", StartUnixMS: 1}, directory.Process{ID: "t", StartUnixMS: 2}
+	g.setTarget(first, 4)
+	g.setDisturbance(first, 3)
+	require.Equal(t, balance.LoadReport{Slowdown: 1, MeanServiceTime: 50 * time.Millisecond, Disturbance: 3}, g.load())
+	g.setTarget(second, 4)
+	g.setDisturbance(first, 3)
+	require.Zero(t, g.load().Disturbance)
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -235,6 +235,7 @@
 	expvar.Publish("config_version", expvar.Func(func() any { return n.configVersion() }))
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
 	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
+	expvar.Publish("target_load", expvar.Func(func() any { return n.targetLoad() }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
 	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -12,8 +12,11 @@
 type lastSignals struct {
 	target  directory.Process
 	signals directory.Signals
-	// malformed is set after a response with malformed signals was logged.
-	malformed bool
+	// malformed and loadMalformed are set after a response with malformed signals or a
+	// malformed load was logged.
+	malformed, loadMalformed bool
+	// load is the load in the last response that told it.
+	load signals.Load
 }
 
 // recordSignals applies the signals in a response of the local target to a request that was
@@ -51,6 +54,38 @@
 	return &s
 }
 
+// recordLoad applies the load in a response of the local target. It is not part of the signals
+// that nodes pass on to each other, since it changes with almost every response.
+func (n *Node) recordLoad(request string, target directory.Process, r *response) {
+	load, ok, err := signals.Headers{Load: n.headers.Load}.ReadLoad(r.header)
+	if err != nil {
+		n.metrics.malformedSignals.Add(1)
+	}
+	n.signalsMu.Lock()
+	if n.lastSignals.target != target {
+		n.lastSignals = lastSignals{target: target}
+	}
+	logMalformed := err != nil && !n.lastSignals.loadMalformed
+	n.lastSignals.loadMalformed = n.lastSignals.loadMalformed || err != nil
+	if ok {
+		n.lastSignals.load = load
+	}
+	n.signalsMu.Unlock()
+	if logMalformed {
+		n.logger.Warn("target_signal_malformed", "request", request, "target", target.ID, "error", err.Error())
+	}
+	if ok && load.Disturbance > 0 {
+		n.gate.setDisturbance(target, load.Disturbance)
+	}
+}
+
+// targetLoad returns the load in the last response of the local target that told it.
+func (n *Node) targetLoad() signals.Load {
+	n.signalsMu.Lock()
+	defer n.signalsMu.Unlock()
+	return n.lastSignals.load
+}
+
 // stepSignals passes the signals in a response of a target on to the state machine if they
 // changed. received is nil if there was no response.
 func (n *Node) stepSignals(target directory.Process, received *directory.Signals) {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -59,7 +59,9 @@
 	Request
 	arrivedAt time.Duration
 	startedAt time.Duration
-	running   bool
+	// startDisturbance is the disturbance of the machine at the start.
+	startDisturbance float64
+	running          bool
 }
 
 // Decision is the result of submitting a request.
@@ -110,11 +112,14 @@
 	waiting []*Ticket
 	// rate is the limit of requests per second that the target names.
 	rate TargetLimit
-	// meanServiceTime is the moving average of the time a request holds a slot, in
-	// nanoseconds.
+	// meanServiceTime is the moving average of the time a request holds a slot on the
+	// undisturbed machine, in nanoseconds.
 	meanServiceTime float64
-	// slowdown is the moving average of the ratio of measured to expected service time.
+	// slowdown is the moving average of the ratio of measured to expected service time on the
+	// undisturbed machine.
 	slowdown float64
+	// disturbance is the last one that the target reported.
+	disturbance Disturbance
 }
 
 // NewQueue returns a queue for a target with the given number of slots.
@@ -136,6 +141,15 @@
 	return q.startWaiting(now)
 }
 
+// SetDisturbance records by how many times longer than usual work takes on the machine of the
+// target now. A factor of 0 means that the target does not tell.
+func (q *Queue) SetDisturbance(factor float64, now time.Duration) {
+	q.disturbance = NewDisturbance(factor, now)
+}
+
+// Disturbance returns the last disturbance that the target reported.
+func (q *Queue) Disturbance() Disturbance { return q.disturbance }
+
 // AdoptLimit applies a limit that another node knows, until SignalLimit is called.
 func (q *Queue) AdoptLimit(perSecond float64, now time.Duration) { q.rate.Adopt(perSecond, now) }
 
@@ -182,7 +196,7 @@
 	}
 	wait := q.rate.Wait(ahead+1, now)
 	if q.running >= q.slots {
-		wait = max(wait, time.Duration(float64(ahead+1)*q.meanServiceTime/float64(q.slots)))
+		wait = max(wait, time.Duration(float64(ahead+1)*q.meanServiceTime*q.disturbance.Factor(now)/float64(q.slots)))
 	}
 	return wait
 }
@@ -203,7 +217,7 @@
 		return t, Admit, 0
 	}
 	wait := q.EstimateWait(r.Rank, now)
-	if now+WithMargins(wait, q.expectedServiceTime(r)) > r.FinishBy || r.Rank >= lateRank && len(q.waiting) > 0 {
+	if now+WithMargins(wait, q.expectedServiceTime(r, now)) > r.FinishBy || r.Rank >= lateRank && len(q.waiting) > 0 {
 		return nil, Refuse, wait
 	}
 	at, _ := slices.BinarySearchFunc(q.waiting, r.Rank, func(w *Ticket, rank Rank) int {
@@ -216,15 +230,15 @@
 	return t, Enqueue, wait
 }
 
-// expectedServiceTime returns the expected service time of the request at this target.
-func (q *Queue) expectedServiceTime(r Request) time.Duration {
-	return time.Duration(float64(r.ExpectedServiceTime) * q.slowdown)
+// expectedServiceTime returns the expected service time of the request at this target now.
+func (q *Queue) expectedServiceTime(r Request, now time.Duration) time.Duration {
+	return time.Duration(float64(r.ExpectedServiceTime) * q.slowdown * q.disturbance.Factor(now))
 }
 
 func (q *Queue) start(t *Ticket, now time.Duration) {
 	q.running++
 	q.rate.Take(now)
-	t.running, t.startedAt = true, now
+	t.running, t.startedAt, t.startDisturbance = true, now, q.disturbance.Factor(now)
 }
 
 // Done releases the slot of a running ticket and returns the tickets that may now run.
@@ -236,7 +250,8 @@
 	}
 	t.running = false
 	q.running--
-	serviceTime := float64(now - t.startedAt)
+	disturbance := (t.startDisturbance + q.disturbance.Factor(now)) / 2
+	serviceTime := float64(now-t.startedAt) / disturbance
 	if responded || serviceTime > q.meanServiceTime {
 		q.meanServiceTime += ewmaWeight * (serviceTime - q.meanServiceTime)
 	}
@@ -261,7 +276,7 @@
 func (q *Queue) Expire(now time.Duration) []*Ticket {
 	var late []*Ticket
 	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
-		if now+q.expectedServiceTime(t.Request) <= t.FinishBy {
+		if now+q.expectedServiceTime(t.Request, now) <= t.FinishBy {
 			return false
 		}
 		late = append(late, t)
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -34,10 +34,15 @@
 type LoadReport struct {
 	Running int
 	Waiting int
-	// MeanServiceTime is the mean time a request holds a slot.
+	// MeanServiceTime is the mean time a request holds a slot on the undisturbed machine.
 	MeanServiceTime time.Duration
-	// Slowdown is the mean ratio of measured to expected service time.
+	// Slowdown is the mean ratio of measured to expected service time on the undisturbed
+	// machine.
 	Slowdown float64
+	// Disturbance is by how many times longer than usual work took on the machine of the
+	// target DisturbanceAge before the report, 0 if it is usual or not known.
+	Disturbance    float64
+	DisturbanceAge time.Duration
 	// LinkUtilization is the share of the node's link bandwidth in use, from 0 to 1.
 	LinkUtilization float64
 	// FailureRate is the share of recent requests that the target failed or refused.
@@ -106,6 +111,7 @@
 	reportedAt      time.Duration
 	meanServiceTime time.Duration
 	slowdown        float64
+	disturbance     admission.Disturbance
 	// ownBytesInFlight is the size of this node's requests in flight and their expected
 	// responses.
 	ownBytesInFlight int64
@@ -229,8 +235,9 @@
 	if e.Cold {
 		slowdown = max(slowdown, coldSlowdown)
 	}
-	serviceTime := time.Duration(float64(r.ExpectedServiceTime) * slowdown)
-	meanServiceTime := s.meanServiceTime
+	disturbance := s.disturbance.Factor(now)
+	serviceTime := time.Duration(float64(r.ExpectedServiceTime) * slowdown * disturbance)
+	meanServiceTime := time.Duration(float64(s.meanServiceTime) * disturbance)
 	if meanServiceTime == 0 {
 		meanServiceTime = serviceTime
 	}
@@ -356,6 +363,7 @@
 	s.otherInFlight = max(0, float64(r.Running+r.Waiting-s.ownInFlight))
 	s.reportedAt = now
 	s.meanServiceTime = r.MeanServiceTime
+	s.disturbance = admission.NewDisturbance(r.Disturbance, now-r.DisturbanceAge)
 	s.linkUtilization = r.LinkUtilization
 	s.reportedFailureRate = r.FailureRate
 	s.rateLimited, s.rateLimit, s.rateAvailable, s.sentSinceReport = r.RateLimited, r.RateLimit, r.RateAvailable, 0
--- /dev/null
+++ b/pkg/balance/disturbance_test.go
@@ -0,0 +1,28 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/balance"
+)
+
+// Load pattern "noisy machines": a target whose machine is disturbed gives way to another
+// during the spell only, whatever the age of its report, and its speed counts at all times.
+func TestDisturbedTargetGivesWayDuringTheSpellOnly(t *testing.T) {
+	b := balance.New("a")
+	fast, slow := endpoint("fast", "a"), endpoint("slow", "a")
+	r := balance.Request{ExpectedServiceTime: 100 * ms, Objective: 300 * ms}
+	b.UpdateLoad(slow, balance.LoadReport{Slowdown: 1.2}, 0)
+	chosen := func(age, now time.Duration) string {
+		b.UpdateLoad(fast, balance.LoadReport{Slowdown: 0.8, Disturbance: 2.5, DisturbanceAge: age}, 0)
+		c, ok := b.Choose([]balance.Endpoint{fast, slow}, r, now, fixed)
+		require.True(t, ok)
+		return string(c.Endpoint.Node)
+	}
+	require.Equal(t, "slow", chosen(0, 50*ms))
+	require.Equal(t, "fast", chosen(0, 2*time.Second))
+	require.Equal(t, "fast", chosen(2*time.Second, 0))
+}
