--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -37,7 +37,7 @@
 // testHeaders uses header names that differ from those of any deployment.
 var testHeaders = Headers{
 	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", CallerService: "X-Caller",
-	Signature: "X-Signature", NotRun: "X-Not-Run", RateLimit: "X-Limit", Leaving: "X-Leaving",
+	Signature: "X-Signature", NotRun: "X-Not-Run", RateLimit: "X-Limit", Leaving: "X-Leaving", Load: "X-Load",
 	APIKey: "X-Key", Organisation: "X-Organisation",
 	ParentID: func(id string) string {
 		if before, _, found := strings.Cut(id, "/"); found {
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -85,6 +85,8 @@
 	APIKey string
 	// Organisation names the organisation of a request to a target.
 	Organisation string
+	// Load holds the load of the target in responses: see signals.Headers.
+	Load string
 	// ParentID returns the id of the request on whose behalf a target makes a call, or ""
 	// if the id does not contain it.
 	ParentID func(id string) string
