admission: organisations share a contended target

The requests of a hot organisation filled the queue of a target, so that those of all others waited behind them. Now the priority of the organisation replaces that of the route, and within a rank start-time fair queueing by expected service time orders the organisations. A client retry precedes the first attempts of others only if its organisation has nothing else in the queue. One start in four is in order of arrival, whatever the rank, so that none is served less than a quarter as often as all. Submit uses the wait that the organisation will have; a refusal that another organisation would not get has the reason organisation-share. Requests without organisations are queued as before. A refused request marks only requests of its own organisation as client retries.

--- a/internal/sidecar/apikey.go
+++ b/internal/sidecar/apikey.go
@@ -5,6 +5,7 @@
 	"net/textproto"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/pkg/published"
@@ -170,6 +171,23 @@
 	return reason == ""
 }
 
+// priority returns the priority of the call, 0 for the most urgent.
+func (c *call) priority() int {
+	if c.organisation != nil {
+		return c.organisation.Priority
+	}
+	return c.route.Priority
+}
+
+// refusalKey identifies the call among the refused ones. A client retry is of the same organisation
+// as the refused request.
+func (c *call) refusalKey() uint64 {
+	if c.organisation == nil {
+		return c.fingerprint
+	}
+	return c.fingerprint ^ xxhash.Sum64String(c.organisation.Name)
+}
+
 // routeByName returns the route of a name, or nil.
 func routeByName(c *published.Config, name string) *published.Route {
 	for i := range c.Routes {
--- a/internal/sidecar/apikey_test.go
+++ b/internal/sidecar/apikey_test.go
@@ -307,3 +307,32 @@
 		require.Equal(t, http.StatusUnauthorized, status, text)
 	}
 }
+
+// Guards the share of an organisation at the gate of a target that another one overloads: its request
+// must be admitted, and the refusal of the other must name the cause. Its priority replaces that of
+// the route.
+func TestGateSharesTheTargetAmongOrganisations(t *testing.T) {
+	g := newGate(newClock().now)
+	request := func(organisation string, usefulFor time.Duration) admission.Request {
+		return admission.Request{Organisation: organisation, Rank: 4, ExpectedServiceTime: 50 * time.Millisecond, FinishBy: g.now() + usefulFor}
+	}
+	for range defaultSlots {
+		_, _, refused := g.acquire(t.Context(), request("hot", time.Second))
+		require.Nil(t, refused)
+	}
+	for i := range 12 {
+		go func() { _, _, _ = g.acquire(t.Context(), request("hot", time.Minute)) }()
+		require.Eventually(t, func() bool { return g.load().Waiting == i+1 }, time.Second, time.Millisecond)
+	}
+	_, _, refused := g.acquire(t.Context(), request("hot", 200*time.Millisecond))
+	require.Equal(t, reasonShare, refused.reason)
+	go func() { _, _, _ = g.acquire(t.Context(), request("other", 200*time.Millisecond)) }()
+	require.Eventually(t, func() bool { return g.load().Waiting == 13 }, time.Second, time.Millisecond)
+
+	c := &call{route: &published.Route{Priority: 5}, fingerprint: 1}
+	require.Equal(t, 5, c.priority())
+	key := c.refusalKey()
+	c.organisation = &published.Organisation{Name: "north", Priority: 2}
+	require.Equal(t, 2, c.priority())
+	require.NotEqual(t, key, c.refusalKey(), "a request of another organisation is no client retry")
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -223,7 +223,7 @@
 	}
 	c.expectedServiceTime = time.Duration(n.serviceTimes.get(c.route.Name, float64(objective)/3))
 	c.expectedBytes = c.body.length() + int64(n.responseBytes.get(c.route.Name, assumedResponseBytes))
-	first, isRetry := n.refusalCache.lookup(c.fingerprint, c.arrived)
+	first, isRetry := n.refusalCache.lookup(c.refusalKey(), c.arrived)
 	c.softDeadline = c.arrived + objective - networkAllowance
 	if isRetry {
 		c.attemptKind = admission.ClientRetry
@@ -252,7 +252,7 @@
 			break
 		}
 		choice, ok := n.choose(c)
-		if !ok || len(c.tried) > 0 && !choice.Admissible && (last.reason == reasonQueue || last.reason == reasonTargetLimit) {
+		if !ok || len(c.tried) > 0 && !choice.Admissible && (last.reason == reasonQueue || last.reason == reasonShare || last.reason == reasonTargetLimit) {
 			// One refusal confirms this node's estimate for the other nodes. Trying them too
 			// would delay the caller and load the nodes without benefit.
 			break
@@ -364,7 +364,7 @@
 	now := n.clock.now()
 	h := hopRequest{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, TargetStart: e.StartUnixMS, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
-		Rank:        int(admission.RankOf(c.nested, c.route.Priority, c.attemptKind)),
+		Rank:        int(admission.RankOf(c.nested, c.priority(), c.attemptKind)),
 		Fingerprint: c.fingerprint, CrashTrial: c.crashTrial,
 		Retryable:  c.route.Kind.Repeatable(),
 		IsRetry:    c.isRetry || c.targetsReached > 0,
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -76,6 +76,9 @@
 	reasonQueue = "queue"
 	// reasonTargetLimit is the reason if it would exceed the rate limit of the target.
 	reasonTargetLimit = "target-limit"
+	// reasonShare is the reason if the request would not be answered in time because of other
+	// requests of its organisation, while those of others are still admitted.
+	reasonShare = "organisation-share"
 )
 
 // refusal is the reason why a request was not admitted.
@@ -96,6 +99,9 @@
 		if _, available, limited := g.queue.RateLimit(arrivedAt); limited && available < 1 {
 			reason = reasonTargetLimit
 		}
+		if g.queue.ExceedsShare(r, arrivedAt) {
+			reason = reasonShare
+		}
 		g.mu.Unlock()
 		return nil, 0, &refusal{reason, expectedWait}
 	}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -115,7 +115,7 @@
 	now := n.clock.now()
 	left := fromMilliseconds(h.TimeLeftMS)
 	release, waited, refused := n.gate.acquire(ctx, admission.Request{
-		Rank: h.rank(), ExpectedServiceTime: fromMilliseconds(h.ExpectedServiceTimeMS), FinishBy: now + fromMilliseconds(h.SoftTimeLeftMS),
+		Rank: h.rank(), Organisation: h.Organisation, ExpectedServiceTime: fromMilliseconds(h.ExpectedServiceTimeMS), FinishBy: now + fromMilliseconds(h.SoftTimeLeftMS),
 	})
 	n.metrics.queueWait.observe(waited)
 	if refused != nil {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -51,6 +51,8 @@
 // Request is a request for a slot of the target.
 type Request struct {
 	Rank Rank
+	// Organisation is the organisation whose share the request counts for, "" for none.
+	Organisation string
 	// ExpectedServiceTime is the expected service time at a target with a slowdown of 1.
 	ExpectedServiceTime time.Duration
 	// FinishBy is the latest time at which the response is useful, on the caller's clock.
@@ -63,6 +65,17 @@
 	arrivedAt time.Duration
 	startedAt time.Duration
 	running   bool
+	// sequence is the order of arrival.
+	sequence uint64
+	// flow is the use of the target by the organisation, nil while no organisation is known,
+	// and virtualArrival the virtual time of its level at the arrival.
+	flow           *flow
+	virtualArrival float64
+	// demoted is set for a client retry that is queued among the first attempts, since its
+	// organisation has other requests in the queue.
+	demoted bool
+	// inOrder is set for a ticket that started because it had waited longest.
+	inOrder bool
 }
 
 // Decision is the result of submitting a request.
@@ -118,6 +131,15 @@
 	meanServiceTime float64
 	// slowdown is the moving average of the ratio of measured to expected service time.
 	slowdown float64
+	// levels holds the organisations by level of urgency, nil while none is known.
+	levels map[Rank]*level
+	// sharing is the number of queued requests with an organisation, and passed the number of
+	// requests in succession that started before the one that waited longest.
+	sharing, passed int
+	// sequence is the sequence of the last request.
+	sequence uint64
+	scan     uint64
+	scanned  []*flow
 }
 
 // NewQueue returns a queue for a target with the given number of slots.
@@ -172,7 +194,7 @@
 func (q *Queue) Slowdown() float64 { return q.slowdown }
 
 // EstimateWait returns the expected queueing time of a request of the rank that arrives
-// now.
+// now, if no organisation shares the target.
 func (q *Queue) EstimateWait(rank Rank, now time.Duration) time.Duration {
 	if q.startsAtOnce(now) {
 		return 0
@@ -200,25 +222,41 @@
 // request stays in the queue until Done, Resize, Resume or a change of the rate limit starts
 // it, Expire returns it, or Cancel removes it.
 func (q *Queue) Submit(r Request, now time.Duration) (*Ticket, Decision, time.Duration) {
-	t := &Ticket{Request: r, arrivedAt: now}
+	q.sequence++
+	t := &Ticket{Request: r, arrivedAt: now, sequence: q.sequence, flow: q.flowOf(r.Rank, r.Organisation)}
+	if t.flow != nil {
+		t.virtualArrival = t.flow.level.virtual
+	}
 	if q.startsAtOnce(now) {
 		q.start(t, now)
 		return t, Admit, 0
 	}
-	wait := q.EstimateWait(r.Rank, now)
-	if now+WithMargins(wait, q.expectedServiceTime(r)) > r.FinishBy || r.Rank >= lateRank && len(q.waiting) > 0 {
+	if r.Organisation != "" && isClientRetry(r.Rank) && t.flow.waiting > 0 {
+		// Otherwise the retries of an organisation whose requests are refused for its share would
+		// start before the first attempts of all others.
+		t.Rank, t.demoted = r.Rank+1, true
+	}
+	wait := q.estimate(t, now)
+	if !q.inTime(r, wait, now) || r.Rank >= lateRank && len(q.waiting) > 0 {
 		return nil, Refuse, wait
 	}
-	at, _ := slices.BinarySearchFunc(q.waiting, r.Rank, func(w *Ticket, rank Rank) int {
-		if w.Rank <= rank {
-			return -1
-		}
-		return 1
-	})
-	q.waiting = slices.Insert(q.waiting, at, t)
+	q.insert(t)
 	return t, Enqueue, wait
 }
 
+// estimate returns the expected queueing time of a request that arrives now.
+func (q *Queue) estimate(t *Ticket, now time.Duration) time.Duration {
+	if q.sharing == 0 && t.Organisation == "" {
+		return q.EstimateWait(t.Rank, now)
+	}
+	return q.estimateShared(t, now)
+}
+
+// inTime reports whether a request with the expected queueing time is expected to be useful.
+func (q *Queue) inTime(r Request, wait, now time.Duration) bool {
+	return now+WithMargins(wait, q.expectedServiceTime(r)) <= r.FinishBy
+}
+
 // expectedServiceTime returns the expected service time of the request at this target.
 func (q *Queue) expectedServiceTime(r Request) time.Duration {
 	return time.Duration(float64(r.ExpectedServiceTime) * q.slowdown)
@@ -227,6 +265,7 @@
 func (q *Queue) start(t *Ticket, now time.Duration) {
 	q.running++
 	q.rate.Take(now)
+	q.charge(t)
 	t.running, t.startedAt = true, now
 }
 
@@ -257,6 +296,7 @@
 		return false
 	}
 	q.waiting = slices.Delete(q.waiting, at, at+1)
+	q.removed(t)
 	return true
 }
 
@@ -268,6 +308,7 @@
 			return false
 		}
 		late = append(late, t)
+		q.removed(t)
 		return true
 	})
 	return late
@@ -276,8 +317,10 @@
 func (q *Queue) startWaiting(now time.Duration) []*Ticket {
 	var ready []*Ticket
 	for q.running < q.slots && len(q.waiting) > 0 && q.rate.Allows(now) {
-		t := q.waiting[0]
-		q.waiting = q.waiting[1:]
+		at := q.next(now)
+		t := q.waiting[at]
+		q.waiting = slices.Delete(q.waiting, at, at+1)
+		q.removed(t)
 		q.start(t, now)
 		ready = append(ready, t)
 	}
