--- a/pkg/admission/disturbance_test.go
+++ b/pkg/admission/disturbance_test.go
@@ -74,3 +74,20 @@
 	}
 	require.InDelta(t, 1, previous, 0.1)
 }
+
+// A request among organisations must expect the same longer wait at a disturbed machine as one
+// without: otherwise it is admitted and answered late.
+func TestDisturbanceLengthensTheWaitAmongOrganisations(t *testing.T) {
+	wait := func(factor float64) time.Duration {
+		q := admission.NewQueue(1)
+		q.SetDisturbance(factor, 0)
+		r := admission.Request{Rank: 2, Organisation: "o", ExpectedServiceTime: 50 * time.Millisecond, FinishBy: time.Minute}
+		q.Submit(r, 0)
+		q.Submit(r, 0)
+		r.Organisation = "p"
+		_, decision, wait := q.Submit(r, 0)
+		require.Equal(t, admission.Enqueue, decision)
+		return wait
+	}
+	require.InDelta(t, 2, float64(wait(2))/float64(wait(1)), 0.01)
+}
--- a/pkg/admission/sharing.go
+++ b/pkg/admission/sharing.go
@@ -283,7 +283,7 @@
 	if q.running >= q.slots {
 		byShare := (work + q.meanServiceTime) / float64(q.slots) / slowed
 		byArrival := float64(inOrder) * q.meanServiceTime / float64(q.slots)
-		wait = max(wait, min(byShare, byArrival))
+		wait = max(wait, min(byShare, byArrival)*q.disturbance.Factor(now))
 	}
 	return time.Duration(wait)
 }
