admission: retries of organisations that have had their share do not precede first attempts

With other seeds than the one of the test, the 74 smallest of 84 organisations were served 95.7 to 96.5 % in time instead of the 98.1 % of that seed: retries of large organisations that had nothing in the queue started before all first attempts. Now a retry has no precedence if the virtual time of its organisation is ahead.

The simulations run with five seeds, and two bounds are raised from 97 to 99 %.

Tested: pkg/admission and internal/sidecar (122 s) passed.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -72,7 +72,7 @@
 	flow           *flow
 	virtualArrival float64
 	// demoted is set for a client retry that is queued among the first attempts, since its
-	// organisation has other requests in the queue.
+	// organisation is ahead of its share.
 	demoted bool
 	// inOrder is set for a ticket that started because it had waited longest.
 	inOrder bool
@@ -231,8 +231,8 @@
 		q.start(t, now)
 		return t, Admit, 0
 	}
-	if r.Organisation != "" && isClientRetry(r.Rank) && t.flow.waiting > 0 {
-		// Otherwise the retries of an organisation whose requests are refused for its share would
+	if r.Organisation != "" && isClientRetry(r.Rank) && t.flow.ahead() {
+		// Otherwise the retries of organisations whose requests are refused for their share would
 		// start before the first attempts of all others.
 		t.Rank, t.demoted = r.Rank+1, true
 	}
--- a/pkg/admission/sharing.go
+++ b/pkg/admission/sharing.go
@@ -112,6 +112,10 @@
 // virtualStart returns the virtual start time of the ticket if it is the next of its flow.
 func (t *Ticket) virtualStart() float64 { return max(t.virtualArrival, t.flow.finish) }
 
+// ahead reports whether the organisation has had its share, or will have it with the requests that
+// it has in the queue.
+func (f *flow) ahead() bool { return f.waiting > 0 || f.finish > f.level.virtual }
+
 // cost returns the cost of a request in virtual time.
 func (q *Queue) cost(r Request) float64 {
 	if r.ExpectedServiceTime <= 0 {
--- a/pkg/admission/sharing_test.go
+++ b/pkg/admission/sharing_test.go
@@ -68,10 +68,17 @@
 	return last
 }
 
+// eachSeed runs a test with some seeds, so that it does not depend on one order of arrivals.
+func eachSeed(t *testing.T, test func(t *testing.T, seed uint64)) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { test(t, seed) })
+	}
+}
+
 // share simulates a target for 40 s. Without fair, the queue is not told the organisations.
-func share(slots int, objective time.Duration, senders []sender, fair bool) []served {
+func share(seed uint64, slots int, objective time.Duration, senders []sender, fair bool) []served {
 	const length = 40 * time.Second
-	random := rand.New(rand.NewPCG(1, 2))
+	random := rand.New(rand.NewPCG(seed, 2))
 	q := admission.NewQueue(slots)
 	out := make([]served, len(senders))
 	var events shareHeap
@@ -173,86 +180,98 @@
 // Guards the others against a hot organisation inside its cap, which sends ten times as much as each
 // of them and more than the target can serve: it must pay for it with its own waiting.
 func TestHotOrganisationPaysWithItsOwnWaiting(t *testing.T) {
-	senders := withHot(sender{organisation: "hot", priority: 1, rate: 60, serviceTime: 130 * ms})
-	fair, before := share(12, time.Second, senders, true), share(12, time.Second, senders, false)
-	others, othersBefore := total(fair[1:]), total(before[1:])
-	t.Logf("hot %+v others %+v; without sharing %+v, %+v", fair[0], others, before[0], othersBefore)
-	require.GreaterOrEqual(t, others.share(), 0.99)
-	require.Less(t, othersBefore.share(), others.share()-0.1)
-	require.Greater(t, fair[0].meanWait(), 3*others.meanWait())
-	require.GreaterOrEqual(t, total(fair).inTime, total(before).inTime*95/100, "sharing must not cost goodput")
-	requireNoneStarved(t, fair)
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		senders := withHot(sender{organisation: "hot", priority: 1, rate: 60, serviceTime: 130 * ms})
+		fair, before := share(seed, 12, time.Second, senders, true), share(seed, 12, time.Second, senders, false)
+		others, othersBefore := total(fair[1:]), total(before[1:])
+		t.Logf("hot %+v others %+v; without sharing %+v, %+v", fair[0], others, before[0], othersBefore)
+		require.GreaterOrEqual(t, others.share(), 0.99)
+		require.Less(t, othersBefore.share(), others.share()-0.1)
+		require.Greater(t, fair[0].meanWait(), 3*others.meanWait())
+		require.GreaterOrEqual(t, total(fair).inTime, total(before).inTime*95/100, "sharing must not cost goodput")
+		requireNoneStarved(t, fair)
+	})
 }
 
 // Guards the others against a herd of retries: callers of the hot organisation that do not wait
 // before they send a refused request again. Retries have precedence over first attempts, but
 // only within the share of their organisation.
 func TestHerdOfRetriesDoesNotDisplaceOthers(t *testing.T) {
-	senders := withHot(sender{organisation: "hot", priority: 1, rate: 90, serviceTime: 130 * ms, retries: 20, retryAfter: 5 * ms})
-	fair, before := share(12, 500*ms, senders, true), share(12, 500*ms, senders, false)
-	others, othersBefore := total(fair[1:]), total(before[1:])
-	t.Logf("hot %+v others %+v; without sharing %+v, %+v", fair[0], others, before[0], othersBefore)
-	require.GreaterOrEqual(t, others.share(), 0.97)
-	require.Less(t, othersBefore.share(), 0.6)
-	requireNoneStarved(t, fair)
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		senders := withHot(sender{organisation: "hot", priority: 1, rate: 90, serviceTime: 130 * ms, retries: 20, retryAfter: 5 * ms})
+		fair, before := share(seed, 12, 500*ms, senders, true), share(seed, 12, 500*ms, senders, false)
+		others, othersBefore := total(fair[1:]), total(before[1:])
+		t.Logf("hot %+v others %+v; without sharing %+v, %+v", fair[0], others, before[0], othersBefore)
+		require.GreaterOrEqual(t, others.share(), 0.99)
+		require.Less(t, othersBefore.share(), 0.6)
+		requireNoneStarved(t, fair)
+	})
 }
 
 // Guards small organisations, most of which send a request now and then, against large ones on a
 // target that gets 1.3 times what it can serve: 84 organisations with skew 1.2.
 func TestSkewedOrganisationsShareAnOverloadedTarget(t *testing.T) {
-	const count, skew, rate = 84, 1.2, 120.0
-	senders, sum := make([]sender, count), 0.0
-	for i := range senders {
-		sum += math.Pow(float64(i+1), -skew)
-	}
-	for i := range senders {
-		senders[i] = sender{organisation: fmt.Sprint("o", i), priority: 1, rate: rate * math.Pow(float64(i+1), -skew) / sum, serviceTime: 130 * ms, retries: 2, retryAfter: 60 * ms}
-	}
-	all := share(12, 600*ms, senders, true)
-	small := total(all[10:])
-	t.Logf("largest %+v small %+v all %+v", all[0], small, total(all))
-	require.GreaterOrEqual(t, small.share(), 0.97)
-	require.GreaterOrEqual(t, float64(total(all).inTime), 0.9*92*40, "sharing must not cost goodput")
-	requireNoneStarved(t, all)
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		const count, skew, rate = 84, 1.2, 120.0
+		senders, sum := make([]sender, count), 0.0
+		for i := range senders {
+			sum += math.Pow(float64(i+1), -skew)
+		}
+		for i := range senders {
+			senders[i] = sender{organisation: fmt.Sprint("o", i), priority: 1, rate: rate * math.Pow(float64(i+1), -skew) / sum, serviceTime: 130 * ms, retries: 2, retryAfter: 60 * ms}
+		}
+		all := share(seed, 12, 600*ms, senders, true)
+		small := total(all[10:])
+		t.Logf("largest %+v small %+v all %+v", all[0], small, total(all))
+		require.GreaterOrEqual(t, small.share(), 0.99)
+		require.GreaterOrEqual(t, float64(total(all).inTime), 0.9*92*40, "sharing must not cost goodput")
+		requireNoneStarved(t, all)
+	})
 }
 
 // Guards against counting requests instead of their length: of two organisations that overload a
 // target, the one whose work takes four times as long must not get four times the target.
 func TestOrganisationsShareTheTimeOfTheTarget(t *testing.T) {
-	long := sender{organisation: "long", priority: 1, rate: 30, serviceTime: 880 * ms}
-	short := sender{organisation: "short", priority: 1, rate: 120, serviceTime: 220 * ms}
-	all := share(12, 4*time.Second, []sender{long, short}, true)
-	t.Logf("long %+v short %+v", all[0], all[1])
-	// Every fourth start is in order of arrival.
-	require.InEpsilon(t, float64(all[0].busy), float64(all[1].busy), 0.25)
-	requireNoneStarved(t, all)
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		long := sender{organisation: "long", priority: 1, rate: 30, serviceTime: 880 * ms}
+		short := sender{organisation: "short", priority: 1, rate: 120, serviceTime: 220 * ms}
+		all := share(seed, 12, 4*time.Second, []sender{long, short}, true)
+		t.Logf("long %+v short %+v", all[0], all[1])
+		// Every fourth start is in order of arrival.
+		require.InEpsilon(t, float64(all[0].busy), float64(all[1].busy), 0.25)
+		requireNoneStarved(t, all)
+	})
 }
 
 // Guards less urgent requests against starvation: urgent organisations, and nested calls, that alone
 // send more than the target can serve must leave some of it to the others.
 func TestLessUrgentRequestsAreNotStarved(t *testing.T) {
-	all := share(12, time.Second, []sender{
-		{organisation: "urgent", priority: 0, rate: 70, serviceTime: 130 * ms},
-		{organisation: "nested", nested: true, rate: 50, serviceTime: 130 * ms},
-		{organisation: "normal", priority: 2, rate: 15, serviceTime: 130 * ms},
-		{organisation: "idle", priority: 5, rate: 5, serviceTime: 130 * ms},
-		{organisation: "", priority: 9, rate: 10, serviceTime: 130 * ms},
-	}, true)
-	t.Logf("%+v", all)
-	requireNoneStarved(t, all)
-	require.Greater(t, all[0].share(), all[2].share(), "priorities still count")
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		all := share(seed, 12, time.Second, []sender{
+			{organisation: "urgent", priority: 0, rate: 70, serviceTime: 130 * ms},
+			{organisation: "nested", nested: true, rate: 50, serviceTime: 130 * ms},
+			{organisation: "normal", priority: 2, rate: 15, serviceTime: 130 * ms},
+			{organisation: "idle", priority: 5, rate: 5, serviceTime: 130 * ms},
+			{organisation: "", priority: 9, rate: 10, serviceTime: 130 * ms},
+		}, true)
+		t.Logf("%+v", all)
+		requireNoneStarved(t, all)
+		require.Greater(t, all[0].share(), all[2].share(), "priorities still count")
+	})
 }
 
 // Guards against holding requests that cannot be served in time: a hot organisation must be refused
 // on arrival by the wait that it will have, which is longer than that of the others.
 func TestEstimateIsTheWaitOfTheOrganisation(t *testing.T) {
-	senders := withHot(sender{organisation: "hot", priority: 1, rate: 120, serviceTime: 130 * ms})
-	all := share(12, 600*ms, senders, true)
-	hot, others := all[0], total(all[1:])
-	t.Logf("hot %+v others %+v", hot, others)
-	require.InEpsilon(t, float64(hot.waited), float64(hot.expected), 0.35)
-	require.Less(t, hot.expired, (hot.callers-hot.started)/10, "refused on arrival, not after a wait")
-	require.Zero(t, others.expired)
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		senders := withHot(sender{organisation: "hot", priority: 1, rate: 120, serviceTime: 130 * ms})
+		all := share(seed, 12, 600*ms, senders, true)
+		hot, others := all[0], total(all[1:])
+		t.Logf("hot %+v others %+v", hot, others)
+		require.InEpsilon(t, float64(hot.waited), float64(hot.expected), 0.35)
+		require.Less(t, hot.expired, (hot.callers-hot.started)/10, "refused on arrival, not after a wait")
+		require.Zero(t, others.expired)
+	})
 }
 
 // Guards against lost or repeated tickets, against an idle slot while requests wait, and against a
