--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -16,6 +16,8 @@
 type Settings struct {
 	Node mesh.NodeID
 	Zone mesh.AvailabilityZone
+	// Regions holds the region of each zone, as far as it is known.
+	Regions mesh.Regions
 	// Listen addresses: Outbound for the requests of callers and of the target, Inbound for
 	// those of other nodes, Peers for messages of other nodes, Ready for the readiness
 	// check, Control for the heartbeats of the target, Metrics for the counters.
