control, sidecar, platform: evacuation of zones

The operator orders a zone to be evacuated with the record evacuate/ZONE. The feed is decoded into ZoneEvacuated, ZoneReturned and ZoneOrderUnreadable; a complete read without the record ends an order of the same era of the store. Each node keeps the last order of each zone with its position, excludes the zone's targets from its view and passes the orders on in PeerState; ConfigFreshness names the newest one, so that a proof of the configuration is one of the orders too. The node beside a target refuses as not run (zone-evacuated), also after a wait, and the caller's node goes on to another zone. A starting node uses its target once it knows the orders, or after 8 s as with departures. An order that a restored store has lost stays in force until its deletion is read. Requests stay in the regions that their route allows. Deployments without orders send nothing for them.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -113,6 +113,9 @@
 	fresh freshness
 	fetch configFetch
 
+	// zones is what the node knows of the orders for zones.
+	zones zoneOrders
+
 	// unreadableMoves holds the services whose move in the store cannot be read and is not known.
 	unreadableMoves map[string]bool
 
@@ -136,6 +139,7 @@
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
 		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: map[uint64]*crashRecord{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
+		zones:  newZoneOrders(),
 		former: formerProcess{answered: map[mesh.NodeID]bool{}, asked: map[mesh.NodeID]bool{}, awaited: map[mesh.NodeID]bool{}}, stopped: map[mesh.NodeID][]directory.Departure{},
 	}
 }
@@ -184,6 +188,12 @@
 			}
 			c.publishView(t)
 		}
+	case ZoneEvacuated:
+		c.handleZoneRecord(t, ZoneOrder{Zone: e.Zone, Evacuated: true, Position: e.Position})
+	case ZoneReturned:
+		c.handleZoneRecord(t, ZoneOrder{Zone: e.Zone, Position: e.Position})
+	case ZoneOrderUnreadable:
+		c.handleUnreadableZone(e)
 	case MoveOrdered:
 		c.handleOrder(t, e.Order)
 	case MoveRecorded:
@@ -206,6 +216,9 @@
 		if first && e.Feed == MeshFeed {
 			c.meshCaughtUp(t)
 		}
+		if e.Feed == OperatorFeed {
+			c.learnZoneOrders(t, "store")
+		}
 	case StoreEraSeen:
 		c.handleStoreEra(t, e)
 	case StoreAvailability:
@@ -224,6 +237,7 @@
 		c.refreshAnnouncement(t)
 	}
 	c.checkFormer(t)
+	c.awaitZoneOrders(t)
 	return c.effects
 }
 
@@ -305,7 +319,7 @@
 	}
 	c.config = config
 	c.fetch.configApplied(config.Version)
-	c.fresh.configApplied(config.Version)
+	c.adoptPendingClaim()
 	c.log("config_in_force", fields...)
 	c.publishView(t)
 	if c.isReader() && c.large() {
@@ -343,7 +357,7 @@
 // refreshAnnouncement updates the node's own announcement and propagates a change.
 func (c *Control) refreshAnnouncement(t Time) {
 	target := c.local.Target(t.Now, t.UnixMS)
-	if target != nil && (c.closing || !c.former.known) {
+	if target != nil && (c.closing || !c.former.known || !c.zones.known) {
 		target.Serving = false
 	}
 	if sameTarget(target, c.self.Target) && c.self.Leaving == c.stopping && c.self.Stopped == c.closing && !c.departures.changed && c.self.Sequence > 0 {
@@ -476,8 +490,12 @@
 	for _, m := range s.Moves {
 		c.handleRecordedMove(t, m)
 	}
+	ordersChanged := c.adoptPeerOrders(t, s)
 	c.adoptSummaries(t, s.Summaries)
 	c.adoptSuspicions(t, s)
+	if ordersChanged {
+		c.zoneOrdersChanged(t)
+	}
 	if changed || len(s.Suspects) > 0 || len(s.Summaries) > 0 {
 		c.publishView(t)
 	}
@@ -526,7 +544,7 @@
 func (c *Control) State(t Time) PeerState {
 	c.stateNumber++
 	s := PeerState{
-		Number:       c.stateNumber,
+		Number: c.stateNumber, ZoneOrders: c.zones.list(), OrdersUnknown: !c.zones.known,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
 		Asks: c.asks(), Starting: c.startsWithoutStore(t), Crashes: c.crashRecords(t), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
 	}
@@ -568,11 +586,12 @@
 	v := &View{
 		Config: c.config, Target: c.self.Target, Stopping: c.stopping, StoreEra: c.storeEra, CrashingRequests: refused, CrashSuspects: suspects,
 		Reader: c.isReader(), ConfigPollWait: c.pollWait(), VouchesForConfig: c.large() && c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
-		Signals: c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
+		Evacuated: c.zones.inForce(),
+		Signals:   c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
 	for _, a := range append(c.dir.All(), c.self) {
 		v.Announcements[a.Node] = a
-		if a.Target == nil || !a.Target.Serving || c.signals.Of(a.Target.Process()).Leaving {
+		if c.zones.evacuated(a.Zone) || a.Target == nil || !a.Target.Serving || c.signals.Of(a.Target.Process()).Leaving {
 			continue
 		}
 		e := balance.Endpoint{
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -61,6 +61,20 @@
 	}
 	// AnnouncementRead carries an announcement from the store.
 	AnnouncementRead struct{ Announcement directory.Announcement }
+	// ZoneEvacuated and ZoneReturned carry an order of the operator, or its deletion, and the
+	// position of the record. A record that cannot be read changes nothing.
+	ZoneEvacuated struct {
+		Zone     mesh.AvailabilityZone
+		Position logpos.Position
+	}
+	ZoneReturned struct {
+		Zone     mesh.AvailabilityZone
+		Position logpos.Position
+	}
+	ZoneOrderUnreadable struct {
+		Zone     mesh.AvailabilityZone
+		Position logpos.Position
+	}
 	// MoveOrdered carries an order of the operator.
 	MoveOrdered struct{ Order canary.Order }
 	// MoveRecorded carries the state of a move in the store.
@@ -80,6 +94,9 @@
 		AsOf time.Duration
 		// End is the end of the feed as of then.
 		End logpos.Position
+		// ReadTo is the position up to which this node itself has read the records. It differs
+		// from End if another node has read the rest.
+		ReadTo logpos.Position
 		// Complete is set if the read returned the newest record of each key.
 		Complete bool
 	}
@@ -122,31 +139,34 @@
 	Closing  struct{}
 )
 
-func (Tick) event()              {}
-func (HeartbeatReceived) event() {}
-func (TargetLeaving) event()     {}
-func (TargetUnreachable) event() {}
-func (TargetResponded) event()   {}
-func (TargetSignaled) event()    {}
-func (TargetCrashed) event()     {}
-func (RequestCompleted) event()  {}
-func (RequestSeen) event()       {}
-func (ConfigPublished) event()   {}
-func (AnnouncementRead) event()  {}
-func (MoveOrdered) event()       {}
-func (MoveRecorded) event()      {}
-func (RecordLost) event()        {}
-func (StatusRead) event()        {}
-func (FeedRead) event()          {}
-func (ConfigChecked) event()     {}
-func (FeedCaughtUp) event()      {}
-func (StoreEraSeen) event()      {}
-func (StoreAvailability) event() {}
-func (PeerStateReceived) event() {}
-func (LoadMeasured) event()      {}
-func (WriteCompleted) event()    {}
-func (Stopping) event()          {}
-func (Closing) event()           {}
+func (Tick) event()                {}
+func (HeartbeatReceived) event()   {}
+func (TargetLeaving) event()       {}
+func (TargetUnreachable) event()   {}
+func (TargetResponded) event()     {}
+func (TargetSignaled) event()      {}
+func (TargetCrashed) event()       {}
+func (RequestCompleted) event()    {}
+func (RequestSeen) event()         {}
+func (ConfigPublished) event()     {}
+func (AnnouncementRead) event()    {}
+func (ZoneEvacuated) event()       {}
+func (ZoneReturned) event()        {}
+func (ZoneOrderUnreadable) event() {}
+func (MoveOrdered) event()         {}
+func (MoveRecorded) event()        {}
+func (RecordLost) event()          {}
+func (StatusRead) event()          {}
+func (FeedRead) event()            {}
+func (ConfigChecked) event()       {}
+func (FeedCaughtUp) event()        {}
+func (StoreEraSeen) event()        {}
+func (StoreAvailability) event()   {}
+func (PeerStateReceived) event()   {}
+func (LoadMeasured) event()        {}
+func (WriteCompleted) event()      {}
+func (Stopping) event()            {}
+func (Closing) event()             {}
 
 // Feed is a stream of records of the store.
 type Feed int
@@ -233,6 +253,10 @@
 	// Unresponsive holds the nodes from which a reader of a large mesh has received
 	// nothing for aliveTimeout.
 	Unresponsive []mesh.NodeID `json:"silent,omitempty"`
+	// ZoneOrders holds the last order for each zone that had one. OrdersUnknown is set while the
+	// sender has just started and does not know those in force.
+	ZoneOrders    []ZoneOrder `json:"zone_orders,omitempty"`
+	OrdersUnknown bool        `json:"orders_unknown,omitempty"`
 	// Summaries holds what a reader of a large mesh knows of the open moves.
 	Summaries []MoveSummary `json:"summaries,omitempty"`
 	// Others holds announcements that the receiver may not know.
@@ -251,7 +275,7 @@
 
 // freshness returns how recent the configuration of the node is.
 func (s PeerState) freshness() ConfigFreshness {
-	return ConfigFreshness{s.Config, s.ConfigAgeMS, s.ConfigPosition, s.StoreLost}
+	return ConfigFreshness{s.Config, s.ConfigAgeMS, s.ConfigPosition, s.StoreLost, newestOrder(s.ZoneOrders)}
 }
 
 // Effect is an action that the caller of Step carries out.
--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -71,6 +71,8 @@
 	version  published.Version
 	asOf     time.Duration
 	position logpos.Position
+	// orders is the position after the newest order for a zone that the node knows.
+	orders logpos.Position
 }
 
 // adopt records a claim about a version that is not newer than the one in force.
@@ -113,11 +115,13 @@
 	Position logpos.Position `json:"position,omitzero"`
 	// StoreLost is set while the store does not respond to the node.
 	StoreLost bool `json:"store_lost,omitempty"`
+	// Orders is the position after the newest order for a zone, zero if there was none.
+	Orders logpos.Position `json:"orders,omitzero"`
 }
 
 // ConfigFreshness returns how recent the configuration in force is.
 func (c *Control) ConfigFreshness(t Time) ConfigFreshness {
-	return ConfigFreshness{c.configVersion(), c.configAgeMS(t), c.fresh.position, c.storeLost}
+	return ConfigFreshness{c.configVersion(), c.configAgeMS(t), c.fresh.position, c.storeLost, c.zones.newest()}
 }
 
 // adoptClaim processes what another node says of its configuration. delay is the longest time for
@@ -126,9 +130,9 @@
 	if fresh.AgeMS <= 0 || fresh.AgeMS > MaxConfigAgeMS {
 		return
 	}
-	told := claim{fresh.Version, t.Now - delay - time.Duration(fresh.AgeMS)*time.Millisecond, fresh.Position}
+	told := claim{fresh.Version, t.Now - delay - time.Duration(fresh.AgeMS)*time.Millisecond, fresh.Position, fresh.Orders}
 	f := &c.fresh
-	if told.version <= c.configVersion() {
+	if c.hasClaimed(told) {
 		f.adopt(told)
 	} else if told.asOf > f.claim.asOf || f.claim.version == 0 {
 		f.claim = told
@@ -154,6 +158,7 @@
 		f.position = e.End
 	}
 	c.fresh.readAsOf = max(c.fresh.readAsOf, e.AsOf)
+	c.finishZoneRead(t, e)
 	c.publishReads(t)
 }
 
@@ -164,9 +169,16 @@
 	}
 }
 
-// configApplied updates what is known once a version is in force.
-func (f *freshness) configApplied(version published.Version) {
-	if f.claim.version != 0 && f.claim.version <= version {
+// hasClaimed reports whether this node has the configuration and the orders for zones that another
+// node claims to be the newest ones.
+func (c *Control) hasClaimed(told claim) bool {
+	return told.version <= c.configVersion() && !told.orders.After(c.zones.newest())
+}
+
+// adoptPendingClaim updates what is known once a version or an order is in force.
+func (c *Control) adoptPendingClaim() {
+	f := &c.fresh
+	if f.claim.version != 0 && c.hasClaimed(f.claim) {
 		f.adopt(f.claim)
 		f.claim = claim{}
 	}
@@ -237,6 +249,7 @@
 		}
 		c.adoptClaim(t, e.ConfigFreshness, e.RoundTrip)
 		c.fetchMissingConfig(t, e.Version, e.From)
+		c.fetchZoneOrders(t, e.Orders, e.From)
 	}
 	switch {
 	case !e.Failed && c.provesRecent(e.ConfigFreshness, e.RoundTrip):
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -48,6 +48,10 @@
 	failedFetches map[mesh.NodeID]bool
 	// onSend, if set, is called with the number of receivers of each message.
 	onSend func(count int)
+	// zoneOf, if set, returns the zone of a node, which is "a" otherwise. withoutOrders makes a
+	// node start without a read of the operator feed.
+	zoneOf        func(i int) mesh.AvailabilityZone
+	withoutOrders bool
 	// wallOffset is the difference of the time of day from the steady clock.
 	wallOffset time.Duration
 	// encodes makes messages between nodes pass through their encoding.
@@ -95,8 +99,12 @@
 // startFor starts a node beside a target of a service.
 func (m *testMesh) startFor(i int, service, version string) *testNode {
 	id := mesh.NodeID(fmt.Sprintf("node-%d", i))
+	zone := mesh.AvailabilityZone("a")
+	if m.zoneOf != nil {
+		zone = m.zoneOf(i)
+	}
 	n := &testNode{id: id, view: &View{}, Control: New(Options{
-		Self:    directory.Announcement{Node: id, Zone: "a", StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
+		Self:    directory.Announcement{Node: id, Zone: zone, StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
 		Address: address(i).String(), Service: service, Heartbeat: time.Hour, Seed: uint64(i),
 	})}
 	m.nodes = append(m.nodes, n)
@@ -105,6 +113,9 @@
 	}})
 	m.read(n)
 	for f := range FeedCount {
+		if f == OperatorFeed && m.withoutOrders {
+			continue
+		}
 		m.step(n, FeedCaughtUp{f})
 		n.readEras[f] = m.era
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -17,6 +17,8 @@
 	Target *directory.Target
 	// Endpoints holds the targets that may be selected, by service.
 	Endpoints map[string]*ServiceEndpoints
+	// Evacuated holds the zones whose targets get no requests, nil if there are none.
+	Evacuated map[mesh.AvailabilityZone]Evacuation
 	// Announcements holds the announcements of all nodes, with their addresses.
 	Announcements map[mesh.NodeID]directory.Announcement
 	// Signals holds what targets said about themselves in responses that passed through this
@@ -43,6 +45,12 @@
 	Stopping bool
 }
 
+// IsEvacuated reports whether the targets of a zone get no requests.
+func (v *View) IsEvacuated(zone mesh.AvailabilityZone) bool {
+	_, ok := v.Evacuated[zone]
+	return ok
+}
+
 // FollowsOtherFeeds reports whether the node reads other feeds than with another view.
 func (v *View) FollowsOtherFeeds(o *View) bool {
 	return v.Reader != o.Reader || v.ReadsOperatorFeed != o.ReadsOperatorFeed || v.FollowsMoves != o.FollowsMoves || v.StatusDue != o.StatusDue
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -39,6 +39,9 @@
 	notReadyRetryAfter = 300 * time.Millisecond
 	// stoppingRetryAfter is sent by a stopping node. Callers reach another node by then.
 	stoppingRetryAfter = 100 * time.Millisecond
+	// noTargetRetryAfter is sent if there is no target for a request. A configuration, an order
+	// of the operator or the start of a target ends that within seconds.
+	noTargetRetryAfter = 300 * time.Millisecond
 	// memoryRetryAfter is sent by a node that holds too many bytes of other requests.
 	memoryRetryAfter = 200 * time.Millisecond
 )
@@ -66,9 +69,11 @@
 	// expectedBytes is the size of the request body and the expected response.
 	expectedBytes int64
 	tried         []mesh.NodeID
-	attempts      []attemptRecord
-	config        published.Version
-	fingerprint   uint64
+	// evacuated holds the zones whose nodes refused the call because the zone is evacuated.
+	evacuated   []mesh.AvailabilityZone
+	attempts    []attemptRecord
+	config      published.Version
+	fingerprint uint64
 	// crashTrial is set if this run is to show whether the request crashes targets.
 	crashTrial bool
 	// targetsReached counts the attempts that reached a target.
@@ -240,6 +245,10 @@
 			break
 		}
 		choice, ok := n.choose(c)
+		if !ok && len(c.tried) == 0 {
+			last.reason = n.reasonWithoutTarget(c)
+			last.expectedWait = noTargetRetryAfter
+		}
 		if !ok || len(c.tried) > 0 && !choice.Admissible && (last.reason == reasonQueue || last.reason == reasonTargetLimit) {
 			// One refusal confirms this node's estimate for the other nodes. Trying them too
 			// would delay the caller and load the nodes without benefit.
@@ -250,6 +259,9 @@
 			break
 		}
 		last = n.attempt(ctx, c, endpoint, body)
+		if last.reason == reasonZoneEvacuated {
+			c.evacuated = append(c.evacuated, endpoint.Zone)
+		}
 		if last.succeeded() || last.callFailed {
 			// Another target would make the failed call again, as a retry. It is better that
 			// the budget of the called service serves other calls.
@@ -325,7 +337,7 @@
 	}
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
-	return n.balancer.Choose(endpoints, request, now, rand.Float64)
+	return n.balancer.Choose(n.candidates(c, endpoints), request, now, rand.Float64)
 }
 
 const (
@@ -393,7 +405,7 @@
 		n.balancer.MarkUnreachable(e, now)
 	case retry.RefusedByNode:
 		switch res.reason {
-		case "no-target", "other-target", "target-leaves", "target-unreachable", reasonStopping:
+		case "no-target", "other-target", "target-leaves", "target-unreachable", reasonStopping, reasonZoneEvacuated:
 			n.balancer.MarkUnreachable(e, now)
 		}
 	case retry.RefusedByTarget:
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -222,7 +222,7 @@
 	for _, e := range r.events {
 		n.step(e)
 	}
-	n.step(control.FeedRead{Feed: f, AsOf: r.asOf, End: r.end, Complete: r.complete})
+	n.step(control.FeedRead{Feed: f, AsOf: r.asOf, End: r.end, ReadTo: r.next, Complete: r.complete})
 	return true
 }
 
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -164,6 +164,9 @@
 	reasonCrashing = "crashing-request"
 	// reasonStopping is the reason of a refusal by a node that stops.
 	reasonStopping = "node-stops"
+	// reasonZoneEvacuated is the reason of a refusal by a node beside a target in a zone that
+	// the operator has evacuated.
+	reasonZoneEvacuated = "zone-evacuated"
 )
 
 // Outcomes in a hopReply. In the two refusals, the request did not run.
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -10,7 +10,6 @@
 
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/pkg/admission"
-	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
@@ -86,6 +85,9 @@
 // target to the result.
 func (n *Node) runLocal(ctx context.Context, h hopRequest, request *targetRequest) result {
 	res := n.tryLocal(ctx, h, request)
+	if res.outcome == retry.RefusedByNode {
+		n.metrics.inboundRefused.Add(res.reason, 1)
+	}
 	res.loadKnown = true
 	res.load = n.gate.load()
 	res.load.LinkUtilization, res.load.FailureRate = n.link.utilization(), n.targetFailureRate()
@@ -93,7 +95,7 @@
 }
 
 func (n *Node) tryLocal(ctx context.Context, h hopRequest, request *targetRequest) result {
-	if reason := refusalReason(n.view.Load().Target, h); reason != "" {
+	if reason := n.refusalReason(n.view.Load(), h); reason != "" {
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
 	if n.view.Load().CrashingRequests[h.Fingerprint] && !h.CrashTrial {
@@ -118,9 +120,10 @@
 	if refused != nil {
 		return result{outcome: retry.RefusedByNode, reason: refused.reason, expectedWait: refused.expectedWait}
 	}
-	// The target may have announced that it leaves during the wait.
-	target := n.view.Load().Target
-	if reason := refusalReason(target, h); reason != "" {
+	// The target may have announced that it leaves during the wait, or the zone may be evacuated.
+	view := n.view.Load()
+	target := view.Target
+	if reason := n.refusalReason(view, h); reason != "" {
 		release(false)
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
@@ -148,12 +151,15 @@
 }
 
 // refusalReason returns why a request must not be sent to the local target, or "" if it may.
-func refusalReason(t *directory.Target, h hopRequest) string {
+func (n *Node) refusalReason(v *control.View, h hopRequest) string {
+	t := v.Target
 	switch {
 	case t == nil:
 		return "no-target"
 	case t.ID != h.Target || t.Service != h.Service:
 		return "other-target"
+	case v.IsEvacuated(n.settings.Zone):
+		return reasonZoneEvacuated
 	case !t.Serving:
 		return "target-leaves"
 	default:
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -227,9 +227,13 @@
 
 // newMesh starts nodes of the service "shop" that know each other and the configuration.
 func newMesh(t testingT, count int) []*testNode {
+	return newMeshIn(t, count, func(int) mesh.AvailabilityZone { return "a" })
+}
+
+func newMeshIn(t testingT, count int, zoneOf func(i int) mesh.AvailabilityZone) []*testNode {
 	nodes := make([]*testNode, count)
 	for i := range nodes {
-		nodes[i] = newTestNode(t, i)
+		nodes[i] = newTestNodeIn(t, i, zoneOf(i))
 	}
 	config := testConfig()
 	require.NoError(t, config.Prepare())
@@ -263,7 +267,9 @@
 	}
 }
 
-func newTestNode(t testingT, i int) *testNode {
+func newTestNode(t testingT, i int) *testNode { return newTestNodeIn(t, i, "a") }
+
+func newTestNodeIn(t testingT, i int, zone mesh.AvailabilityZone) *testNode {
 	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
 	serving := &atomic.Pointer[Node]{}
 	inbound := listenWith(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }), maxHopHeaderBytes)
@@ -273,13 +279,14 @@
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	n := New(Settings{
-		Node: mesh.NodeID(fmt.Sprintf("node-%d", i)), Zone: "a", Target: addressOf(t, target.Server), Service: "shop",
+		Node: mesh.NodeID(fmt.Sprintf("node-%d", i)), Zone: zone, Target: addressOf(t, target.Server), Service: "shop",
 		Inbound: addressOf(t, inbound), Outbound: addressOf(t, outbound),
 		Peers:             netip.MustParseAddrPort(peers.Addr().String()),
 		HeartbeatInterval: time.Minute, GracePeriod: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 	}, testHeaders, fakeStore{}, slog.New(slog.DiscardHandler))
 	// The node has read the empty store.
 	n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
+	n.Step(control.FeedCaughtUp{Feed: control.OperatorFeed})
 	serving.Store(n)
 	node := &testNode{Node: n, target: target, outbound: outbound, serving: serving}
 	server := rpc.NewServer(peers, node, n.counters)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -236,6 +236,8 @@
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
 	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
+	expvar.Publish("evacuated_zones", expvar.Func(func() any { return len(n.view.Load().Evacuated) }))
+	expvar.Publish("evacuated_since_ms", expvar.Func(func() any { return n.evacuatedSince() }))
 	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
 	expvar.Publish("descriptors_open", expvar.Func(func() any { return n.descriptors.State().Open }))
