admission: limit of requests to a cold target

Above the rate that a cold target takes from all nodes together it crashes sooner or later, and 32 and 33 requests were seen in a second where 30.5 are allowed. The queue beside the target now keeps a token bucket with the rate of the configuration and 50 ms of it as burst, empty when the target becomes cold. Once the target is warm, the limit rises by half every 0.5 s for 2.5 s, and also after 2 s without requests, since a target may be replaced without a sign of it. RateLimit reports the lower one of this limit and that which the target names.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -110,6 +110,8 @@
 	waiting []*Ticket
 	// rate is the limit of requests per second that the target names.
 	rate TargetLimit
+	// cold is the limit while the target is cold or was so until recently.
+	cold ColdLimit
 	// meanServiceTime is the moving average of the time a request holds a slot, in
 	// nanoseconds.
 	meanServiceTime float64
@@ -142,17 +144,48 @@
 // ResetLimit forgets the limit of a former process of the target. It returns the tickets that
 // may now run.
 func (q *Queue) ResetLimit(now time.Duration) []*Ticket {
-	q.rate = TargetLimit{}
+	q.rate, q.cold = TargetLimit{}, ColdLimit{}
 	return q.startWaiting(now)
 }
 
-// RateLimit returns the limit and the number of requests that it allows now beyond those
-// that wait, which is negative if some have to wait. ok is false without a limit.
+// SetCold sets the requests per second that the target takes while it is cold, 0 for no limit, and
+// the time until which it is cold. It returns the tickets that may now run.
+func (q *Queue) SetCold(perSecond float64, until, now time.Duration) []*Ticket {
+	q.cold.Set(perSecond, until, now)
+	return q.startWaiting(now)
+}
+
+// RateLimit returns the lower one of the limit that the target names and that of a cold target, and
+// the number of requests that both allow now beyond those that wait, which is negative if some have
+// to wait. ok is false without a limit.
 func (q *Queue) RateLimit(now time.Duration) (perSecond, available float64, ok bool) {
 	perSecond, ok = q.rate.PerSecond()
-	return perSecond, q.rate.Available(now) - float64(len(q.waiting)), ok
+	available = q.rate.Available(now)
+	if cold, _, limited := q.cold.PerSecond(now); limited {
+		left := q.cold.Available(now)
+		if !ok {
+			perSecond, available = cold, left
+		}
+		perSecond, available, ok = min(perSecond, cold), min(available, left), true
+	}
+	return perSecond, available - float64(len(q.waiting)), ok
 }
 
+// ColdLimit returns the limit of a target that is cold, or was so until recently, and the number of
+// requests that it allows at once. Both are 0 without a limit.
+func (q *Queue) ColdLimit(now time.Duration) (perSecond float64, burst int) {
+	if perSecond, burst, ok := q.cold.PerSecond(now); ok {
+		return perSecond, burst
+	}
+	return 0, 0
+}
+
+// HeldByCold reports whether the limit of a cold target is used up.
+func (q *Queue) HeldByCold(now time.Duration) bool { return !q.cold.Allows(now) }
+
+// allows reports whether the rate limits allow another request now.
+func (q *Queue) allows(now time.Duration) bool { return q.rate.Allows(now) && q.cold.Allows(now) }
+
 // Resume returns the queued tickets that may now run because time has passed.
 func (q *Queue) Resume(now time.Duration) []*Ticket { return q.startWaiting(now) }
 
@@ -180,7 +213,7 @@
 			ahead++
 		}
 	}
-	wait := q.rate.Wait(ahead+1, now)
+	wait := max(q.rate.Wait(ahead+1, now), q.cold.Wait(ahead+1, now))
 	if q.running >= q.slots {
 		wait = max(wait, time.Duration(float64(ahead+1)*q.meanServiceTime/float64(q.slots)))
 	}
@@ -189,7 +222,7 @@
 
 // startsAtOnce reports whether a request that arrives now runs without waiting.
 func (q *Queue) startsAtOnce(now time.Duration) bool {
-	return q.running < q.slots && len(q.waiting) == 0 && q.rate.Allows(now)
+	return q.running < q.slots && len(q.waiting) == 0 && q.allows(now)
 }
 
 // Submit decides whether a request runs, waits or is refused, and returns its expected
@@ -224,6 +257,7 @@
 func (q *Queue) start(t *Ticket, now time.Duration) {
 	q.running++
 	q.rate.Take(now)
+	q.cold.Take(now)
 	t.running, t.startedAt = true, now
 }
 
@@ -272,7 +306,7 @@
 
 func (q *Queue) startWaiting(now time.Duration) []*Ticket {
 	var ready []*Ticket
-	for q.running < q.slots && len(q.waiting) > 0 && q.rate.Allows(now) {
+	for q.running < q.slots && len(q.waiting) > 0 && q.allows(now) {
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		q.start(t, now)
--- a/pkg/admission/ratelimit.go
+++ b/pkg/admission/ratelimit.go
@@ -29,12 +29,20 @@
 // Set sets the limit. A new limit begins without requests to spare: how many were sent
 // before is not known.
 func (l *RateLimit) Set(perSecond float64, now time.Duration) {
-	if l.bucket != nil && l.perSecond == perSecond {
+	l.SetWithBurst(perSecond, max(1, int(effectiveRate(perSecond)*burstTime.Seconds())), now)
+}
+
+func effectiveRate(perSecond float64) float64 {
+	return min(max(perSecond, minRequestsPerSecond), maxRequestsPerSecond)
+}
+
+// SetWithBurst sets the limit and the number of requests that may be sent at once.
+func (l *RateLimit) SetWithBurst(perSecond float64, burst int, now time.Duration) {
+	if l.bucket != nil && l.perSecond == perSecond && l.bucket.Burst() == burst {
 		return
 	}
 	l.perSecond = perSecond
-	effective := min(max(perSecond, minRequestsPerSecond), maxRequestsPerSecond)
-	burst := max(1, int(effective*burstTime.Seconds()))
+	effective := effectiveRate(perSecond)
 	if l.bucket == nil {
 		l.bucket = rate.NewLimiter(rate.Limit(effective), burst)
 		l.bucket.AllowN(bucketTime(now), burst)
@@ -44,6 +52,13 @@
 	l.bucket.SetBurstAt(bucketTime(now), burst)
 }
 
+// Fill lets as many requests be sent now as the limit allows at once.
+func (l *RateLimit) Fill() {
+	if l.bucket != nil {
+		l.bucket = rate.NewLimiter(l.bucket.Limit(), l.bucket.Burst())
+	}
+}
+
 // Clear ends the limit.
 func (l *RateLimit) Clear() { l.bucket, l.perSecond = nil, 0 }
 
