balance: cold targets get what they take

Endpoints name the rate of a cold target. Until a report of it arrives, a node assumes that limit and counts on its share, beginning with a random part of a request, so that the first requests of all nodes together come at that rate. A target whose cold limit is used up counts as one that refuses.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -21,6 +21,9 @@
 	Slots       int
 	// Cold is set while the target is warming up after its start.
 	Cold bool
+	// ColdRate is the number of requests per second that the target takes from all nodes together
+	// because it is cold, or was until recently, 0 without a limit.
+	ColdRate float64
 	// LinkMbps is the bandwidth of the node's link in Mbit/s. 0 means no limit, as for
 	// the local node, which reaches its target without the link.
 	LinkMbps float64
@@ -47,6 +50,8 @@
 	// those that wait, negative if some have to wait.
 	RateLimited              bool
 	RateLimit, RateAvailable float64
+	// RateBurst is the number of requests that the limit allows at once, 0 for those of a second.
+	RateBurst float64
 }
 
 // Parameters of the cost function.
@@ -98,6 +103,9 @@
 	maxSlowdown = 8.0
 )
 
+// never is the time of an event that has not happened.
+const never = time.Duration(-1 << 62)
+
 type endpointState struct {
 	// ownInFlight counts the requests of this node; otherInFlight is the reported load
 	// beyond them.
@@ -113,9 +121,15 @@
 	linkUtilization float64
 	// rateLimited, rateLimit and rateAvailable are the values reported by the endpoint's
 	// node; sentSinceReport counts the requests of this node since then.
-	rateLimited              bool
-	rateLimit, rateAvailable float64
-	sentSinceReport          int
+	rateLimited                         bool
+	rateLimit, rateAvailable, rateBurst float64
+	sentSinceReport                     int
+	// coldSince is the time since which the endpoint is known to be cold, never if it is not, and
+	// assumesCold is set while its limit is assumed for lack of a report since then. The available
+	// requests are then counted from rateSince.
+	coldSince   time.Duration
+	assumesCold bool
+	rateSince   time.Duration
 
 	// rate is the moving average of the failure rate that this node observed, as of rateAt.
 	rate   float64
@@ -188,10 +202,11 @@
 		if now < s.unreachableUntil {
 			continue
 		}
+		s.assumeCold(e, now, random)
 		wait, total := s.estimate(e, r, now)
 		cost := (b.cost(e, s, r, total, now) + s.rateLimitCost(r, now)) * (1 + costJitter*random())
 		if cost < bestCost {
-			admissible := total <= r.Objective && !b.lastResort(e, now)
+			admissible := total <= r.Objective && !b.lastResort(e, now) && !s.coldUsedUp(e, r, now)
 			best, bestCost, found = Choice{e, wait, admissible}, cost, true
 		}
 	}
@@ -211,6 +226,9 @@
 		cost += crossZoneCost + crossZoneByteCost*float64(r.Bytes)
 	}
 	cost += failureCost * s.failureRate(now)
+	if x <= 1 && s.coldUsedUp(e, r, now) {
+		cost += refusalCost
+	}
 	if b.lastResort(e, now) {
 		cost += lastResortCost
 	}
@@ -249,12 +267,42 @@
 // reports this node counts on its share of the limit only. Once the report is too old, one
 // request finds out whether the limit has ended.
 func (s *endpointState) availableRate(r Request, now time.Duration) float64 {
-	age := now - s.reportedAt
-	if age >= loadReportMaxAge && s.sentSinceReport == 0 {
+	age := now - s.rateSince
+	if age >= loadReportMaxAge && s.sentSinceReport == 0 && s.coldSince == never {
 		return 1
 	}
 	share := s.rateLimit / float64(max(r.Senders, 1))
-	return min(s.rateAvailable+share*age.Seconds(), max(s.rateLimit, 1)) - float64(s.sentSinceReport)
+	burst := s.rateBurst
+	if burst == 0 {
+		burst = max(s.rateLimit, 1)
+	}
+	return min(s.rateAvailable+share*age.Seconds(), burst) - float64(s.sentSinceReport)
+}
+
+// assumeCold assumes the limit of a cold target of which there is no report since it became cold.
+// Each node begins with a random part of a request to spare, so that the first requests of all
+// nodes together come at the rate of the limit.
+func (s *endpointState) assumeCold(e Endpoint, now time.Duration, random func() float64) {
+	switch {
+	case e.ColdRate <= 0:
+		if s.assumesCold {
+			s.rateLimited = false
+		}
+		s.coldSince, s.assumesCold = never, false
+	case s.assumesCold:
+		s.rateLimit = e.ColdRate
+	case s.coldSince == never && s.rateLimited && s.rateLimit <= e.ColdRate && now-s.rateSince < loadReportMaxAge:
+		s.coldSince = now
+	case s.coldSince == never:
+		s.coldSince, s.assumesCold = now, true
+		s.rateLimited, s.rateLimit, s.rateBurst = true, e.ColdRate, 1
+		s.rateAvailable, s.rateSince, s.sentSinceReport = random(), now, 0
+	}
+}
+
+// coldUsedUp reports whether the node beside a cold target is expected to refuse the request.
+func (s *endpointState) coldUsedUp(e Endpoint, r Request, now time.Duration) bool {
+	return e.ColdRate > 0 && s.rateLimited && s.availableRate(r, now) < 1
 }
 
 // rateLimitWait returns how long the rate limit of the target delays a request.
@@ -272,7 +320,10 @@
 	if !s.rateLimited {
 		return 0
 	}
-	free := s.availableRate(r, now) / max(s.rateLimit, 1)
+	free := s.availableRate(r, now)
+	if s.rateBurst == 0 {
+		free /= max(s.rateLimit, 1)
+	}
 	return usedRateLimitCost * min(1, max(0, 1-free))
 }
 
@@ -327,7 +378,7 @@
 	k := endpointKey{e.Node, e.Target}
 	s, ok := b.states[k]
 	if !ok {
-		s = &endpointState{slowdown: 1}
+		s = &endpointState{slowdown: 1, coldSince: never}
 		b.states[k] = s
 	}
 	return s
@@ -358,7 +409,8 @@
 	s.meanServiceTime = r.MeanServiceTime
 	s.linkUtilization = r.LinkUtilization
 	s.reportedFailureRate = r.FailureRate
-	s.rateLimited, s.rateLimit, s.rateAvailable, s.sentSinceReport = r.RateLimited, r.RateLimit, r.RateAvailable, 0
+	s.rateLimited, s.rateLimit, s.rateAvailable, s.rateBurst = r.RateLimited, r.RateLimit, r.RateAvailable, r.RateBurst
+	s.rateSince, s.sentSinceReport, s.assumesCold = now, 0, false
 	b.MarkZoneReachable(e.Zone)
 	if r.Slowdown > 0 {
 		s.slowdown = min(r.Slowdown, maxSlowdown)
