directory: presumption that a target is cold

A target is presumed cold when the evacuation of its zone ends or when its process may have been replaced, until a heartbeat or a health response says otherwise. After a possible restart a first heartbeat of the same process may be a late one, so that a second one has to confirm it.

Tested: TestPresumptionEndsWithTheNextReport, TestLateHeartbeatDoesNotEndThePresumptionOfARestart.

--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -48,6 +48,21 @@
 	candidate   Process
 	candidateAt time.Duration
 	candidateNo uint64
+
+	// coldUntil is the end of the cold time according to the target.
+	coldUntil time.Duration
+	presumed  presumedCold
+}
+
+// presumedCold is the presumption that the target is cold although its last report does not say so.
+type presumedCold struct {
+	active bool
+	until  time.Duration
+	// restarted is set if the process may have been replaced. A heartbeat may then be a late one of
+	// the former process: the target has to confirm its state in a second one. confirmedAt is the
+	// time of the first one, 0 if there was none.
+	restarted   bool
+	confirmedAt time.Duration
 }
 
 // Process identifies a process of a target. A target may start again under its id.
@@ -95,11 +110,64 @@
 		l.supersede()
 		l.leaving = false
 	}
+	l.confirmCold(same, now)
+	l.coldUntil = 0
+	if h.ColdRemaining > 0 {
+		l.coldUntil = now + h.ColdRemaining
+	}
 	l.known, l.last, l.lastHeard, l.unreachable = true, h, now, false
 	l.leaving = l.leaving || h.Draining
 	return true
 }
 
+// presumptionStep is the least time by which a further sign extends a presumption.
+const presumptionStep = 2 * time.Second
+
+// PresumeCold records that the target is presumed cold until a heartbeat or a health response says
+// otherwise. restarted is set if its process may have been replaced. The presumption ends at a time
+// in any case: a target without heartbeats is not used.
+func (l *LocalTarget) PresumeCold(restarted bool, until time.Duration) {
+	if p := l.presumed; p.active && p.until > until-presumptionStep {
+		// Repeated signs are one presumption, which other nodes learn once.
+		until = p.until
+	}
+	if l.known {
+		l.presumed = presumedCold{active: true, until: until, restarted: restarted || l.presumed.active && l.presumed.restarted}
+	}
+}
+
+// confirmCold processes a heartbeat of a target that is presumed cold.
+func (l *LocalTarget) confirmCold(same bool, now time.Duration) {
+	p := &l.presumed
+	switch {
+	case !p.active:
+	case !same || !p.restarted || p.confirmedAt > 0 && now-p.confirmedAt >= l.Interval/2:
+		l.presumed = presumedCold{}
+	case p.confirmedAt == 0:
+		p.confirmedAt = now
+	}
+}
+
+// HandleHealth processes a health response of a process of the target, which says how long it is
+// cold. It reports whether that ends a presumption.
+func (l *LocalTarget) HandleHealth(p Process, coldRemaining, now time.Duration) bool {
+	if !l.known || p != (Process{l.last.ID, l.last.StartUnixMS}) || !l.presumed.active || l.presumed.restarted {
+		return false
+	}
+	l.presumed, l.coldUntil = presumedCold{}, now+coldRemaining
+	return true
+}
+
+// ColdUntil returns the time until which the target is cold or presumed so, 0 if it is not.
+func (l *LocalTarget) ColdUntil(now time.Duration) time.Duration {
+	switch {
+	case l.presumed.active && now < l.presumed.until:
+		return max(l.presumed.until, l.coldUntil)
+	default:
+		return l.coldUntil
+	}
+}
+
 // confirmCandidate reports whether a heartbeat with an earlier start, or an earlier sequence number
 // of the same process, shows the present state: the clock may have been set back before the process
 // started, or another writer sent a heartbeat whose number the process does not reach. There must
@@ -215,8 +283,8 @@
 	timedOut := now-l.lastHeard > maxMissedHeartbeats*l.Interval
 	refused := l.unreachable && now-l.unreachableAt < unreachablePeriod
 	t.Serving = !l.leaving && !timedOut && !refused
-	if l.last.ColdRemaining > 0 {
-		t.ColdUntilUnixMS = unixMS - (now - l.lastHeard).Milliseconds() + l.last.ColdRemaining.Milliseconds()
+	if until := l.ColdUntil(now); until > 0 {
+		t.ColdUntilUnixMS = unixMS + (until - now).Milliseconds()
 	}
 	return t
 }
