admission: a light limit after an idle time instead of steps

A target that got no requests for 2 s may have been replaced without a sign of it. It now gets 1.5 times the cold rate and 250 ms of it at once, for 1.5 s, in which its next heartbeat arrives.

--- a/pkg/admission/cold.go
+++ b/pkg/admission/cold.go
@@ -15,9 +15,13 @@
 	rampStep   = 500 * time.Millisecond
 	rampSteps  = 5
 	rampFactor = 1.5
-	// rampIdleTime is the time without requests after which the load rises in these steps as well:
-	// the target may have been replaced without a sign of it.
-	rampIdleTime = 2 * time.Second
+	// After idleTime without requests, the target may have been replaced without a sign of it, and its
+	// first heartbeat tells so. For resumeTime it then gets at most resumeFactor times the rate of a
+	// cold target, and what that allows in resumeBurstTime at once.
+	idleTime        = 2 * time.Second
+	resumeTime      = 1500 * time.Millisecond
+	resumeFactor    = 1.5
+	resumeBurstTime = 250 * time.Millisecond
 )
 
 // ColdRate returns the requests per second that a target may get that is cold until a time and then
@@ -33,55 +37,55 @@
 	}
 }
 
-// ColdBurst returns the number of requests that a target may get at once at a rate.
-func ColdBurst(perSecond float64) int {
-	return max(1, int(math.Ceil(perSecond*coldBurstTime.Seconds())))
+// coldBurst returns the number of requests that a limit allows in a time.
+func coldBurst(perSecond float64, over time.Duration) int {
+	return max(1, int(math.Ceil(perSecond*over.Seconds())))
 }
 
 // ColdLimit limits the requests to a target while it is cold, and lets its load rise afterwards.
 // The zero value does not limit. It is not safe for concurrent use.
 type ColdLimit struct {
 	bucket RateLimit
+	burst  int
 	// perSecond is the rate of a cold target, 0 for no limit, and until the end of the cold time.
 	perSecond float64
 	until     time.Duration
-	// rampFrom is the time of the first request after an idle time.
-	rampFrom time.Duration
-	lastTake time.Duration
-	started  bool
+	// lastTake is the time of the last request, resumedAt that of the first one after an idle time.
+	lastTake, resumedAt time.Duration
+	started             bool
 }
 
 // Set sets the rate of a cold target, 0 for no limit, and the time until which it is cold. A target
 // that becomes cold has no requests to spare.
 func (l *ColdLimit) Set(perSecond float64, until, now time.Duration) {
 	if !l.started {
-		l.started, l.rampFrom, l.lastTake = true, now, now
+		l.started, l.lastTake, l.resumedAt = true, now, now-resumeTime
 	}
 	l.perSecond, l.until = perSecond, until
 	l.apply(now)
 }
 
-// apply sets the bucket to the rate that holds now.
-func (l *ColdLimit) apply(now time.Duration) {
-	if l.perSecond <= 0 {
-		l.bucket.Clear()
-		return
+// current returns the limit that holds now and the number of requests that it allows at once.
+func (l *ColdLimit) current(now time.Duration) (perSecond float64, burst int, ok bool) {
+	if perSecond, ok = ColdRate(l.perSecond, l.until, now); ok && l.until > 0 {
+		return perSecond, coldBurst(perSecond, coldBurstTime), true
 	}
-	idle := now >= l.until && now-l.lastTake >= rampIdleTime
-	if idle {
-		l.rampFrom = now
+	if l.perSecond > 0 && now-l.resumedAt < resumeTime {
+		perSecond = l.perSecond * resumeFactor
+		return perSecond, coldBurst(perSecond, resumeBurstTime), true
 	}
-	rate, ok := ColdRate(l.perSecond, max(l.until, l.rampFrom), now)
+	return 0, 0, false
+}
+
+// apply sets the bucket to the limit that holds now.
+func (l *ColdLimit) apply(now time.Duration) {
+	perSecond, burst, ok := l.current(now)
+	l.burst = burst
 	if !ok {
 		l.bucket.Clear()
 		return
 	}
-	_, limited := l.bucket.PerSecond()
-	l.bucket.SetWithBurst(rate, ColdBurst(rate), now)
-	if idle && !limited {
-		// Nothing was sent for rampIdleTime.
-		l.bucket.Fill()
-	}
+	l.bucket.SetWithBurst(perSecond, burst, now)
 }
 
 // Cold reports whether the target is cold.
@@ -92,7 +96,7 @@
 func (l *ColdLimit) PerSecond(now time.Duration) (perSecond float64, burst int, ok bool) {
 	l.apply(now)
 	perSecond, ok = l.bucket.PerSecond()
-	return perSecond, ColdBurst(perSecond), ok
+	return perSecond, l.burst, ok
 }
 
 // Available returns the number of requests that may be sent now. It is meaningful only with a limit.
@@ -110,6 +114,12 @@
 // Take counts a request that is sent now.
 func (l *ColdLimit) Take(now time.Duration) {
 	l.apply(now)
+	if _, limited := l.bucket.PerSecond(); !limited && l.perSecond > 0 && now-l.lastTake >= idleTime {
+		l.resumedAt = now
+		l.apply(now)
+		// Nothing was sent for idleTime.
+		l.bucket.Fill()
+	}
 	l.bucket.Take(now)
 	l.lastTake = now
 }
