control, sidecar: limit of cold targets, presumption and health probe

The gate beside the target applies the cold rate of its service until the time that heartbeats tell, and the load report carries what the limit leaves. A target is presumed cold when the evacuation of its zone ends (with one probe of its health path), when it refuses a connection, and when it closes connections that were used within a second or loses requests together: its process may have been replaced under its id. Changes of the cold time are announced at once, and callers' nodes presume the targets of a returned zone cold until their nodes announce more. Services without a cold rate send, limit and probe nothing.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -115,6 +115,10 @@
 
 	// zones is what the node knows of the orders for zones.
 	zones zoneOrders
+	// returned holds the targets of other nodes that are presumed cold.
+	returned map[mesh.NodeID]returnedTarget
+	// coldLogged is set while the local target is cold.
+	coldLogged bool
 
 	// unreadableMoves holds the services whose move in the store cannot be read and is not known.
 	unreadableMoves map[string]bool
@@ -160,7 +164,12 @@
 		c.refreshAnnouncement(t)
 	case TargetUnreachable:
 		c.local.MarkUnreachable(t.Now)
+		c.presumeCold(t, true, "unreachable")
 		c.refreshAnnouncement(t)
+	case TargetConnectionsClosed:
+		c.presumeCold(t, true, "connections-closed")
+	case TargetHealth:
+		c.handleHealth(t, e)
 	case TargetResponded:
 		c.countResponse(e)
 	case TargetSignaled:
@@ -238,6 +247,7 @@
 	}
 	c.checkFormer(t)
 	c.awaitZoneOrders(t)
+	c.logCold(t)
 	return c.effects
 }
 
@@ -360,7 +370,8 @@
 	if target != nil && (c.closing || !c.former.known || !c.zones.known) {
 		target.Serving = false
 	}
-	if sameTarget(target, c.self.Target) && c.self.Leaving == c.stopping && c.self.Stopped == c.closing && !c.departures.changed && c.self.Sequence > 0 {
+	if sameTarget(target, c.self.Target) && c.self.Leaving == c.stopping && c.self.Stopped == c.closing && !c.departures.changed && c.self.Sequence > 0 &&
+		!c.coldChanged(t, target) {
 		return
 	}
 	c.self.Target, c.departures.changed = target, false
@@ -589,6 +600,9 @@
 		Evacuated: c.zones.inForce(),
 		Signals:   c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
+	if own := c.self.Target; own != nil {
+		v.TargetColdRate, v.TargetColdUntil = c.service(own.Service).ColdRate, c.local.ColdUntil(t.Now)
+	}
 	for _, a := range append(c.dir.All(), c.self) {
 		v.Announcements[a.Node] = a
 		if c.zones.evacuated(a.Zone) || a.Target == nil || !a.Target.Serving || c.signals.Of(a.Target.Process()).Leaving {
@@ -601,6 +615,9 @@
 		if a.Node != c.self.Node {
 			e.LinkMbps = a.LinkMbps
 		}
+		if e.ColdRate = c.coldRate(t, a); e.ColdRate > 0 {
+			e.Cold = e.Cold || c.coldUntil(t, a) > t.Now
+		}
 		e.Leaving = a.Leaving && a.Node != c.self.Node
 		e.Unresponsive = a.Node != c.self.Node && c.unresponsive(a.Node, t)
 		s, ok := v.Endpoints[e.Service]
--- a/internal/control/evacuations.go
+++ b/internal/control/evacuations.go
@@ -231,6 +231,9 @@
 	}
 	c.log(kind, "zone", string(o.Zone), "era", o.Position.Era, "offset", o.Position.Offset, "source", source,
 		"was_evacuated", before.Evacuated, "nodes", c.nodesIn(o.Zone), "own", o.Zone == c.self.Zone)
+	if before.Evacuated {
+		c.returnTargets(t, o.Zone)
+	}
 	return true
 }
 
--- a/internal/control/evacuations_test.go
+++ b/internal/control/evacuations_test.go
@@ -13,8 +13,12 @@
 )
 
 // zoneMesh starts nodes in zones "a", "b" and "c" in turn. Announcements name their zone.
-func zoneMesh(t testing.TB, count int) *testMesh {
+func zoneMesh(t testing.TB, count int) *testMesh { return zoneMeshWith(t, count, 0) }
+
+// zoneMeshWith does so for targets with an interval of heartbeats.
+func zoneMeshWith(t testing.TB, count int, heartbeat time.Duration) *testMesh {
 	m := newEmptyMesh(t)
+	m.heartbeat = heartbeat
 	m.zoneOf = func(i int) mesh.AvailabilityZone { return mesh.AvailabilityZone([]string{"a", "b", "c"}[i%3]) }
 	for i := range count {
 		m.start(i, "v1")
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -32,6 +32,14 @@
 	TargetLeaving struct{ ID string }
 	// TargetUnreachable reports that the local target refused a connection.
 	TargetUnreachable struct{}
+	// TargetConnectionsClosed reports that the local target closed connections that it had used
+	// just before. Its process may have been replaced.
+	TargetConnectionsClosed struct{}
+	// TargetHealth carries the response of the local target to ProbeHealth.
+	TargetHealth struct {
+		Target        directory.Process
+		ColdRemaining time.Duration
+	}
 	// TargetResponded reports a response of the local target.
 	TargetResponded struct {
 		Route   string
@@ -139,34 +147,36 @@
 	Closing  struct{}
 )
 
-func (Tick) event()                {}
-func (HeartbeatReceived) event()   {}
-func (TargetLeaving) event()       {}
-func (TargetUnreachable) event()   {}
-func (TargetResponded) event()     {}
-func (TargetSignaled) event()      {}
-func (TargetCrashed) event()       {}
-func (RequestCompleted) event()    {}
-func (RequestSeen) event()         {}
-func (ConfigPublished) event()     {}
-func (AnnouncementRead) event()    {}
-func (ZoneEvacuated) event()       {}
-func (ZoneReturned) event()        {}
-func (ZoneOrderUnreadable) event() {}
-func (MoveOrdered) event()         {}
-func (MoveRecorded) event()        {}
-func (RecordLost) event()          {}
-func (StatusRead) event()          {}
-func (FeedRead) event()            {}
-func (ConfigChecked) event()       {}
-func (FeedCaughtUp) event()        {}
-func (StoreEraSeen) event()        {}
-func (StoreAvailability) event()   {}
-func (PeerStateReceived) event()   {}
-func (LoadMeasured) event()        {}
-func (WriteCompleted) event()      {}
-func (Stopping) event()            {}
-func (Closing) event()             {}
+func (Tick) event()                    {}
+func (HeartbeatReceived) event()       {}
+func (TargetLeaving) event()           {}
+func (TargetUnreachable) event()       {}
+func (TargetConnectionsClosed) event() {}
+func (TargetHealth) event()            {}
+func (TargetResponded) event()         {}
+func (TargetSignaled) event()          {}
+func (TargetCrashed) event()           {}
+func (RequestCompleted) event()        {}
+func (RequestSeen) event()             {}
+func (ConfigPublished) event()         {}
+func (AnnouncementRead) event()        {}
+func (ZoneEvacuated) event()           {}
+func (ZoneReturned) event()            {}
+func (ZoneOrderUnreadable) event()     {}
+func (MoveOrdered) event()             {}
+func (MoveRecorded) event()            {}
+func (RecordLost) event()              {}
+func (StatusRead) event()              {}
+func (FeedRead) event()                {}
+func (ConfigChecked) event()           {}
+func (FeedCaughtUp) event()            {}
+func (StoreEraSeen) event()            {}
+func (StoreAvailability) event()       {}
+func (PeerStateReceived) event()       {}
+func (LoadMeasured) event()            {}
+func (WriteCompleted) event()          {}
+func (Stopping) event()                {}
+func (Closing) event()                 {}
 
 // Feed is a stream of records of the store.
 type Feed int
@@ -318,6 +328,11 @@
 	FetchConfig struct{ From directory.Announcement }
 	// CheckConfig asks a reader for the version of its configuration and how recent that is.
 	CheckConfig struct{ To directory.Announcement }
+	// ProbeHealth asks the local target at its health path how long it is cold.
+	ProbeHealth struct {
+		Target directory.Process
+		Path   string
+	}
 	// RereadFeed reads a feed on a new connection, beside a read in progress.
 	RereadFeed struct{ Feed Feed }
 	// LogEvent writes a log line.
@@ -340,5 +355,6 @@
 func (RewriteAnnouncement) effect()  {}
 func (FetchConfig) effect()          {}
 func (CheckConfig) effect()          {}
+func (ProbeHealth) effect()          {}
 func (RereadFeed) effect()           {}
 func (LogEvent) effect()             {}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -52,6 +52,8 @@
 	// node start without a read of the operator feed.
 	zoneOf        func(i int) mesh.AvailabilityZone
 	withoutOrders bool
+	// heartbeat is the interval of the heartbeats, an hour if it is 0.
+	heartbeat time.Duration
 	// wallOffset is the difference of the time of day from the steady clock.
 	wallOffset time.Duration
 	// encodes makes messages between nodes pass through their encoding.
@@ -68,6 +70,8 @@
 	view *View
 	// meshSeen, movesSeen and statusSeen are the numbers of records that the node has read.
 	meshSeen, movesSeen, statusSeen int
+	// sequence counts the heartbeats after the first one.
+	sequence uint64
 	// lastRead is the time of the last read of the operator feed.
 	lastRead time.Duration
 	// readEras holds the era in which the node has read each feed.
@@ -103,9 +107,13 @@
 	if m.zoneOf != nil {
 		zone = m.zoneOf(i)
 	}
+	interval := m.heartbeat
+	if interval == 0 {
+		interval = time.Hour
+	}
 	n := &testNode{id: id, view: &View{}, Control: New(Options{
 		Self:    directory.Announcement{Node: id, Zone: zone, StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
-		Address: address(i).String(), Service: service, Heartbeat: time.Hour, Seed: uint64(i),
+		Address: address(i).String(), Service: service, Heartbeat: interval, Seed: uint64(i),
 	})}
 	m.nodes = append(m.nodes, n)
 	m.step(n, HeartbeatReceived{directory.Heartbeat{
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -15,6 +15,10 @@
 	Config *published.Config
 	// Target is the target beside this node, nil until its first heartbeat.
 	Target *directory.Target
+	// TargetColdRate is the number of requests per second that the target beside this node takes
+	// while it is cold, 0 without a limit, and TargetColdUntil the time until which it is cold.
+	TargetColdRate  float64
+	TargetColdUntil time.Duration
 	// Endpoints holds the targets that may be selected, by service.
 	Endpoints map[string]*ServiceEndpoints
 	// Evacuated holds the zones whose targets get no requests, nil if there are none.
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -249,7 +249,7 @@
 			last.reason = n.reasonWithoutTarget(c)
 			last.expectedWait = noTargetRetryAfter
 		}
-		if !ok || len(c.tried) > 0 && !choice.Admissible && (last.reason == reasonQueue || last.reason == reasonTargetLimit) {
+		if !ok || len(c.tried) > 0 && !choice.Admissible && (last.reason == reasonQueue || last.reason == reasonTargetLimit || last.reason == reasonTargetCold) {
 			// One refusal confirms this node's estimate for the other nodes. Trying them too
 			// would delay the caller and load the nodes without benefit.
 			break
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -51,6 +51,23 @@
 	}
 }
 
+// setCold sets the requests per second that the target takes while it is cold, 0 for no limit, and
+// the time until which it is cold.
+func (g *gate) setCold(perSecond float64, until time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wake(g.queue.SetCold(perSecond, until, g.now()))
+}
+
+// coldLimit returns the requests per second that the target may get because it is cold or was until
+// recently, 0 without a limit.
+func (g *gate) coldLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	perSecond, _ := g.queue.ColdLimit(g.now())
+	return perSecond
+}
+
 // signal applies the limit in a response of the target, or its absence, to a request that
 // was sent at a time.
 func (g *gate) signal(p directory.Process, s directory.Signals, sentAt time.Duration) {
@@ -74,8 +91,10 @@
 const (
 	// reasonQueue is the reason if the request would not be answered in time.
 	reasonQueue = "queue"
-	// reasonTargetLimit is the reason if it would exceed the rate limit of the target.
+	// reasonTargetLimit is the reason if it would exceed the rate limit of the target, and
+	// reasonTargetCold if it would exceed that of a cold target.
 	reasonTargetLimit = "target-limit"
+	reasonTargetCold  = "target-cold"
 )
 
 // refusal is the reason why a request was not admitted.
@@ -95,6 +114,9 @@
 		reason := reasonQueue
 		if _, available, limited := g.queue.RateLimit(arrivedAt); limited && available < 1 {
 			reason = reasonTargetLimit
+			if g.queue.HeldByCold(arrivedAt) {
+				reason = reasonTargetCold
+			}
 		}
 		g.mu.Unlock()
 		return nil, 0, &refusal{reason, expectedWait}
@@ -172,6 +194,10 @@
 	report := balance.LoadReport{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slowdown: g.queue.Slowdown(), MeanServiceTime: g.queue.MeanServiceTime(),
 	}
-	report.RateLimit, report.RateAvailable, report.RateLimited = g.queue.RateLimit(g.now())
+	now := g.now()
+	report.RateLimit, report.RateAvailable, report.RateLimited = g.queue.RateLimit(now)
+	if _, burst := g.queue.ColdLimit(now); burst > 0 {
+		report.RateBurst = float64(burst)
+	}
 	return report
 }
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -113,6 +113,8 @@
 	PerSecond float64 `json:"per_s"`
 	// Available is the number of requests that may be sent now.
 	Available float64 `json:"available"`
+	// Burst is the number of requests that the limit allows at once, 0 for those of a second.
+	Burst float64 `json:"burst,omitempty"`
 }
 
 // result is the result of one attempt.
@@ -162,11 +164,11 @@
 	reasonMemory = "memory"
 	// reasonCrashing is the reason of a refusal of a request that crashes targets.
 	reasonCrashing = "crashing-request"
-	// reasonStopping is the reason of a refusal by a node that stops.
-	reasonStopping = "node-stops"
 	// reasonZoneEvacuated is the reason of a refusal by a node beside a target in a zone that
 	// the operator has evacuated.
 	reasonZoneEvacuated = "zone-evacuated"
+	// reasonStopping is the reason of a refusal by a node that stops.
+	reasonStopping = "node-stops"
 )
 
 // Outcomes in a hopReply. In the two refusals, the request did not run.
@@ -184,7 +186,7 @@
 		Signals: r.signals, Process: r.process,
 	}
 	if r.load.RateLimited {
-		h.Limit = &hopLimit{PerSecond: r.load.RateLimit, Available: r.load.RateAvailable}
+		h.Limit = &hopLimit{PerSecond: r.load.RateLimit, Available: r.load.RateAvailable, Burst: r.load.RateBurst}
 	}
 	switch {
 	case r.outcome == retry.ResponseReceived:
@@ -211,6 +213,7 @@
 	}
 	if in.Limit != nil {
 		r.load.RateLimited, r.load.RateLimit, r.load.RateAvailable = true, in.Limit.PerSecond, in.Limit.Available
+		r.load.RateBurst = in.Limit.Burst
 	}
 	switch in.Outcome {
 	case hopResponded:
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -37,7 +37,7 @@
 // testHeaders uses header names that differ from those of any deployment.
 var testHeaders = Headers{
 	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", CallerService: "X-Caller",
-	Signature: "X-Signature", NotRun: "X-Not-Run", RateLimit: "X-Limit", Leaving: "X-Leaving",
+	Signature: "X-Signature", NotRun: "X-Not-Run", RateLimit: "X-Limit", Leaving: "X-Leaving", ColdRemaining: "X-Cold",
 	ParentID: func(id string) string { before, _, _ := strings.Cut(id, "/"); return before },
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -128,7 +128,7 @@
 	n.peers = newPeerTransport(dialer, n.connMonitor)
 	n.gate = newGate(n.clock.now)
 	n.link = &linkMeter{now: n.clock.now, mbps: s.LinkMbps}
-	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now}
+	n.target = &targetClient{address: s.Target.String(), headers: h, now: n.clock.now, closed: n.handleClosedConnections}
 	n.messages = bounded.NewMemory(int64(messageMemoryShare * float64(s.MemoryBytes)))
 	n.descriptors = descriptors.NewGuard(s.Descriptors, 0)
 	n.rpc = rpc.NewClient(n.counters, s.Inbound.Addr())
@@ -236,6 +236,7 @@
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
 	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
+	expvar.Publish("target_cold_limit_per_s", expvar.Func(func() any { return n.gate.coldLimit() }))
 	expvar.Publish("evacuated_zones", expvar.Func(func() any { return len(n.view.Load().Evacuated) }))
 	expvar.Publish("evacuated_since_ms", expvar.Func(func() any { return n.evacuatedSince() }))
 	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
@@ -276,6 +277,10 @@
 	effects := n.control.Step(n.clock.time(), e)
 	for _, effect := range effects {
 		if v, ok := effect.(control.PublishView); ok {
+			if v.View.Target != nil {
+				// The limits hold before a request is admitted with this view.
+				n.limitTarget(v.View)
+			}
 			before := n.view.Swap(v.View)
 			if before.Config != v.View.Config {
 				n.configSince.Store(int64(n.clock.now()))
@@ -284,9 +289,6 @@
 			restored = restored || before.StoreEra != v.View.StoreEra
 			follows = follows || v.View.FollowsOtherFeeds(before)
 			pollsFaster = pollsFaster || v.View.VouchesForConfig && !before.VouchesForConfig
-			if v.View.Target != nil {
-				n.limitTarget(v.View)
-			}
 		}
 	}
 	n.controlMu.Unlock()
@@ -325,6 +327,7 @@
 	}
 	n.target.awaitsClose.Store(connections > 0 && connections < 2*slots+targetProbeConnections)
 	n.gate.setTarget(v.Target.Process(), slots)
+	n.gate.setCold(v.TargetColdRate, v.TargetColdUntil)
 }
 
 // signal wakes the receiver of a channel of capacity 1.
@@ -361,6 +364,8 @@
 		go n.fetchConfig(e.From)
 	case control.CheckConfig:
 		go n.checkConfig(e.To)
+	case control.ProbeHealth:
+		go n.probeHealth(e)
 	case control.RereadFeed:
 		n.reread(e.Feed)
 	case control.LogEvent:
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -83,6 +83,9 @@
 	RateLimit string
 	// Leaving is set on responses of targets that are shutting down.
 	Leaving string
+	// ColdRemaining is the time in milliseconds for which a target is still cold, in responses of
+	// its health path.
+	ColdRemaining string
 	// ParentID returns the id of the request on whose behalf a target makes a call, or ""
 	// if the id does not contain it.
 	ParentID func(id string) string
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -79,6 +80,9 @@
 	address string
 	headers Headers
 	now     func() time.Duration
+	// closed, if set, is called when the target has closed idle connections that were used within
+	// recentUse.
+	closed func()
 	// awaitsClose is set if the target allows too few connections for one that it has not yet
 	// closed and the one in its place.
 	awaitsClose atomic.Bool
@@ -89,6 +93,8 @@
 	// checkScheduled is set while a call of checkIdle is scheduled.
 	checkScheduled bool
 	opened         int64
+	// lastLost is the time at which the last request lost its connection.
+	lastLost time.Duration
 }
 
 type targetConn struct {
@@ -142,6 +148,9 @@
 		}
 		return nil, retry.TimedOut, errors.CombineErrors(ctx.Err(), err)
 	default:
+		if connectionLost(err) {
+			c.handleLostConnection()
+		}
 		return nil, retry.ResetAfterWrite, err
 	}
 }
@@ -175,6 +184,9 @@
 			conn.reused = true
 			return conn, nil
 		}
+		if c.closedEarly(conn) {
+			c.reportClosed()
+		}
 		c.retire(conn)
 	}
 	dialer := net.Dialer{Timeout: targetDialTimeout}
@@ -228,16 +240,67 @@
 // on which it sent bytes, which would fill the buffers of the connection.
 func (c *targetClient) checkIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.checkScheduled = false
+	closed := c.closeUnusable()
+	c.scheduleCheck()
+	c.mu.Unlock()
+	if closed {
+		c.reportClosed()
+	}
+}
+
+// closeUnusable closes the idle connections that must not be used. It reports whether the target
+// has closed some early. mu must be held.
+func (c *targetClient) closeUnusable() (closedEarly bool) {
 	c.idle = slices.DeleteFunc(c.idle, func(conn *targetConn) bool {
 		if c.usable(conn) {
 			return false
 		}
+		closedEarly = closedEarly || c.closedEarly(conn)
 		_ = conn.Close()
 		return true
 	})
-	c.checkScheduled = false
-	c.scheduleCheck()
+	return closedEarly
+}
+
+const (
+	// recentUse is the time after the last request on a connection within which a target closes it
+	// only if its process ends. Servers keep idle connections for longer.
+	recentUse = time.Second
+	// lostTogether is the time between two requests that lose their connections if the process of
+	// the target ends.
+	lostTogether = 100 * time.Millisecond
+)
+
+// closedEarly reports whether the target has closed an idle connection that was used within
+// recentUse.
+func (c *targetClient) closedEarly(conn *targetConn) bool {
+	return c.now()-conn.lastUsed < recentUse && c.now() < conn.expires && closedByPeer(conn.Conn)
+}
+
+// handleLostConnection handles a request that lost its connection. If others were lost with it,
+// the process of the target has probably ended, and another one may already be in its place.
+func (c *targetClient) handleLostConnection() {
+	c.mu.Lock()
+	now := c.now()
+	together := c.lastLost > 0 && now-c.lastLost < lostTogether
+	c.lastLost = now
+	closed := c.closeUnusable()
+	c.mu.Unlock()
+	if together || closed {
+		c.reportClosed()
+	}
+}
+
+func (c *targetClient) reportClosed() {
+	if c.closed != nil {
+		c.closed()
+	}
+}
+
+// connectionLost reports whether an error means that the other end has closed a connection.
+func connectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // scheduleCheck schedules a check if there are idle connections. mu must be held.
@@ -275,18 +338,32 @@
 // openAndEmpty reports whether an idle connection is open and has no bytes to read. A
 // second response to an earlier request would be taken for the response to the next one.
 func openAndEmpty(conn net.Conn) bool {
+	_, err := peek(conn)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// closedByPeer reports whether the other end has closed an idle connection.
+func closedByPeer(conn net.Conn) bool {
+	n, err := peek(conn)
+	return n <= 0 && !errors.Is(err, syscall.EAGAIN)
+}
+
+// peek returns the number of bytes to read on a connection, up to 1, or the error of reading.
+func peek(conn net.Conn) (n int, err error) {
 	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return 0, errors.Wrap(err, "idle connection")
 	}
-	open := false
+	var received error
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
+		n, _, received = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && open
+	if err != nil {
+		return 0, errors.Wrap(err, "idle connection")
+	}
+	return n, received
 }
 
 func (c *targetClient) roundTrip(conn *targetConn, request *targetRequest) (r *response, keep bool, err error) {
