admission: the limit after an idle time also holds at the start of a node

The first heartbeat that a starting node gets may be a late one of a former process of the target, and what the target got before is not known.

Tested: TestLoadIsLimitedAfterAnIdleTime, cold_test.go of internal/sidecar twice.

--- a/pkg/admission/cold.go
+++ b/pkg/admission/cold.go
@@ -59,7 +59,8 @@
 // that becomes cold has no requests to spare.
 func (l *ColdLimit) Set(perSecond float64, until, now time.Duration) {
 	if !l.started {
-		l.started, l.lastTake, l.resumedAt = true, now, now-resumeTime
+		// The first heartbeat that a starting node gets may be a late one of a former process.
+		l.started, l.lastTake, l.resumedAt = true, now-idleTime, now-resumeTime
 	}
 	l.perSecond, l.until = perSecond, until
 	l.apply(now)
