control: orders in time, odd orders of other nodes

TestOrdersAreInForceInTime has an order and its deletion in force at all nodes with a path to the store within 5 s, in meshes of 6 and 60, also if the store is silent to the readers, if these are cut off and if all messages are lost. Orders at positions that no node can know are dropped, those with a wrong time get that of the receiver, and the line on too many zones is written once.

--- a/internal/control/evacuations.go
+++ b/internal/control/evacuations.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/directory"
@@ -15,6 +14,11 @@
 const (
 	// maxZoneOrders limits the zones whose last order is kept. A deployment has a few dozen.
 	maxZoneOrders = 256
+	// maxOrderLead limits by how many records of the operator feed another node may know more than
+	// this one has read in the same era, and maxOrderOffset the position of a record in any era. A
+	// position beyond them would keep all later orders for the zone from taking effect.
+	maxOrderLead   = 1 << 20
+	maxOrderOffset = 1 << 40
 	// orderFetchInterval is the minimum time between two requests for newer orders. Nodes of a
 	// large mesh learn within checkInterval that a reader has some.
 	orderFetchInterval = 200 * time.Millisecond
@@ -54,8 +58,9 @@
 	// keptIn holds the era of the store in which an order is kept that the store has lost.
 	keptIn    map[mesh.AvailabilityZone]uint64
 	nextFetch time.Duration
-	// allLogged is set while all known zones are evacuated.
-	allLogged bool
+	// allLogged is set while all known zones are evacuated, fullLogged once an order was ignored
+	// because there are too many.
+	allLogged, fullLogged bool
 }
 
 func newZoneOrders() zoneOrders {
@@ -177,7 +182,7 @@
 	for _, o := range s.ZoneOrders {
 		mine, ok := c.zones.byZone[o.Zone]
 		switch {
-		case ok && !o.Position.After(mine.Position), o.Position.Era > c.storeEra+maxEraStep:
+		case ok && !o.Position.After(mine.Position), o.Position.Era > c.storeEra+maxEraStep, c.zones.tooFarAhead(o):
 		case c.zones.endedBefore(o):
 			changed = c.endZoneOrder(t, o.Zone, string(s.Announcement.Node)) || changed
 		default:
@@ -190,6 +195,11 @@
 	return changed
 }
 
+// tooFarAhead reports whether no node can know an order at the position.
+func (z *zoneOrders) tooFarAhead(o ZoneOrder) bool {
+	return o.Position.Offset > maxOrderOffset || o.Position.Era == z.readTo.Era && o.Position.Offset > z.readTo.Offset+maxOrderLead
+}
+
 // learnZoneOrders records that the node knows the orders that were in force when it started.
 func (c *Control) learnZoneOrders(t Time, source string) {
 	if c.zones.known {
@@ -215,11 +225,19 @@
 		return false
 	}
 	if !ok && len(z.byZone) >= maxZoneOrders {
+		if z.fullLogged {
+			return false
+		}
+		z.fullLogged = true
 		c.log("zone_order_ignored", "zone", string(o.Zone), "evacuated", o.Evacuated, "known", len(z.byZone))
 		return false
 	}
-	if ok && before.Evacuated && o.Evacuated {
+	switch {
+	case ok && before.Evacuated && o.Evacuated:
 		o.SinceUnixMS = before.SinceUnixMS
+	case !directory.ValidStart(o.SinceUnixMS, t.UnixMS):
+		// The clock of another node is wrong.
+		o.SinceUnixMS = t.UnixMS
 	}
 	z.byZone[o.Zone] = o
 	if ok && before.Evacuated == o.Evacuated {
@@ -280,6 +298,4 @@
 }
 
 // valid reports whether a node can have sent the order.
-func (o ZoneOrder) valid(unixMS int64) bool {
-	return o.Zone != "" && len(o.Zone) <= mesh.MaxNameBytes && !strings.ContainsRune(string(o.Zone), 0) && directory.ValidStart(o.SinceUnixMS, unixMS)
-}
+func (o ZoneOrder) valid() bool { return o.Zone != "" && len(o.Zone) <= mesh.MaxNameBytes }
--- a/internal/control/evacuations_test.go
+++ b/internal/control/evacuations_test.go
@@ -1,7 +1,10 @@
 package control
 
 import (
+	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -292,3 +295,101 @@
 		}
 	})
 }
+
+// putOrder writes a record of the operator that all nodes read which read the feed.
+func (m *testMesh) putOrder(zone mesh.AvailabilityZone, evacuated bool) {
+	if m.zoneRecords == nil {
+		m.zoneRecords = map[mesh.AvailabilityZone]Event{}
+	}
+	m.zoneRecords[zone] = ZoneReturned{zone, at(m.era, m.operatorEnd)}
+	if evacuated {
+		m.zoneRecords[zone] = ZoneEvacuated{zone, at(m.era, m.operatorEnd)}
+	}
+	m.operatorEnd++
+}
+
+// evacuationTime is the time from the confirmation of an order until all nodes with a path to the
+// store act on it.
+const evacuationTime = 5 * time.Second
+
+// Guards against an order that takes effect late at some nodes with a path to the store: in a small
+// and in a large mesh, if the store fails the readers, if these are cut off, and if messages between
+// nodes are lost.
+func TestOrdersAreInForceInTime(t *testing.T) {
+	for name, disturb := range map[string]func(m *testMesh, readers []mesh.NodeID){
+		"undisturbed": func(*testMesh, []mesh.NodeID) {},
+		"store silent to the readers": func(m *testMesh, readers []mesh.NodeID) {
+			m.silentTo = map[mesh.NodeID]bool{}
+			for _, id := range readers {
+				m.silentTo[id] = true
+			}
+		},
+		"readers cut off": func(m *testMesh, readers []mesh.NodeID) {
+			for _, id := range readers {
+				m.partitioned[id] = true
+			}
+		},
+		"no messages": func(m *testMesh, _ []mesh.NodeID) { m.muted = true },
+	} {
+		for _, count := range []int{6, 60} {
+			m := zoneMesh(t, count)
+			m.config = preparedConfig(t, 1)
+			m.run(aliveTimeout)
+			readers := m.readers()
+			if count == 6 {
+				readers = readers[:2]
+			}
+			disturb(m, readers)
+			for _, evacuated := range []bool{true, false} {
+				m.putOrder("b", evacuated)
+				m.run(evacuationTime)
+				for _, n := range m.nodes {
+					if !m.silentTo[n.id] || count == 60 {
+						require.Equal(t, evacuated, n.view.IsEvacuated("b"), "%s of %d, %s", n.id, count, name)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against a message of an odd node that evacuates a zone for ever or fills the memory and the
+// log, and against an order that is dropped because the clock of another node is wrong.
+func TestOddOrdersOfOtherNodes(t *testing.T) {
+	m := zoneMesh(t, 3)
+	n, from := m.nodes[0], m.nodes[1]
+	m.readOrders(n, at(1, 10), true)
+	receive := func(orders ...ZoneOrder) (kinds []string) {
+		s := from.State(m.time())
+		s.ZoneOrders = orders
+		return m.logged(n, PeerStateReceived{State: s})
+	}
+	receive(
+		ZoneOrder{Zone: "", Evacuated: true, Position: at(1, 11)},
+		ZoneOrder{Zone: mesh.AvailabilityZone(strings.Repeat("z", mesh.MaxNameBytes+1)), Evacuated: true, Position: at(1, 11)},
+		ZoneOrder{Zone: "a", Evacuated: true, Position: at(1, 10+2*maxOrderLead)},
+		ZoneOrder{Zone: "b", Evacuated: true, Position: at(maxEraStep+2, 1)},
+		ZoneOrder{Zone: "c", Evacuated: true, Position: at(2, math.MaxUint64)},
+	)
+	require.Nil(t, n.view.Evacuated)
+	require.Empty(t, n.zones.byZone)
+	receive(ZoneOrder{Zone: "c", Evacuated: true, Position: at(1, 11), SinceUnixMS: math.MaxInt64})
+	require.Equal(t, m.time().UnixMS, n.view.Evacuated["c"].SinceUnixMS)
+	var many []ZoneOrder
+	for i := range 2 * maxZoneOrders {
+		many = append(many, ZoneOrder{Zone: mesh.AvailabilityZone(fmt.Sprint(i)), Evacuated: true, Position: at(1, 12)})
+	}
+	require.Equal(t, 1, count(receive(many...), "zone_order_ignored"))
+	require.Len(t, n.zones.byZone, maxZoneOrders)
+	require.Zero(t, count(receive(many...), "zone_order_ignored"))
+	require.Equal(t, []mesh.AvailabilityZone{"a", "b"}, n.zonesUsed())
+}
+
+func count(kinds []string, kind string) (n int) {
+	for _, k := range kinds {
+		if k == kind {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -52,6 +52,10 @@
 	// node start without a read of the operator feed.
 	zoneOf        func(i int) mesh.AvailabilityZone
 	withoutOrders bool
+	// zoneRecords holds the newest records of the orders for zones and operatorEnd the end of the
+	// operator feed.
+	zoneRecords map[mesh.AvailabilityZone]Event
+	operatorEnd uint64
 	// heartbeat is the interval of the heartbeats, an hour if it is 0.
 	heartbeat time.Duration
 	// wallOffset is the difference of the time of day from the steady clock.
@@ -70,6 +74,8 @@
 	view *View
 	// meshSeen, movesSeen and statusSeen are the numbers of records that the node has read.
 	meshSeen, movesSeen, statusSeen int
+	// operatorSeen is the end of the operator feed that the node has read.
+	operatorSeen uint64
 	// sequence counts the heartbeats after the first one.
 	sequence uint64
 	// lastRead is the time of the last read of the operator feed.
@@ -259,7 +265,7 @@
 // readOperatorFeed reads the configuration if there is a newer one, or if the node's long poll is
 // over.
 func (m *testMesh) readOperatorFeed(n *testNode) {
-	newer := m.config != nil && m.config.Version > n.configVersion()
+	newer := m.config != nil && m.config.Version > n.configVersion() || n.operatorSeen < m.operatorEnd
 	if !n.view.ReadsOperatorFeed || !newer && m.now-n.lastRead < n.view.ConfigPollWait {
 		return
 	}
@@ -268,10 +274,17 @@
 	if !n.view.Reader {
 		m.readsByOthers++
 	}
-	if newer {
+	if newer && m.config != nil {
 		m.step(n, ConfigPublished{Config: m.config})
 	}
-	m.step(n, FeedRead{Feed: OperatorFeed, AsOf: m.now})
+	if n.operatorSeen < m.operatorEnd {
+		n.operatorSeen = m.operatorEnd
+		for _, e := range m.zoneRecords {
+			m.step(n, e)
+		}
+	}
+	end := logpos.Position{Era: m.era, Offset: m.operatorEnd}
+	m.step(n, FeedRead{Feed: OperatorFeed, AsOf: m.now, End: end, ReadTo: end})
 }
 
 // readsAgain reports whether a node reads all records of a feed since the store was restored.
--- a/internal/control/untrusted.go
+++ b/internal/control/untrusted.go
@@ -49,7 +49,7 @@
 	if s.Receiver != nil && directory.ValidateDepartures(s.Receiver.Departed, t.UnixMS) != nil {
 		s.Receiver = nil
 	}
-	s.ZoneOrders = slices.DeleteFunc(s.ZoneOrders, func(o ZoneOrder) bool { return !o.valid(t.UnixMS) })
+	s.ZoneOrders = slices.DeleteFunc(s.ZoneOrders, func(o ZoneOrder) bool { return !o.valid() })
 	s.Moves = slices.DeleteFunc(s.Moves, func(m canary.Move) bool { return m.Validate(t.UnixMS) != nil })
 	s.Summaries = slices.DeleteFunc(s.Summaries, func(m MoveSummary) bool { return !m.valid() })
 	return nil
