--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -48,6 +48,16 @@
 	failedFetches map[mesh.NodeID]bool
 	// onSend, if set, is called with the number of receivers of each message.
 	onSend func(count int)
+	// zoneOf, if set, returns the zone of a node, which is "a" otherwise. withoutOrders makes a
+	// node start without a read of the operator feed.
+	zoneOf        func(i int) mesh.AvailabilityZone
+	withoutOrders bool
+	// zoneRecords holds the newest records of the orders for zones and operatorEnd the end of the
+	// operator feed.
+	zoneRecords map[mesh.AvailabilityZone]Event
+	operatorEnd uint64
+	// heartbeat is the interval of the heartbeats, an hour if it is 0.
+	heartbeat time.Duration
 	// wallOffset is the difference of the time of day from the steady clock.
 	wallOffset time.Duration
 	// encodes makes messages between nodes pass through their encoding.
@@ -64,6 +74,10 @@
 	view *View
 	// meshSeen, movesSeen and statusSeen are the numbers of records that the node has read.
 	meshSeen, movesSeen, statusSeen int
+	// operatorSeen is the end of the operator feed that the node has read.
+	operatorSeen uint64
+	// sequence counts the heartbeats after the first one.
+	sequence uint64
 	// lastRead is the time of the last read of the operator feed.
 	lastRead time.Duration
 	// readEras holds the era in which the node has read each feed.
@@ -95,9 +109,17 @@
 // startFor starts a node beside a target of a service.
 func (m *testMesh) startFor(i int, service, version string) *testNode {
 	id := mesh.NodeID(fmt.Sprintf("node-%d", i))
+	zone := mesh.AvailabilityZone("a")
+	if m.zoneOf != nil {
+		zone = m.zoneOf(i)
+	}
+	interval := m.heartbeat
+	if interval == 0 {
+		interval = time.Hour
+	}
 	n := &testNode{id: id, view: &View{}, Control: New(Options{
-		Self:    directory.Announcement{Node: id, Zone: "a", StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
-		Address: address(i).String(), Service: service, Heartbeat: time.Hour, Seed: uint64(i),
+		Self:    directory.Announcement{Node: id, Zone: zone, StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
+		Address: address(i).String(), Service: service, Heartbeat: interval, Seed: uint64(i),
 	})}
 	m.nodes = append(m.nodes, n)
 	m.step(n, HeartbeatReceived{directory.Heartbeat{
@@ -105,6 +127,9 @@
 	}})
 	m.read(n)
 	for f := range FeedCount {
+		if f == OperatorFeed && m.withoutOrders {
+			continue
+		}
 		m.step(n, FeedCaughtUp{f})
 		n.readEras[f] = m.era
 	}
@@ -240,7 +265,7 @@
 // readOperatorFeed reads the configuration if there is a newer one, or if the node's long poll is
 // over.
 func (m *testMesh) readOperatorFeed(n *testNode) {
-	newer := m.config != nil && m.config.Version > n.configVersion()
+	newer := m.config != nil && m.config.Version > n.configVersion() || n.operatorSeen < m.operatorEnd
 	if !n.view.ReadsOperatorFeed || !newer && m.now-n.lastRead < n.view.ConfigPollWait {
 		return
 	}
@@ -249,10 +274,17 @@
 	if !n.view.Reader {
 		m.readsByOthers++
 	}
-	if newer {
+	if newer && m.config != nil {
 		m.step(n, ConfigPublished{Config: m.config})
 	}
-	m.step(n, FeedRead{Feed: OperatorFeed, AsOf: m.now})
+	if n.operatorSeen < m.operatorEnd {
+		n.operatorSeen = m.operatorEnd
+		for _, e := range m.zoneRecords {
+			m.step(n, e)
+		}
+	}
+	end := logpos.Position{Era: m.era, Offset: m.operatorEnd}
+	m.step(n, FeedRead{Feed: OperatorFeed, AsOf: m.now, End: end, ReadTo: end})
 }
 
 // readsAgain reports whether a node reads all records of a feed since the store was restored.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -15,8 +15,14 @@
 	Config *published.Config
 	// Target is the target beside this node, nil until its first heartbeat.
 	Target *directory.Target
+	// TargetColdRate is the number of requests per second that the target beside this node takes
+	// while it is cold, 0 without a limit, and TargetColdUntil the time until which it is cold.
+	TargetColdRate  float64
+	TargetColdUntil time.Duration
 	// Endpoints holds the targets that may be selected, by service.
 	Endpoints map[string]*ServiceEndpoints
+	// Evacuated holds the zones whose targets get no requests, nil if there are none.
+	Evacuated map[mesh.AvailabilityZone]Evacuation
 	// Announcements holds the announcements of all nodes, with their addresses.
 	Announcements map[mesh.NodeID]directory.Announcement
 	// Signals holds what targets said about themselves in responses that passed through this
@@ -43,6 +49,12 @@
 	Stopping bool
 }
 
+// IsEvacuated reports whether the targets of a zone get no requests.
+func (v *View) IsEvacuated(zone mesh.AvailabilityZone) bool {
+	_, ok := v.Evacuated[zone]
+	return ok
+}
+
 // FollowsOtherFeeds reports whether the node reads other feeds than with another view.
 func (v *View) FollowsOtherFeeds(o *View) bool {
 	return v.Reader != o.Reader || v.ReadsOperatorFeed != o.ReadsOperatorFeed || v.FollowsMoves != o.FollowsMoves || v.StatusDue != o.StatusDue
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -37,7 +37,7 @@
 // testHeaders uses header names that differ from those of any deployment.
 var testHeaders = Headers{
 	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", CallerService: "X-Caller",
-	Signature: "X-Signature", NotRun: "X-Not-Run", RateLimit: "X-Limit", Leaving: "X-Leaving", Load: "X-Load",
+	Signature: "X-Signature", NotRun: "X-Not-Run", RateLimit: "X-Limit", Leaving: "X-Leaving", Load: "X-Load", ColdRemaining: "X-Cold",
 	APIKey: "X-Key", Organisation: "X-Organisation",
 	ParentID: func(id string) string {
 		if before, _, found := strings.Cut(id, "/"); found {
@@ -233,14 +233,23 @@
 
 // newMesh starts nodes of the service "shop" that know each other and the configuration.
 func newMesh(t testingT, count int) []*testNode {
-	return newLoggingMesh(t, count, slog.New(slog.DiscardHandler))
+	return newMeshWith(t, count, slog.New(slog.DiscardHandler), func(int) mesh.AvailabilityZone { return "a" })
 }
 
 // newLoggingMesh is newMesh with the logger of the nodes.
 func newLoggingMesh(t testingT, count int, logger *slog.Logger) []*testNode {
+	return newMeshWith(t, count, logger, func(int) mesh.AvailabilityZone { return "a" })
+}
+
+// newMeshIn is newMesh with the zones of the nodes.
+func newMeshIn(t testingT, count int, zoneOf func(i int) mesh.AvailabilityZone) []*testNode {
+	return newMeshWith(t, count, slog.New(slog.DiscardHandler), zoneOf)
+}
+
+func newMeshWith(t testingT, count int, logger *slog.Logger, zoneOf func(i int) mesh.AvailabilityZone) []*testNode {
 	nodes := make([]*testNode, count)
 	for i := range nodes {
-		nodes[i] = newLoggingTestNode(t, i, logger)
+		nodes[i] = newTestNodeWith(t, i, logger, zoneOf(i))
 	}
 	config := testConfig()
 	require.NoError(t, config.Prepare())
@@ -275,10 +284,10 @@
 }
 
 func newTestNode(t testingT, i int) *testNode {
-	return newLoggingTestNode(t, i, slog.New(slog.DiscardHandler))
+	return newTestNodeWith(t, i, slog.New(slog.DiscardHandler), "a")
 }
 
-func newLoggingTestNode(t testingT, i int, logger *slog.Logger) *testNode {
+func newTestNodeWith(t testingT, i int, logger *slog.Logger, zone mesh.AvailabilityZone) *testNode {
 	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
 	serving := &atomic.Pointer[Node]{}
 	inbound := listenWith(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }), maxHopHeaderBytes)
@@ -288,13 +297,14 @@
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	n := New(Settings{
-		Node: mesh.NodeID(fmt.Sprintf("node-%d", i)), Zone: "a", Target: addressOf(t, target.Server), Service: "shop",
+		Node: mesh.NodeID(fmt.Sprintf("node-%d", i)), Zone: zone, Target: addressOf(t, target.Server), Service: "shop",
 		Inbound: addressOf(t, inbound), Outbound: addressOf(t, outbound),
 		Peers:             netip.MustParseAddrPort(peers.Addr().String()),
 		HeartbeatInterval: time.Minute, GracePeriod: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 	}, testHeaders, fakeStore{}, logger)
 	// The node has read the empty store.
 	n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
+	n.Step(control.FeedCaughtUp{Feed: control.OperatorFeed})
 	serving.Store(n)
 	node := &testNode{Node: n, target: target, outbound: outbound, serving: serving}
 	server := rpc.NewServer(peers, node, n.counters)
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -16,6 +16,8 @@
 type Settings struct {
 	Node mesh.NodeID
 	Zone mesh.AvailabilityZone
+	// Regions holds the region of each zone, as far as it is known.
+	Regions mesh.Regions
 	// Listen addresses: Outbound for the requests of callers and of the target, Inbound for
 	// those of other nodes, Peers for messages of other nodes, Ready for the readiness
 	// check, Control for the heartbeats of the target, Metrics for the counters.
@@ -87,6 +89,9 @@
 	Organisation string
 	// Load holds the load of the target in responses: see signals.Headers.
 	Load string
+	// ColdRemaining is the time in milliseconds for which a target is still cold, in responses of
+	// its health path.
+	ColdRemaining string
 	// ParentID returns the id of the request on whose behalf a target makes a call, or ""
 	// if the id does not contain it.
 	ParentID func(id string) string
--- a/pkg/admission/sharing.go
+++ b/pkg/admission/sharing.go
@@ -283,7 +283,7 @@
 	// One start in maxPassed+1 goes to the request that has waited longest.
 	inOrder := (len(q.waiting) + 1) * (maxPassed + 1)
 	slowed := 1 - min(t.flow.overtakenShare(now), maxOvertaken)
-	wait := min(float64(q.rate.Wait(ahead+1, now))/slowed, float64(q.rate.Wait(inOrder, now)))
+	wait := min(float64(q.limitWait(ahead+1, now))/slowed, float64(q.limitWait(inOrder, now)))
 	if q.running >= q.slots {
 		byShare := (work + q.meanServiceTime) / float64(q.slots) / slowed
 		byArrival := float64(inOrder) * q.meanServiceTime / float64(q.slots)
