control: most gossip of a large mesh stays in its zone

Traffic between zones is billed. Two of the three exchanges that a node starts each second went to nodes of any zone, although the readers connect the zones. While a node hears from a reader, three of four rounds of the others now stay in its zone.

After all readers are lost at once, live nodes count as unresponsive for as long as before (until 9 s later).

Tests: TestMostGossipStaysInTheZone, TestNodesOfOtherZonesStayKnownWithoutTheReaders, BenchmarkIdleGossip; all tests of internal/control.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -105,7 +105,9 @@
 	expired          []expiredNode
 	nextExpiredProbe time.Duration
 	// nextReader selects the reader that gets the next gossip message, round robin.
-	nextReader   int
+	nextReader int
+	// gossipRound counts the rounds of gossip.
+	gossipRound  uint64
 	gossipCursor uint64
 	stateNumber  uint64
 
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -19,6 +19,9 @@
 	// idleFanout is the fan-out in a large mesh otherwise, in addition to one reader. Traffic between zones is billed, and rounds to a tenth of 78 nodes
 	// were a sixth of its bytes.
 	idleFanout = 2
+	// crossZoneRounds is the interval, in rounds, at which a node of a large mesh gossips with
+	// nodes of other zones than its own.
+	crossZoneRounds = 4
 	// gossipInterval is the time between two gossip rounds.
 	gossipInterval = time.Second
 	// moveGossipInterval is the interval while a move is open. A faulty version must
@@ -65,16 +68,21 @@
 	if len(all) == 0 {
 		return
 	}
+	partners := c.partners(t, all)
 	state := c.State(t)
 	state.Others = append(c.takeAnnouncementsToRelay(), all[(c.gossipCursor*7)%uint64(len(all))])
-	count := min(c.fanout(t, len(all)), len(all))
+	count := c.fanout(t, len(all))
+	if len(state.Others) > 1 || count > idleFanout {
+		partners = all
+	}
 	if len(state.Others) > 1 {
 		count = len(all)
 	}
+	count = min(count, len(partners))
 	to := make([]mesh.NodeID, 0, count+1)
 	for range count {
 		c.gossipCursor++
-		to = append(to, all[c.gossipCursor%uint64(len(all))].Node)
+		to = append(to, partners[c.gossipCursor%uint64(len(partners))].Node)
 	}
 	if c.moveShifted() {
 		to = append(to, c.readers...)
@@ -89,6 +97,31 @@
 	c.emit(SendState{To: to, State: state})
 }
 
+// partners returns the nodes among which those to gossip with are chosen. Traffic between zones
+// is billed. In a large mesh the readers, which each node contacts in turn, connect the zones;
+// most rounds of other nodes stay in their zone while they hear from a reader.
+func (c *Control) partners(t Time, all []directory.Announcement) []directory.Announcement {
+	c.gossipRound++
+	if !c.large() || c.isReader() || !c.readerHeard(t) || c.gossipRound%crossZoneRounds == 0 {
+		return all
+	}
+	own := slices.DeleteFunc(slices.Clone(all), func(a directory.Announcement) bool { return a.Zone != c.self.Zone })
+	if len(own) < idleFanout {
+		return all
+	}
+	return own
+}
+
+// readerHeard reports whether a message of a reader arrived in the last rounds.
+func (c *Control) readerHeard(t Time) bool {
+	return slices.ContainsFunc(c.readers, func(id mesh.NodeID) bool { return id != c.self.Node && c.readerHeardFrom(id, t) })
+}
+
+// readerHeardFrom reports whether a message of the reader arrived in the last rounds.
+func (c *Control) readerHeardFrom(id mesh.NodeID, t Time) bool {
+	return c.dir.SinceLastMessage(id, t.Now) < readerCount*gossipInterval+readerTimeout
+}
+
 // moveShifted reports whether all traffic of an open move goes to the new version. A fault
 // that shows only then must be known within a second.
 func (c *Control) moveShifted() bool {
@@ -149,7 +182,7 @@
 	}
 	readerHeard := false
 	for _, r := range c.readers {
-		if r != id && c.dir.SinceLastMessage(r, t.Now) < readerCount*gossipInterval+readerTimeout {
+		if r != id && c.readerHeardFrom(r, t) {
 			readerHeard = true
 			if !slices.Contains(c.peers[r].Unresponsive, id) {
 				return false
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -50,6 +50,10 @@
 	onSend func(count int)
 	// wallOffset is the difference of the time of day from the steady clock.
 	wallOffset time.Duration
+	// zones is the number of zones of the nodes, 0 for one.
+	zones int
+	// onExchange, if set, is called with the messages of each exchange of states.
+	onExchange func(from, to *testNode, request, reply PeerState)
 	// encodes makes messages between nodes pass through their encoding.
 	encodes      bool
 	encodedBytes int
@@ -71,7 +75,7 @@
 }
 
 func address(i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1000)
 }
 
 func newEmptyMesh(t testing.TB) *testMesh {
@@ -95,8 +99,9 @@
 // startFor starts a node beside a target of a service.
 func (m *testMesh) startFor(i int, service, version string) *testNode {
 	id := mesh.NodeID(fmt.Sprintf("node-%d", i))
+	zone := mesh.AvailabilityZone(string(rune('a' + i%max(m.zones, 1))))
 	n := &testNode{id: id, view: &View{}, Control: New(Options{
-		Self:    directory.Announcement{Node: id, Zone: "a", StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
+		Self:    directory.Announcement{Node: id, Zone: zone, StartUnixMS: m.now.Milliseconds(), RPCAddress: address(i), CallAddress: address(i)},
 		Address: address(i).String(), Service: service, Heartbeat: time.Hour, Seed: uint64(i),
 	})}
 	m.nodes = append(m.nodes, n)
@@ -175,7 +180,11 @@
 		for _, id := range e.To {
 			if other := m.node(id); other != nil && !m.muted && !m.partitioned[n.id] && !m.partitioned[id] {
 				m.step(other, PeerStateReceived{State: m.transfer(e.State)})
-				m.step(n, PeerStateReceived{State: m.transfer(other.Reply(m.time(), e.State)), RoundTrip: time.Millisecond})
+				reply := other.Reply(m.time(), e.State)
+				if m.onExchange != nil {
+					m.onExchange(n, other, e.State, reply)
+				}
+				m.step(n, PeerStateReceived{State: m.transfer(reply), RoundTrip: time.Millisecond})
 			}
 		}
 	case ProbeNode:
