sidecar: no needless digits and signals between nodes

Estimates in the metadata of requests and replies between nodes had up to 17 digits, and each reply of a target without signals told so with the id and start of its process. Now the digits end at the precision of the estimates, and the absence of signals is told only to a node that knows a limit. The meaning is the same, so that old and new nodes work together.

--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -62,6 +62,7 @@
 		header.Set(hopURIHeader, h.URI)
 		h.URI = ""
 	}
+	h.TimeLeftMS, h.SoftTimeLeftMS, h.ExpectedServiceTimeMS = rounded(h.TimeLeftMS, 10), rounded(h.SoftTimeLeftMS, 10), rounded(h.ExpectedServiceTimeMS, 10)
 	var text strings.Builder
 	e := json.NewEncoder(&text)
 	// The escapes for HTML would take six bytes for each "&" of a query.
@@ -148,6 +149,10 @@
 	return r.outcome == retry.ResponseReceived && r.response.status < http.StatusInternalServerError
 }
 
+// rounded returns a number in units of 1/parts. Each hop carries several estimates; their further
+// digits would be a third of its bytes.
+func rounded(v, parts float64) float64 { return math.Round(v*parts) / parts }
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -181,15 +186,17 @@
 
 func (r result) hopReply() hopReply {
 	h := hopReply{
-		Reason: r.reason, ExpectedWaitMS: milliseconds(r.expectedWait), Running: r.load.Running, Waiting: r.load.Waiting,
-		Slowdown: r.load.Slowdown, MeanServiceTimeMS: milliseconds(r.load.MeanServiceTime), LinkUtilization: r.load.LinkUtilization, FailureRate: r.load.FailureRate, TargetTimeMS: milliseconds(r.targetTime), CallFailed: r.callFailed,
+		Reason: r.reason, ExpectedWaitMS: rounded(milliseconds(r.expectedWait), 10), Running: r.load.Running, Waiting: r.load.Waiting,
+		Slowdown: rounded(r.load.Slowdown, 100), MeanServiceTimeMS: rounded(milliseconds(r.load.MeanServiceTime), 10),
+		LinkUtilization: rounded(r.load.LinkUtilization, 100), FailureRate: rounded(r.load.FailureRate, 100),
+		TargetTimeMS: rounded(milliseconds(r.targetTime), 10), CallFailed: r.callFailed,
 		Signals: r.signals, Process: r.process,
 	}
 	if r.load.Disturbance > 0 {
 		h.DisturbancePercent, h.DisturbanceAgeMS = int(math.Round(100*r.load.Disturbance)), int(r.load.DisturbanceAge.Milliseconds())
 	}
 	if r.load.RateLimited {
-		h.Limit = &hopLimit{PerSecond: r.load.RateLimit, Available: r.load.RateAvailable}
+		h.Limit = &hopLimit{PerSecond: r.load.RateLimit, Available: rounded(r.load.RateAvailable, 100)}
 	}
 	switch {
 	case r.outcome == retry.ResponseReceived:
@@ -204,6 +211,15 @@
 	return h
 }
 
+// withoutKnown omits signals that do not change what the sender of the request knows: the target
+// names no limit, and the sender has named none that would end.
+func (r result) withoutKnown(h hopRequest) result {
+	if h.KnownLimit == nil && r.process == h.process() && r.signals != nil && *r.signals == (directory.Signals{}) {
+		r.signals, r.process = nil, directory.Process{}
+	}
+	return r
+}
+
 func readHopReply(h http.Header) (result, error) {
 	var in hopReply
 	if err := json.Unmarshal([]byte(h.Get(hopHeader)), &in); err != nil {
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -65,7 +65,7 @@
 	if senderLeft {
 		return
 	}
-	n.writeHopReply(w, r, res)
+	n.writeHopReply(w, r, res.withoutKnown(h))
 }
 
 // writeHopReply reports to the node of the caller how the request ended.
