control: the number of nodes by which usage caps are divided

A node may use 1/N of a cap. N must not be too small after a restart or during a partition, so nodes keep the greatest number of the last ten minutes and tell it to each other with its age. A node knows N once it, or a node that told it, has read the list of the nodes.

The messages and the view hold nothing new while the configuration has no caps. rpc errors keep their cause: a refused connection shows that the process is gone.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -73,6 +73,7 @@
 	// crashNumber is the number of crashes of the local target that this process has seen.
 	crashNumber uint64
 	signals     *directory.SignalTable
+	meshSize    meshSize
 	stopping    bool
 	closing     bool
 	// withdrawn is set once the announcement of a stopping node was deleted.
@@ -476,6 +477,7 @@
 	for _, m := range s.Moves {
 		c.handleRecordedMove(t, m)
 	}
+	c.adoptMeshSize(t, s)
 	c.adoptSummaries(t, s.Summaries)
 	c.adoptSuspicions(t, s)
 	if changed || len(s.Suspects) > 0 || len(s.Summaries) > 0 {
@@ -503,6 +505,7 @@
 	c.writeAnnouncement(t)
 	c.expireDepartures(t)
 	c.expireNodes(t)
+	c.observeMeshSize(t)
 	c.expireCrashes(t)
 	c.chooseReaders(t)
 	c.removeStopped(t)
@@ -537,6 +540,7 @@
 			}
 		}
 	}
+	s.MeshSize, s.MeshSizeAgeMS = c.reportedMeshSize(t)
 	s.Summaries, s.Suspects = c.ownSummaries(), c.suspects()
 	for service, m := range c.moves {
 		if m.recorded {
@@ -594,6 +598,7 @@
 	for service, s := range v.Endpoints {
 		c.setNewShare(service, s, t)
 	}
+	c.addMeshSize(v, t)
 	c.published = v
 	c.emit(PublishView{View: v})
 }
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -235,6 +235,11 @@
 	Unresponsive []mesh.NodeID `json:"silent,omitempty"`
 	// Summaries holds what a reader of a large mesh knows of the open moves.
 	Summaries []MoveSummary `json:"summaries,omitempty"`
+	// MeshSize is the greatest number of nodes that the sender knows of in quota.SizeRetention,
+	// and MeshSizeAgeMS the time since it was observed last. 0 if the sender has not read the list of
+	// the nodes, or its configuration has no usage caps.
+	MeshSize      int   `json:"mesh_size,omitempty"`
+	MeshSizeAgeMS int64 `json:"mesh_size_age_ms,omitempty"`
 	// Others holds announcements that the receiver may not know.
 	Others []directory.Announcement `json:"others,omitempty"`
 	// Starting is set while the sender cannot read the announcements in the store. The response
--- a/internal/control/untrusted.go
+++ b/internal/control/untrusted.go
@@ -9,6 +9,7 @@
 	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
+	"heathercroft.example/heathercroft/pkg/quota"
 )
 
 // Limits of the numbers in a message of another node.
@@ -29,6 +30,9 @@
 	if !inRange(s.Running, maxReportedRequests) || !inRange(s.Waiting, maxReportedRequests) {
 		return errors.Newf("%d running and %d waiting requests", s.Running, s.Waiting)
 	}
+	if !inRange(s.MeshSize, maxMeshSize) || s.MeshSizeAgeMS < 0 || s.MeshSizeAgeMS > quota.SizeRetention.Milliseconds() {
+		return errors.Newf("%d nodes, observed %d ms ago", s.MeshSize, s.MeshSizeAgeMS)
+	}
 	if len(s.Crashes) > maxCrashRecords {
 		return errors.Newf("%d crashing requests", len(s.Crashes))
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -39,6 +39,11 @@
 	FollowsMoves, StatusDue bool
 	// StoreEra is the era of the store. Positions of other eras are lost.
 	StoreEra uint64
+	// MeshSize is the greatest number of nodes known in quota.SizeRetention, 0 while the list of
+	// the nodes is not known. Unresponsive holds the nodes considered dead or partitioned. Both
+	// are set only if the configuration has usage caps.
+	MeshSize     int
+	Unresponsive map[mesh.NodeID]bool
 	// Stopping is set once the node is shutting down.
 	Stopping bool
 }
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -74,7 +74,8 @@
 	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", peer.String())
 	if err != nil {
-		return nil, errors.Wrapf(ErrUnreachable, "dial: %v", err)
+		// The cause stays visible: a refused connection shows that the process is gone.
+		return nil, errors.Mark(errors.Wrap(err, "peer unreachable"), ErrUnreachable)
 	}
 	metered := &meteredConn{Conn: raw, counters: c.counters, idleTimeout: clientIdleTimeout}
 	conn = newConn(context.WithoutCancel(ctx), metered, c.counters, requestDiscarder{})
--- a/pkg/published/organisation.go
+++ b/pkg/published/organisation.go
@@ -36,6 +36,11 @@
 // Capped reports whether the organisation has a usage cap.
 func (o *Organisation) Capped() bool { return o.Rate > 0 }
 
+// HasCaps reports whether an organisation has a usage cap.
+func (c *Config) HasCaps() bool {
+	return slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Capped() })
+}
+
 func (o *Organisation) check() error {
 	switch {
 	case o.Name == "":
