--- a/pkg/quota/request.go
+++ b/pkg/quota/request.go
@@ -130,10 +130,14 @@
 	if now >= p.retryAt {
 		p.rejected = 0
 	}
-	p.retryAt = now + max(fromMilliseconds(min(max(reply.RetryMS, 0), maxRetryMS)), time.Millisecond)
+	p.retryAt = now + max(fromMilliseconds(min(max(reply.RetryMS, 0), maxRetryMS)), minRetryTime)
 	p.perToken = fromMilliseconds(min(max(reply.PerTokenMS, 0), maxRetryMS))
 }
 
+// minRetryTime bounds how often a node asks for tokens of an organisation that is over its cap. The
+// tokens of that time are saved by the allocator meanwhile.
+const minRetryTime = 10 * time.Millisecond
+
 // maxRetryMS bounds what an allocator may tell of its next token.
 const maxRetryMS = 3_600_000
 
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -38,6 +38,8 @@
 	verdicts map[string]map[quota.Verdict]int
 	// leases and takes count the messages.
 	leases, takes int
+	// encoded is called with each message, if it is set.
+	encoded func(method string, message any)
 }
 
 type simNode struct {
@@ -118,6 +120,12 @@
 	s.now = until
 }
 
+func (s *simulation) encode(method string, message any) {
+	if s.encoded != nil {
+		s.encoded(method, message)
+	}
+}
+
 func (s *simulation) delay() time.Duration {
 	return s.minDelay + time.Duration(s.random.Int64N(int64(s.maxDelay-s.minDelay)+1))
 }
@@ -220,6 +228,7 @@
 		}
 		to.act(to.process, func() {
 			reply := handle()
+			n.s.encode("", reply)
 			if s.random.Float64() < s.loss {
 				return
 			}
@@ -244,6 +253,7 @@
 func (n *simNode) sendLease(call quota.LeaseCall) {
 	to := n.peer(call.To)
 	n.s.leases++
+	n.s.encode("quota.lease", call.Request)
 	n.send(to, func() any { return to.quota.HandleLease(to.clock(), call.Request) },
 		func(r any) { n.quota.LeaseAnswered(n.clock(), call, r.(quota.LeaseReply)) },
 		func() { n.quota.ProcessRefused(n.clock(), call.To) }, func() {}, simLeaseTimeout)
@@ -255,6 +265,7 @@
 	}
 	to := n.peer(call.To)
 	n.s.takes++
+	n.s.encode("quota.take", call.Request)
 	failed := func() { n.resolve(n.quota.TakeFailed(n.clock(), call)) }
 	n.send(to, func() any { return to.quota.HandleTake(to.clock(), call.Request) },
 		func(r any) {
