admission: the refusals of a shedding target show how many requests it takes

While a target sheds load (503, not run), its node sent it each further request, up to its slots. Now the node learns the number of requests up to which the target takes them, holds the rest back or refuses it at the door with the wait to expect, and tells callers' nodes the room in its replies (room, only while it is short). The room grows back to all slots within 1.5 s without a refusal and is never under one.

--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -96,9 +96,9 @@
 	expectedWait time.Duration
 }
 
-// acquire waits for a slot. Unless the request is refused, the release function must be
-// called exactly once. A refused request does not run.
-func (g *gate) acquire(ctx context.Context, r admission.Request) (release func(responded bool), waited time.Duration, refused *refusal) {
+// admit waits for a slot. The ticket of a request that is not refused must be passed to release
+// exactly once. A refused request does not run.
+func (g *gate) admit(ctx context.Context, r admission.Request) (ticket *admission.Ticket, waited time.Duration, refused *refusal) {
 	arrivedAt := g.now()
 	g.mu.Lock()
 	ticket, verdict, expectedWait := g.queue.Submit(r, arrivedAt)
@@ -110,14 +110,9 @@
 		g.mu.Unlock()
 		return nil, 0, &refusal{reason, expectedWait}
 	}
-	release = func(responded bool) {
-		g.mu.Lock()
-		g.wake(g.queue.Done(ticket, responded, g.now()))
-		g.mu.Unlock()
-	}
 	if verdict == admission.Admit {
 		g.mu.Unlock()
-		return release, 0, nil
+		return ticket, 0, nil
 	}
 	ready := make(chan bool, 1)
 	g.waiters[ticket] = ready
@@ -128,19 +123,49 @@
 		if !ok {
 			return nil, g.now() - arrivedAt, &refusal{"waited", expectedWait}
 		}
-		return release, g.now() - arrivedAt, nil
+		return ticket, g.now() - arrivedAt, nil
 	case <-ctx.Done():
 		g.mu.Lock()
 		withdrawn := g.queue.Cancel(ticket)
 		delete(g.waiters, ticket)
 		g.mu.Unlock()
 		if !withdrawn && <-ready {
-			release(false)
+			g.release(ticket, noResponse)
 		}
 		return nil, g.now() - arrivedAt, &refusal{"left", expectedWait}
 	}
 }
 
+// ending tells how a request to the target ended.
+type ending int
+
+const (
+	// noResponse: the request was not sent or got no response.
+	noResponse ending = iota
+	// responded: the target responded.
+	responded
+	// shed: the target refused the request.
+	shed
+)
+
+// release releases the slot of a request.
+func (g *gate) release(ticket *admission.Ticket, e ending) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e == shed {
+		g.wake(g.queue.Refused(ticket, g.now()))
+	} else {
+		g.wake(g.queue.Done(ticket, e == responded, g.now()))
+	}
+}
+
+// room returns how many requests may be at the target, fewer than its slots while it sheds load.
+func (g *gate) room() (room, slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Room(g.now()), g.queue.Slots()
+}
+
 // wake admits the tickets. mu must be held.
 func (g *gate) wake(ready []*admission.Ticket) {
 	for _, t := range ready {
@@ -185,6 +210,9 @@
 	}
 	now := g.now()
 	report.RateLimit, report.RateAvailable, report.RateLimited = g.queue.RateLimit(now)
+	if room := g.queue.Room(now); room < g.queue.Slots() {
+		report.Room = room
+	}
 	if factor, age, ok := g.queue.Disturbance().Report(now); ok {
 		report.Disturbance, report.DisturbanceAge = factor, age
 	}
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -112,6 +112,8 @@
 	// usual time, and DisturbanceAgeMS the age of that. They are omitted if it is usual.
 	DisturbancePercent int `json:"disturbed,omitempty"`
 	DisturbanceAgeMS   int `json:"disturbed_age_ms,omitempty"`
+	// Room is how many requests may be at the target while it sheds load, 0 for its slots.
+	Room int `json:"room,omitempty"`
 }
 
 // hopLimit is the state of a rate limit.
@@ -190,7 +192,7 @@
 		Slowdown: rounded(r.load.Slowdown, 100), MeanServiceTimeMS: rounded(milliseconds(r.load.MeanServiceTime), 10),
 		LinkUtilization: rounded(r.load.LinkUtilization, 100), FailureRate: rounded(r.load.FailureRate, 100),
 		TargetTimeMS: rounded(milliseconds(r.targetTime), 10), CallFailed: r.callFailed,
-		Signals: r.signals, Process: r.process,
+		Signals: r.signals, Process: r.process, Room: r.load.Room,
 	}
 	if r.load.Disturbance > 0 {
 		h.DisturbancePercent, h.DisturbanceAgeMS = int(math.Round(100*r.load.Disturbance)), int(r.load.DisturbanceAge.Milliseconds())
@@ -228,7 +230,7 @@
 	r := result{
 		reason: in.Reason, expectedWait: fromMilliseconds(in.ExpectedWaitMS), targetTime: fromMilliseconds(in.TargetTimeMS), loadKnown: true, callFailed: in.CallFailed,
 		signals: in.Signals, process: in.Process,
-		load: balance.LoadReport{Running: in.Running, Waiting: in.Waiting, Slowdown: in.Slowdown, MeanServiceTime: fromMilliseconds(in.MeanServiceTimeMS), LinkUtilization: in.LinkUtilization, FailureRate: in.FailureRate},
+		load: balance.LoadReport{Running: in.Running, Waiting: in.Waiting, Room: in.Room, Slowdown: in.Slowdown, MeanServiceTime: fromMilliseconds(in.MeanServiceTimeMS), LinkUtilization: in.LinkUtilization, FailureRate: in.FailureRate},
 	}
 	if in.DisturbancePercent > 0 {
 		r.load.Disturbance = float64(in.DisturbancePercent) / 100
--- a/internal/sidecar/hopsize_test.go
+++ b/internal/sidecar/hopsize_test.go
@@ -72,3 +72,29 @@
 		require.Equal(t, h.process(), res.withoutKnown(h).process)
 	}
 }
+
+// Guards against a mesh of this build and the one before it, since nodes are replaced one at a
+// time: replies of the former build are read with all that they tell, and the fields that it
+// needs in a request are sent.
+func TestHopsOfTheFormerBuildAreUnderstood(t *testing.T) {
+	former := `{"outcome":"refused","reason":"queue","wait_ms":81.234567,"running":4,"waiting":7,"pace":1.2345678,"mean_ms":129.123456,` +
+		`"link_use":0.25,"failing":0.5,"limit":{"per_s":5,"available":-1.5},"signals":{"limited":true,"limit_per_s":5},"process":{"id":"t","start":7}}`
+	res, err := readHopReply(http.Header{hopHeader: {former}})
+	require.NoError(t, err)
+	require.Equal(t, result{
+		outcome: retry.RefusedByNode, reason: "queue", expectedWait: 81234567, loadKnown: true,
+		signals: &directory.Signals{Limited: true, RateLimit: 5}, process: directory.Process{ID: "t", StartUnixMS: 7},
+		load: balance.LoadReport{
+			Running: 4, Waiting: 7, Slowdown: 1.2345678, MeanServiceTime: 129123456, LinkUtilization: 0.25, FailureRate: 0.5,
+			RateLimited: true, RateLimit: 5, RateAvailable: -1.5,
+		},
+	}, res)
+	h, _ := usualHop()
+	header := http.Header{}
+	h.write(header)
+	var fields map[string]any
+	require.NoError(t, json.Unmarshal([]byte(header.Get(hopHeader)), &fields))
+	for _, name := range []string{"id", "uri", "target", "target_start", "service", "route", "caller", "rank", "fingerprint", "repeatable", "left_ms", "useful_ms", "need_ms"} {
+		require.Contains(t, fields, name)
+	}
+}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -111,7 +111,7 @@
 	}
 	now := n.clock.now()
 	left := fromMilliseconds(h.TimeLeftMS)
-	release, waited, refused := n.gate.acquire(ctx, admission.Request{
+	ticket, waited, refused := n.gate.admit(ctx, admission.Request{
 		Rank: h.rank(), ExpectedServiceTime: fromMilliseconds(h.ExpectedServiceTimeMS), FinishBy: now + fromMilliseconds(h.SoftTimeLeftMS),
 	})
 	n.metrics.queueWait.observe(waited)
@@ -121,7 +121,7 @@
 	// The target may have announced that it leaves during the wait.
 	target := n.view.Load().Target
 	if reason := refusalReason(target, h); reason != "" {
-		release(false)
+		n.gate.release(ticket, noResponse)
 		return result{outcome: retry.RefusedByNode, reason: reason}
 	}
 	left -= waited
@@ -141,7 +141,15 @@
 		// The queue judges the time of the request by the disturbance in its response.
 		n.recordLoad(h.ID, target.Process(), response)
 	}
-	release(outcome == retry.ResponseReceived)
+	switch {
+	case outcome == retry.ResponseReceived:
+		n.gate.release(ticket, responded)
+	case outcome == retry.RefusedByTarget && ownResponse:
+		n.gate.release(ticket, shed)
+	default:
+		n.gate.release(ticket, noResponse)
+	}
+	n.logRoom(h)
 	res := result{outcome: outcome, response: response, targetTime: took}
 	if ownResponse {
 		res.process = target.Process()
@@ -152,6 +160,15 @@
 	return res
 }
 
+// logRoom logs when the target begins to take fewer requests than it has slots, and when it takes
+// as many again.
+func (n *Node) logRoom(h hopRequest) {
+	room, slots := n.gate.room()
+	if short := room < slots; n.shortOfRoom.CompareAndSwap(!short, short) {
+		n.logger.Info("target_room", "request", h.ID, "target", h.Target, "room", room, "slots", slots)
+	}
+}
+
 // refusalReason returns why a request must not be sent to the local target, or "" if it may.
 func refusalReason(t *directory.Target, h hopRequest) string {
 	switch {
--- a/internal/sidecar/load_test.go
+++ b/internal/sidecar/load_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +99,80 @@
 	g.setDisturbance(first, 3)
 	require.Zero(t, g.load().Disturbance)
 }
+
+// Guards against sending requests to a target that sheds load beyond two requests at a time: its
+// node learns that room, holds the rest back or refuses it at the door with the wait to expect,
+// and uses all slots soon after the end of the shedding.
+func TestNodeLearnsTheRoomOfASheddingTarget(t *testing.T) {
+	n := newMesh(t, 1)[0]
+	var mu sync.Mutex
+	var working, most int
+	var shed, number atomic.Int64
+	var shedding atomic.Bool
+	shedding.Store(true)
+	n.target.serve(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		takes := !shedding.Load() || working < 2
+		if takes {
+			working++
+			most = max(most, working)
+		}
+		mu.Unlock()
+		if !takes {
+			shed.Add(1)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		mu.Lock()
+		working--
+		mu.Unlock()
+		w.Header().Set("X-Signature", "s")
+	})
+	load := func(requests int) (answered int64) {
+		var wait sync.WaitGroup
+		var ok atomic.Int64
+		for range 8 {
+			wait.Go(func() {
+				for range requests / 8 {
+					// Equal requests would count as those of callers that come back.
+					i := number.Add(1)
+					status, header, _ := n.call(t, http.MethodGet, fmt.Sprintf("/read/%d", i), fmt.Sprintf("r%d", i))
+					switch status {
+					case http.StatusOK:
+						ok.Add(1)
+					case http.StatusServiceUnavailable:
+						if header.Get("Retry-After") == "" {
+							t.Error("a refusal without a time to come back")
+						}
+						time.Sleep(minRetryAfter)
+					default:
+						t.Errorf("status %d", status)
+					}
+				}
+			})
+		}
+		wait.Wait()
+		return ok.Load()
+	}
+	load(80)
+	before := shed.Load()
+	require.Positive(t, before)
+	room, _ := n.gate.room()
+	require.Less(t, room, 4)
+	require.Equal(t, room, n.gate.load().Room)
+	answered := load(200)
+	// 200 requests of 20 ms, two at a time, take 2 s, in which the room grows by 6 slots.
+	require.LessOrEqual(t, shed.Load()-before, int64(20))
+	require.GreaterOrEqual(t, answered, int64(180))
+
+	shedding.Store(false)
+	require.Eventually(t, func() bool {
+		load(16)
+		mu.Lock()
+		defer mu.Unlock()
+		return most == 4
+	}, 2*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return n.gate.load().Room == 0 }, 2*time.Second, 10*time.Millisecond)
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -49,6 +49,9 @@
 	// sent measures the rate of requests to the local target, by target.
 	sent *rates
 
+	// shortOfRoom is set while the local target takes fewer requests than it has slots.
+	shortOfRoom atomic.Bool
+
 	gate        *gate
 	target      *targetClient
 	peers       *http.Transport
@@ -236,6 +239,7 @@
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
 	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
 	expvar.Publish("target_load", expvar.Func(func() any { return n.targetLoad() }))
+	expvar.Publish("target_room", expvar.Func(func() any { room, _ := n.gate.room(); return room }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
 	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -61,7 +61,10 @@
 	startedAt time.Duration
 	// startDisturbance is the disturbance of the machine at the start.
 	startDisturbance float64
-	running          bool
+	// level is the number of requests at the target at the start, with this one, without those
+	// that it refused since.
+	level   int
+	running bool
 }
 
 // Decision is the result of submitting a request.
@@ -110,6 +113,8 @@
 	slots   int
 	running int
 	waiting []*Ticket
+	// started holds the running tickets in the order of their start.
+	started []*Ticket
 	// rate is the limit of requests per second that the target names.
 	rate TargetLimit
 	// meanServiceTime is the moving average of the time a request holds a slot on the
@@ -120,6 +125,8 @@
 	slowdown float64
 	// disturbance is the last one that the target reported.
 	disturbance Disturbance
+	// room is how many requests the target takes while it sheds load.
+	room room
 }
 
 // NewQueue returns a queue for a target with the given number of slots.
@@ -150,13 +157,16 @@
 // Disturbance returns the last disturbance that the target reported.
 func (q *Queue) Disturbance() Disturbance { return q.disturbance }
 
+// Room returns how many requests may be at the target: its slots, or fewer while it sheds load.
+func (q *Queue) Room(now time.Duration) int { return q.room.capacity(q.slots, now) }
+
 // AdoptLimit applies a limit that another node knows, until SignalLimit is called.
 func (q *Queue) AdoptLimit(perSecond float64, now time.Duration) { q.rate.Adopt(perSecond, now) }
 
-// ResetLimit forgets the limit of a former process of the target. It returns the tickets that
+// ResetLimit forgets the limit and the room of a former process of the target. It returns the tickets that
 // may now run.
 func (q *Queue) ResetLimit(now time.Duration) []*Ticket {
-	q.rate = TargetLimit{}
+	q.rate, q.room = TargetLimit{}, room{}
 	return q.startWaiting(now)
 }
 
@@ -195,15 +205,15 @@
 		}
 	}
 	wait := q.rate.Wait(ahead+1, now)
-	if q.running >= q.slots {
-		wait = max(wait, time.Duration(float64(ahead+1)*q.meanServiceTime*q.disturbance.Factor(now)/float64(q.slots)))
+	if slots := q.Room(now); q.running >= slots {
+		wait = max(wait, time.Duration(float64(ahead+1)*q.meanServiceTime*q.disturbance.Factor(now)/float64(slots)))
 	}
 	return wait
 }
 
 // startsAtOnce reports whether a request that arrives now runs without waiting.
 func (q *Queue) startsAtOnce(now time.Duration) bool {
-	return q.running < q.slots && len(q.waiting) == 0 && q.rate.Allows(now)
+	return q.running < q.Room(now) && len(q.waiting) == 0 && q.rate.Allows(now)
 }
 
 // Submit decides whether a request runs, waits or is refused, and returns its expected
@@ -238,6 +248,8 @@
 func (q *Queue) start(t *Ticket, now time.Duration) {
 	q.running++
 	q.rate.Take(now)
+	t.level = q.running
+	q.started = append(q.started, t)
 	t.running, t.startedAt, t.startDisturbance = true, now, q.disturbance.Factor(now)
 }
 
@@ -250,8 +262,14 @@
 	}
 	t.running = false
 	q.running--
+	if at := slices.Index(q.started, t); at >= 0 {
+		q.started = slices.Delete(q.started, at, at+1)
+	}
 	disturbance := (t.startDisturbance + q.disturbance.Factor(now)) / 2
 	serviceTime := float64(now-t.startedAt) / disturbance
+	if responded {
+		q.room.take(t.level, now)
+	}
 	if responded || serviceTime > q.meanServiceTime {
 		q.meanServiceTime += ewmaWeight * (serviceTime - q.meanServiceTime)
 	}
@@ -261,6 +279,22 @@
 	return q.startWaiting(now)
 }
 
+// Refused releases the slot of a running ticket whose request the target refused because it sheds
+// load, and returns the tickets that may now run. Refusals by a target that names a rate limit
+// follow that limit.
+func (q *Queue) Refused(t *Ticket, now time.Duration) []*Ticket {
+	if !t.running {
+		return nil
+	}
+	if _, limited := q.rate.PerSecond(); !limited {
+		q.room.refuse(t.level, q.slots, now)
+		for _, later := range q.started[slices.Index(q.started, t)+1:] {
+			later.level--
+		}
+	}
+	return q.Done(t, false, now)
+}
+
 // Cancel removes a queued ticket. It reports whether the ticket was still queued, in which
 // case the request certainly does not run.
 func (q *Queue) Cancel(t *Ticket) bool {
@@ -287,7 +321,7 @@
 
 func (q *Queue) startWaiting(now time.Duration) []*Ticket {
 	var ready []*Ticket
-	for q.running < q.slots && len(q.waiting) > 0 && q.rate.Allows(now) {
+	for q.running < q.Room(now) && len(q.waiting) > 0 && q.rate.Allows(now) {
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		q.start(t, now)
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -43,6 +43,8 @@
 	// target DisturbanceAge before the report, 0 if it is usual or not known.
 	Disturbance    float64
 	DisturbanceAge time.Duration
+	// Room is how many requests may be at the target while it sheds load, 0 for its slots.
+	Room int
 	// LinkUtilization is the share of the node's link bandwidth in use, from 0 to 1.
 	LinkUtilization float64
 	// FailureRate is the share of recent requests that the target failed or refused.
@@ -59,6 +61,9 @@
 	// loadReportMaxAge is the age at which a load report is ignored: the requests it
 	// counted have completed by then.
 	loadReportMaxAge = 2 * time.Second
+	// roomMaxAge is the age at which a reported room of a shedding target is ignored. Its node
+	// lets it grow back to all slots in 1.5 s.
+	roomMaxAge = time.Second
 	// failureHalfLife is the half-life of observed failures. It lets a target that has
 	// recovered get requests again within seconds.
 	failureHalfLife = 3 * time.Second
@@ -108,6 +113,7 @@
 	// beyond them.
 	ownInFlight     int
 	otherInFlight   float64
+	room            int
 	reportedAt      time.Duration
 	meanServiceTime time.Duration
 	slowdown        float64
@@ -346,6 +352,9 @@
 	age := float64(now-s.reportedAt) / float64(loadReportMaxAge)
 	load := float64(s.ownInFlight) + s.otherInFlight*max(0, 1-age)
 	slots := float64(max(e.Slots, 1))
+	if s.room > 0 && now-s.reportedAt < roomMaxAge {
+		slots = min(slots, float64(s.room))
+	}
 	if over := load + 1 - slots; over > 0 {
 		wait = time.Duration(over * float64(meanServiceTime) / slots)
 	}
@@ -463,7 +472,7 @@
 func (b *Balancer) UpdateLoad(e Endpoint, r LoadReport, now time.Duration) {
 	s := b.stateOf(e)
 	s.otherInFlight = max(0, float64(r.Running+r.Waiting-s.ownInFlight))
-	s.reportedAt = now
+	s.reportedAt, s.room = now, r.Room
 	s.meanServiceTime = r.MeanServiceTime
 	s.disturbance = admission.NewDisturbance(r.Disturbance, now-r.DisturbanceAge)
 	s.linkUtilization = r.LinkUtilization
--- a/pkg/balance/disturbance_test.go
+++ b/pkg/balance/disturbance_test.go
@@ -26,3 +26,20 @@
 	require.Equal(t, "fast", chosen(0, 2*time.Second))
 	require.Equal(t, "fast", chosen(2*time.Second, 0))
 }
+
+// Load pattern "targets shed load": a target that takes few requests gives way to one with free
+// slots, until its report is old.
+func TestSheddingTargetGetsWhatItTakes(t *testing.T) {
+	b := balance.New("a")
+	shedding, free := endpoint("shedding", "a"), endpoint("free", "a")
+	r := balance.Request{ExpectedServiceTime: 100 * ms, Objective: 300 * ms}
+	b.UpdateLoad(shedding, balance.LoadReport{Running: 2, Room: 2, MeanServiceTime: 100 * ms, Slowdown: 1}, 0)
+	b.UpdateLoad(free, balance.LoadReport{Running: 6, MeanServiceTime: 100 * ms, Slowdown: 1.2}, 0)
+	chosen := func(now time.Duration) string {
+		c, ok := b.Choose([]balance.Endpoint{shedding, free}, r, now, fixed)
+		require.True(t, ok)
+		return string(c.Endpoint.Node)
+	}
+	require.Equal(t, "free", chosen(50*ms))
+	require.Equal(t, "shedding", chosen(time.Second))
+}
