--- a/internal/sidecar/load_test.go
+++ b/internal/sidecar/load_test.go
@@ -53,6 +53,22 @@
 	require.InDelta(t, res.load.DisturbanceAge, read.load.DisturbanceAge, float64(time.Millisecond))
 }
 
+// Guards against a usual time of a route that contains the disturbance of a machine: every other
+// target would be expected to be slow too.
+func TestUsualTimeOfARouteDoesNotContainTheDisturbance(t *testing.T) {
+	const work = 100 * time.Millisecond
+	n := newMesh(t, 1)[0]
+	n.target.serve(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(work)
+		w.Header().Set("X-Load", "1,0,4,250")
+		w.Header().Set("X-Signature", "s")
+	})
+	status, _, _ := n.call(t, http.MethodGet, "/read/x", "r1")
+	require.Equal(t, http.StatusOK, status)
+	require.Less(t, time.Duration(n.serviceTimes.get("read", 0)), work)
+	require.Positive(t, n.serviceTimes.get("read", 0))
+}
+
 // Guards against a malformed load signal that changes the limit of the target or the
 // disturbance that it told before, and against a log line for each such response.
 func TestMalformedLoadSignalChangesNothing(t *testing.T) {
