sidecar: metrics and log fields for disturbed targets, rooms and requests that leave the zone

Counters disturbed_targets and left_zone (by from>to); attempts in call_ended hold room and disturbed while they are not usual.

Tests: pkg/balance -run Disturbed; all tests of pkg/balance and internal/sidecar.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -340,6 +340,9 @@
 func (n *Node) attempt(ctx context.Context, c *call, e balance.Endpoint, body *attemptBody) result {
 	defer body.end()
 	c.tried = append(c.tried, e.Node)
+	if e.Zone != n.settings.Zone {
+		n.metrics.leftZone.Add(string(n.settings.Zone)+">"+string(e.Zone), 1)
+	}
 	n.balanceMu.Lock()
 	n.balancer.Begin(e, c.expectedBytes)
 	n.balanceMu.Unlock()
--- a/internal/sidecar/calllog.go
+++ b/internal/sidecar/calllog.go
@@ -29,6 +29,9 @@
 	Signals *directory.Signals `json:"signals,omitempty"`
 	Running int                `json:"running"`
 	Waiting int                `json:"waiting"`
+	// Room and DisturbancePercent are those of the load report, if they are not usual.
+	Room               int `json:"room,omitempty"`
+	DisturbancePercent int `json:"disturbed,omitempty"`
 }
 
 // recordAttempt adds an attempt to the log line of the call.
@@ -38,6 +41,7 @@
 		StartMS: (began - c.arrived).Milliseconds(), DurationMS: (ended - began).Milliseconds(),
 		TargetDurationMS: res.targetTime.Milliseconds(), ExpectedWaitMS: res.expectedWait.Milliseconds(),
 		Running: res.load.Running, Waiting: res.load.Waiting, Signals: res.signals,
+		Room: res.load.Room, DisturbancePercent: int(100 * res.load.Disturbance),
 	}
 	if res.response != nil {
 		a.Status = res.response.status
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -11,12 +11,15 @@
 	storeErrors, unresponsiveConns, peerErrors                      expvar.Int
 	sentToTarget, malformedSignals                                  expvar.Int
 	refused                                                         expvar.Map
-	queueWait, targetTime                                           histogram
+	// leftZone counts the attempts at targets in other zones, by both zones.
+	leftZone              expvar.Map
+	queueWait, targetTime histogram
 }
 
 func newMetrics() *metrics {
 	m := &metrics{}
 	m.refused.Init()
+	m.leftZone.Init()
 	m.queueWait.counts.Init()
 	m.targetTime.counts.Init()
 	return m
@@ -28,7 +31,7 @@
 		"requests": &m.requests, "answered": &m.responses, "budget_refusals": &m.budgetRefusals,
 		"write_errors": &m.writeErrors, "config_fetches": &m.configFetches, "store_errors": &m.storeErrors, "silent_connections": &m.unresponsiveConns, "peer_errors": &m.peerErrors,
 		"target_requests": &m.sentToTarget, "malformed_signals": &m.malformedSignals,
-		"refused": &m.refused, "queue_wait_ms": &m.queueWait.counts, "target_time_ms": &m.targetTime.counts,
+		"refused": &m.refused, "left_zone": &m.leftZone, "queue_wait_ms": &m.queueWait.counts, "target_time_ms": &m.targetTime.counts,
 	} {
 		expvar.Publish(name, v)
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -239,6 +239,7 @@
 	expvar.Publish("config_age_ms", expvar.Func(func() any { return (n.clock.now() - time.Duration(n.configSince.Load())).Milliseconds() }))
 	expvar.Publish("config_proof_age_ms", expvar.Func(func() any { return n.configFreshness().AgeMS }))
 	expvar.Publish("target_load", expvar.Func(func() any { return n.targetLoad() }))
+	expvar.Publish("disturbed_targets", expvar.Func(func() any { return n.disturbedTargets() }))
 	expvar.Publish("target_room", expvar.Func(func() any { room, _ := n.gate.room(); return room }))
 	expvar.Publish("target_limit_per_s", expvar.Func(func() any { return n.targetLimit() }))
 	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -86,6 +86,14 @@
 	return n.lastSignals.load
 }
 
+// disturbedTargets returns the number of targets whose machines are disturbed, as far as this node
+// knows.
+func (n *Node) disturbedTargets() int {
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	return n.balancer.Disturbed(n.clock.now())
+}
+
 // stepSignals passes the signals in a response of a target on to the state machine if they
 // changed. received is nil if there was no response.
 func (n *Node) stepSignals(target directory.Process, received *directory.Signals) {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -485,6 +485,16 @@
 	s.unreachableCount = 0
 }
 
+// Disturbed returns the number of targets whose machines are disturbed by the last reports.
+func (b *Balancer) Disturbed(now time.Duration) (count int) {
+	for _, s := range b.states {
+		if _, _, ok := s.disturbance.Report(now); ok {
+			count++
+		}
+	}
+	return count
+}
+
 // failureEWMAWeight is the weight of one response in the moving average of the failure
 // rate.
 const failureEWMAWeight = 0.15
--- a/pkg/balance/disturbance_test.go
+++ b/pkg/balance/disturbance_test.go
@@ -23,6 +23,8 @@
 		return string(c.Endpoint.Node)
 	}
 	require.Equal(t, "slow", chosen(0, 50*ms))
+	require.Equal(t, 1, b.Disturbed(50*ms))
+	require.Zero(t, b.Disturbed(3*time.Second))
 	require.Equal(t, "fast", chosen(0, 2*time.Second))
 	require.Equal(t, "fast", chosen(2*time.Second, 0))
 }
