--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -375,6 +375,9 @@
 		return rejected
 	}
 	c.tried = append(c.tried, e.Node)
+	if e.Zone != n.settings.Zone {
+		n.metrics.leftZone.Add(string(n.settings.Zone)+">"+string(e.Zone), 1)
+	}
 	n.balanceMu.Lock()
 	now := n.clock.now()
 	n.balancer.Begin(e, c.expectedBytes)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -15,12 +15,15 @@
 	refused, inboundRefused expvar.Map
 	queueWait, targetTime   histogram
 	organisations           organisationMetrics
+	// leftZone counts the attempts at targets in other zones, by both zones.
+	leftZone expvar.Map
 }
 
 func newMetrics() *metrics {
 	m := &metrics{}
 	m.refused.Init()
 	m.inboundRefused.Init()
+	m.leftZone.Init()
 	m.queueWait.counts.Init()
 	m.targetTime.counts.Init()
 	return m
@@ -32,7 +35,7 @@
 		"requests": &m.requests, "answered": &m.responses, "budget_refusals": &m.budgetRefusals,
 		"write_errors": &m.writeErrors, "config_fetches": &m.configFetches, "store_errors": &m.storeErrors, "silent_connections": &m.unresponsiveConns, "peer_errors": &m.peerErrors,
 		"target_requests": &m.sentToTarget, "malformed_signals": &m.malformedSignals,
-		"refused": &m.refused, "inbound_refused": &m.inboundRefused, "queue_wait_ms": &m.queueWait.counts, "target_time_ms": &m.targetTime.counts,
+		"refused": &m.refused, "left_zone": &m.leftZone, "inbound_refused": &m.inboundRefused, "queue_wait_ms": &m.queueWait.counts, "target_time_ms": &m.targetTime.counts,
 	} {
 		expvar.Publish(name, v)
 	}
--- a/pkg/admission/sharing.go
+++ b/pkg/admission/sharing.go
@@ -284,9 +284,9 @@
 	inOrder := (len(q.waiting) + 1) * (maxPassed + 1)
 	slowed := 1 - min(t.flow.overtakenShare(now), maxOvertaken)
 	wait := min(float64(q.limitWait(ahead+1, now))/slowed, float64(q.limitWait(inOrder, now)))
-	if q.running >= q.slots {
-		byShare := (work + q.meanServiceTime) / float64(q.slots) / slowed
-		byArrival := float64(inOrder) * q.meanServiceTime / float64(q.slots)
+	if slots := q.Room(now); q.running >= slots {
+		byShare := (work + q.meanServiceTime) / float64(slots) / slowed
+		byArrival := float64(inOrder) * q.meanServiceTime / float64(slots)
 		wait = max(wait, min(byShare, byArrival)*q.disturbance.Factor(now))
 	}
 	return time.Duration(wait)
