quota: no flood of lease requests after a restart of all nodes or a cut

A node that has just started took all others for dead and asked each of them for all shares every 250 ms: some 15,000 requests more around a restart of 83 nodes, in the simulation. It now takes them for alive until it has run for a lease time; a node without a share says when it has one; and a lender that has not answered is asked every second only.

A bucket whose leases ended while nothing was asked of the allocator is tested.

--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -34,6 +34,8 @@
 	released   SlotSet
 	releasedAt [SlotCount]uint64
 	sequence   uint64
+	// unanswered is set while the last request has no reply.
+	unanswered bool
 	// spread is set once the renewals of this lender are at another time than those of others.
 	spread bool
 }
@@ -149,6 +151,10 @@
 	if !ok {
 		return
 	}
+	if reply.WaitMS > 0 {
+		b.next = now + min(max(fromMilliseconds(min(reply.WaitMS, maxRetryMS)), collectInterval), RenewInterval)
+	}
+	b.unanswered = false
 	until := call.SentAt + LeaseTime
 	for _, slot := range call.Request.Slots.Slots() {
 		s := a.slots[slot]
@@ -193,6 +199,10 @@
 	r := LeaseRequest{Node: self.Node, StartUnixMS: self.StartUnixMS, Sequence: b.sequence, Slots: a.owned(), Released: b.released &^ a.owned()}
 	b.released = 0
 	b.next = now + a.interval(node, now)
+	if b.unanswered {
+		b.next = now + RenewInterval
+	}
+	b.unanswered = true
 	return r
 }
 
--- a/pkg/quota/lease_test.go
+++ b/pkg/quota/lease_test.go
@@ -290,3 +290,25 @@
 	require.Equal(t, 41, count)
 	require.Equal(t, since, at)
 }
+
+// Guards against a bucket that fills from a lease after its end, because nothing was asked of the
+// allocator at that time.
+func TestBucketFillsOnlyFromLeasesInForce(t *testing.T) {
+	a := newNode(1, 3)
+	a.SetCaps(0, map[string]quota.Cap{"org": {Rate: 90, Burst: 10_000}})
+	onlyAllocator(a, 0)
+	take := quota.TakeRequest{Organisation: "org", Wanted: 10_000}
+	answer := func(now time.Duration, calls []quota.LeaseCall) {
+		for _, call := range calls {
+			a.LeaseAnswered(now, call, quota.LeaseReply{Share: 1.0 / 3, Lent: call.Request.Slots})
+		}
+	}
+	answer(4*second, a.Tick(4*second))
+	a.HandleTake(6500*time.Millisecond, take)
+	// One of three leases is renewed.
+	calls := a.Tick(6500 * time.Millisecond)
+	answer(6500*time.Millisecond, calls[:1])
+	// 0.5 s with three shares and 1 s with two: the node renewed its own as well.
+	granted := a.HandleTake(8*second, take).Granted
+	require.InDelta(t, 45+60, granted, 2)
+}
--- a/pkg/quota/message.go
+++ b/pkg/quota/message.go
@@ -78,6 +78,8 @@
 	Lent  SlotSet `json:"lent,omitempty"`
 	// Refused holds the slots of which the lender would choose another allocator.
 	Refused SlotSet `json:"refused,omitempty"`
+	// WaitMS is the time until a node that has just started has a share.
+	WaitMS float64 `json:"wait_ms,omitempty"`
 }
 
 // LeaseCall is a LeaseRequest to be sent.
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -54,8 +54,6 @@
 	Slots []Slot
 	// Node is the other node: the allocator as of now, the one that is silent, or the borrower.
 	Node mesh.NodeID
-	// Share is the share of the caps that the allocator has leased.
-	Share float64
 }
 
 // EventKind is the kind of an Event.
@@ -167,9 +165,14 @@
 	return 1 / float64(max(n.count, len(n.members)))
 }
 
-// eligible reports whether a node may be chosen as an allocator.
+// eligible reports whether a node may be chosen as an allocator. A node that has just started has
+// heard of no other one. If it took them for dead, all nodes that start together would ask each
+// other for all shares.
 func (m *member) eligible(now time.Duration) bool {
-	return !m.Leaving && !m.silent && (!m.Unresponsive || m.heard && now-m.heardAt < silenceLimit)
+	if m.Leaving || m.silent {
+		return false
+	}
+	return !m.Unresponsive || now < LeaseTime || m.heard && now-m.heardAt < silenceLimit
 }
 
 // choiceInterval is the time after which the silence of nodes is examined again.
@@ -305,7 +308,11 @@
 	if r.Node != n.self.Node {
 		n.heardFrom(now, Process{r.Node, r.StartUnixMS})
 	}
-	return n.lender.handle(now, r, n.share(now), func(slot Slot) Process { return n.chosen[slot] })
+	reply := n.lender.handle(now, r, n.share(now), func(slot Slot) Process { return n.chosen[slot] })
+	if now < LeaseTime {
+		reply.WaitMS = milliseconds(LeaseTime - now)
+	}
+	return reply
 }
 
 // LeaseAnswered processes the reply to a lease request.
--- a/pkg/quota/recovery_test.go
+++ b/pkg/quota/recovery_test.go
@@ -44,28 +44,29 @@
 		// the time after healAt by which 0.97 of it is.
 		within, healed time.Duration
 		usable         float64
+		cut            bool
 	}{
-		{"allocator dies", func(s *simulation) { restart(s, ownerOf(s), healAt-failAt) }, 4 * time.Second, 4 * time.Second, 0.95},
-		{"allocator restarts in half a second", func(s *simulation) { restart(s, ownerOf(s), 500*time.Millisecond) }, 4 * time.Second, 0, 0.95},
-		{"allocator pauses", func(s *simulation) { ownerOf(s).pausedUntil = healAt }, 7 * time.Second, 4 * time.Second, 0.95},
+		{"allocator dies", func(s *simulation) { restart(s, ownerOf(s), healAt-failAt) }, 4 * time.Second, 4 * time.Second, 0.95, false},
+		{"allocator restarts in half a second", func(s *simulation) { restart(s, ownerOf(s), 500*time.Millisecond) }, 4 * time.Second, 0, 0.95, false},
+		{"allocator pauses", func(s *simulation) { ownerOf(s).pausedUntil = healAt }, 7 * time.Second, 4 * time.Second, 0.95, false},
 		{"allocator stops as planned", func(s *simulation) {
 			n := ownerOf(s)
 			n.leaving = true
 			s.after(3*time.Second, n.kill)
 			s.after(healAt-failAt, n.start)
-		}, 2 * time.Second, 4 * time.Second, 0.93},
+		}, 2 * time.Second, 4 * time.Second, 0.93, false},
 		{"all processes restart at once", func(s *simulation) {
 			for _, n := range s.nodes {
 				restart(s, n, 200*time.Millisecond)
 			}
-		}, 5 * time.Second, 0, 0.95},
+		}, 5 * time.Second, 0, 0.95, false},
 		{"35 % of the nodes die", func(s *simulation) {
 			for i, n := range s.nodes {
 				if i%20 < 7 {
 					restart(s, n, healAt-failAt)
 				}
 			}
-		}, 5 * time.Second, 5 * time.Second, 0.6},
+		}, 5 * time.Second, 5 * time.Second, 0.6, false},
 		{"35 % of the nodes are cut off", func(s *simulation) {
 			for i := range s.nodes {
 				if i%20 < 7 {
@@ -73,7 +74,7 @@
 				}
 			}
 			s.after(healAt-failAt, func() { clear(s.part) })
-		}, 9 * time.Second, 6 * time.Second, 0.9},
+		}, 9 * time.Second, 6 * time.Second, 0.9, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newSimulation(11, nodes, map[string]quota.Cap{"org": limit})
@@ -85,6 +86,14 @@
 				t.Logf("%s: %.0f %%", at, 100*usedRate(s, limit, at, at+2*time.Second))
 			}
 			requireCap(t, s, "org", limit, 0)
+			t.Logf("%d lease requests", s.leases)
+			// At most one request a second from each of 16 allocators to each node. During a cut,
+			// each part has allocators.
+			seconds := until.Seconds()
+			if c.cut {
+				seconds += (healAt - failAt).Seconds()
+			}
+			require.LessOrEqual(t, float64(s.leases), quota.SlotCount*nodes*seconds)
 			require.GreaterOrEqual(t, usedRate(s, limit, failAt+c.within, healAt), c.usable)
 			require.GreaterOrEqual(t, usedRate(s, limit, healAt+c.healed, until), 0.97)
 		})
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -82,9 +82,11 @@
 const (
 	simTick            = 50 * time.Millisecond
 	simMembersInterval = 300 * time.Millisecond
-	simAliveTimeout    = 6 * time.Second
-	simLeaseTimeout    = time.Second
-	simTakeTimeout     = 500 * time.Millisecond
+	// simContactShare is the probability that two nodes exchange their states in simMembersInterval.
+	simContactShare = 0.2
+	simAliveTimeout = 6 * time.Second
+	simLeaseTimeout = time.Second
+	simTakeTimeout  = 500 * time.Millisecond
 )
 
 func newSimulation(seed uint64, nodes int, caps map[string]quota.Cap) *simulation {
@@ -138,8 +140,9 @@
 	n.startedAt, n.pausedUntil, n.leaving = n.s.now, 0, false
 	n.waiting = map[quota.WaiterID]string{}
 	n.quota = quota.New(n.self())
+	// A starting node has heard of no other node yet.
 	for i := range n.contact {
-		n.contact[i] = n.s.now
+		n.contact[i] = n.s.now - 10*time.Second
 	}
 	n.quota.SetCaps(0, n.s.caps)
 	n.nextMembers = 0
@@ -185,7 +188,7 @@
 func (n *simNode) members() quota.Members {
 	var m quota.Members
 	for i, o := range n.s.nodes {
-		if o.quota != nil && n.s.reachable(n, o) {
+		if o == n || o.quota != nil && n.s.reachable(n, o) && n.s.random.Float64() < simContactShare {
 			n.contact[i] = n.s.now
 		}
 		m.Nodes = append(m.Nodes, quota.Member{
