sidecar: requests that wait in an evacuated zone go to another one at once

Such a request was refused only when it got a slot, when no other zone may serve it in time any more. The gate now refuses all waiting requests when the order takes effect, with its reason.

Tested: TestWaitingRequestsGoToAnotherZoneAtOnce (20 times; in its first form it failed, since the node in the other zone had heard of the order and not of its end), and with -race. Also TestOrderAndItsWithdrawalInQuickSuccession in internal/control.

--- a/internal/control/evacuations_test.go
+++ b/internal/control/evacuations_test.go
@@ -114,6 +114,25 @@
 	require.Equal(t, []mesh.AvailabilityZone{"a", "b", "c"}, n.zonesUsed(), "the record was deleted and compacted")
 }
 
+// Guards against an order that takes effect after its withdrawal if both come in quick succession, of
+// which a read may return only the last, and against targets that are presumed cold for nothing.
+func TestOrderAndItsWithdrawalInQuickSuccession(t *testing.T) {
+	m := coldMesh(t, 3, 15)
+	n := m.nodes[1]
+	require.Contains(t, m.logged(n, ZoneReturned{"b", at(1, 6)}), "zone_returned")
+	require.Empty(t, m.logged(n, ZoneEvacuated{"b", at(1, 5)}), "a late read of the order")
+	require.Nil(t, n.view.Evacuated)
+	require.LessOrEqual(t, n.view.TargetColdUntil, m.now)
+	m.run(4 * time.Second)
+	for _, other := range m.nodes {
+		require.Equal(t, []mesh.AvailabilityZone{"a", "b", "c"}, other.zonesUsed())
+		require.Empty(t, other.coldRates())
+	}
+	m.step(n, ZoneEvacuated{"b", at(1, 7)})
+	m.step(n, ZoneReturned{"b", at(1, 8)})
+	require.Greater(t, n.view.TargetColdUntil, m.now, "its targets may have had no requests")
+}
+
 // Guards against a withdrawal that is missed because the store has compacted its record, and against
 // the end of an order by a read that does not reach it.
 func TestCompleteReadWithoutTheOrderEndsIt(t *testing.T) {
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -14,9 +14,11 @@
 type gate struct {
 	now func() time.Duration
 
-	mu      sync.Mutex
-	queue   *admission.Queue
-	waiters map[*admission.Ticket]chan bool
+	mu    sync.Mutex
+	queue *admission.Queue
+	// waiters holds the channel of each waiting request, which receives the reason of its refusal, or
+	// "" if it is admitted.
+	waiters map[*admission.Ticket]chan string
 	// target is the process that the rate limit belongs to.
 	target directory.Process
 	// pollScheduled is set while a call of poll is scheduled.
@@ -30,7 +32,7 @@
 func newGate(now func() time.Duration) *gate {
 	return &gate{
 		now: now, queue: admission.NewQueue(defaultSlots),
-		waiters: map[*admission.Ticket]chan bool{},
+		waiters: map[*admission.Ticket]chan string{},
 	}
 }
 
@@ -130,14 +132,14 @@
 		g.mu.Unlock()
 		return release, 0, nil
 	}
-	ready := make(chan bool, 1)
+	ready := make(chan string, 1)
 	g.waiters[ticket] = ready
 	g.schedulePoll()
 	g.mu.Unlock()
 	select {
-	case ok := <-ready:
-		if !ok {
-			return nil, g.now() - arrivedAt, &refusal{"waited", expectedWait}
+	case reason := <-ready:
+		if reason != "" {
+			return nil, g.now() - arrivedAt, &refusal{reason, expectedWait}
 		}
 		return release, g.now() - arrivedAt, nil
 	case <-ctx.Done():
@@ -145,7 +147,7 @@
 		withdrawn := g.queue.Cancel(ticket)
 		delete(g.waiters, ticket)
 		g.mu.Unlock()
-		if !withdrawn && <-ready {
+		if !withdrawn && <-ready == "" {
 			release(false)
 		}
 		return nil, g.now() - arrivedAt, &refusal{"left", expectedWait}
@@ -156,7 +158,19 @@
 func (g *gate) wake(ready []*admission.Ticket) {
 	for _, t := range ready {
 		if w, ok := g.waiters[t]; ok {
-			w <- true
+			w <- ""
+			delete(g.waiters, t)
+		}
+	}
+}
+
+// refuseWaiting refuses all waiting requests, which then do not run here.
+func (g *gate) refuseWaiting(reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for t, w := range g.waiters {
+		if g.queue.Cancel(t) {
+			w <- reason
 			delete(g.waiters, t)
 		}
 	}
@@ -172,7 +186,7 @@
 	g.wake(g.queue.Resume(g.now()))
 	for _, t := range g.queue.Expire(g.now()) {
 		if w, ok := g.waiters[t]; ok {
-			w <- false
+			w <- "waited"
 			delete(g.waiters, t)
 		}
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -282,6 +282,10 @@
 				n.limitTarget(v.View)
 			}
 			before := n.view.Swap(v.View)
+			if v.View.IsEvacuated(n.settings.Zone) && !before.IsEvacuated(n.settings.Zone) {
+				// Other zones may still serve them in time.
+				n.gate.refuseWaiting(reasonZoneEvacuated)
+			}
 			if before.Config != v.View.Config {
 				n.configSince.Store(int64(n.clock.now()))
 				n.recordConfigDelta(before.Config, v.View.Config)
--- a/internal/sidecar/places_test.go
+++ b/internal/sidecar/places_test.go
@@ -79,6 +79,41 @@
 	require.Equal(t, map[int]int{http.StatusOK: 4, http.StatusServiceUnavailable: 4}, counts)
 }
 
+// Guards against requests that wait for a slot in an evacuated zone until no other zone can serve them
+// in time.
+func TestWaitingRequestsGoToAnotherZoneAtOnce(t *testing.T) {
+	nodes := newZones(t, "a", "b")
+	nodes[0].Step(evacuate("b", 1))
+	release := make(chan bool)
+	nodes[0].target.serve(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		w.Header().Set("X-Signature", "s")
+	})
+	var busy, waiting sync.WaitGroup
+	statuses := make([]int, 4)
+	for i := range statuses {
+		busy.Go(func() { nodes[0].call(t, http.MethodGet, "/read/x", fmt.Sprintf("busy%d", i)) })
+	}
+	require.Eventually(t, func() bool { return nodes[0].gate.load().Running == 4 }, 2*time.Second, time.Millisecond)
+	for i := range statuses {
+		waiting.Go(func() { statuses[i], _, _ = nodes[0].call(t, http.MethodPost, "/write/x", fmt.Sprintf("w%d", i)) })
+	}
+	require.Eventually(t, func() bool { return nodes[0].gate.load().Waiting == 4 }, 2*time.Second, time.Millisecond)
+	for _, n := range nodes {
+		// A message may have told node 1 of the order.
+		n.Step(control.ZoneReturned{Zone: "b", Position: logpos.Position{Era: 1, Offset: 2}})
+	}
+	began := time.Now()
+	nodes[0].Step(evacuate("a", 5))
+	waiting.Wait()
+	took := time.Since(began)
+	close(release)
+	busy.Wait()
+	require.Equal(t, []int{200, 200, 200, 200}, statuses)
+	require.EqualValues(t, 4, nodes[1].target.runs.Load())
+	require.Less(t, took, 500*time.Millisecond, "the slots in zone a are busy for as long as the test wants")
+}
+
 // Guards against anything but a refusal as not run, with a time to come back, if all zones are
 // evacuated.
 func TestAllZonesEvacuated(t *testing.T) {
