control: a cold target waits for the configuration

A node that has just started may be asked for its target before it has a configuration, from the state of another node. Without the cold rate its gate would let any number of requests through. The target is not used while it says that it is cold and there is no configuration.

Tested: TestColdTargetWaitsForTheConfiguration, internal/control (whole).

--- a/internal/control/cold.go
+++ b/internal/control/cold.go
@@ -108,6 +108,12 @@
 	return rate
 }
 
+// coldRateUnknown reports whether the local target is cold and the node has no configuration yet,
+// which tells how many requests the target takes meanwhile.
+func (c *Control) coldRateUnknown(t Time) bool {
+	return c.config == nil && t.Now < c.local.ColdUntil(t.Now)
+}
+
 // coldChanged reports whether other nodes have to know that the cold time of the local target
 // changed.
 func (c *Control) coldChanged(t Time, target *directory.Target) bool {
--- a/internal/control/cold_test.go
+++ b/internal/control/cold_test.go
@@ -138,3 +138,26 @@
 		require.Empty(t, other.coldRates())
 	}
 }
+
+// Guards against a burst at a cold target whose node has just started and has no configuration yet,
+// which tells how many requests the target takes.
+func TestColdTargetWaitsForTheConfiguration(t *testing.T) {
+	m := zoneMeshWith(t, 2, 20*time.Second)
+	n := m.nodes[1]
+	require.True(t, n.view.Target.Serving, "a warm target needs no configuration")
+	m.beat(n, 3*time.Second)
+	require.False(t, n.view.Target.Serving)
+	m.run(time.Second)
+	require.Equal(t, []mesh.AvailabilityZone{"a"}, m.nodes[0].zonesUsed())
+	c := &published.Config{Version: 1, Services: map[string]published.Service{"s": {Name: "s", ColdTime: 3 * time.Second, ColdRate: 15}}}
+	require.NoError(t, c.Prepare())
+	m.step(n, ConfigPublished{Config: c})
+	require.True(t, n.view.Target.Serving)
+	require.InDelta(t, 15, n.view.TargetColdRate, 0)
+	require.Greater(t, n.view.TargetColdUntil, m.now)
+
+	m = zoneMeshWith(t, 2, 20*time.Second)
+	m.beat(m.nodes[1], time.Second)
+	m.run(1500 * time.Millisecond)
+	require.True(t, m.nodes[1].view.Target.Serving, "it waits at most for as long as the target is cold")
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -331,6 +331,7 @@
 	c.fetch.configApplied(config.Version)
 	c.adoptPendingClaim()
 	c.log("config_in_force", fields...)
+	c.refreshAnnouncement(t)
 	c.publishView(t)
 	if c.isReader() && c.large() {
 		c.broadcast(t)
@@ -367,7 +368,7 @@
 // refreshAnnouncement updates the node's own announcement and propagates a change.
 func (c *Control) refreshAnnouncement(t Time) {
 	target := c.local.Target(t.Now, t.UnixMS)
-	if target != nil && (c.closing || !c.former.known || !c.zones.known) {
+	if target != nil && (c.closing || !c.former.known || !c.zones.known || c.coldRateUnknown(t)) {
 		target.Serving = false
 	}
 	if sameTarget(target, c.self.Target) && c.self.Leaving == c.stopping && c.self.Stopped == c.closing && !c.departures.changed && c.self.Sequence > 0 &&
