control: a target that closes connections by itself is limited once a minute

Connections that close soon after their use look like a restart of the target. A target that does so without one would be limited to its cold rate all the time. Once the same process has gone on after such a sign, it is ignored for a minute (target_closes_connections). A refused connection and another process are always signs.

Tested: TestTargetThatClosesConnectionsIsLimitedOnce, internal/control (whole), cold_test.go of internal/sidecar.

--- a/internal/control/cold.go
+++ b/internal/control/cold.go
@@ -16,8 +16,46 @@
 	// presumedHeartbeats is the number of heartbeat intervals for which a target is presumed cold,
 	// in addition to its cold time. A target without a heartbeat for as long is not used.
 	presumedHeartbeats = 4
+	// closingTrust is the time for which closed connections are no sign of a restart once the same
+	// process has gone on after such a sign. Some targets close connections soon after their use.
+	closingTrust = time.Minute
 )
 
+// closedConnections is what the node knows of targets that close connections soon after their use.
+type closedConnections struct {
+	// suspected is the process that may have been replaced for this reason only.
+	suspected directory.Process
+	// refuted is the last process that went on after such a sign, at refutedAt.
+	refuted   directory.Process
+	refutedAt time.Duration
+}
+
+// handleClosedConnections presumes the local target cold unless it is known to close connections.
+func (c *Control) handleClosedConnections(t Time) {
+	if c.self.Target == nil {
+		return
+	}
+	p := c.self.Target.Process()
+	if c.local.PresumedRestarted() || c.closed.refuted == p && t.Now-c.closed.refutedAt < closingTrust {
+		return
+	}
+	c.closed.suspected = p
+	c.presumeCold(t, true, "connections-closed")
+}
+
+// checkSuspected records that the process of the local target has gone on if a heartbeat has ended
+// the presumption that it was replaced.
+func (c *Control) checkSuspected(t Time) {
+	if c.closed.suspected == (directory.Process{}) || c.local.PresumedRestarted() {
+		return
+	}
+	if own := c.local.Target(t.Now, t.UnixMS); own != nil && own.Process() == c.closed.suspected {
+		c.closed.refuted, c.closed.refutedAt = c.closed.suspected, t.Now
+		c.log("target_closes_connections", "target", own.ID)
+	}
+	c.closed.suspected = directory.Process{}
+}
+
 // returnedTarget is a target beside another node in a zone whose evacuation has ended. It is presumed
 // cold until its node announces more, or until a time.
 type returnedTarget struct {
--- a/internal/control/cold_test.go
+++ b/internal/control/cold_test.go
@@ -161,3 +161,32 @@
 	m.run(1500 * time.Millisecond)
 	require.True(t, m.nodes[1].view.Target.Serving, "it waits at most for as long as the target is cold")
 }
+
+// Guards against a target that is limited all the time because it closes connections soon after their
+// use, and against one whose restart is missed because it did so before.
+func TestTargetThatClosesConnectionsIsLimitedOnce(t *testing.T) {
+	m := coldMesh(t, 3, 15)
+	n := m.nodes[1]
+	limited := time.Duration(0)
+	for range 40 {
+		m.step(n, TargetConnectionsClosed{})
+		if n.view.TargetColdUntil > m.now {
+			limited += time.Second
+		}
+		m.run(time.Second)
+		if m.now%(10*time.Second) < TickInterval {
+			m.beat(n, 0)
+		}
+	}
+	require.LessOrEqual(t, limited, 25*time.Second, "until its second heartbeat")
+	require.LessOrEqual(t, n.view.TargetColdUntil, m.now)
+	// Another process is suspected anew, and a refused connection is always a sign.
+	m.step(n, TargetUnreachable{})
+	require.Greater(t, n.view.TargetColdUntil, m.now)
+	m.step(n, HeartbeatReceived{directory.Heartbeat{
+		ID: n.self.Target.ID, Address: n.local.Address, Service: "s", Version: "v1", Slots: 4, Sequence: 1, StartUnixMS: 2,
+	}})
+	require.LessOrEqual(t, n.view.TargetColdUntil, m.now)
+	m.step(n, TargetConnectionsClosed{})
+	require.Greater(t, n.view.TargetColdUntil, m.now)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -117,6 +117,7 @@
 	zones zoneOrders
 	// returned holds the targets of other nodes that are presumed cold.
 	returned map[mesh.NodeID]returnedTarget
+	closed   closedConnections
 	// coldLogged is set while the local target is cold.
 	coldLogged bool
 
@@ -164,10 +165,11 @@
 		c.refreshAnnouncement(t)
 	case TargetUnreachable:
 		c.local.MarkUnreachable(t.Now)
+		c.closed.suspected = directory.Process{}
 		c.presumeCold(t, true, "unreachable")
 		c.refreshAnnouncement(t)
 	case TargetConnectionsClosed:
-		c.presumeCold(t, true, "connections-closed")
+		c.handleClosedConnections(t)
 	case TargetHealth:
 		c.handleHealth(t, e)
 	case TargetResponded:
@@ -272,6 +274,7 @@
 		return
 	}
 	c.logWait(h.ID)
+	c.checkSuspected(t)
 	c.refreshAnnouncement(t)
 	after := c.self.Target
 	if before == nil || after == nil || before.ID != after.ID || before.Serving != after.Serving {
--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -136,6 +136,10 @@
 	}
 }
 
+// PresumedRestarted reports whether the target is presumed cold because its process may have been
+// replaced.
+func (l *LocalTarget) PresumedRestarted() bool { return l.presumed.active && l.presumed.restarted }
+
 // confirmCold processes a heartbeat of a target that is presumed cold.
 func (l *LocalTarget) confirmCold(same bool, now time.Duration) {
 	p := &l.presumed
