--- a/internal/control/cold_test.go
+++ b/internal/control/cold_test.go
@@ -138,3 +138,55 @@
 		require.Empty(t, other.coldRates())
 	}
 }
+
+// Guards against a burst at a cold target whose node has just started and has no configuration yet,
+// which tells how many requests the target takes.
+func TestColdTargetWaitsForTheConfiguration(t *testing.T) {
+	m := zoneMeshWith(t, 2, 20*time.Second)
+	n := m.nodes[1]
+	require.True(t, n.view.Target.Serving, "a warm target needs no configuration")
+	m.beat(n, 3*time.Second)
+	require.False(t, n.view.Target.Serving)
+	m.run(time.Second)
+	require.Equal(t, []mesh.AvailabilityZone{"a"}, m.nodes[0].zonesUsed())
+	c := &published.Config{Version: 1, Services: map[string]published.Service{"s": {Name: "s", ColdTime: 3 * time.Second, ColdRate: 15}}}
+	require.NoError(t, c.Prepare())
+	m.step(n, ConfigPublished{Config: c})
+	require.True(t, n.view.Target.Serving)
+	require.InDelta(t, 15, n.view.TargetColdRate, 0)
+	require.Greater(t, n.view.TargetColdUntil, m.now)
+
+	m = zoneMeshWith(t, 2, 20*time.Second)
+	m.beat(m.nodes[1], time.Second)
+	m.run(1500 * time.Millisecond)
+	require.True(t, m.nodes[1].view.Target.Serving, "it waits at most for as long as the target is cold")
+}
+
+// Guards against a target that is limited all the time because it closes connections soon after their
+// use, and against one whose restart is missed because it did so before.
+func TestTargetThatClosesConnectionsIsLimitedOnce(t *testing.T) {
+	m := coldMesh(t, 3, 15)
+	n := m.nodes[1]
+	limited := time.Duration(0)
+	for range 40 {
+		m.step(n, TargetConnectionsClosed{})
+		if n.view.TargetColdUntil > m.now {
+			limited += time.Second
+		}
+		m.run(time.Second)
+		if m.now%(10*time.Second) < TickInterval {
+			m.beat(n, 0)
+		}
+	}
+	require.LessOrEqual(t, limited, 25*time.Second, "until its second heartbeat")
+	require.LessOrEqual(t, n.view.TargetColdUntil, m.now)
+	// Another process is suspected anew, and a refused connection is always a sign.
+	m.step(n, TargetUnreachable{})
+	require.Greater(t, n.view.TargetColdUntil, m.now)
+	m.step(n, HeartbeatReceived{directory.Heartbeat{
+		ID: n.self.Target.ID, Address: n.local.Address, Service: "s", Version: "v1", Slots: 4, Sequence: 1, StartUnixMS: 2,
+	}})
+	require.LessOrEqual(t, n.view.TargetColdUntil, m.now)
+	m.step(n, TargetConnectionsClosed{})
+	require.Greater(t, n.view.TargetColdUntil, m.now)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -120,6 +120,7 @@
 	zones zoneOrders
 	// returned holds the targets of other nodes that are presumed cold.
 	returned map[mesh.NodeID]returnedTarget
+	closed   closedConnections
 	// coldLogged is set while the local target is cold.
 	coldLogged bool
 
@@ -167,10 +168,11 @@
 		c.refreshAnnouncement(t)
 	case TargetUnreachable:
 		c.local.MarkUnreachable(t.Now)
+		c.closed.suspected = directory.Process{}
 		c.presumeCold(t, true, "unreachable")
 		c.refreshAnnouncement(t)
 	case TargetConnectionsClosed:
-		c.presumeCold(t, true, "connections-closed")
+		c.handleClosedConnections(t)
 	case TargetHealth:
 		c.handleHealth(t, e)
 	case TargetResponded:
@@ -275,6 +277,7 @@
 		return
 	}
 	c.logWait(h.ID)
+	c.checkSuspected(t)
 	c.refreshAnnouncement(t)
 	after := c.self.Target
 	if before == nil || after == nil || before.ID != after.ID || before.Serving != after.Serving {
@@ -334,6 +337,7 @@
 	c.fetch.configApplied(config.Version)
 	c.adoptPendingClaim()
 	c.log("config_in_force", fields...)
+	c.refreshAnnouncement(t)
 	c.publishView(t)
 	if c.isReader() && c.large() {
 		c.broadcast(t)
@@ -370,7 +374,7 @@
 // refreshAnnouncement updates the node's own announcement and propagates a change.
 func (c *Control) refreshAnnouncement(t Time) {
 	target := c.local.Target(t.Now, t.UnixMS)
-	if target != nil && (c.closing || !c.former.known || !c.zones.known) {
+	if target != nil && (c.closing || !c.former.known || !c.zones.known || c.coldRateUnknown(t)) {
 		target.Serving = false
 	}
 	if sameTarget(target, c.self.Target) && c.self.Leaving == c.stopping && c.self.Stopped == c.closing && !c.departures.changed && c.self.Sequence > 0 &&
