--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -164,3 +164,23 @@
 	_, ok := b.Choose([]balance.Endpoint{e}, request(), 0, fixed)
 	require.True(t, ok, "the backoff of a removed endpoint is deleted")
 }
+
+// Guards against an estimate that counts requests which have ended: the load report of a target is
+// ignored once it is old, while the requests of this node are always known.
+func TestEstimateOfAnEndpoint(t *testing.T) {
+	b := balance.New("a")
+	e := endpoint("n", "a")
+	b.UpdateLoad(e, balance.LoadReport{Running: 10, Waiting: 5, MeanServiceTime: 100 * ms, Slowdown: 2}, 0)
+	b.Begin(e, 1000)
+	b.RecordResponse(e, true, 0)
+	got := b.Estimate(e, request(), 0)
+	require.InDelta(t, 16, got.Load, 1e-9)
+	require.Equal(t, 70*ms, got.Wait, "7 more than the slots, at 10 ms each")
+	require.Equal(t, 345*ms, got.Response, "with the margins of admission")
+	require.Positive(t, got.FailureRate)
+	require.False(t, got.LastResort)
+	e.Unresponsive = true
+	got = b.Estimate(e, request(), 3*time.Second)
+	require.InDelta(t, 1, got.Load, 1e-9)
+	require.True(t, got.LastResort)
+}
