sidecar: send copies of requests that take longer than usual

While the first attempt of a repeatable request runs, the node decides after the usual time of its route whether a copy goes to another target. The first successful answer wins; the others are cancelled, and their targets stop as for callers that leave. A cancelled attempt is no failure of its target for the balancer, the health of the target or the comparison of versions. A copy counts as an attempt, draws on half of the node's share of the retry budget, and is marked as a repeat; it waits behind all other requests. One that its target's node refuses gives the retry back. View.MoveOpen tells that a move of the service is open. Without a policy, the request path reads one pointer more.

--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -171,6 +171,7 @@
 	if !ok {
 		return
 	}
+	s.MoveOpen = m.move.Open()
 	switch {
 	case m.move.Phase == canary.Completed, !m.recorded && len(s.Old) == 0:
 		if len(s.New) > 0 {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -56,4 +56,6 @@
 	New []balance.Endpoint
 	// NewShare is the share of requests that is sent to New.
 	NewShare float64
+	// MoveOpen is set while a move to another version is open.
+	MoveOpen bool
 }
--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -88,6 +88,18 @@
 	return b.current, true
 }
 
+// copy returns a body with the same bytes for an attempt that runs beside others, which go on
+// reading theirs. ok is false unless all bytes are buffered.
+func (b *requestBody) copy() (a *attemptBody, ok bool) {
+	if b == nil {
+		return nil, true
+	}
+	if b.rest != nil {
+		return nil, false
+	}
+	return (&requestBody{head: b.head, size: b.size}).open()
+}
+
 // end ends all attempts, waits until none of them reads, and skips a short rest. It reports
 // whether the body was read to its end. It must be called before the request is answered,
 // since net/http waits for a pending read before it writes the answer.
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -75,6 +75,8 @@
 	targetsReached int
 	// failure is the result of the last attempt that may have run, nil if there is none.
 	failure *result
+	// attemptLeases hold the memory of responses to attempts that ran beside others.
+	attemptLeases []*bounded.Lease
 }
 
 // serveOutbound handles the requests of the callers on this machine and the calls of the
@@ -144,6 +146,7 @@
 		fingerprint: fingerprint(r, body),
 		arrived:     arrived, deadline: arrived + left, config: view.Config.Version, service: route.PickService(n.splits.next(route.Name)),
 	}
+	defer c.releaseAttempts()
 	if parent != nil {
 		c.nested, c.isRetry = true, parent.IsRetry
 		n.nestedCalls.countCall(parent.Route, c.service)
@@ -249,7 +252,7 @@
 		if c.targetsReached > 0 && !n.allowRetry(c) {
 			break
 		}
-		last = n.attempt(ctx, c, endpoint, body)
+		last = n.attemptWithCopies(ctx, c, endpoint, body)
 		if last.succeeded() || last.callFailed {
 			// Another target would make the failed call again, as a retry. It is better that
 			// the budget of the called service serves other calls.
@@ -262,15 +265,9 @@
 			}
 			break
 		}
-		if reachedTarget(last.outcome) {
-			c.targetsReached++
-		}
-		if !last.outcome.NotRun() {
-			failed := last
-			c.failure = &failed
-			if !c.route.Kind.Repeatable() {
-				break
-			}
+		c.recordFailure(last)
+		if !last.outcome.NotRun() && !c.route.Kind.Repeatable() {
+			break
 		}
 	}
 	if c.failure != nil {
@@ -279,6 +276,16 @@
 	return last
 }
 
+// recordFailure counts an attempt without a successful response.
+func (c *call) recordFailure(res result) {
+	if reachedTarget(res.outcome) {
+		c.targetsReached++
+	}
+	if !res.outcome.NotRun() {
+		c.failure = &res
+	}
+}
+
 // reachedTarget reports whether the request reached a target.
 func reachedTarget(o retry.Outcome) bool {
 	switch o {
@@ -310,22 +317,34 @@
 
 // choose selects the next target of a call.
 func (n *Node) choose(c *call) (balance.Choice, bool) {
-	service, ok := n.view.Load().Endpoints[c.service]
+	endpoints, ok := n.candidates(c)
 	if !ok {
 		return balance.Choice{}, false
 	}
-	endpoints := service.Old
+	now := n.clock.now()
+	request := n.balanceRequest(c, now)
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	return n.balancer.Choose(endpoints, request, now, rand.Float64)
+}
+
+// candidates returns the targets that a call may be sent to. ok is false if the service is unknown.
+func (n *Node) candidates(c *call) (endpoints []balance.Endpoint, ok bool) {
+	service, ok := n.view.Load().Endpoints[c.service]
+	if !ok {
+		return nil, false
+	}
 	if service.NewShare > 0 && len(service.New) > 0 && (service.NewShare >= 1 || rand.Float64() < service.NewShare) {
-		endpoints = service.New
+		return service.New, true
 	}
-	now := n.clock.now()
-	request := balance.Request{
+	return service.Old, true
+}
+
+func (n *Node) balanceRequest(c *call, now time.Duration) balance.Request {
+	return balance.Request{
 		ExpectedServiceTime: c.expectedServiceTime, Objective: c.softDeadline - now, Bytes: c.expectedBytes, Tried: c.tried,
 		Senders: len(n.view.Load().Announcements),
 	}
-	n.balanceMu.Lock()
-	defer n.balanceMu.Unlock()
-	return n.balancer.Choose(endpoints, request, now, rand.Float64)
 }
 
 const (
@@ -336,38 +355,70 @@
 	responseHeaderBytes = 500
 )
 
+// callAttempt is one attempt of a call.
+type callAttempt struct {
+	endpoint balance.Endpoint
+	hop      hopRequest
+	request  *targetRequest
+	began    time.Duration
+	// isCopy is set if the attempt runs beside an earlier one.
+	isCopy bool
+}
+
 // attempt sends the call to one target and records the result.
 func (n *Node) attempt(ctx context.Context, c *call, e balance.Endpoint, body *attemptBody) result {
 	defer body.end()
+	a := n.beginAttempt(c, e, body, c.lease, false)
+	res := n.runAttempt(ctx, &a)
+	n.endAttempt(c, &a, res, ctx.Err() != nil)
+	return res
+}
+
+// beginAttempt records that an attempt begins.
+func (n *Node) beginAttempt(c *call, e balance.Endpoint, body *attemptBody, lease *bounded.Lease, isCopy bool) callAttempt {
 	c.tried = append(c.tried, e.Node)
 	n.balanceMu.Lock()
 	n.balancer.Begin(e, c.expectedBytes)
 	n.balanceMu.Unlock()
 	now := n.clock.now()
+	kind := c.attemptKind
+	if isCopy {
+		// A copy is not worth the wait of a request that has no other attempt.
+		kind = admission.LateClientRetry
+	}
 	h := hopRequest{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, TargetStart: e.StartUnixMS, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
-		Rank:        int(admission.RankOf(c.nested, c.route.Priority, c.attemptKind)),
+		Rank:        int(admission.RankOf(c.nested && !isCopy, c.route.Priority, kind)),
 		Fingerprint: c.fingerprint, CrashTrial: c.crashTrial,
 		Retryable:  c.route.Kind.Repeatable(),
-		IsRetry:    c.isRetry || c.targetsReached > 0,
+		IsRetry:    c.isRetry || c.targetsReached > 0 || isCopy,
 		TimeLeftMS: milliseconds(max(c.deadline-now-forwardDeadlineMargin, 0)), SoftTimeLeftMS: milliseconds(c.softDeadline - now), ExpectedServiceTimeMS: milliseconds(c.expectedServiceTime),
 	}
 	if s := n.view.Load().Signals[h.process()]; s.Limited {
 		h.KnownLimit = &s.RateLimit
 	}
-	request := &targetRequest{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: body, retryable: c.route.Kind.Repeatable(), lease: c.lease}
-	var res result
-	if e.Node == n.settings.Node {
-		res = n.runLocal(ctx, h, request)
-	} else {
-		res = n.forward(ctx, h, request, e)
-		n.stepSignals(res.process, res.signals)
-	}
-	n.recordOutcome(c, e, res, ctx.Err() != nil)
-	c.recordAttempt(e, res, now, n.clock.now())
+	request := &targetRequest{method: c.r.Method, host: c.r.Host, uri: c.r.RequestURI, header: c.header.Clone(), body: body, retryable: c.route.Kind.Repeatable(), lease: lease}
+	return callAttempt{endpoint: e, hop: h, request: request, began: now, isCopy: isCopy}
+}
+
+// runAttempt sends an attempt to its target. It does not use the call, which another attempt may
+// have completed.
+func (n *Node) runAttempt(ctx context.Context, a *callAttempt) result {
+	if a.endpoint.Node == n.settings.Node {
+		return n.runLocal(ctx, a.hop, a.request)
+	}
+	res := n.forward(ctx, a.hop, a.request, a.endpoint)
+	n.stepSignals(res.process, res.signals)
 	return res
 }
 
+// endAttempt records the result of an attempt.
+func (n *Node) endAttempt(c *call, a *callAttempt, res result, callEnded bool) {
+	n.recordOutcome(c, a.endpoint, res, callEnded)
+	n.observeForCopies(c, a, res)
+	c.recordAttempt(a, res, n.clock.now())
+}
+
 // recordOutcome updates the state of a target with the result of an attempt.
 func (n *Node) recordOutcome(c *call, e balance.Endpoint, res result, callEnded bool) {
 	now := n.clock.now()
--- a/internal/sidecar/calllog.go
+++ b/internal/sidecar/calllog.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
@@ -29,12 +28,15 @@
 	Signals *directory.Signals `json:"signals,omitempty"`
 	Running int                `json:"running"`
 	Waiting int                `json:"waiting"`
+	// Copy is set if the attempt ran beside an earlier one.
+	Copy bool `json:"copy,omitempty"`
 }
 
 // recordAttempt adds an attempt to the log line of the call.
-func (c *call) recordAttempt(e balance.Endpoint, res result, began, ended time.Duration) {
+func (c *call) recordAttempt(from *callAttempt, res result, ended time.Duration) {
+	e, began := from.endpoint, from.began
 	a := attemptRecord{
-		Node: e.Node, Target: e.Target, Version: e.Version, Outcome: res.outcome.String(), Reason: res.reason,
+		Node: e.Node, Target: e.Target, Version: e.Version, Outcome: res.outcome.String(), Reason: res.reason, Copy: from.isCopy,
 		StartMS: (began - c.arrived).Milliseconds(), DurationMS: (ended - began).Milliseconds(),
 		TargetDurationMS: res.targetTime.Milliseconds(), ExpectedWaitMS: res.expectedWait.Milliseconds(),
 		Running: res.load.Running, Waiting: res.load.Waiting, Signals: res.signals,
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -74,6 +74,8 @@
 const (
 	// reasonQueue is the reason if the request would not be answered in time.
 	reasonQueue = "queue"
+	// reasonWaited is the reason if that turned out while it waited.
+	reasonWaited = "waited"
 	// reasonTargetLimit is the reason if it would exceed the rate limit of the target.
 	reasonTargetLimit = "target-limit"
 )
@@ -115,7 +117,7 @@
 	select {
 	case ok := <-ready:
 		if !ok {
-			return nil, g.now() - arrivedAt, &refusal{"waited", expectedWait}
+			return nil, g.now() - arrivedAt, &refusal{reasonWaited, expectedWait}
 		}
 		return release, g.now() - arrivedAt, nil
 	case <-ctx.Done():
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -10,13 +10,15 @@
 	requests, responses, budgetRefusals, writeErrors, configFetches expvar.Int
 	storeErrors, unresponsiveConns, peerErrors                      expvar.Int
 	sentToTarget, malformedSignals                                  expvar.Int
-	refused                                                         expvar.Map
+	copiesSent, copiesWon, copiesCancelled, copiesRefused           expvar.Int
+	refused, copiesHeld                                             expvar.Map
 	queueWait, targetTime                                           histogram
 }
 
 func newMetrics() *metrics {
 	m := &metrics{}
 	m.refused.Init()
+	m.copiesHeld.Init()
 	m.queueWait.counts.Init()
 	m.targetTime.counts.Init()
 	return m
@@ -28,6 +30,7 @@
 		"requests": &m.requests, "answered": &m.responses, "budget_refusals": &m.budgetRefusals,
 		"write_errors": &m.writeErrors, "config_fetches": &m.configFetches, "store_errors": &m.storeErrors, "silent_connections": &m.unresponsiveConns, "peer_errors": &m.peerErrors,
 		"target_requests": &m.sentToTarget, "malformed_signals": &m.malformedSignals,
+		"copies_sent": &m.copiesSent, "copies_won": &m.copiesWon, "copies_cancelled": &m.copiesCancelled, "copies_refused": &m.copiesRefused, "copies_held": &m.copiesHeld,
 		"refused": &m.refused, "queue_wait_ms": &m.queueWait.counts, "target_time_ms": &m.targetTime.counts,
 	} {
 		expvar.Publish(name, v)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -74,6 +74,8 @@
 	crashDetector *crashDetector
 	crashTrials   *crashTrials
 	budgets       sync.Map
+	// hedging decides about copies of requests, nil while the policy allows none.
+	hedging atomic.Pointer[hedging]
 	// unreachablePeers holds the nodes to which the last RPC failed.
 	unreachablePeers sync.Map
 
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -146,6 +146,16 @@
 	b.mu.Unlock()
 }
 
+// Return gives back a retry that was taken at a time and did not reach a target.
+func (b *Budget) Return(takenAt, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if index := b.index(takenAt); index > b.current-ringSize {
+		b.buckets[index%ringSize].retries--
+	}
+}
+
 // totals returns the calls and retries of the window.
 func (b *Budget) totals() (calls, retries int) {
 	for i := range bucketCount {
@@ -156,13 +166,18 @@
 	return calls, retries
 }
 
-// advance clears the buckets that have left the ring and returns the current one.
-func (b *Budget) advance(now time.Duration) *bucket {
+// index returns the number of the bucket of a time.
+func (b *Budget) index(t time.Duration) int64 {
 	window := b.Window
 	if window <= 0 {
 		window = BudgetWindow
 	}
-	index := int64(now / (window / bucketCount))
+	return int64(t / (window / bucketCount))
+}
+
+// advance clears the buckets that have left the ring and returns the current one.
+func (b *Budget) advance(now time.Duration) *bucket {
+	index := b.index(now)
 	if index > b.current {
 		for i := max(b.current+1, index-ringSize+1); i <= index; i++ {
 			b.buckets[i%ringSize] = bucket{}
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -153,3 +153,18 @@
 	require.True(t, b.AllowNodeShare(3*time.Second, 0.1, 0))
 	require.False(t, b.AllowNodeShare(4100*time.Millisecond, 0.1, 0))
 }
+
+// Guards against a budget that stays charged for retries that reached no target, and against a return
+// that makes room in a later window.
+func TestReturnedRetryIsNotCharged(t *testing.T) {
+	var b retry.Budget
+	const second = time.Second
+	require.True(t, b.AllowNodeShare(0, 0, 1))
+	require.False(t, b.AllowNodeShare(second, 0, 1))
+	b.Return(0, second)
+	require.True(t, b.AllowNodeShare(second, 0, 1))
+	require.False(t, b.AllowNodeShare(2*second, 0, 1))
+	b.Return(0, 60*second)
+	require.True(t, b.AllowNodeShare(60*second, 0, 1))
+	require.False(t, b.AllowNodeShare(60*second, 0, 1))
+}
