heathercroft-sidecar: policy of the operator with the limits of copies

--policy FILE names a TOML file with the table [hedging] and tables for routes and services. SIGHUP and changes of the file load it again; a file that cannot be loaded changes nothing. Without the flag, hedging is off. Faults in arrays are now located at their line.

--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -18,6 +18,7 @@
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/descriptors"
+	"heathercroft.example/heathercroft/internal/settings"
 	"heathercroft.example/heathercroft/internal/sidecar"
 	"heathercroft.example/heathercroft/platform"
 )
@@ -40,7 +41,8 @@
 	cli := kingpin.New("heathercroft-sidecar", "Carries requests and applies published configurations beside one target instance.")
 	path := cli.Flag("settings", "Settings file of the platform.").Default(platform.Path()).String()
 	advertise := cli.Flag("advertise", "IP address at which other nodes reach this one, if it is not the one at which it listens.").String()
-	check := cli.Flag("check-settings", "Check the settings file and exit.").Bool()
+	policyPath := cli.Flag("policy", "File of the operator's own settings, such as the limits of hedged requests. Without it, these are off.").String()
+	check := cli.Flag("check-settings", "Check the settings file and the policy file and exit.").Bool()
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s, err := platform.Load(*path)
@@ -52,6 +54,12 @@
 			app.Fail(app.ExitBadSettings, errors.Wrap(err, "--advertise"))
 		}
 	}
+	var policy settings.Policy
+	if *policyPath != "" {
+		if policy, err = settings.LoadPolicy(*policyPath); err != nil {
+			app.Fail(app.ExitBadSettings, err)
+		}
+	}
 	if *check {
 		return
 	}
@@ -63,7 +71,12 @@
 	s.Node.Descriptors = descriptorLimit(s.Node.Descriptors, logger)
 	store := platform.NewStore(s.Store, s.Node.Inbound.Addr(), logger)
 	n := sidecar.New(s.Node, platform.Headers(), store, logger)
-	go reload(reloads, *path, store, logger)
+	n.SetHedging(policy.Hedging)
+	files := []reloadedFile{{path: *path, load: func() error { return reloadSettings(*path, store, logger) }}}
+	if *policyPath != "" {
+		files = append(files, reloadedFile{path: *policyPath, load: func() error { return reloadPolicy(*policyPath, n, logger) }})
+	}
+	go reload(reloads, files, logger)
 	err = n.Run(context.Background(), platform.Registry(n.Report, logger))
 	logBuffer.Flush(logFlushTimeout)
 	if err != nil {
@@ -89,36 +102,69 @@
 	}
 }
 
-// settingsPollInterval is the time between two checks of the settings file, which may
+// settingsPollInterval is the time between two checks of the settings files, which may
 // change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// reload reloads the settings after a signal and after changes of the file, because the
-// address of the store may change while the node runs. Settings that cannot be loaded
-// change nothing.
-func reload(signals <-chan os.Signal, path string, store *platform.Store, logger *slog.Logger) {
+// reloadedFile is a file that is loaded again while the node runs.
+type reloadedFile struct {
+	path string
+	load func() error
+	// modified is when the file was modified before it was loaded last.
+	modified time.Time
+}
+
+// reload loads all files after a signal, and each one after a change. A file that cannot be loaded
+// changes nothing.
+func reload(signals <-chan os.Signal, files []reloadedFile, logger *slog.Logger) {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
-	last := modificationTime(path)
+	for i := range files {
+		files[i].modified = modificationTime(files[i].path)
+	}
 	for {
+		signaled := false
 		select {
 		case <-signals:
+			signaled = true
 		case <-poll.C:
-			if modificationTime(path).Equal(last) {
+		}
+		for i := range files {
+			f := &files[i]
+			modified := modificationTime(f.path)
+			if !signaled && modified.Equal(f.modified) {
 				continue
 			}
+			f.modified = modified
+			if err := f.load(); err != nil {
+				logger.Error("reload_failed", "file", f.path, "error", err.Error())
+			}
 		}
-		last = modificationTime(path)
-		s, err := platform.Load(path)
-		if err != nil {
-			logger.Error("reload_failed", "error", err.Error())
-			continue
-		}
-		store.SetAddress(s.Store)
-		logger.Info("reloaded", "store", s.Store.String())
 	}
 }
 
+// reloadSettings applies the address of the store, which may change while the node runs.
+func reloadSettings(path string, store *platform.Store, logger *slog.Logger) error {
+	s, err := platform.Load(path)
+	if err != nil {
+		return err
+	}
+	store.SetAddress(s.Store)
+	logger.Info("reloaded", "store", s.Store.String())
+	return nil
+}
+
+func reloadPolicy(path string, n *sidecar.Node, logger *slog.Logger) error {
+	p, err := settings.LoadPolicy(path)
+	if err != nil {
+		return err
+	}
+	n.SetHedging(p.Hedging)
+	logger.Info("policy_reloaded", "hedging", p.Hedging.Enabled(), "share", p.Hedging.Share, "burst", p.Hedging.Burst,
+		"routes", len(p.Hedging.Routes), "services", len(p.Hedging.Services))
+	return nil
+}
+
 // modificationTime returns when the file was last modified, or the zero time if that is
 // unknown.
 func modificationTime(path string) time.Time {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -21,7 +21,10 @@
 			continue
 		}
 		if table+dottedKey(e) == key {
-			return p.Shape(e.Value().Raw).Start.Line, true
+			// Arrays have no position of their own.
+			parts := e.Key()
+			parts.Next()
+			return p.Shape(parts.Node().Raw).Start.Line, true
 		}
 	}
 	return 0, false
