--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -104,6 +104,8 @@
 const (
 	// reasonQueue is the reason if the request would not be answered in time.
 	reasonQueue = "queue"
+	// reasonWaited is the reason if that turned out while it waited.
+	reasonWaited = "waited"
 	// reasonTargetLimit is the reason if it would exceed the rate limit of the target, and
 	// reasonTargetCold if it would exceed that of a cold target.
 	reasonTargetLimit = "target-limit"
@@ -228,7 +230,7 @@
 	g.wake(g.queue.Resume(g.now()))
 	for _, t := range g.queue.Expire(g.now()) {
 		if w, ok := g.waiters[t]; ok {
-			w <- "waited"
+			w <- reasonWaited
 			delete(g.waiters, t)
 		}
 	}
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -46,6 +46,8 @@
 	// IsRetry is set if the request may have run before, or is made on behalf of one that
 	// may have.
 	IsRetry bool `json:"repeat,omitempty"`
+	// Nested is set for nested calls. A copy of one has not their rank.
+	Nested bool `json:"nested,omitempty"`
 	// Organisation is the name of the organisation of the request, "" if it has none.
 	Organisation string `json:"organisation,omitempty"`
 	// KeyHash is the hash of the key of the request, ConfigVersion the version of the
@@ -177,7 +179,7 @@
 func (h hopRequest) rank() admission.Rank { return admission.Rank(h.Rank) }
 
 // nested reports whether the request is a nested call.
-func (h hopRequest) nested() bool { return h.rank() == admission.NestedRank }
+func (h hopRequest) nested() bool { return h.Nested || h.rank() == admission.NestedRank }
 
 const (
 	// reasonNoResponse is the reason of an attempt that timed out.
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -10,6 +10,7 @@
 	requests, responses, budgetRefusals, writeErrors, configFetches expvar.Int
 	storeErrors, unresponsiveConns, peerErrors                      expvar.Int
 	sentToTarget, malformedSignals                                  expvar.Int
+	copiesSent, copiesWon, copiesCancelled, copiesRefused           expvar.Int
 	// refused counts the responses to callers without a response of a target, inboundRefused the
 	// requests for the local target that it did not get, by reason.
 	refused, inboundRefused expvar.Map
@@ -17,6 +18,8 @@
 	organisations           organisationMetrics
 	// leftZone counts the attempts at targets in other zones, by both zones.
 	leftZone expvar.Map
+	// copiesHeld counts the requests that got no copy, by reason.
+	copiesHeld expvar.Map
 }
 
 func newMetrics() *metrics {
@@ -24,6 +27,7 @@
 	m.refused.Init()
 	m.inboundRefused.Init()
 	m.leftZone.Init()
+	m.copiesHeld.Init()
 	m.queueWait.counts.Init()
 	m.targetTime.counts.Init()
 	return m
@@ -35,6 +39,7 @@
 		"requests": &m.requests, "answered": &m.responses, "budget_refusals": &m.budgetRefusals,
 		"write_errors": &m.writeErrors, "config_fetches": &m.configFetches, "store_errors": &m.storeErrors, "silent_connections": &m.unresponsiveConns, "peer_errors": &m.peerErrors,
 		"target_requests": &m.sentToTarget, "malformed_signals": &m.malformedSignals,
+		"copies_sent": &m.copiesSent, "copies_won": &m.copiesWon, "copies_cancelled": &m.copiesCancelled, "copies_refused": &m.copiesRefused, "copies_held": &m.copiesHeld,
 		"refused": &m.refused, "left_zone": &m.leftZone, "inbound_refused": &m.inboundRefused, "queue_wait_ms": &m.queueWait.counts, "target_time_ms": &m.targetTime.counts,
 	} {
 		expvar.Publish(name, v)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -78,6 +78,8 @@
 	crashTrials   *crashTrials
 	budgets       sync.Map
 	caps          *usageCaps
+	// hedging decides about copies of requests, nil while the policy allows none.
+	hedging atomic.Pointer[hedging]
 	// unreachablePeers holds the nodes to which the last RPC failed.
 	unreachablePeers sync.Map
 
--- a/internal/sidecar/places.go
+++ b/internal/sidecar/places.go
@@ -30,8 +30,8 @@
 	return slices.DeleteFunc(slices.Clone(endpoints), func(e balance.Endpoint) bool { return slices.Contains(zones, e.Zone) })
 }
 
-// candidates returns the endpoints that may get the call.
-func (n *Node) candidates(c *call, endpoints []balance.Endpoint) []balance.Endpoint {
+// allowedEndpoints returns the endpoints in zones to which the call may be sent.
+func (n *Node) allowedEndpoints(c *call, endpoints []balance.Endpoint) []balance.Endpoint {
 	return outsideZones(inAllowedRegions(n.settings.Regions, endpoints, c.route.AllowedRegions, c.organisationRegions()), c.evacuated)
 }
 
