--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -117,11 +117,13 @@
 
 // update applies a change of the leases or caps to the buckets.
 func (s *allocation) update(slot Slot, caps map[string]Cap, now time.Duration) {
-	s.share = 0
+	// Whole numbers add up to the same sum in any order.
+	const parts = 1e12
+	sum := int64(0)
 	for _, l := range s.leases {
-		s.share += l.share
+		sum += int64(l.share * parts)
 	}
-	s.share = min(s.share, 1)
+	s.share = min(float64(sum)/parts, 1)
 	if len(s.leases) == 0 {
 		s.share = 0
 		clear(s.buckets)
@@ -169,7 +171,7 @@
 			delete(s.leases, node)
 			a.returnShare(slot, node, now)
 			s.update(slot, caps, now)
-		case reply.Lent.has(slot) && reply.Share > 0 && now < until && (!had || until >= before.until):
+		case reply.Lent.has(slot) && reply.Share > 0 && reply.Share <= 1 && now < until && (!had || until >= before.until):
 			if len(s.leases) == 0 {
 				s.nextEnd = until
 			}
--- a/pkg/quota/cost_test.go
+++ b/pkg/quota/cost_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,8 +73,8 @@
 				caps, rates := skewedCaps(84, 900)
 				s := newSimulation(5, nodes, caps)
 				s.run(warm)
-				for o, perSecond := range rates {
-					s.load(o, perSecond, warm+length, s.anyNode)
+				for _, o := range slices.Sorted(maps.Keys(rates)) {
+					s.load(o, rates[o], warm+length, s.anyNode)
 				}
 				s.encoded = func(method string, message any) { c.count(b, method, message) }
 				s.run(warm + length)
@@ -131,8 +133,8 @@
 	caps, rates := skewedCaps(84, 2000)
 	s := newSimulation(5, nodes, caps)
 	s.run(warm)
-	for o, perSecond := range rates {
-		s.load(o, 5*perSecond, warm+length, s.anyNode)
+	for _, o := range slices.Sorted(maps.Keys(rates)) {
+		s.load(o, 5*rates[o], warm+length, s.anyNode)
 	}
 	leases, takes := s.leases, s.takes
 	s.run(warm + length)
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,8 +95,9 @@
 		only := rapid.IntRange(0, nodes).Draw(t, "only")
 		// Saved tokens show only in loads with pauses.
 		quiet := time.Duration(rapid.SampledFrom([]int{0, 1000, 2500}).Draw(t, "quiet_ms")) * time.Millisecond
-		for o, c := range caps {
-			s.quiet = quiet
+		s.quiet = quiet
+		for _, o := range slices.Sorted(maps.Keys(caps)) {
+			c := caps[o]
 			s.load(o, c.Rate*over, until, func() *simNode {
 				if only < nodes {
 					return s.nodes[only]
