quota: the simulation watches the sum of the shares in use

The number of requests in 5 s has a tolerance of 10 % and 20, which hid faults of a lease. The sum of the shares that nodes and allocators may use must not exceed 1 at any time.

--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -353,6 +353,15 @@
 	return s.share
 }
 
+// OwnShare returns the share of the cap that the node itself may use: its base share, or 0 while
+// that is lent.
+func (n *Node) OwnShare(now time.Duration, organisation string) float64 {
+	if n.lender.lent(SlotOf(organisation), now) {
+		return 0
+	}
+	return n.share(now)
+}
+
 // OwnedSlots returns the slots of which this node is the allocator.
 func (n *Node) OwnedSlots() SlotSet { return n.allocator.owned() }
 
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// Guards against more requests than the cap over all nodes when messages are lost, delayed and
+// Guards against shares that two nodes use at once, and more requests than the cap over all nodes, when messages are lost, delayed and
 // reordered, nodes restart, pause and leave, all at once or some, and the mesh is cut into two or
 // three parts, under up to eight times the cap.
 func TestCapHoldsUnderFailures(t *testing.T) {
@@ -106,10 +106,12 @@
 			})
 		}
 		failures(t, s, until)
+		s.watchShares(10*time.Millisecond, until)
 		s.run(until)
 		for o, c := range caps {
 			requireCap(t, s, o, c, 0)
 		}
+		require.LessOrEqual(t, s.sharesInUse, 1+1e-6)
 	})
 }
 
@@ -137,7 +139,9 @@
 			})
 		}
 		failures(t, s, until)
+		s.watchShares(10*time.Millisecond, until)
 		s.run(until)
+		require.LessOrEqual(t, s.sharesInUse, 1+1e-6)
 		requireCap(t, s, "org", quota.Cap{Rate: max(before.Rate, after.Rate), Burst: max(before.Burst, after.Burst)}, 0)
 		requireCap(t, s, "org", after, changeAt+spread+capWindow)
 	})
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -38,6 +38,8 @@
 	verdicts map[string]map[quota.Verdict]int
 	// leases and takes count the messages.
 	leases, takes int
+	// sharesInUse is the greatest sum of the shares of a cap that were in use at one time.
+	sharesInUse float64
 	// encoded is called with each message, if it is set.
 	encoded func(method string, message any)
 }
@@ -112,6 +114,23 @@
 	heap.Push(&s.queue, simEvent{s.now + d, s.order, run})
 }
 
+// watchShares records the sum of the shares in use. It must not exceed 1 at any time, also while
+// nodes are paused: they go on with what they have when they resume.
+func (s *simulation) watchShares(interval, until time.Duration) {
+	for organisation := range s.caps {
+		sum := 0.0
+		for _, n := range s.nodes {
+			if n.quota != nil {
+				sum += n.quota.OwnShare(n.clock(), organisation) + n.quota.AllocatorShare(n.clock(), organisation)
+			}
+		}
+		s.sharesInUse = max(s.sharesInUse, sum)
+	}
+	if s.now < until {
+		s.after(interval, func() { s.watchShares(interval, until) })
+	}
+}
+
 // run runs the simulation until a time.
 func (s *simulation) run(until time.Duration) {
 	for len(s.queue) > 0 && s.queue[0].at <= until {
