--- a/internal/sidecar/caps_test.go
+++ b/internal/sidecar/caps_test.go
@@ -141,6 +141,26 @@
 	}
 }
 
+// Guards against copies of requests that pass a usage cap for free: at a cap of 4 requests a second,
+// each copy takes the token of another request.
+func TestCopiesTakeTokens(t *testing.T) {
+	m := newCapMesh(t, 1, 4, 4)
+	n := m.nodes[0]
+	c := &call{organisation: n.view.Load().Config.Organisation("north"), judgedBy: n.view.Load().Config.Version}
+	require.Eventually(t, func() bool { return n.takeCopyToken(c) }, 5*time.Second, 50*time.Millisecond)
+	taken := 0
+	for range 20 {
+		if n.takeCopyToken(c) {
+			taken++
+		}
+	}
+	// The burst, and the tokens that a cap may save beyond it.
+	require.LessOrEqual(t, taken, 4+16)
+	require.False(t, n.takeCopyToken(c), "a copy over the cap")
+	c.nested = true
+	require.True(t, n.takeCopyToken(c), "nested calls take no tokens")
+}
+
 // Guards against a cap that each node applies on its own, against parts of it that cannot be used,
 // and against a Retry-After that is not when a token is due.
 func TestCapHoldsOverAllNodes(t *testing.T) {
