--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -319,19 +319,25 @@
 func (b *Balancer) best(endpoints []Endpoint, r Request, now time.Duration, random func() float64) (best candidate, found bool) {
 	best.cost = math.Inf(1)
 	for _, e := range endpoints {
-		s := b.stateOf(e)
-		s.assumeCold(e, now, random)
-		wait, total := s.estimate(e, r, now)
-		penalty := failureCost*s.failureRate(now) + s.rateLimitCost(r, now)
-		cost := (b.cost(e, s, r, total, now) + penalty) * (1 + costJitter*random())
-		if cost < best.cost {
-			admissible := total <= r.Objective && !b.lastResort(e, now) && !s.coldUsedUp(e, r, now)
-			best, found = candidate{Choice{e, wait, admissible}, cost, penalty, total}, true
+		b.stateOf(e).assumeCold(e, now, random)
+		c := b.evaluate(e, r, now)
+		c.cost *= 1 + costJitter*random()
+		if c.cost < best.cost {
+			best, found = c, true
 		}
 	}
 	return best, found
 }
 
+// evaluate returns the endpoint as a candidate, with its cost without jitter.
+func (b *Balancer) evaluate(e Endpoint, r Request, now time.Duration) candidate {
+	s := b.stateOf(e)
+	wait, total := s.estimate(e, r, now)
+	penalty := failureCost*s.failureRate(now) + s.rateLimitCost(r, now)
+	admissible := total <= r.Objective && !b.lastResort(e, now) && !s.coldUsedUp(e, r, now)
+	return candidate{Choice{e, wait, admissible}, b.cost(e, s, r, total, now) + penalty, penalty, total}
+}
+
 // cost returns the cost without penalties. It grows with the cube of the expected response time
 // relative to the objective.
 // Targets that respond well within the objective have nearly equal costs, so that the zone
