--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -86,6 +86,19 @@
 	return b.hasRoom(share, slack, further)
 }
 
+// Left returns how many further retries stay within this node's share. It changes nothing.
+func (b *Budget) Left(now time.Duration, share, slack float64) int {
+	b.mu.Lock()
+	copied := Budget{Window: b.Window, current: b.current, buckets: b.buckets}
+	b.mu.Unlock()
+	copied.advance(now)
+	left := 0
+	for copied.hasRoom(share, slack, float64(left+1)) {
+		left++
+	}
+	return left
+}
+
 // hasRoom checks each window that contains the current bucket, since the shared budget
 // holds for all of them. A window that began recently may have few calls so far; the calls
 // of the window before it then count instead. mu must be held.
--- a/pkg/retry/shared_test.go
+++ b/pkg/retry/shared_test.go
@@ -153,3 +153,24 @@
 	s.play(24, rates, 0)
 	require.LessOrEqual(t, s.worstWindow(), 0.0)
 }
+
+// Guards against a report of the budget that uses it up, or that differs from what is allowed then.
+func TestLeftIsWhatIsAllowed(t *testing.T) {
+	for calls := range 60 {
+		b := &retry.Budget{}
+		for i := range calls {
+			b.RecordCall(time.Duration(i) * 400 * time.Millisecond)
+		}
+		now := time.Duration(calls) * 400 * time.Millisecond
+		for range 1000 {
+			b.Left(now, 0.18, 1.5)
+		}
+		left := b.Left(now, 0.18, 1.5)
+		allowed := 0
+		for b.AllowNodeShare(now, 0.18, 1.5) {
+			allowed++
+		}
+		require.Equal(t, allowed, left)
+		require.Zero(t, b.Left(now, 0.18, 1.5))
+	}
+}
