heathercroft route: where would a request go?

Operators could read why a request went somewhere only afterwards, from logs. The command asks one node by RPC where it would send a request: route, version, split, each target with what counts for or against it, first and second choice, refusal, cap, retries, copy, and the ages of the inputs. The node decides with the functions of the request path on copies of their inputs; choose, copyTarget, retryAfter, the split and the limits were split into parts that only read. The random numbers and, in tests, the time of a node can be set. No key and no hash is part of the question or the answer.

Tested: go test ./internal/sidecar ./internal/routequery ./internal/operator ./internal/control. With fixed random numbers the first choice is where the same request then goes (idle, four loads, evacuated zone, cold target, silent and leaving nodes); 1,000 questions change no state and log nothing.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -602,6 +602,11 @@
 // Announcements returns the announcements of all known nodes.
 func (c *Control) Announcements() []directory.Announcement { return c.dir.All() }
 
+// SinceLastMessage returns the time since the last message of another node.
+func (c *Control) SinceLastMessage(t Time, node mesh.NodeID) time.Duration {
+	return c.dir.SinceLastMessage(node, t.Now)
+}
+
 func (c *Control) publishView(t Time) {
 	suspects, refused := c.crashingRequests(t)
 	v := &View{
--- a/internal/operator/run.go
+++ b/internal/operator/run.go
@@ -14,6 +14,7 @@
 
 	"heathercroft.example/heathercroft/internal/explain"
 	"heathercroft.example/heathercroft/internal/query"
+	"heathercroft.example/heathercroft/internal/routequery"
 	"heathercroft.example/heathercroft/internal/settings"
 	"heathercroft.example/heathercroft/pkg/state"
 )
@@ -49,6 +50,9 @@
 	if len(args) > 0 && args[0] == "explain" {
 		return explain.Run(args[1:], std.In, std.Out, std.Err)
 	}
+	if len(args) > 0 && args[0] == "route" {
+		return routequery.Run(ctx, args[1:], std.Out, std.Err)
+	}
 	a, done, err := parseArguments(args, std)
 	if err != nil {
 		return usage(std, err)
@@ -82,7 +86,7 @@
 
 // parseArguments reads the command line. It reports done if it printed the help.
 func parseArguments(args []string, std IO) (a arguments, done bool, err error) {
-	app := kingpin.New("heathercroft", "Sends a command to a node and prints the reply. Exit codes: 0 done, 1 refused, 2 bad usage, 3 not done when the wait ended. \"heathercroft explain ID\" tells from logs what happened to a request.")
+	app := kingpin.New("heathercroft", "Sends a command to a node and prints the reply. Exit codes: 0 done, 1 refused, 2 bad usage, 3 not done when the wait ended. \"heathercroft explain ID\" tells from logs what happened to a request, \"heathercroft route METHOD HOST PATH\" where a node would send one.")
 	app.Terminate(func(int) { done = true })
 	app.UsageWriter(std.Out).ErrorWriter(std.Err)
 	app.Flag("node", "Base URL of a node, such as http://10.0.0.1:7003. Repeat it for nodes to try next.").StringsVar(&a.nodes)
--- a/internal/operator/run_test.go
+++ b/internal/operator/run_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/internal/query"
+	"heathercroft.example/heathercroft/internal/routequery"
 )
 
 // fakeNode replies to every command with a fixed HTTP status and body, or breaks
@@ -159,3 +160,12 @@
 	runProgram(t, "--node", broken.url, "--node", done.url, "put service x version v")
 	require.Equal(t, broken.last.Load().ID, done.last.Load().ID)
 }
+
+// Guards against a subcommand that is sent to a node as a command of the operators' language.
+func TestRouteIsASubcommand(t *testing.T) {
+	var out, errs strings.Builder
+	code := Run(t.Context(), []string{"route", "--node", "127.0.0.1:1", "GET", "shop.test", "/x"}, IO{In: strings.NewReader(""), Out: &out, Err: &errs})
+	require.Equal(t, routequery.ExitNotAnswered, code)
+	require.Contains(t, errs.String(), "heathercroft route: node 127.0.0.1:1 was not reached")
+	require.Empty(t, out.String())
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -131,8 +130,7 @@
 		n.respondError(w, http.StatusBadRequest, "bad-path", err.Error())
 		return
 	}
-	limits := view.Config.Limits
-	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
+	if overLimit(view.Config.Limits, r.ContentLength) {
 		n.logRejected(r, id, http.StatusRequestEntityTooLarge, "body-too-large")
 		n.respondError(w, http.StatusRequestEntityTooLarge, "body-too-large", "the body is over the configured limit")
 		return
@@ -212,6 +210,11 @@
 	n.deliver(ctx, c, res)
 }
 
+// overLimit reports whether a body is larger than the configured limit.
+func overLimit(limits published.Limits, bytes int64) bool {
+	return limits.BodyBytes > 0 && bytes > limits.BodyBytes
+}
+
 // timeLeft returns how long the caller waits, at most the timeout of the route. ok is false
 // if the caller's header is not a number of milliseconds.
 func (n *Node) timeLeft(r *http.Request, route *published.Route) (left time.Duration, ok bool) {
@@ -269,7 +272,7 @@
 			last.reason = n.reasonWithoutTarget(c)
 			last.expectedWait = noTargetRetryAfter
 		}
-		if !ok || len(c.tried) > 0 && !choice.Admissible && (last.reason == reasonQueue || last.reason == reasonShare || last.reason == reasonTargetLimit || last.reason == reasonTargetCold) {
+		if !ok || len(c.tried) > 0 && !choice.Admissible && refusedForLoad(last.reason) {
 			// One refusal confirms this node's estimate for the other nodes. Trying them too
 			// would delay the caller and load the nodes without benefit.
 			break
@@ -312,6 +315,17 @@
 	return last
 }
 
+// refusedForLoad reports whether the node of a target refused a request because the target has no room
+// for it in time.
+func refusedForLoad(reason string) bool {
+	switch reason {
+	case reasonQueue, reasonShare, reasonTargetLimit, reasonTargetCold:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordFailure counts an attempt without a successful response.
 func (c *call) recordFailure(res result) {
 	if reachedTarget(res.outcome) {
@@ -341,9 +355,7 @@
 	if c.deadline-n.clock.now() < max(minRetryTime, c.expectedServiceTime/2) {
 		return false
 	}
-	s := n.settings
-	callerMayRetry := !c.nested && c.attemptKind == admission.FirstAttempt && c.failure == nil
-	share, slack := retry.NodeShare(s.RetryRatio, s.RetrySlack, len(n.view.Load().Announcements), callerMayRetry)
+	share, slack := n.retryShare(c)
 	ok := n.retryBudget(c.service).AllowNodeShare(n.clock.now(), share, slack)
 	if !ok {
 		n.metrics.budgetRefusals.Add(1)
@@ -351,6 +363,12 @@
 	return ok
 }
 
+// retryShare returns the part of the retry budget that this node may use for the call.
+func (n *Node) retryShare(c *call) (share, slack float64) {
+	callerMayRetry := !c.nested && c.attemptKind == admission.FirstAttempt && c.failure == nil
+	return retry.NodeShare(n.settings.RetryRatio, n.settings.RetrySlack, len(n.view.Load().Announcements), callerMayRetry)
+}
+
 // choose selects the next target of a call.
 func (n *Node) choose(c *call) (balance.Choice, bool) {
 	endpoints, ok := n.candidates(c)
@@ -361,7 +379,7 @@
 	request := n.balanceRequest(c, now)
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
-	return n.balancer.Choose(endpoints, request, now, rand.Float64)
+	return n.balancer.Choose(endpoints, request, now, n.random)
 }
 
 // candidates returns the targets that a call may be sent to. ok is false if the service is unknown.
@@ -371,7 +389,7 @@
 		return nil, false
 	}
 	endpoints = service.Old
-	if service.NewShare > 0 && len(service.New) > 0 && (service.NewShare >= 1 || rand.Float64() < service.NewShare) {
+	if service.NewShare > 0 && len(service.New) > 0 && (service.NewShare >= 1 || n.random() < service.NewShare) {
 		endpoints = service.New
 	}
 	return n.allowedEndpoints(c, endpoints), true
--- a/internal/sidecar/caps.go
+++ b/internal/sidecar/caps.go
@@ -341,12 +341,22 @@
 func (n *Node) respondOverCap(c *call, res result) {
 	n.logEnded(c, outcomeRefused, res.reason, http.StatusTooManyRequests)
 	n.metrics.refused.Add(res.reason, 1)
-	// Rounded down, a caller would come back before the token is there.
-	after := math.Ceil(max(milliseconds(res.expectedWait), 1)) / 1000
+	after := capRetryAfter(res.expectedWait)
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(after, 'f', 3, 64))
 	n.writeText(c.w, http.StatusTooManyRequests, res.reason+": the usage cap of the organisation is used up; the request did not run\n")
 }
 
+// capRetryAfter returns the seconds until the next token. Rounded down, a caller would come back before
+// the token is there.
+func capRetryAfter(wait time.Duration) float64 { return math.Ceil(max(milliseconds(wait), 1)) / 1000 }
+
+// outlook returns what a request of the organisation would get from its cap now.
+func (u *usageCaps) outlook(organisation string) quota.Outlook {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.quota.Outlook(u.node.clock.now(), organisation)
+}
+
 // logFields returns the inputs of the decision of the cap. skip is set if the line is to be left
 // out: an organisation far over its cap would fill the log.
 func (u *usageCaps) logFields(c *charge, reason string) (fields []any, skip bool) {
--- a/internal/sidecar/clock.go
+++ b/internal/sidecar/clock.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -10,7 +11,11 @@
 
 // clock measures the time since the start of the process. It includes time in which the
 // machine is suspended, which the monotonic clock of the Go runtime does not.
-type clock struct{ start time.Duration }
+type clock struct {
+	start time.Duration
+	// fixed is the time that tests set, nil otherwise.
+	fixed atomic.Pointer[time.Duration]
+}
 
 func newClock() *clock { return &clock{start: bootTime()} }
 
@@ -22,7 +27,12 @@
 	return time.Duration(ts.Nano())
 }
 
-func (c *clock) now() time.Duration { return bootTime() - c.start }
+func (c *clock) now() time.Duration {
+	if fixed := c.fixed.Load(); fixed != nil {
+		return *fixed
+	}
+	return bootTime() - c.start
+}
 
 func (c *clock) time() control.Time {
 	return control.Time{Now: c.now(), UnixMS: time.Now().UnixMilli()}
--- a/internal/sidecar/hedge.go
+++ b/internal/sidecar/hedge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -379,17 +378,22 @@
 func (n *Node) chooseCopyTarget(c *call) (balance.Endpoint, *hedge.Target) {
 	all, _ := n.candidates(c)
 	now := n.clock.now()
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	return n.copyTargetOf(n.balancer, all, c, now)
+}
+
+// copyTargetOf selects the target of a copy among endpoints by the states in b.
+func (n *Node) copyTargetOf(b *balance.Balancer, all []balance.Endpoint, c *call, now time.Duration) (balance.Endpoint, *hedge.Target) {
 	request := n.balanceRequest(c, now)
 	// The objective may have passed. Costs are compared by the time that is left for the call.
 	request.Objective = max(request.Objective, (c.deadline-now)/2)
-	n.balanceMu.Lock()
-	defer n.balanceMu.Unlock()
 	var usable, free []balance.Endpoint
 	for _, e := range all {
 		if e.Cold || slices.Contains(c.tried, e.Node) {
 			continue
 		}
-		x := n.balancer.Estimate(e, request, now)
+		x := b.Estimate(e, request, now)
 		if x.LastResort {
 			continue
 		}
@@ -401,11 +405,11 @@
 	if len(free) == 0 {
 		free = usable
 	}
-	choice, ok := n.balancer.Choose(free, request, now, rand.Float64)
+	choice, ok := b.Choose(free, request, now, n.random)
 	if !ok {
 		return balance.Endpoint{}, nil
 	}
-	t := hedgeTarget(choice.Endpoint, n.balancer.Estimate(choice.Endpoint, request, now))
+	t := hedgeTarget(choice.Endpoint, b.Estimate(choice.Endpoint, request, now))
 	return choice.Endpoint, &t
 }
 
@@ -414,9 +418,14 @@
 	if !n.judgeAgain(c) || !n.takeCopyToken(c) {
 		return false
 	}
-	s := n.settings
-	share, slack := retry.NodeShare(s.RetryRatio, s.RetrySlack, len(n.view.Load().Announcements), false)
-	return n.retryBudget(c.service).AllowNodeShare(n.clock.now(), copyBudgetShare*share, copyBudgetShare*slack)
+	share, slack := n.copyShare()
+	return n.retryBudget(c.service).AllowNodeShare(n.clock.now(), share, slack)
+}
+
+// copyShare returns the part of the retry budget that this node may use for copies.
+func (n *Node) copyShare() (share, slack float64) {
+	share, slack = retry.NodeShare(n.settings.RetryRatio, n.settings.RetrySlack, len(n.view.Load().Announcements), false)
+	return copyBudgetShare * share, copyBudgetShare * slack
 }
 
 // takeCopyToken takes a token of the cap of the call's organisation, if one is at hand. A copy does
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -94,11 +94,24 @@
 	if len(s.positions) > maxTrackedRoutes {
 		clear(s.positions)
 	}
+	x := s.after(route)
+	s.positions[route] = x
+	return x
+}
+
+// peek returns what next will return.
+func (s *splitSequences) peek(route string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.after(route)
+}
+
+// after returns the position that follows that of the last request. mu must be held.
+func (s *splitSequences) after(route string) float64 {
 	x := s.positions[route] + goldenRatioStep
 	if x >= 1 {
 		x--
 	}
-	s.positions[route] = x
 	return x
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -34,6 +34,8 @@
 	logger   *slog.Logger
 	clock    *clock
 	metrics  *metrics
+	// random returns numbers in [0, 1) for the choice of targets.
+	random func() float64
 
 	controlMu sync.Mutex
 	control   *control.Control
@@ -121,7 +123,7 @@
 // New returns a node that is not started.
 func New(s Settings, h Headers, store Store, logger *slog.Logger) *Node {
 	n := &Node{
-		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(),
+		settings: s, headers: h, store: store, logger: logger, clock: newClock(), metrics: newMetrics(), random: rand.Float64,
 		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), crashTrials: newCrashTrials(), nestedCalls: newNestedCalls(),
 		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(), departureKept: newBroadcast(),
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/internal/routequery"
 	"heathercroft.example/heathercroft/internal/rpc"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
@@ -65,6 +66,12 @@
 			return nil, rpc.ErrBadParams
 		}
 		return n.caps.handleTake(r), nil
+	case routequery.Method:
+		var q routequery.Question
+		if err := json.Unmarshal(params, &q); err != nil {
+			return nil, rpc.ErrBadParams
+		}
+		return n.explainRoute(q), nil
 	default:
 		return nil, rpc.ErrUnknownMethod
 	}
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -59,9 +59,7 @@
 // refuseCall tells the caller that the request did not run and when to retry.
 func (n *Node) refuseCall(c *call, res result) {
 	left := c.deadline - n.clock.now()
-	after := max(res.expectedWait, minRetryAfter)
-	after += time.Duration(rand.Float64() * float64(after) / 2)
-	after = min(after, time.Duration(maxRetryAfterRatio*float64(max(left, 0))))
+	after := retryAfter(res.expectedWait, left, rand.Float64())
 	first := c.arrived
 	c.countOrganisation(n.metrics, func(o *organisationCounts) { o.Rejected++ })
 	n.refusalCache.record(c.refusalKey(), first, n.clock.now()+left)
@@ -69,6 +67,14 @@
 	n.refuse(c.w, res.reason, after)
 }
 
+// retryAfter returns when a caller with the time left may come back after a refusal. spread is a number
+// in [0, 1) that keeps callers from coming back together.
+func retryAfter(expectedWait, left time.Duration, spread float64) time.Duration {
+	after := max(expectedWait, minRetryAfter)
+	after += time.Duration(spread * float64(after) / 2)
+	return min(after, time.Duration(maxRetryAfterRatio*float64(max(left, 0))))
+}
+
 // refuse responds that the request did not run and will not run later.
 func (n *Node) refuse(w http.ResponseWriter, reason string, after time.Duration) {
 	n.metrics.refused.Add(reason, 1)
