conns: a response that is cut at the end of a stop is always logged as such

Seen by operators: at the exit of a node whose caller does not read, connections_at_exit had the level INFO and closed_unacknowledged 1 instead of WARN and unacknowledged 1.

Cause: a connection that lingers is released at the limit of the stop, at the same moment at which the summary for the log is made. If the release came first, the connection was counted among those closed earlier, which the exit does not lose.

Change: connections with unsent bytes that are released during the stop stay in the count of unacknowledged ones, so that the order does not matter.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -30,8 +30,11 @@
 	listener net.Listener
 	stopping bool
 	stopEnd  time.Time
-	// unsent and unread count the connections that were closed with such bytes.
+	// unsent and unread count the connections that were closed with such bytes. Those with unsent
+	// bytes that were closed at the end of the stop are counted by cut, with cutBytes: their
+	// responses end with the process.
 	unsent, unread int
+	cut, cutBytes  int
 }
 
 // endpoints identify an open connection. The connection itself does not: net/http knows it
@@ -52,7 +55,8 @@
 	Pipelined int `json:"pipelined"`
 	Streams   int `json:"streams"`
 	// Unacknowledged is the number of connections with UnacknowledgedBytes that were written
-	// and that the peer has not acknowledged, also of those counted above.
+	// and that the peer has not acknowledged, also of those counted above, and of those that were
+	// closed at the end of a stop.
 	Unacknowledged      int `json:"unacknowledged"`
 	UnacknowledgedBytes int `json:"unacknowledged_bytes"`
 	// Unread is the number of connections with bytes that were received and not read. Closing
@@ -72,7 +76,7 @@
 // Summary returns what the open connections carry now.
 func (t *Tracker) Summary() Summary {
 	t.mu.Lock()
-	s := Summary{ClosedUnacknowledged: t.unsent, ClosedUnread: t.unread}
+	s := Summary{Unacknowledged: t.cut, UnacknowledgedBytes: t.cutBytes, ClosedUnacknowledged: t.unsent, ClosedUnread: t.unread}
 	t.mu.Unlock()
 	for _, c := range t.list() {
 		c.addTo(&s)
@@ -333,7 +337,11 @@
 	if t.open[c.id] == c {
 		delete(t.open, c.id)
 	}
-	if unsent > 0 {
+	switch {
+	case unsent > 0 && t.stopping:
+		t.cut++
+		t.cutBytes += unsent
+	case unsent > 0:
 		t.unsent++
 	}
 	if unread > 0 {
--- a/internal/conns/stop_test.go
+++ b/internal/conns/stop_test.go
@@ -92,6 +92,15 @@
 			require.Eventually(t, func() bool { return tracker.Summary().Unacknowledged == 1 }, 5*time.Second, time.Millisecond)
 			if !reads {
 				require.ErrorIs(t, stop(500*time.Millisecond), context.DeadlineExceeded)
+				// The log of the exit tells that the response was cut, whether it is written before
+				// or after the connection is released at the same limit.
+				for range 20 {
+					summary := tracker.Summary()
+					require.Equal(t, 1, summary.Unacknowledged, summary)
+					require.Positive(t, summary.UnacknowledgedBytes)
+					require.True(t, summary.Carries())
+					time.Sleep(10 * time.Millisecond)
+				}
 				return
 			}
 			stopped := make(chan error, 1)
