--- a/internal/routequery/message.go
+++ b/internal/routequery/message.go
@@ -166,7 +166,7 @@
 
 // Cap is what the node knows of the usage cap of the organisation.
 type Cap struct {
-	PerSecond float64 `json:"rate_per_s"`
+	PerSecond float64 `json:"requests_per_s"`
 	Burst     float64 `json:"burst"`
 	// Verdict is admitted, waiting (the allocator is asked), over-cap or unknown.
 	Verdict   string `json:"verdict"`
--- a/internal/sidecar/explain.go
+++ b/internal/sidecar/explain.go
@@ -47,6 +47,10 @@
 	explainNotChosenZone = "other-zone"
 )
 
+// explainedDisturbance is how many times the usual time work has to take on the machine of a target
+// that is said to be disturbed.
+const explainedDisturbance = 1.05
+
 // explainedFailureRate is the failure rate from which on a target is said to fail.
 const explainedFailureRate = 0.1
 
@@ -311,7 +315,7 @@
 		{explainRateLimited, d.RateLimited && !d.ColdUsedUp && d.RateAvailable < 1},
 		{explainNoRoom, d.Load+1 > room},
 		{explainLate, d.Response > c.softDeadline-c.arrived},
-		{explainDisturbed, d.Disturbance > 1.05},
+		{explainDisturbed, d.Disturbance > explainedDisturbance},
 		{explainFailing, d.FailureRate >= explainedFailureRate},
 		{explainNoReport, !d.Reported},
 		{explainNotChosenZone, e.Zone != own},
