--- a/internal/routequery/text.go
+++ b/internal/routequery/text.go
@@ -44,7 +44,8 @@
 	return err
 }
 
-func (a *Answer) writeTargets(out io.Writer) {
+// writeTargets writes the table of the targets. out is a strings.Builder, whose writes do not fail.
+func (a *Answer) writeTargets(out *strings.Builder) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "TARGET\tNODE\tZONE\tVERSION\tCANDIDATE\tPICKED\tWAIT ms\tRESPONSE ms\tCOST\tLOAD\tREPORT\tMESSAGE\tREASONS")
 	for _, t := range a.Targets {
