sidecar: a revoked key serves for no copy and no retry

Seen by callers: a request whose key was revoked while its first attempt was at a target was sent again: as a copy, or as a retry after the first attempt had failed.

Cause: judgeAgain compared the version of the configuration with that of the last judgement and took an equal one for an acceptance. The decision about a copy judges too, and goes on with the first attempt if the key is refused. The next decision, or the next attempt, met the same version with the organisation removed, so that neither the key nor the cap was asked. The hop named the new version, so that the target's node did not judge again.

Change: a call keeps the outcome of the last judgement and gets the same one until the version changes.

--- a/internal/sidecar/apikey.go
+++ b/internal/sidecar/apikey.go
@@ -124,17 +124,20 @@
 // a target. It must be the last step before that.
 func (n *Node) judgeAgain(c *call) bool {
 	config := n.view.Load().Config
-	if config.Version == c.judgedBy || c.nested {
+	if c.nested {
 		return true
 	}
+	if config.Version == c.judgedBy {
+		return !c.keyRefused
+	}
 	c.judgedBy = config.Version
 	if len(config.Organisations) == 0 {
-		c.organisation = nil
+		c.organisation, c.keyRefused = nil, false
 		return true
 	}
 	organisation, reason := judge(config, config.Lookup(c.r.Host, c.r.URL.Path), c.key)
-	c.organisation = organisation
-	return reason == ""
+	c.organisation, c.keyRefused = organisation, reason != ""
+	return !c.keyRefused
 }
 
 // identity sets what the node of the target needs to know about the organisation of the call.
--- a/internal/sidecar/apikey_test.go
+++ b/internal/sidecar/apikey_test.go
@@ -346,3 +346,29 @@
 	require.Equal(t, 2, c.priority())
 	require.NotEqual(t, key, c.refusalKey(), "a request of another organisation is no client retry")
 }
+
+// Guards against a key that is revoked while its request is at a target, and that serves for a copy or
+// for a retry: the refusal of the first copy must not pass for a judgement in favour of the next.
+func TestRevokedKeyGetsNoCopyAndNoRetry(t *testing.T) {
+	for name, status := range map[string]int{"slow": http.StatusOK, "fails": http.StatusInternalServerError} {
+		t.Run(name, func(t *testing.T) {
+			nodes := newHedgingMesh(t, 3)
+			config := organisationConfig(t, 2, nil)
+			revoked := organisationConfig(t, 3, func(c *published.Config) { c.Organisations[0].KeyHashes = nil })
+			for _, n := range nodes {
+				n.Step(control.ConfigPublished{Config: config})
+				n.target.serve(func(w http.ResponseWriter, _ *http.Request) {
+					nodes[0].Step(control.ConfigPublished{Config: revoked})
+					// Long enough for several decisions about a copy.
+					time.Sleep(400 * time.Millisecond)
+					w.Header().Set("X-Signature", "s")
+					w.WriteHeader(status)
+				})
+			}
+			got, text := nodes[0].ask(t, "/read/x", "r1", http.Header{"X-Key": {keyNorth}})
+			require.Equal(t, status, got, text)
+			require.Zero(t, nodes[0].metrics.copiesSent.Value())
+			require.EqualValues(t, 1, runs(nodes))
+		})
+	}
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -59,10 +59,12 @@
 	body    *requestBody
 	// key is the key that the request carries, organisation the one that it counts for, nil
 	// if there is none, and judgedBy is the version of the configuration that says so. A nested
-	// call has the organisation of its parent, for fairness only.
+	// call has the organisation of its parent, for fairness only. keyRefused is set if that version
+	// does not accept the call. An attempt that began before may still be running then.
 	key          callerKey
 	organisation *published.Organisation
 	judgedBy     published.Version
+	keyRefused   bool
 	charge       charge
 	// lease holds the memory of the request and its responses.
 	lease *bounded.Lease
