sidecar: copies that do not run return the token of the cap

Seen by callers: with hedging, an organisation could use less than its cap: 100 decisions against a copy, for lack of room in the retry budget, used up a cap of 4 requests a second, and the next request got 429. A copy that the target's node refused cost a token as well, and so did a first attempt that was refused while its copy ran.

Cause: the decision took the token before it asked the retry budget, is repeated while the request runs, and nothing kept the token so that it could be returned.

Change: the retry budget is asked first, the call keeps the token of its copy, and the token goes back to the node's pocket if the copy is not sent or does not run. If the first attempt does not run, its token counts for the copy.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -66,6 +66,8 @@
 	judgedBy     published.Version
 	keyRefused   bool
 	charge       charge
+	// copyCharge is the token of the last copy.
+	copyCharge charge
 	// lease holds the memory of the request and its responses.
 	lease *bounded.Lease
 	// arrived, deadline and softDeadline are on the node's clock. The caller gets a final
--- a/internal/sidecar/caps_test.go
+++ b/internal/sidecar/caps_test.go
@@ -161,6 +161,71 @@
 	require.True(t, n.takeCopyToken(c), "nested calls take no tokens")
 }
 
+// Guards against a cap that is used up by copies that are not sent: without room in the retry budget, the
+// decision about a copy is repeated while its request runs.
+func TestCopyThatIsNotSentCostsNoToken(t *testing.T) {
+	m := newCapMesh(t, 1, 4, 4)
+	n := m.nodes[0]
+	n.settings.RetrySlack = 0
+	for range 2000 {
+		n.retryBudget("shop").RecordRetry(n.clock.now())
+	}
+	c := &call{service: "shop", organisation: n.view.Load().Config.Organisation("north"), judgedBy: n.view.Load().Config.Version}
+	// The bucket of the cap was empty.
+	time.Sleep(time.Second)
+	for range 100 {
+		require.False(t, n.allowCopy(c))
+	}
+	require.Equal(t, quota.Admitted, n.caps.decide(t.Context(), "north").Verdict)
+}
+
+// Guards against two tokens for a request of which one attempt ran: the target's node refuses the copy,
+// or the first target refuses the request while the copy runs.
+func TestAttemptBesideAnotherThatDoesNotRunReturnsItsToken(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		refuseCopy   bool
+		first, other func(http.ResponseWriter)
+	}{
+		{"copy is refused", true, func(w http.ResponseWriter) { time.Sleep(300 * time.Millisecond) }, nil},
+		{"first attempt is refused", false, func(w http.ResponseWriter) {
+			time.Sleep(100 * time.Millisecond)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, func(http.ResponseWriter) { time.Sleep(300 * time.Millisecond) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newCapMesh(t, 2, 4, 4)
+			n, _ := m.allocator(m.nodes)
+			n.sendCopies()
+			for _, other := range m.nodes {
+				if c.refuseCopy {
+					other.refuseRepeats()
+				}
+				other.target.serve(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("X-Signature", "s")
+					if p := other.active.parent(r.Header.Get("X-Id")); p.IsRetry {
+						c.other(w)
+					} else {
+						c.first(w)
+					}
+				})
+			}
+			// The bucket of the cap was empty.
+			time.Sleep(time.Second)
+			status := make(chan int, 1)
+			go func() {
+				got, _ := n.ask(t, "/read/x", "r1", http.Header{"X-Key": {keyNorth}})
+				status <- got
+			}()
+			// The allocator asks for no tokens ahead: what it has at hand was returned.
+			require.Eventually(t, func() bool { return n.caps.outlook("north").AtHand == 1 }, time.Second, time.Millisecond)
+			require.Equal(t, http.StatusOK, <-status)
+			require.EqualValues(t, 1, n.metrics.copiesSent.Value())
+		})
+	}
+}
+
 // Guards against a cap that each node applies on its own, against parts of it that cannot be used,
 // and against a Retry-After that is not when a token is due.
 func TestCapHoldsOverAllNodes(t *testing.T) {
--- a/internal/sidecar/hedge.go
+++ b/internal/sidecar/hedge.go
@@ -216,7 +216,14 @@
 		panic(end.panicked)
 	}
 	n.endAttempt(c, &end.callAttempt, end.result, callEnded)
-	if end.isCopy && end.result.outcome.NotRun() {
+	if !end.result.outcome.NotRun() {
+		return
+	}
+	if end.isCopy || len(a.running) > 0 && c.charge.decision.Counted && c.charge.organisation == c.copyCharge.organisation {
+		// At most one of the two attempts runs. The token of the call counts for it.
+		n.caps.giveBack(&c.copyCharge)
+	}
+	if end.isCopy {
 		n.metrics.copiesRefused.Add(1)
 		if !reachedTarget(end.result.outcome) {
 			n.retryBudget(c.service).Return(end.began, n.clock.now())
@@ -415,11 +422,20 @@
 
 // allowCopy charges the usage cap and the shared retry budget for a copy.
 func (n *Node) allowCopy(c *call) bool {
-	if !n.judgeAgain(c) || !n.takeCopyToken(c) {
+	if !n.judgeAgain(c) {
 		return false
 	}
 	share, slack := n.copyShare()
-	return n.retryBudget(c.service).AllowNodeShare(n.clock.now(), share, slack)
+	budget := n.retryBudget(c.service)
+	// A token that is asked for and not used is lost to the organisation.
+	if !budget.HasRoom(n.clock.now(), share, slack, 1) || !n.takeCopyToken(c) {
+		return false
+	}
+	if !budget.AllowNodeShare(n.clock.now(), share, slack) {
+		n.caps.giveBack(&c.copyCharge)
+		return false
+	}
+	return true
 }
 
 // copyShare returns the part of the retry budget that this node may use for copies.
@@ -431,6 +447,7 @@
 // takeCopyToken takes a token of the cap of the call's organisation, if one is at hand. A copy does
 // not wait for the allocator.
 func (n *Node) takeCopyToken(c *call) bool {
+	c.copyCharge = charge{}
 	if c.nested || c.organisation == nil || !c.organisation.Capped() {
 		return true
 	}
@@ -438,6 +455,7 @@
 	if d.Verdict == quota.Waiting {
 		d = n.caps.giveUp(c.organisation.Name, d, decided)
 	}
+	c.copyCharge = charge{organisation: c.organisation.Name, decision: d}
 	return d.Verdict == quota.Admitted
 }
 
--- a/internal/sidecar/hedge_test.go
+++ b/internal/sidecar/hedge_test.go
@@ -24,7 +24,12 @@
 // longer than 20 ms.
 func newHedgingMesh(t *testing.T, count int) []*testNode {
 	nodes := newMesh(t, count)
-	n := nodes[0]
+	nodes[0].sendCopies()
+	return nodes
+}
+
+// sendCopies lets a node send a copy of each request that takes longer than 20 ms.
+func (n *testNode) sendCopies() {
 	n.settings.RetrySlack = 1000
 	n.SetHedging(hedge.Policy{Limit: hedge.Limit{Share: 1, Burst: 1000}})
 	h := n.hedging.Load()
@@ -35,7 +40,16 @@
 			n.serviceTimes.observe(route, float64(20*time.Millisecond))
 		}
 	}
-	return nodes
+}
+
+// refuseRepeats makes a node refuse repeated requests for its target: there is no room for the calls
+// that they make.
+func (n *testNode) refuseRepeats() {
+	n.nestedCalls.countRun("read")
+	n.nestedCalls.countCall("read", "stock")
+	for range 2000 {
+		n.retryBudget("stock").RecordRetry(n.clock.now())
+	}
 }
 
 // runs returns how often the targets were asked.
@@ -265,12 +279,7 @@
 			time.Sleep(400 * time.Millisecond)
 			answerOf(n, w)
 		})
-		// There is no room for the calls that a repeated request makes.
-		n.nestedCalls.countRun("read")
-		n.nestedCalls.countCall("read", "stock")
-		for range 2000 {
-			n.retryBudget("stock").RecordRetry(n.clock.now())
-		}
+		n.refuseRepeats()
 	}
 	status, _, _ := nodes[0].call(t, http.MethodGet, "/read/x", "r1")
 	require.Equal(t, http.StatusOK, status)
