sidecar: an older configuration of the target's node does not require a key

Seen by callers: 401 (key-withdrawn) for requests without a key after a version had removed the last organisation, as long as the node of the target had the version before.

Cause: the node of the caller named the version by which it had judged only if that held organisations, or if the request carried a key. The target's node takes a missing version for 0, thus any of its own for a later one.

Evidence: TestOlderConfigurationOfTheTargetsNodeDoesNotRequireAKey failed before (401 instead of 200) and passes after.

Change: a node that has had organisations names the version of each judgement. Nodes of deployments without organisations send no version, as before. Not mended: a node that has started since the removal does not know of the organisations, and names none either.

--- a/internal/sidecar/apikey.go
+++ b/internal/sidecar/apikey.go
@@ -146,7 +146,8 @@
 	if c.organisation != nil {
 		h.Organisation = c.organisation.Name
 	}
-	if h.KeyHash != "" || len(n.view.Load().Config.Organisations) > 0 {
+	// The node of the target may still have the version before the one that removed the organisations.
+	if h.KeyHash != "" || n.hadOrganisations.Load() {
 		h.ConfigVersion = c.judgedBy
 	}
 }
--- a/internal/sidecar/apikey_test.go
+++ b/internal/sidecar/apikey_test.go
@@ -284,6 +284,16 @@
 	require.Equal(t, "new", got.last().Get("X-Organisation"))
 }
 
+// Guards callers without a key after the last organisation has been removed: a target's node that still has the
+// version before must not reject them.
+func TestOlderConfigurationOfTheTargetsNodeDoesNotRequireAKey(t *testing.T) {
+	nodes, got, _ := newOrganisationMesh(t)
+	nodes[0].Step(control.ConfigPublished{Config: organisationConfig(t, 3, func(c *published.Config) { c.Organisations = nil })})
+	status, text := nodes[0].ask(t, "/read/x", "r1", nil)
+	require.Equal(t, http.StatusOK, status, text)
+	require.Empty(t, got.last().Values("X-Organisation"))
+}
+
 // Guards nested calls, which carry no key: they must be served for the organisation of their parent,
 // also shortly after its end and if a former process of the node accepted it, when 401 would count
 // as a rejection of proper work. A caller must not avoid its key, or its cap, by an id.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -67,6 +67,8 @@
 	refusalCache                *refusalCache
 	splits                      *splitSequences
 	rates                       *rates
+	// hadOrganisations is set once a configuration in force held organisations.
+	hadOrganisations atomic.Bool
 	// configSince is when the configuration in force was received.
 	configSince atomic.Int64
 	// messages bounds the bodies that the node holds.
@@ -299,6 +301,9 @@
 			// A request that the new configuration judges must find its caps.
 			before := n.view.Load()
 			n.caps.viewChanged(before, v.View)
+			if c := v.View.Config; c != nil && len(c.Organisations) > 0 {
+				n.hadOrganisations.Store(true)
+			}
 			n.view.Store(v.View)
 			if v.View.IsEvacuated(n.settings.Zone) && !before.IsEvacuated(n.settings.Zone) {
 				// Other zones may still serve them in time.
