quota: a lender that was forgotten for a time lends its share again

What callers would see, from reading (it was not seen in a running mesh): after an allocator has dropped a node from its view and learned of it again, the node's share of the caps of that allocator cannot be used until the allocator has sent the node as many requests as before.

Cause: the sequence of lease requests was counted for each lender and began at 1 when the lender was known again. A lender that had not dropped the allocator too took all of them for late messages. Views are dropped after 60 s without a message, which the two sides do not count from the same time.

Evidence: TestShareIsLentAfterTheAllocatorForgotTheLender failed before (0 of 8 slots lent within 2 s) and passes after, as does go test ./pkg/quota.

Change: the allocator counts its requests to all lenders with one sequence, and replies to requests of before do not count for a lender that is known again.

--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -44,6 +44,9 @@
 type allocator struct {
 	slots   [SlotCount]*allocation
 	lenders map[mesh.NodeID]*borrower
+	// sequence is that of the last request to any lender. It goes on when a lender is forgotten: the
+	// lender may remember the last request to it.
+	sequence uint64
 }
 
 func newAllocator() *allocator {
@@ -189,6 +192,10 @@
 	b, ok := a.lenders[node]
 	if !ok {
 		b = &borrower{next: now}
+		for slot := range b.releasedAt {
+			// A reply to a request before it was forgotten may be older than a release.
+			b.releasedAt[slot] = a.sequence
+		}
 		a.lenders[node] = b
 	}
 	return now >= b.next && (a.owned() != 0 || b.released != 0)
@@ -197,7 +204,8 @@
 // request returns the next request to a lender.
 func (a *allocator) request(self Process, node mesh.NodeID, now time.Duration) LeaseRequest {
 	b := a.lenders[node]
-	b.sequence++
+	a.sequence++
+	b.sequence = a.sequence
 	r := LeaseRequest{Node: self.Node, StartUnixMS: self.StartUnixMS, Sequence: b.sequence, Slots: a.owned(), Released: b.released &^ a.owned()}
 	b.released = 0
 	b.next = now + a.interval(node, now)
--- a/pkg/quota/lease_test.go
+++ b/pkg/quota/lease_test.go
@@ -313,3 +313,33 @@
 	granted := a.HandleTake(renewed+1500*time.Millisecond, take).Granted
 	require.InDelta(t, 45+60, granted, 2)
 }
+
+// Guards against a share that cannot be leased any more: the allocator forgets a lender that it has not
+// heard for long, learns of it again, and the lender has kept the allocator.
+func TestShareIsLentAfterTheAllocatorForgotTheLender(t *testing.T) {
+	a, l := newNode(1, 3), newNode(0, 3)
+	onlyAllocator(a, 0)
+	onlyAllocator(l, 0)
+	lease := func(now time.Duration) (lent quota.SlotSet) {
+		for _, call := range a.Tick(now) {
+			if call.To.Node == "node-0" {
+				reply := l.HandleLease(now, call.Request)
+				a.LeaseAnswered(now, call, reply)
+				lent |= reply.Lent
+			}
+		}
+		return lent
+	}
+	for now := 4 * second; now < 10*second; now += 100 * time.Millisecond {
+		lease(now)
+	}
+	without := members(3, 0, 2)
+	without.Nodes = without.Nodes[1:]
+	a.SetMembers(10*second, without)
+	onlyAllocator(a, 11*second)
+	var lent quota.SlotSet
+	for now := 11 * second; now < 13*second; now += 100 * time.Millisecond {
+		lent |= lease(now)
+	}
+	require.Equal(t, quota.SlotCount, lent.Len())
+}
