quota: an allocator that a lender refuses returns the share at once

What callers would see, from reading: a share that a lender refuses to its former allocator lies idle until the loan ends, up to 2 s. The allocator has ceased to use it, and the lender can neither use nor lend it.

Cause: an allocator that ceases to use a refused share notes that the lender is to be told. The request left out the slots of which the sender still is the allocator, which a refused one always is.

Evidence: TestRefusedAllocatorReturnsTheShareAtOnce failed before (no request named the slots as released) and passes after. The sum of shares and the caps hold as before (TestCapHoldsUnderFailures, TestCapHoldsWhenItChanges).

Why it is safe: the allocator has dropped the lease and ignores replies to earlier requests. The lender processes the release before the slots that are wanted, and drops older messages.

--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -206,7 +206,7 @@
 	b := a.lenders[node]
 	a.sequence++
 	b.sequence = a.sequence
-	r := LeaseRequest{Node: self.Node, StartUnixMS: self.StartUnixMS, Sequence: b.sequence, Slots: a.owned(), Released: b.released &^ a.owned()}
+	r := LeaseRequest{Node: self.Node, StartUnixMS: self.StartUnixMS, Sequence: b.sequence, Slots: a.owned(), Released: b.released}
 	b.released = 0
 	b.next = now + a.interval(node, now)
 	if b.unanswered {
--- a/pkg/quota/lease_test.go
+++ b/pkg/quota/lease_test.go
@@ -343,3 +343,27 @@
 	}
 	require.Equal(t, quota.SlotCount, lent.Len())
 }
+
+// Guards against a share that is idle until its loan ends: an allocator that ceases to use it because the lender
+// has chosen another one must say so, although it remains the allocator for other lenders.
+func TestRefusedAllocatorReturnsTheShareAtOnce(t *testing.T) {
+	a := newNode(1, 3)
+	onlyAllocator(a, 0)
+	now := 4 * second
+	var to quota.LeaseCall
+	for _, call := range a.Tick(now) {
+		a.LeaseAnswered(now, call, quota.LeaseReply{Share: 1.0 / 3, Lent: call.Request.Slots})
+		to = call
+	}
+	now += quota.RenewInterval
+	for _, call := range a.Tick(now) {
+		if call.To == to.To {
+			a.LeaseAnswered(now, call, quota.LeaseReply{Refused: call.Request.Slots})
+		}
+	}
+	released := false
+	for _, call := range a.Tick(now) {
+		released = released || call.To == to.To && call.Request.Released == to.Request.Slots
+	}
+	require.True(t, released)
+}
--- a/pkg/quota/message.go
+++ b/pkg/quota/message.go
@@ -66,7 +66,8 @@
 	StartUnixMS int64       `json:"start"`
 	// Sequence orders the messages of a process to one lender, since they may arrive out of order.
 	Sequence uint64 `json:"seq"`
-	// Slots holds those whose shares the sender wants, Released those that it has ceased to use.
+	// Slots holds those whose shares the sender wants, Released those that it has ceased to use. A slot
+	// in both is released first.
 	Slots    SlotSet `json:"slots,omitempty"`
 	Released SlotSet `json:"released,omitempty"`
 }
