quota: allocators are not taken for dead when caps return

What callers would see, from reading: after a version without caps, the next version with caps begins with other allocators than the chosen ones, which have leased nothing, until the chosen ones send their first lease messages. Requests get 503 (cap-unknown) meanwhile.

Cause: without caps there are no lease messages. With the first members after that, each node took the silence of that time for the death of all allocators.

Evidence: TestAllocatorsAreKeptWhenCapsReturn failed before (quota_allocator_silent) and passes after, as does go test ./pkg/quota.

Change: the time of silence begins anew when there are caps again.

--- a/pkg/quota/lease_test.go
+++ b/pkg/quota/lease_test.go
@@ -367,3 +367,23 @@
 	}
 	require.True(t, released)
 }
+
+// Guards against allocators that are taken for dead because no node sent messages while there were no caps.
+func TestAllocatorsAreKeptWhenCapsReturn(t *testing.T) {
+	n := newNode(0, 3)
+	onlyAllocator(n, 0)
+	lease(n, 4*second, 1, true, false)
+	n.Tick(4 * second)
+	n.Events()
+	caps := map[string]quota.Cap{"org": {Rate: 100, Burst: 100}}
+	n.SetCaps(5*second, map[string]quota.Cap{})
+	n.SetCaps(60*second, caps)
+	onlyAllocator(n, 60*second)
+	n.Tick(60 * second)
+	for _, e := range n.Events() {
+		require.NotEqual(t, quota.AllocatorSilent, e.Kind)
+	}
+	d, call := n.Request(60*second, "org")
+	require.Equal(t, quota.Waiting, d.Verdict)
+	require.Equal(t, process(1), call.To)
+}
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -98,6 +98,12 @@
 			s.update(slot, caps, now)
 		}
 	}
+	if len(n.caps) == 0 {
+		// Without caps no allocator has sent messages, so that its silence shows nothing.
+		for _, m := range n.members {
+			m.chosenSince = now
+		}
+	}
 	n.caps = caps
 	n.lender.retain(n.caps, n.members)
 }
