sidecar: test that nested calls take no tokens of a cap

On a scratch copy in which they do, no test of internal/sidecar about keys, caps, copies and nested calls failed. TestNestedCallsTakeNoTokens fails there.

--- a/internal/sidecar/caps_test.go
+++ b/internal/sidecar/caps_test.go
@@ -226,6 +226,20 @@
 	}
 }
 
+// Guards nested calls: they take no tokens of their parent's organisation, whose cap they would use up, and are
+// served when it is used up.
+func TestNestedCallsTakeNoTokens(t *testing.T) {
+	m := newCapMesh(t, 1, 1, 1)
+	n := m.nodes[0]
+	parent := n.active.add(hopRequest{ID: "p1", Route: "read", Organisation: "north"})
+	defer n.endActive(parent)
+	for i := range 30 {
+		status, text := n.ask(t, "/read/x", "p1/"+strconv.Itoa(i), nil)
+		require.Equal(t, http.StatusOK, status, text)
+	}
+	require.Empty(t, n.caps.stats.all())
+}
+
 // Guards against a cap that each node applies on its own, against parts of it that cannot be used,
 // and against a Retry-After that is not when a token is due.
 func TestCapHoldsOverAllNodes(t *testing.T) {
