sidecar: test that requests between nodes carry no key

On a scratch copy in which the node of the caller leaves the key in the header, no test failed: the node of the target removes it too, and the tests looked at the target only. TestRequestsBetweenNodesCarryNoKey fails there.

--- a/internal/sidecar/apikey_test.go
+++ b/internal/sidecar/apikey_test.go
@@ -167,6 +167,22 @@
 	require.NotContains(t, output, "secret")
 }
 
+// Guards against a key, or a forged organisation, in requests between nodes. The target's node also removes both,
+// so that no target shows that they were sent.
+func TestRequestsBetweenNodesCarryNoKey(t *testing.T) {
+	nodes, got, _ := newOrganisationMesh(t)
+	headers := make(chan http.Header, 1)
+	record := func(h http.Header) { headers <- h.Clone() }
+	nodes[1].onInbound.Store(&record)
+	status, text := nodes[0].ask(t, "/read/x", "r1", http.Header{"X-Key": {keyNorth}, "X-Organisation": {"forged"}})
+	require.Equal(t, http.StatusOK, status, text)
+	require.Equal(t, 1, got.count())
+	sent := fmt.Sprint(<-headers)
+	require.Contains(t, sent, "north", "the name of the organisation")
+	require.NotContains(t, sent, keyNorth)
+	require.NotContains(t, sent, "forged")
+}
+
 // Guards against a key in the log line about a request whose head cannot be read.
 func TestUnreadableHeadDoesNotPutItsKeyIntoTheLog(t *testing.T) {
 	nodes, _, log := newOrganisationMesh(t)
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -176,6 +176,8 @@
 	serving *atomic.Pointer[Node]
 	// stopRPC closes the listener for other nodes and its connections.
 	stopRPC func()
+	// onInbound is called with the header of each request from another node, if it is set.
+	onInbound *atomic.Pointer[func(http.Header)]
 }
 
 // HandleRPC implements rpc.Handler with the current process of the node.
@@ -292,7 +294,13 @@
 func newTestNodeWith(t testingT, i int, logger *slog.Logger, zone mesh.AvailabilityZone) *testNode {
 	target := newFakeTarget(t, fmt.Sprintf("target-%d", i))
 	serving := &atomic.Pointer[Node]{}
-	inbound := listenWith(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serving.Load().serveInbound(w, r) }), maxHopHeaderBytes)
+	onInbound := &atomic.Pointer[func(http.Header)]{}
+	inbound := listenWith(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f := onInbound.Load(); f != nil {
+			(*f)(r.Header)
+		}
+		serving.Load().serveInbound(w, r)
+	}), maxHopHeaderBytes)
 	outbound := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		serving.Load().outboundHandler(nil).ServeHTTP(w, r)
 	}))
@@ -308,7 +316,7 @@
 	n.Step(control.FeedCaughtUp{Feed: control.MeshFeed})
 	n.Step(control.FeedCaughtUp{Feed: control.OperatorFeed})
 	serving.Store(n)
-	node := &testNode{Node: n, target: target, outbound: outbound, serving: serving}
+	node := &testNode{Node: n, target: target, outbound: outbound, serving: serving, onInbound: onInbound}
 	server := rpc.NewServer(peers, node, n.counters)
 	go func() { _ = server.Start(context.Background()) }()
 	node.stopRPC = func() { _ = server.Stop(context.Background()) }
