sidecar: test that a revoked key is refused before its request waits for a slot

On a scratch copy in which the node of the target judges only after the wait, no test failed. TestRevokedKeyDoesNotWaitAtTheTarget fails there.

--- a/internal/sidecar/apikey_test.go
+++ b/internal/sidecar/apikey_test.go
@@ -262,6 +262,22 @@
 	}
 }
 
+// Guards against requests that wait for a slot although the target's node knows that their key is revoked: they are
+// rejected at once.
+func TestRevokedKeyDoesNotWaitAtTheTarget(t *testing.T) {
+	nodes, got, _ := newOrganisationMesh(t)
+	for range defaultSlots {
+		release, _, no := nodes[1].gate.acquire(t.Context(), admission.Request{Rank: 0})
+		require.Nil(t, no)
+		defer release(true)
+	}
+	nodes[1].Step(control.ConfigPublished{Config: organisationConfig(t, 3, func(c *published.Config) { c.Organisations[0].KeyHashes = nil })})
+	// All slots stay in use: a request that waited would be rejected for its wait, with another status.
+	status, text := nodes[0].ask(t, "/read/x", "r1", http.Header{"X-Key": {keyNorth}})
+	require.Equal(t, http.StatusUnauthorized, status, text)
+	require.Zero(t, got.count())
+}
+
 // Guards each attempt: a call is judged by the version in force when it is sent, also by one that
 // introduces organisations or moves a key to another one.
 func TestEachAttemptIsJudgedByTheVersionInForce(t *testing.T) {
