--- a/internal/sidecar/apikey_test.go
+++ b/internal/sidecar/apikey_test.go
@@ -167,6 +167,22 @@
 	require.NotContains(t, output, "secret")
 }
 
+// Guards against a key, or a forged organisation, in requests between nodes. The target's node also removes both,
+// so that no target shows that they were sent.
+func TestRequestsBetweenNodesCarryNoKey(t *testing.T) {
+	nodes, got, _ := newOrganisationMesh(t)
+	headers := make(chan http.Header, 1)
+	record := func(h http.Header) { headers <- h.Clone() }
+	nodes[1].onInbound.Store(&record)
+	status, text := nodes[0].ask(t, "/read/x", "r1", http.Header{"X-Key": {keyNorth}, "X-Organisation": {"forged"}})
+	require.Equal(t, http.StatusOK, status, text)
+	require.Equal(t, 1, got.count())
+	sent := fmt.Sprint(<-headers)
+	require.Contains(t, sent, "north", "the name of the organisation")
+	require.NotContains(t, sent, keyNorth)
+	require.NotContains(t, sent, "forged")
+}
+
 // Guards against a key in the log line about a request whose head cannot be read.
 func TestUnreadableHeadDoesNotPutItsKeyIntoTheLog(t *testing.T) {
 	nodes, _, log := newOrganisationMesh(t)
@@ -246,6 +262,22 @@
 	}
 }
 
+// Guards against requests that wait for a slot although the target's node knows that their key is revoked: they are
+// rejected at once.
+func TestRevokedKeyDoesNotWaitAtTheTarget(t *testing.T) {
+	nodes, got, _ := newOrganisationMesh(t)
+	for range defaultSlots {
+		release, _, no := nodes[1].gate.acquire(t.Context(), admission.Request{Rank: 0})
+		require.Nil(t, no)
+		defer release(true)
+	}
+	nodes[1].Step(control.ConfigPublished{Config: organisationConfig(t, 3, func(c *published.Config) { c.Organisations[0].KeyHashes = nil })})
+	// All slots stay in use: a request that waited would be rejected for its wait, with another status.
+	status, text := nodes[0].ask(t, "/read/x", "r1", http.Header{"X-Key": {keyNorth}})
+	require.Equal(t, http.StatusUnauthorized, status, text)
+	require.Zero(t, got.count())
+}
+
 // Guards each attempt: a call is judged by the version in force when it is sent, also by one that
 // introduces organisations or moves a key to another one.
 func TestEachAttemptIsJudgedByTheVersionInForce(t *testing.T) {
@@ -284,6 +316,16 @@
 	require.Equal(t, "new", got.last().Get("X-Organisation"))
 }
 
+// Guards callers without a key after the last organisation has been removed: a target's node that still has the
+// version before must not reject them.
+func TestOlderConfigurationOfTheTargetsNodeDoesNotRequireAKey(t *testing.T) {
+	nodes, got, _ := newOrganisationMesh(t)
+	nodes[0].Step(control.ConfigPublished{Config: organisationConfig(t, 3, func(c *published.Config) { c.Organisations = nil })})
+	status, text := nodes[0].ask(t, "/read/x", "r1", nil)
+	require.Equal(t, http.StatusOK, status, text)
+	require.Empty(t, got.last().Values("X-Organisation"))
+}
+
 // Guards nested calls, which carry no key: they must be served for the organisation of their parent,
 // also shortly after its end and if a former process of the node accepted it, when 401 would count
 // as a rejection of proper work. A caller must not avoid its key, or its cap, by an id.
@@ -346,3 +388,29 @@
 	require.Equal(t, 2, c.priority())
 	require.NotEqual(t, key, c.refusalKey(), "a request of another organisation is no client retry")
 }
+
+// Guards against a key that is revoked while its request is at a target, and that serves for a copy or
+// for a retry: the refusal of the first copy must not pass for a judgement in favour of the next.
+func TestRevokedKeyGetsNoCopyAndNoRetry(t *testing.T) {
+	for name, status := range map[string]int{"slow": http.StatusOK, "fails": http.StatusInternalServerError} {
+		t.Run(name, func(t *testing.T) {
+			nodes := newHedgingMesh(t, 3)
+			config := organisationConfig(t, 2, nil)
+			revoked := organisationConfig(t, 3, func(c *published.Config) { c.Organisations[0].KeyHashes = nil })
+			for _, n := range nodes {
+				n.Step(control.ConfigPublished{Config: config})
+				n.target.serve(func(w http.ResponseWriter, _ *http.Request) {
+					nodes[0].Step(control.ConfigPublished{Config: revoked})
+					// Long enough for several decisions about a copy.
+					time.Sleep(400 * time.Millisecond)
+					w.Header().Set("X-Signature", "s")
+					w.WriteHeader(status)
+				})
+			}
+			got, text := nodes[0].ask(t, "/read/x", "r1", http.Header{"X-Key": {keyNorth}})
+			require.Equal(t, status, got, text)
+			require.Zero(t, nodes[0].metrics.copiesSent.Value())
+			require.EqualValues(t, 1, runs(nodes))
+		})
+	}
+}
--- a/pkg/quota/lease_test.go
+++ b/pkg/quota/lease_test.go
@@ -313,3 +313,77 @@
 	granted := a.HandleTake(renewed+1500*time.Millisecond, take).Granted
 	require.InDelta(t, 45+60, granted, 2)
 }
+
+// Guards against a share that cannot be leased any more: the allocator forgets a lender that it has not
+// heard for long, learns of it again, and the lender has kept the allocator.
+func TestShareIsLentAfterTheAllocatorForgotTheLender(t *testing.T) {
+	a, l := newNode(1, 3), newNode(0, 3)
+	onlyAllocator(a, 0)
+	onlyAllocator(l, 0)
+	lease := func(now time.Duration) (lent quota.SlotSet) {
+		for _, call := range a.Tick(now) {
+			if call.To.Node == "node-0" {
+				reply := l.HandleLease(now, call.Request)
+				a.LeaseAnswered(now, call, reply)
+				lent |= reply.Lent
+			}
+		}
+		return lent
+	}
+	for now := 4 * second; now < 10*second; now += 100 * time.Millisecond {
+		lease(now)
+	}
+	without := members(3, 0, 2)
+	without.Nodes = without.Nodes[1:]
+	a.SetMembers(10*second, without)
+	onlyAllocator(a, 11*second)
+	var lent quota.SlotSet
+	for now := 11 * second; now < 13*second; now += 100 * time.Millisecond {
+		lent |= lease(now)
+	}
+	require.Equal(t, quota.SlotCount, lent.Len())
+}
+
+// Guards against a share that is idle until its loan ends: an allocator that ceases to use it because the lender
+// has chosen another one must say so, although it remains the allocator for other lenders.
+func TestRefusedAllocatorReturnsTheShareAtOnce(t *testing.T) {
+	a := newNode(1, 3)
+	onlyAllocator(a, 0)
+	now := 4 * second
+	var to quota.LeaseCall
+	for _, call := range a.Tick(now) {
+		a.LeaseAnswered(now, call, quota.LeaseReply{Share: 1.0 / 3, Lent: call.Request.Slots})
+		to = call
+	}
+	now += quota.RenewInterval
+	for _, call := range a.Tick(now) {
+		if call.To == to.To {
+			a.LeaseAnswered(now, call, quota.LeaseReply{Refused: call.Request.Slots})
+		}
+	}
+	released := false
+	for _, call := range a.Tick(now) {
+		released = released || call.To == to.To && call.Request.Released == to.Request.Slots
+	}
+	require.True(t, released)
+}
+
+// Guards against allocators that are taken for dead because no node sent messages while there were no caps.
+func TestAllocatorsAreKeptWhenCapsReturn(t *testing.T) {
+	n := newNode(0, 3)
+	onlyAllocator(n, 0)
+	lease(n, 4*second, 1, true, false)
+	n.Tick(4 * second)
+	n.Events()
+	caps := map[string]quota.Cap{"org": {Rate: 100, Burst: 100}}
+	n.SetCaps(5*second, map[string]quota.Cap{})
+	n.SetCaps(60*second, caps)
+	onlyAllocator(n, 60*second)
+	n.Tick(60 * second)
+	for _, e := range n.Events() {
+		require.NotEqual(t, quota.AllocatorSilent, e.Kind)
+	}
+	d, call := n.Request(60*second, "org")
+	require.Equal(t, quota.Waiting, d.Verdict)
+	require.Equal(t, process(1), call.To)
+}
