build: programs tell which build they are

The Go build ID identifies the build. It needs no linker flag and no version control information, so it is there with the command of the deploy file, with -buildvcs=false and with external linking.

--- a/cmd/heathercroft-evaluate/main.go
+++ b/cmd/heathercroft-evaluate/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/evaluation"
 )
 
@@ -28,6 +29,7 @@
 	replays := app.Flag("replays", "File for one CSV line per replay.").String()
 	waits := app.Flag("waits", "Run the bench of waits of configuration changes instead.").Bool()
 	out := app.Flag("out", "Directory of the CSV files and figures.").Default("docs/figures").String()
+	app.Version(build.Current().String())
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
--- a/cmd/heathercroft-load/main.go
+++ b/cmd/heathercroft-load/main.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/load"
 )
 
@@ -28,6 +29,7 @@
 	cli.Flag("direct", "Base URL of a target to call directly; may be repeated.").StringsVar(&overrides.Direct)
 	cli.Flag("target", "Base URL of a target to ask for executions; may be repeated.").StringsVar(&overrides.Targets)
 	cli.Flag("path", "Path of the calls; may be repeated.").StringsVar(&overrides.Paths)
+	cli.Version(build.Current().String())
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s, err := load.LoadSettings(*path, overrides)
--- a/cmd/heathercroft-node/main.go
+++ b/cmd/heathercroft-node/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/node"
 	"heathercroft.example/heathercroft/internal/settings"
 )
@@ -18,6 +19,7 @@
 	cli := kingpin.New("heathercroft-node", "Carries calls, applies configuration and moves traffic beside one target instance.")
 	path := cli.Flag("settings", "TOML settings file.").Required().String()
 	check := cli.Flag("check-settings", "Check the settings file and exit.").Bool()
+	cli.Version(build.Current().String())
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s := settings.DefaultNode()
--- a/cmd/heathercroft-platform/main.go
+++ b/cmd/heathercroft-platform/main.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/logservice"
 	"heathercroft.example/heathercroft/internal/settings"
 )
@@ -17,6 +18,7 @@
 	cli := kingpin.New("heathercroft-platform", "Stand-in for the platform's append-only log service.")
 	path := cli.Flag("settings", "TOML settings file; defaults hold without it.").String()
 	check := cli.Flag("check-settings", "Check the settings and exit.").Bool()
+	cli.Version(build.Current().String())
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s := logservice.DefaultSettings()
--- a/cmd/heathercroft-sidecar/main.go
+++ b/cmd/heathercroft-sidecar/main.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/internal/settings"
 	"heathercroft.example/heathercroft/internal/sidecar"
@@ -43,6 +44,7 @@
 	advertise := cli.Flag("advertise", "IP address at which other nodes reach this one, if it is not the one at which it listens.").String()
 	policyPath := cli.Flag("policy", "File of the operator's own settings, such as the limits of hedged requests. Without it, these are off.").String()
 	check := cli.Flag("check-settings", "Check the settings file and the policy file and exit.").Bool()
+	cli.Version(build.Current().String())
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s, err := platform.Load(*path)
--- a/cmd/heathercroft-target/main.go
+++ b/cmd/heathercroft-target/main.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/settings"
 	"heathercroft.example/heathercroft/internal/target"
 )
@@ -17,6 +18,7 @@
 	cli := kingpin.New("heathercroft-target", "Stand-in for a target of the mesh.")
 	path := cli.Flag("settings", "TOML settings file.").Required().String()
 	check := cli.Flag("check-settings", "Check the settings and exit.").Bool()
+	cli.Version(build.Current().String())
 	kingpin.MustParse(cli.Parse(os.Args[1:]))
 
 	s := target.DefaultSettings()
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,6 +22,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/conns"
 )
 
@@ -127,6 +130,7 @@
 // gracefully.
 func Run(ctx context.Context, o Options) error {
 	klog.SetLogger(slogAdapter{o.Logger})
+	publishBuild()
 	var end atomic.Pointer[time.Time]
 	servers := make([]transport.Server, 0, len(o.Servers))
 	for _, s := range o.Servers {
@@ -158,6 +162,11 @@
 	return errors.Wrapf(err, "run %s", o.Name)
 }
 
+// publishBuild adds the build of the program to the metrics.
+var publishBuild = sync.OnceFunc(func() {
+	expvar.Publish("build", expvar.Func(func() any { return build.Current() }))
+})
+
 // Connections returns what the connections of the servers carry, by the name of the server.
 // Servers without connections are left out.
 func Connections(servers []transport.Server) map[string]conns.Summary {
--- a/internal/collector/run.go
+++ b/internal/collector/run.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/settings"
 	"heathercroft.example/heathercroft/pkg/timeline"
 )
@@ -72,6 +73,7 @@
 	app := kingpin.New("heathercroft-timeline", "Collects the events of all processes and writes them in one order. Exit codes: 0 done, 1 a source could not be read whole, 2 bad usage.")
 	app.Terminate(func(int) { done = true })
 	app.UsageWriter(out).ErrorWriter(errOut)
+	app.Version(build.Current().String())
 	app.Flag("node", "Base URL of a node's admin listener. Repeat it for more nodes.").StringsVar(&a.nodes)
 	app.Flag("file", "File with JSON log lines. Repeat it for more files.").StringsVar(&a.files)
 	app.Flag("format", "Form of the output: text, json or svg.").Default("text").EnumVar(&a.format, "text", "json", "svg")
--- a/internal/logservice/daemon.go
+++ b/internal/logservice/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/build"
 )
 
 // stopTimeout bounds the stop; calls in flight are answered at once by Close.
@@ -26,7 +27,7 @@
 	expvar.Publish("platform", expvar.Func(func() any { return server.Status().Counters }))
 	httpServer := app.HTTPServer("log", listener, server)
 	httpServer.RegisterOnShutdown(server.Close)
-	logger.Info("log service started", "address", listener.Addr().String())
+	logger.Info("log service started", "address", listener.Addr().String(), "build", build.Current())
 	return app.Run(ctx, app.Options{
 		Name:        "heathercroft-platform",
 		Logger:      logger,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/callpath"
 	"heathercroft.example/heathercroft/internal/core"
 	"heathercroft.example/heathercroft/internal/descriptors"
@@ -126,6 +127,7 @@
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go n.descriptors.Watch(watch, n.logger)
+	n.logger.Info("started", "build", build.Current())
 	return app.Run(ctx, app.Options{
 		Name:   "heathercroft-node",
 		Logger: n.logger,
--- a/internal/operator/run.go
+++ b/internal/operator/run.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/explain"
 	"heathercroft.example/heathercroft/internal/query"
 	"heathercroft.example/heathercroft/internal/routequery"
@@ -89,6 +90,7 @@
 	app := kingpin.New("heathercroft", "Sends a command to a node and prints the reply. Exit codes: 0 done, 1 refused, 2 bad usage, 3 not done when the wait ended. \"heathercroft explain ID\" tells from logs what happened to a request, \"heathercroft route METHOD HOST PATH\" where a node would send one.")
 	app.Terminate(func(int) { done = true })
 	app.UsageWriter(std.Out).ErrorWriter(std.Err)
+	app.Version(build.Current().String())
 	app.Flag("node", "Base URL of a node, such as http://10.0.0.1:7003. Repeat it for nodes to try next.").StringsVar(&a.nodes)
 	app.Flag("output", "Form of the output: text or json.").EnumVar(&a.output, outputText, outputJSON)
 	app.Flag("id", "Id of the change. Repeat a command with the id of its first attempt to give it one effect.").StringVar(&a.id)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -17,6 +17,7 @@
 
 	"heathercroft.example/heathercroft/internal/app"
 	"heathercroft.example/heathercroft/internal/bounded"
+	"heathercroft.example/heathercroft/internal/build"
 	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/internal/descriptors"
 	"heathercroft.example/heathercroft/internal/pipeline"
@@ -263,7 +264,7 @@
 	expvar.Publish("caller_connections", expvar.Func(func() any { return n.descriptors.State().Callers }))
 	expvar.Publish("caller_connections_limit", expvar.Func(func() any { return n.descriptors.State().CallerLimit }))
 	expvar.Publish("descriptors_short", expvar.Func(func() any { return n.descriptors.Short() }))
-	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service, "descriptors", n.settings.Descriptors)
+	n.logger.Info("started", "zone", string(n.settings.Zone), "service", n.settings.Service, "descriptors", n.settings.Descriptors, "build", build.Current())
 	go n.runTicker()
 	go n.descriptors.Watch(n.ctx, n.logger)
 	go n.contactSeeds()
--- a/internal/target/daemon.go
+++ b/internal/target/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"heathercroft.example/heathercroft/internal/app"
+	"heathercroft.example/heathercroft/internal/build"
 )
 
 // stopTimeout bounds the stop after the drain.
@@ -39,7 +40,7 @@
 		server.ConnState(c, state)
 	}
 	httpServer.RegisterOnShutdown(server.Close)
-	logger.Info("target started", "address", address.String(), "zone", string(s.Zone), "service", s.Service, "version", s.Version)
+	logger.Info("target started", "address", address.String(), "zone", string(s.Zone), "service", s.Service, "version", s.Version, "build", build.Current())
 
 	background, cancel := context.WithCancel(ctx)
 	defer cancel()
