control: failures after failed calls do not count against a version

Cause: evidence was there and was not believed. The comparison tolerates 1.5 times the failure rate of the old version, and drops a suspicion while the old version fails at 0.3 times the rate of the new one.

Change: a failure that a call of the target explains is not counted for either version, as it already did not count against the target. Calls that their node refuses before they have a target, and calls without a response when the target gives up, explain a failure, too.

Tests, which fail without the mechanism: TestFailedCallsOfTargetsDoNotHideAFaultyVersion, TestFailureAfterACallIsNotTheTargetsOwn.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -290,6 +290,10 @@
 }
 
 func (c *Control) countResponse(e TargetResponded) {
+	if e.CallFailed {
+		// Counted for the old version, these failures would hide those of the new one.
+		return
+	}
 	if len(c.evidence) > maxEvidenceRoutes {
 		c.evidence = canary.Evidence{}
 	}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -42,10 +42,13 @@
 	}
 	// TargetResponded reports a response of the local target.
 	TargetResponded struct {
-		Route   string
-		Failed  bool
-		Cold    bool
-		Latency time.Duration
+		Route  string
+		Failed bool
+		// CallFailed is set if the target failed after a call that it made, so that its version is
+		// not to blame.
+		CallFailed bool
+		Cold       bool
+		Latency    time.Duration
 	}
 	// TargetSignaled carries what a target, local or not, said about itself in a response
 	// that passed through this node.
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -783,3 +783,24 @@
 		})
 	}
 }
+
+// Guards against a faulty version that stays in use because the old version fails, too, when a
+// service that both call does not respond: such failures must not raise the tolerated rate.
+func TestFailedCallsOfTargetsDoNotHideAFaultyVersion(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v2", "v2")
+	m.order("v2", 1)
+	m.run(time.Second)
+	m.runWith(3*time.Second, func() {
+		m.countResponses("v1", 3, false)
+		m.countResponses("v2", 1, true)
+		for _, n := range m.nodes {
+			for range 2 {
+				m.step(n, TargetResponded{Route: "r", Failed: true, CallFailed: true, Latency: 550 * time.Millisecond})
+			}
+		}
+	})
+	for _, n := range m.nodes {
+		require.Zero(t, n.view.Endpoints["s"].NewShare, "%s", n.id)
+	}
+	require.Equal(t, StatusReverted, m.statuses["s"].State)
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -107,6 +107,8 @@
 		w.Header().Set(n.headers.RequestID, id)
 	}
 	parent := n.active.parent(n.headers.ParentID(id))
+	endCall := parent.beginCall()
+	defer endCall(false)
 	if n.refusing.Load() && parent == nil {
 		n.logRejected(r, id, http.StatusServiceUnavailable, reasonStopping)
 		n.refuse(w, reasonStopping, stoppingRetryAfter)
@@ -208,9 +210,7 @@
 	if res.outcome.NotRun() {
 		n.caps.giveBack(&c.charge)
 	}
-	if parent != nil && !res.succeeded() {
-		parent.callFailed.Store(true)
-	}
+	endCall(res.succeeded())
 	n.deliver(ctx, c, res)
 }
 
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -168,7 +168,7 @@
 		res.process = target.Process()
 		res.signals = n.recordSignals(h.ID, res.process, response, started)
 	}
-	res.callFailed = outcome == retry.ResponseReceived && !res.succeeded() && active.callFailed.Load()
+	res.callFailed = outcome == retry.ResponseReceived && !res.succeeded() && active.failedByCall()
 	n.recordLocalResult(h, &res, err)
 	return res
 }
@@ -222,7 +222,7 @@
 			n.step(control.RequestCompleted{Fingerprint: h.Fingerprint})
 		}
 		failed := !res.succeeded()
-		n.step(control.TargetResponded{Route: h.Route, Failed: failed, Cold: cold, Latency: res.targetTime})
+		n.step(control.TargetResponded{Route: h.Route, Failed: failed, CallFailed: res.callFailed, Cold: cold, Latency: res.targetTime})
 		n.metrics.targetTime.observe(res.targetTime)
 		if !res.callFailed {
 			n.recordTargetHealth(failed)
--- a/internal/sidecar/nested.go
+++ b/internal/sidecar/nested.go
@@ -16,10 +16,34 @@
 	hopRequest
 	// callFailed is set when a call that the target made for the request had no success.
 	callFailed atomic.Bool
+	// pendingCalls is the number of calls that the target waits for.
+	pendingCalls atomic.Int32
 	// ended is set when the request is no longer served.
 	ended atomic.Bool
 }
 
+// beginCall records that the target makes a call for the request. end must be called before the
+// response to the call is written, or soon after its refusal is.
+func (a *activeRequest) beginCall() (end func(succeeded bool)) {
+	if a == nil {
+		return func(bool) {}
+	}
+	a.pendingCalls.Add(1)
+	var once sync.Once
+	return func(succeeded bool) {
+		once.Do(func() {
+			if !succeeded {
+				a.callFailed.Store(true)
+			}
+			a.pendingCalls.Add(-1)
+		})
+	}
+}
+
+// failedByCall reports whether a failure of the request is explained by one of its calls, which
+// failed or has no response yet.
+func (a *activeRequest) failedByCall() bool { return a.callFailed.Load() || a.pendingCalls.Load() > 0 }
+
 func (r *activeRequests) add(h hopRequest) *activeRequest {
 	a := &activeRequest{hopRequest: h}
 	r.byID.Store(h.ID, a)
--- a/internal/sidecar/nested_test.go
+++ b/internal/sidecar/nested_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -87,3 +88,57 @@
 		return nodes[1].retryBudget("shop").HasRoom(nodes[1].clock.now()+3*nodes[1].settings.RetryWindow, 0.1, 1, 1)
 	}, time.Second, time.Millisecond)
 }
+
+// Guards against counting failures against a target, and so against its version, that a call of it
+// explains: one that its node refused before it had a target, or one without a response yet.
+func TestFailureAfterACallIsNotTheTargetsOwn(t *testing.T) {
+	for name, call := range map[string]struct {
+		host   string
+		status int
+		wait   time.Duration
+	}{
+		"refused by the node": {"unknown.test", http.StatusInternalServerError, time.Second},
+		"pending":             {"shop.test", http.StatusGatewayTimeout, 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nodes := newMesh(t, 1)
+			n := nodes[0]
+			release := make(chan struct{})
+			t.Cleanup(func() { close(release) })
+			n.target.serve(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Signature", "s")
+				if r.URL.Path == "/read/call" {
+					<-release
+					return
+				}
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.outbound.URL+"/read/call", nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				req.Host = call.host
+				req.Header.Set("X-Id", r.Header.Get("X-Id")+"/1")
+				req.Header.Set("X-Left", "1000")
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					if resp, err := n.outbound.Client().Do(req); err == nil {
+						_ = resp.Body.Close()
+					}
+				}()
+				select {
+				case <-ended:
+				case <-time.After(call.wait):
+				}
+				w.WriteHeader(call.status)
+			})
+			for i := range 4 {
+				status, _, _ := n.call(t, http.MethodGet, "/read/x", "r"+strconv.Itoa(i))
+				require.Equal(t, call.status, status)
+			}
+			n.balanceMu.Lock()
+			defer n.balanceMu.Unlock()
+			require.Zero(t, n.health.FailureRate(n.clock.now()))
+		})
+	}
+}
