--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -554,7 +554,7 @@
 	if t.Now >= c.nextGossip {
 		c.nextGossip = t.Now + gossipInterval
 		switch {
-		case c.moveShifted():
+		case c.large() && c.moveShifted():
 			c.nextGossip = t.Now + shiftedGossipInterval
 		case c.moveOpen():
 			c.nextGossip = t.Now + moveGossipInterval
@@ -616,7 +616,7 @@
 	v := &View{
 		Config: c.config, Target: c.self.Target, Stopping: c.stopping, StoreEra: c.storeEra, CrashingRequests: refused, CrashSuspects: suspects,
 		Reader: c.isReader(), ConfigPollWait: c.pollWait(), VouchesForConfig: c.large() && c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
-		Evacuated: c.zones.inForce(), TargetStopped: c.targetStopped(),
+		Evacuated: c.zones.inForce(),
 		Signals:   c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
 	if own := c.self.Target; own != nil {
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -25,10 +25,6 @@
 	// to it, before the store holds a decision.
 	cut       bool
 	nextPhase canary.Phase
-	// heldBy is why the move was not completed at the last tick.
-	heldBy string
-	// phaseSince is when this node learned the present phase.
-	phaseSince time.Duration
 	// nextPhaseSince and statusSince are the times at which a write became due.
 	nextPhaseSince time.Duration
 	statusSince    time.Duration
@@ -131,9 +127,6 @@
 		// The order may be old, as far as this node knows.
 		s.deadline = t.Now + time.Duration(m.DeadlineUnixMS-t.UnixMS)*time.Millisecond
 	}
-	if s.move.Phase != m.Phase {
-		s.phaseSince = t.Now
-	}
 	s.move, s.recorded = m, true
 	return true
 }
@@ -189,68 +182,13 @@
 		// The move may have been decided already. Send nothing to a version that may be
 		// faulty.
 		s.New, s.NewShare = nil, 0
-	case m.stopped():
-		s.New, s.NewShare = nil, 0
-	case !c.followsTrial(t, m):
-		// It may have been stopped elsewhere.
+	case m.cut || m.known.Suspected && m.known.Number == m.move.Number || m.move.Phase == canary.Reverted:
 		s.New, s.NewShare = nil, 0
 	default:
 		if m.known.Number != m.move.Number {
 			m.known = c.summaryOf(t, m.move)
 		}
-		s.NewShare = m.move.Share(m.known.PerSecond, t.Now-m.phaseSince)
-	}
-	if m.recorded && m.move.Open() {
-		s.Trial = c.trial(m)
-	}
-}
-
-// stopped reports whether the new version gets no requests, as far as this node knows.
-func (m *moveState) stopped() bool {
-	if !m.move.Open() {
-		return m.move.Phase == canary.Reverted
-	}
-	return m.cut || m.known.Suspected && m.known.Number == m.move.Number
-}
-
-// trialTimeout is the time without news of the other nodes after which a node sends no more requests
-// to a version on trial. A faulty version must get no more requests 5 s after its fiftieth bad
-// response.
-const trialTimeout = 2500 * time.Millisecond
-
-// followsTrial reports whether this node would have heard if another one had stopped the trial.
-func (c *Control) followsTrial(t Time, m *moveState) bool {
-	if !m.move.Open() || c.dir.Len() == 0 {
-		return true
-	}
-	if c.large() && !c.isReader() {
-		s, ok := c.summaries[m.move.Service]
-		return ok && s.Number == m.move.Number && t.Now-s.at < trialTimeout
-	}
-	for _, p := range c.peers {
-		if t.Now-p.receivedAt < trialTimeout {
-			return true
-		}
-	}
-	return false
-}
-
-// targetStopped reports whether the local target is one of a version on trial that gets no requests.
-// Requests of nodes that do not know it yet are refused here.
-func (c *Control) targetStopped() bool {
-	own := c.self.Target
-	if own == nil {
-		return false
-	}
-	m, ok := c.moves[own.Service]
-	return ok && own.Version == m.move.Version && m.recorded && m.stopped()
-}
-
-// trial returns the move as the request path needs it.
-func (c *Control) trial(m *moveState) *canary.Trial {
-	return &canary.Trial{
-		Number: m.move.Number, Version: m.move.Version, Deadline: m.deadline, Duration: m.move.Duration,
-		OwnPerSecond: c.load.PerSecond[m.move.Service], PerSecond: m.known.PerSecond,
+		s.NewShare = m.move.Share(m.known.PerSecond)
 	}
 }
 
@@ -310,19 +248,12 @@
 		// The node beside a faulty target suspects it first.
 		c.propagateChange(t)
 	}
-	s := canary.Snapshot{
+	phase := m.move.Decide(canary.Snapshot{
 		UnixMS: m.move.DeadlineUnixMS - (m.deadline - t.Now).Milliseconds(), Faulty: verdict == canary.VerdictFaulty,
 		Suspected: verdict == canary.VerdictSuspected || known.Suspected, NewResponses: total.Responses,
 		NewTargets: known.NewTargets, OldRequests: known.OldRequests,
 		AcknowledgedByAll: known.AcknowledgedRevision >= m.move.Revision,
-		Doubtful:          m.analyzer.Doubtful(), InPhase: t.Now - m.phaseSince,
-	}
-	if held := m.move.HeldBy(s); held != m.heldBy {
-		m.heldBy = held
-		c.log("move_held", "service", m.move.Service, "version", m.move.Version, "reason", held, "left_ms", (m.deadline - t.Now).Milliseconds(),
-			"answers", total.Responses, "failed", total.Failed, "old_requests", known.OldRequests, "acknowledged_revision", known.AcknowledgedRevision)
-	}
-	phase := m.move.Decide(s)
+	})
 	if phase != m.nextPhase {
 		m.nextPhase, m.nextPhaseSince = phase, t.Now
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/balance"
-	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
@@ -16,9 +15,6 @@
 	Config *published.Config
 	// Target is the target beside this node, nil until its first heartbeat.
 	Target *directory.Target
-	// TargetStopped is set while the version of Target gets no requests, since it is suspected or was
-	// reverted.
-	TargetStopped bool
 	// TargetColdRate is the number of requests per second that the target beside this node takes
 	// while it is cold, 0 without a limit, and TargetColdUntil the time until which it is cold.
 	TargetColdRate  float64
@@ -77,8 +73,6 @@
 	New []balance.Endpoint
 	// NewShare is the share of requests that is sent to New.
 	NewShare float64
-	// Trial is the move to the new version, nil unless one is open and recorded.
-	Trial *canary.Trial
 	// MoveOpen is set while a move to another version is open.
 	MoveOpen bool
 }
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -90,10 +90,6 @@
 	targetsReached int
 	// failure is the result of the last attempt that may have run, nil if there is none.
 	failure *result
-	// exposure is set while an attempt at a version on trial was chosen and has not reached it.
-	exposure *trialExposure
-	// reached is set once an attempt has reached a target.
-	reached bool
 	// attemptLeases hold the memory of responses to attempts that ran beside others.
 	attemptLeases []*bounded.Lease
 }
@@ -270,7 +266,6 @@
 // runAttempts sends the call to targets until it has a response or must not be sent again.
 func (n *Node) runAttempts(ctx context.Context, c *call) result {
 	last := result{outcome: retry.NotSent, reason: "no-target"}
-	defer n.returnExposure(c)
 	for len(c.tried) < maxNodesTried && ctx.Err() == nil {
 		body, ok := c.body.open()
 		if !ok {
@@ -295,9 +290,6 @@
 		} else {
 			last = rejected
 		}
-		if reachedTarget(last.outcome) {
-			n.countReached(c)
-		}
 		if last.reason == reasonZoneEvacuated {
 			c.evacuated = append(c.evacuated, endpoint.Zone)
 		}
@@ -383,16 +375,10 @@
 
 // choose selects the next target of a call.
 func (n *Node) choose(c *call) (balance.Choice, bool) {
-	n.returnExposure(c)
-	endpoints, onTrial, ok := n.versionEndpoints(c)
-	if ok && onTrial != nil && !n.takeExposure(c, onTrial) {
-		// Other requests have used the room since the version was picked.
-		endpoints, ok = n.oldEndpoints(c.service)
-	}
+	endpoints, ok := n.candidates(c)
 	if !ok {
 		return balance.Choice{}, false
 	}
-	endpoints = n.allowedEndpoints(c, endpoints)
 	now := n.clock.now()
 	request := n.balanceRequest(c, now)
 	n.balanceMu.Lock()
@@ -402,8 +388,15 @@
 
 // candidates returns the targets that a call may be sent to. ok is false if the service is unknown.
 func (n *Node) candidates(c *call) (endpoints []balance.Endpoint, ok bool) {
-	endpoints, _, ok = n.versionEndpoints(c)
-	return n.allowedEndpoints(c, endpoints), ok
+	service, ok := n.view.Load().Endpoints[c.service]
+	if !ok {
+		return nil, false
+	}
+	endpoints = service.Old
+	if service.NewShare > 0 && len(service.New) > 0 && (service.NewShare >= 1 || n.random() < service.NewShare) {
+		endpoints = service.New
+	}
+	return n.allowedEndpoints(c, endpoints), true
 }
 
 func (n *Node) balanceRequest(c *call, now time.Duration) balance.Request {
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -194,8 +194,6 @@
 		return reasonZoneEvacuated
 	case !t.Serving:
 		return "target-leaves"
-	case v.TargetStopped:
-		return reasonVersionStopped
 	default:
 		return ""
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -105,8 +105,6 @@
 	cachedConfig  *configResponse
 	history       published.History
 
-	exposures *exposures
-
 	counters *rpc.Counters
 	// feedEnds holds the positions to which the feeds were read.
 	feedEnds        [control.FeedCount]atomic.Pointer[logpos.Position]
@@ -132,7 +130,6 @@
 		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), crashTrials: newCrashTrials(), nestedCalls: newNestedCalls(),
 		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(), departureKept: newBroadcast(),
 	}
-	n.exposures = newExposures(s.exposeLimits(), func() float64 { return n.random() })
 	for f := range control.FeedCount {
 		n.rereads[f], n.viewChanged[f] = make(chan struct{}, 1), make(chan struct{}, 1)
 	}
@@ -260,7 +257,6 @@
 	expvar.Publish("evacuated_since_ms", expvar.Func(func() any { return n.evacuatedSince() }))
 	expvar.Publish("quota", expvar.Func(func() any { return n.caps.state() }))
 	expvar.Publish("quota_organisations", expvar.Func(func() any { return n.caps.stats.all() }))
-	expvar.Publish("versions_on_trial", expvar.Func(func() any { return n.exposures.state() }))
 	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
 	expvar.Publish("descriptors_open", expvar.Func(func() any { return n.descriptors.State().Open }))
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -44,8 +44,6 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
-	// ExposeLimits are the limits of what a version on trial gets, zero for the default.
-	ExposeLimits canary.Limits
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 	// Descriptors is the limit of file descriptors of the process, 0 for none.
@@ -66,14 +64,6 @@
 	return a
 }
 
-// exposeLimits returns the limits of what a version on trial gets.
-func (s Settings) exposeLimits() canary.Limits {
-	if s.ExposeLimits == (canary.Limits{}) {
-		return canary.DefaultLimits
-	}
-	return s.ExposeLimits
-}
-
 // Headers are the names of the headers that callers and targets use.
 type Headers struct {
 	// RequestID identifies one attempt of a caller; targets echo it.
