control, sidecar: limits of a version on trial hold at its targets

It fails in one of eight to twenty responses at first, the test looked for failures of 30 % on one route against 4 % tolerated, and nothing but that suspicion ended the flow of all traffic, which began 2.8 s before the deadline.

Change: - The node beside a target of the version counts what the target gets, and refuses (as not run) beyond its part of the limits: 95 % of a tenth of the requests that have reached targets since the order, by the responses that the targets' nodes report, and 85 % of the slack as the time of the move passes, divided by the number of targets. It holds in sum by construction: nothing reaches a target in another way, what is not known or was lost with a process counts as nothing. The limits come from the settings (expose_share, expose_slack). A refused call goes to another new target and then to the old version. - The node beside a target of a suspected or reverted version refuses, too, so that senders that have not heard of it do no harm. A node that hears from no other one (of the readers in a large mesh) for 2.5 s sends nothing to a version on trial. - A second test adds all routes up and looks for 15 %; a more sensitive one only holds back the release of the old version ("doubtful"). - The shift begins 3.2 s before the deadline with a quarter of the traffic for 0.6 s; the old version is released 1.4 s after its begin at the earliest, when nothing holds it. The share while observed is 1.2 % and 15 requests (was 2 % and 25), which leaves the limits for the shift. - "move_held" logs why a shifted move is not completed.

Tests: TestExposureHoldsInSumOverAllTargets, TestVersionOnTrialGetsNoMoreThanItsLimits, TestStoppedVersionGetsNoRequests, TestTargetsOfAStoppedVersionTakeNoRequests, TestNodeWithoutNewsSendsNothingToAVersionOnTrial, TestTrialIsLimitedByTheRequestsSinceTheOrder, TestVersionThatFailsUnderLoadIsDoubtedAndSuspected. TestCompletesOnlyWhenAllHaveMoved asks for more: it names the time since the shift, and that doubt holds the move.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -36,6 +36,8 @@
 	// ConfigDeadline is how long after its confirmation a configuration may take to be in
 	// force, 0 for the default.
 	ConfigDeadline time.Duration
+	// ExposeLimits are the limits of what a version on trial gets, zero for the default.
+	ExposeLimits canary.Limits
 	// Seed determines the node with which gossip starts.
 	Seed uint64
 }
@@ -77,7 +79,8 @@
 	stopping    bool
 	closing     bool
 	// withdrawn is set once the announcement of a stopping node was deleted.
-	withdrawn bool
+	withdrawn    bool
+	exposeLimits canary.Limits
 	// configDeadline is how long a configuration may take to be in force.
 	configDeadline time.Duration
 	storeLost      bool
@@ -141,8 +144,12 @@
 	if o.ConfigDeadline == 0 {
 		o.ConfigDeadline = defaultConfigDeadline
 	}
+	if o.ExposeLimits == (canary.Limits{}) {
+		o.ExposeLimits = canary.DefaultLimits
+	}
 	return &Control{
-		self: o.Self, configDeadline: o.ConfigDeadline, published: &View{},
+		exposeLimits: o.ExposeLimits,
+		self:         o.Self, configDeadline: o.ConfigDeadline, published: &View{},
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
@@ -554,7 +561,7 @@
 	if t.Now >= c.nextGossip {
 		c.nextGossip = t.Now + gossipInterval
 		switch {
-		case c.large() && c.moveShifted():
+		case c.moveShifted():
 			c.nextGossip = t.Now + shiftedGossipInterval
 		case c.moveOpen():
 			c.nextGossip = t.Now + moveGossipInterval
@@ -616,8 +623,8 @@
 	v := &View{
 		Config: c.config, Target: c.self.Target, Stopping: c.stopping, StoreEra: c.storeEra, CrashingRequests: refused, CrashSuspects: suspects,
 		Reader: c.isReader(), ConfigPollWait: c.pollWait(), VouchesForConfig: c.large() && c.isReader(), ReadsOperatorFeed: c.readsOperatorFeed(t), FollowsMoves: c.followsMoves(t), StatusDue: c.moveStatusDue(),
-		Evacuated: c.zones.inForce(),
-		Signals:   c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
+		Evacuated: c.zones.inForce(), TargetStopped: c.targetStopped(), Trial: c.trial(t),
+		Signals: c.signals.All(), Endpoints: map[string]*ServiceEndpoints{}, Announcements: map[mesh.NodeID]directory.Announcement{},
 	}
 	if own := c.self.Target; own != nil {
 		v.TargetColdRate, v.TargetColdUntil = c.service(own.Service).ColdRate, c.local.ColdUntil(t.Now)
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -27,8 +27,8 @@
 	// moveGossipInterval is the interval while a move is open. A faulty version must
 	// get no more traffic 5 s after its fiftieth bad response.
 	moveGossipInterval = 500 * time.Millisecond
-	// shiftedGossipInterval is the interval in a large mesh while all traffic of an open
-	// move goes to the new version.
+	// shiftedGossipInterval is the interval while all traffic of an open move goes to the new
+	// version.
 	shiftedGossipInterval = TickInterval
 	// aliveTimeout is the time since its last message after which a node counts as
 	// unresponsive. It exceeds one gossip cycle through the mesh.
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -25,6 +25,17 @@
 	// to it, before the store holds a decision.
 	cut       bool
 	nextPhase canary.Phase
+	// learnedAt is when this process learned of the move, mostTargets the greatest number of targets
+	// of the new version since.
+	learnedAt   time.Duration
+	mostTargets int
+	// reached holds the responses of the targets of the service that were counted since this
+	// process learned of the move.
+	reached map[reachedKey]reachedCounts
+	// heldBy is why the move was not completed at the last tick.
+	heldBy string
+	// phaseSince is when this node learned the present phase.
+	phaseSince time.Duration
 	// nextPhaseSince and statusSince are the times at which a write became due.
 	nextPhaseSince time.Duration
 	statusSince    time.Duration
@@ -42,6 +53,7 @@
 	}
 	m := &moveState{move: next, analyzer: canary.NewAnalyzer(), nextPhaseSince: t.Now}
 	m.deadline = t.Now + o.Duration
+	m.learnedAt = t.Now
 	c.moves[o.Service] = m
 	c.log("move_ordered", "service", o.Service, "version", o.Version, "number", next.Number,
 		"era", o.Position.Era, "offset", o.Position.Offset, "duration_ms", o.Duration.Milliseconds())
@@ -118,7 +130,7 @@
 	}
 	switch {
 	case !ok || m.Later(s.move):
-		s = &moveState{analyzer: canary.NewAnalyzer()}
+		s = &moveState{analyzer: canary.NewAnalyzer(), learnedAt: t.Now}
 		c.moves[m.Service] = s
 	case s.move.Position.Era > m.Position.Era:
 		m.Position = s.move.Position
@@ -127,6 +139,9 @@
 		// The order may be old, as far as this node knows.
 		s.deadline = t.Now + time.Duration(m.DeadlineUnixMS-t.UnixMS)*time.Millisecond
 	}
+	if s.move.Phase != m.Phase {
+		s.phaseSince = t.Now
+	}
 	s.move, s.recorded = m, true
 	return true
 }
@@ -182,13 +197,79 @@
 		// The move may have been decided already. Send nothing to a version that may be
 		// faulty.
 		s.New, s.NewShare = nil, 0
-	case m.cut || m.known.Suspected && m.known.Number == m.move.Number || m.move.Phase == canary.Reverted:
+	case m.stopped():
+		s.New, s.NewShare = nil, 0
+	case !c.followsTrial(t, m):
+		// It may have been stopped elsewhere.
 		s.New, s.NewShare = nil, 0
 	default:
 		if m.known.Number != m.move.Number {
 			m.known = c.summaryOf(t, m.move)
 		}
-		s.NewShare = m.move.Share(m.known.PerSecond)
+		s.NewShare = m.move.Share(m.known.PerSecond, t.Now-m.phaseSince)
+	}
+}
+
+// stopped reports whether the new version gets no requests, as far as this node knows.
+func (m *moveState) stopped() bool {
+	if !m.move.Open() {
+		return m.move.Phase == canary.Reverted
+	}
+	return m.cut || m.known.Suspected && m.known.Number == m.move.Number
+}
+
+// trialTimeout is the time without news of the other nodes after which a node sends no more requests
+// to a version on trial. A faulty version must get no more requests 5 s after its fiftieth bad
+// response.
+const trialTimeout = 2500 * time.Millisecond
+
+// followsTrial reports whether this node would have heard if another one had stopped the trial.
+func (c *Control) followsTrial(t Time, m *moveState) bool {
+	if !m.move.Open() || c.dir.Len() == 0 {
+		return true
+	}
+	if c.large() && !c.isReader() {
+		s, ok := c.summaries[m.move.Service]
+		return ok && s.Number == m.move.Number && t.Now-s.at < trialTimeout
+	}
+	for _, p := range c.peers {
+		if t.Now-p.receivedAt < trialTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// targetStopped reports whether the local target is one of a version on trial that gets no requests.
+// Requests of nodes that do not know it yet are refused here.
+func (c *Control) targetStopped() bool {
+	own := c.self.Target
+	if own == nil {
+		return false
+	}
+	m, ok := c.moves[own.Service]
+	return ok && own.Version == m.move.Version && m.recorded && m.stopped()
+}
+
+// trial returns the limits of the local target, nil if its version is not on trial.
+func (c *Control) trial(t Time) *canary.Trial {
+	own := c.self.Target
+	if own == nil {
+		return nil
+	}
+	m, ok := c.moves[own.Service]
+	if !ok || own.Version != m.move.Version || !m.move.Open() {
+		return nil
+	}
+	reached := 0
+	if m.known.Number == m.move.Number {
+		// Targets that this node no longer hears from have their part, too.
+		reached, m.mostTargets = m.known.Reached, max(m.mostTargets, m.known.NewTargets)
+	}
+	watched := (t.Now - m.learnedAt).Seconds() / m.move.Duration.Seconds()
+	return &canary.Trial{
+		Number: m.move.Number, Version: m.move.Version, Deadline: m.deadline,
+		Allowed: c.exposeLimits.PerTarget(reached, m.mostTargets, watched),
 	}
 }
 
@@ -248,12 +329,19 @@
 		// The node beside a faulty target suspects it first.
 		c.propagateChange(t)
 	}
-	phase := m.move.Decide(canary.Snapshot{
+	s := canary.Snapshot{
 		UnixMS: m.move.DeadlineUnixMS - (m.deadline - t.Now).Milliseconds(), Faulty: verdict == canary.VerdictFaulty,
 		Suspected: verdict == canary.VerdictSuspected || known.Suspected, NewResponses: total.Responses,
 		NewTargets: known.NewTargets, OldRequests: known.OldRequests,
 		AcknowledgedByAll: known.AcknowledgedRevision >= m.move.Revision,
-	})
+		Doubtful:          m.analyzer.Doubtful(), InPhase: t.Now - m.phaseSince,
+	}
+	if held := m.move.HeldBy(s); held != m.heldBy {
+		m.heldBy = held
+		c.log("move_held", "service", m.move.Service, "version", m.move.Version, "reason", held, "left_ms", (m.deadline - t.Now).Milliseconds(),
+			"answers", total.Responses, "failed", total.Failed, "old_requests", known.OldRequests, "acknowledged_revision", known.AcknowledgedRevision)
+	}
+	phase := m.move.Decide(s)
 	if phase != m.nextPhase {
 		m.nextPhase, m.nextPhaseSince = phase, t.Now
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heathercroft.example/heathercroft/pkg/balance"
+	"heathercroft.example/heathercroft/pkg/canary"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
@@ -15,6 +16,11 @@
 	Config *published.Config
 	// Target is the target beside this node, nil until its first heartbeat.
 	Target *directory.Target
+	// TargetStopped is set while the version of Target gets no requests, since it is suspected or was
+	// reverted.
+	TargetStopped bool
+	// Trial is set while the version of Target is on trial.
+	Trial *canary.Trial
 	// TargetColdRate is the number of requests per second that the target beside this node takes
 	// while it is cold, 0 without a limit, and TargetColdUntil the time until which it is cold.
 	TargetColdRate  float64
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -4,12 +4,14 @@
 	"context"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/bounded"
+	"heathercroft.example/heathercroft/internal/control"
 	"heathercroft.example/heathercroft/pkg/admission"
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/mesh"
@@ -20,6 +22,9 @@
 const (
 	// maxNodesTried limits how many nodes are tried for one request.
 	maxNodesTried = 4
+	// maxTrialRefusals is the number of targets of a version on trial that may refuse a call before it
+	// goes to the old version. One target may be used more than the others.
+	maxTrialRefusals = 2
 	// minRetryTime is the least remaining time with which a retry is started.
 	minRetryTime = 10 * time.Millisecond
 	// networkAllowance is subtracted from the soft deadline for the transfer between nodes
@@ -90,6 +95,8 @@
 	targetsReached int
 	// failure is the result of the last attempt that may have run, nil if there is none.
 	failure *result
+	// trialRefusals counts the targets of a version on trial that had no room for the call.
+	trialRefusals int
 	// attemptLeases hold the memory of responses to attempts that ran beside others.
 	attemptLeases []*bounded.Lease
 }
@@ -290,6 +297,12 @@
 		} else {
 			last = rejected
 		}
+		switch last.reason {
+		case reasonTrialLimit:
+			c.trialRefusals++
+		case reasonVersionStopped:
+			c.trialRefusals = maxTrialRefusals
+		}
 		if last.reason == reasonZoneEvacuated {
 			c.evacuated = append(c.evacuated, endpoint.Zone)
 		}
@@ -393,12 +406,25 @@
 		return nil, false
 	}
 	endpoints = service.Old
-	if service.NewShare > 0 && len(service.New) > 0 && (service.NewShare >= 1 || n.random() < service.NewShare) {
+	if n.picksNew(c, service) {
 		endpoints = service.New
 	}
 	return n.allowedEndpoints(c, endpoints), true
 }
 
+// picksNew reports whether the call goes to the new version of its service.
+func (n *Node) picksNew(c *call, service *control.ServiceEndpoints) bool {
+	switch {
+	case service.NewShare <= 0, service.NewShare < 1 && n.random() >= service.NewShare:
+		return false
+	case c.trialRefusals == 0:
+		return len(service.New) > 0
+	default:
+		untried := func(e balance.Endpoint) bool { return !slices.Contains(c.tried, e.Node) }
+		return c.trialRefusals < maxTrialRefusals && slices.ContainsFunc(service.New, untried)
+	}
+}
+
 func (n *Node) balanceRequest(c *call, now time.Duration) balance.Request {
 	return balance.Request{
 		ExpectedServiceTime: c.expectedServiceTime, Objective: c.softDeadline - now, Bytes: c.expectedBytes, Tried: c.tried,
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -192,6 +192,9 @@
 	// reasonZoneEvacuated is the reason of a refusal by a node beside a target in a zone that
 	// the operator has evacuated.
 	reasonZoneEvacuated = "zone-evacuated"
+	// reasonVersionStopped is the reason of a refusal by a node beside a target of a version that is
+	// suspected or was reverted.
+	reasonVersionStopped = "version-stopped"
 	// reasonStopping is the reason of a refusal by a node that stops.
 	reasonStopping = "node-stops"
 )
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -135,6 +135,11 @@
 		n.gate.release(ticket, noResponse)
 		return result{outcome: retry.RefusedByNode, reason: reasonKeyWithdrawn}
 	}
+	release, ok := n.trials.take(view, n.clock.now())
+	if !ok {
+		n.gate.release(ticket, noResponse)
+		return result{outcome: retry.RefusedByNode, reason: reasonTrialLimit}
+	}
 	left -= waited
 	n.setOrganisation(request.header, h.Organisation)
 	request.header.Set(n.headers.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
@@ -148,6 +153,9 @@
 	n.metrics.sentToTarget.Add(1)
 	n.metrics.organisations.count(h.Organisation, func(c *organisationCounts) { c.TargetRequests++ })
 	response, outcome, err := n.target.do(ctx, request)
+	if !reachedTarget(outcome) {
+		release()
+	}
 	took := n.clock.now() - started
 	ownResponse := response != nil && response.status != http.StatusMisdirectedRequest
 	if ownResponse {
@@ -194,6 +202,8 @@
 		return reasonZoneEvacuated
 	case !t.Serving:
 		return "target-leaves"
+	case v.TargetStopped:
+		return reasonVersionStopped
 	default:
 		return ""
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -105,6 +105,8 @@
 	cachedConfig  *configResponse
 	history       published.History
 
+	trials trialGate
+
 	counters *rpc.Counters
 	// feedEnds holds the positions to which the feeds were read.
 	feedEnds        [control.FeedCount]atomic.Pointer[logpos.Position]
@@ -130,6 +132,7 @@
 		balancer: balance.New(s.Zone), serviceTimes: newRouteAverages(), responseBytes: newRouteAverages(), refusalCache: newRefusals(), splits: newSplitSequences(), rates: newRates(), sent: newRates(), crashDetector: newCrashDetector(), crashTrials: newCrashTrials(), nestedCalls: newNestedCalls(),
 		counters: &rpc.Counters{}, writeTimeouts: newWriteTimeouts(), departureKept: newBroadcast(),
 	}
+	n.trials = trialGate{random: func() float64 { return n.random() }}
 	for f := range control.FeedCount {
 		n.rereads[f], n.viewChanged[f] = make(chan struct{}, 1), make(chan struct{}, 1)
 	}
@@ -150,7 +153,7 @@
 	n.control = control.New(control.Options{
 		Self:    self,
 		Address: s.Target.String(), Service: s.Service, Heartbeat: s.HeartbeatInterval,
-		ConfigDeadline: s.ConfigDeadline, Seed: rand.Uint64(),
+		ConfigDeadline: s.ConfigDeadline, ExposeLimits: s.ExposeLimits, Seed: rand.Uint64(),
 	})
 	n.view.Store(&control.View{})
 	return n
@@ -257,6 +260,7 @@
 	expvar.Publish("evacuated_since_ms", expvar.Func(func() any { return n.evacuatedSince() }))
 	expvar.Publish("quota", expvar.Func(func() any { return n.caps.state() }))
 	expvar.Publish("quota_organisations", expvar.Func(func() any { return n.caps.stats.all() }))
+	expvar.Publish("target_trial", expvar.Func(func() any { return n.trials.state() }))
 	expvar.Publish("connections", expvar.Func(func() any { return app.Connections(servers) }))
 	expvar.Publish("message_bytes", expvar.Func(func() any { return n.messages.Held() }))
 	expvar.Publish("descriptors_open", expvar.Func(func() any { return n.descriptors.State().Open }))
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -44,6 +44,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// ExposeLimits are the limits of what a version on trial gets, zero for the default.
+	ExposeLimits canary.Limits
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 	// Descriptors is the limit of file descriptors of the process, 0 for none.
--- a/pkg/canary/canary_test.go
+++ b/pkg/canary/canary_test.go
@@ -127,7 +127,12 @@
 	m = m.Next(canary.Shifted)
 	require.Equal(t, canary.Shifted, m.Decide(canary.Snapshot{UnixMS: 9900, NewResponses: 100, NewTargets: 1, OldRequests: 1, AcknowledgedByAll: true}))
 	require.Equal(t, canary.Shifted, m.Decide(canary.Snapshot{UnixMS: 9900, NewResponses: 100, NewTargets: 1}))
-	require.Equal(t, canary.Completed, m.Decide(canary.Snapshot{UnixMS: 9900, NewResponses: 100, NewTargets: 1, AcknowledgedByAll: true}))
+	moved := canary.Snapshot{UnixMS: 9900, NewResponses: 100, NewTargets: 1, AcknowledgedByAll: true, InPhase: 1500 * time.Millisecond}
+	require.Equal(t, canary.Completed, m.Decide(moved))
+	early, doubtful := moved, moved
+	early.InPhase, doubtful.Doubtful = 1300*time.Millisecond, true
+	require.Equal(t, canary.Shifted, m.Decide(early), "a fault under load has had no time to show")
+	require.Equal(t, canary.Shifted, m.Decide(doubtful))
 	require.Equal(t, canary.Reverted, m.Decide(canary.Snapshot{UnixMS: 9900, Faulty: true, AcknowledgedByAll: true}))
 }
 
@@ -136,7 +141,7 @@
 func TestSuspicionHoldsTheMove(t *testing.T) {
 	observing := canary.NewMove(canary.Order{Service: "s", Version: "v2", Number: 1, Duration: 10 * time.Second}, 0)
 	for phase, m := range map[canary.Phase]canary.Move{canary.Observing: observing, canary.Shifted: observing.Next(canary.Shifted)} {
-		s := canary.Snapshot{Suspected: true, NewResponses: 100, NewTargets: 1, AcknowledgedByAll: true}
+		s := canary.Snapshot{Suspected: true, NewResponses: 100, NewTargets: 1, AcknowledgedByAll: true, InPhase: time.Minute}
 		for s.UnixMS = 0; s.UnixMS < 9400; s.UnixMS += 100 {
 			require.Equal(t, phase, m.Decide(s), "at %d ms", s.UnixMS)
 		}
@@ -151,7 +156,7 @@
 func TestExposureIsBounded(t *testing.T) {
 	for _, rate := range []float64{5, 35, 110, 400, 2000} {
 		m := canary.NewMove(canary.Order{Service: "s", Version: "v2", Number: 1, Duration: 15 * time.Second}, 0)
-		observing := m.Share(rate) * rate * 15
+		observing := m.Share(rate, 0) * rate * 15
 		// All traffic for the time until a fault is detected and known to all nodes.
 		shifted := rate * 1.1
 		require.LessOrEqual(t, observing+shifted, 0.1*rate*15+50, "rate %v", rate)
@@ -200,3 +205,46 @@
 		})
 	}
 }
+
+// Guards against completing a move to a version that fails only at loaded targets: on all routes, and
+// at first in one of eight responses. A version as good as the old one must not be held back for it.
+func TestVersionThatFailsUnderLoadIsDoubtedAndSuspected(t *testing.T) {
+	for seed := range uint64(50) {
+		s, analyzer := newSimulation(seed), canary.NewAnalyzer()
+		s.addResponses(s.old, "r1", 2000, 0.004, 0)
+		doubtedAt, suspectedAt := 0, 0
+		for responses := 0; suspectedAt == 0 && responses < 2000; {
+			for _, route := range []string{"r1", "r2", "r3"} {
+				s.addResponses(s.current, route, 5, 0.12, 0)
+				responses += 5
+			}
+			verdict, _ := s.analyze(analyzer)
+			if doubtedAt == 0 && analyzer.Doubtful() {
+				doubtedAt = responses
+			}
+			if verdict != canary.VerdictHealthy {
+				suspectedAt = responses
+			}
+		}
+		require.NotZero(t, doubtedAt, "seed %d", seed)
+		require.LessOrEqual(t, doubtedAt, 120, "seed %d", seed)
+		require.NotZero(t, suspectedAt, "seed %d", seed)
+		require.LessOrEqual(t, suspectedAt, 600, "seed %d", seed)
+	}
+	doubted, rounds := 0, 0
+	for seed := range uint64(50) {
+		s, analyzer := newSimulation(seed), canary.NewAnalyzer()
+		s.addResponses(s.old, "r1", 2000, 0.004, 0)
+		for range 40 {
+			s.addResponses(s.old, "r1", 50, 0.004, 0)
+			s.addResponses(s.current, "r1", 15, 0.004, 0)
+			verdict, reason := s.analyze(analyzer)
+			require.Equal(t, canary.VerdictHealthy, verdict, "seed %d: %s", seed, reason)
+			rounds++
+			if analyzer.Doubtful() {
+				doubted++
+			}
+		}
+	}
+	require.Less(t, float64(doubted), 0.1*float64(rounds))
+}
--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -41,9 +41,20 @@
 }
 
 const (
-	// faultyFailureRate is the failure rate of a faulty version that the test looks
+	// faultyFailureRate is the failure rate of a faulty version that the test of a route looks
 	// for.
 	faultyFailureRate = 0.3
+	// underLoadFailureRate is the one that the test of all routes together looks for. A version
+	// that fails only at loaded targets fails on all routes, and less often.
+	underLoadFailureRate = 0.15
+	// allRoutes is the key of that test. No route has this name.
+	allRoutes = ""
+	// doubtFailureRate and doubtToleratedRate are those of a more sensitive test of all routes, which
+	// only holds back the release of the old version, and doubtLogRatio is its threshold: two
+	// failures within some 20 responses.
+	doubtFailureRate   = 0.08
+	doubtToleratedRate = 0.015
+	doubtLogRatio      = 2.0
 	// minToleratedFailureRate is the lowest failure rate that a healthy version is
 	// allowed, so that a few lost responses do not mark it as faulty.
 	minToleratedFailureRate = 0.04
@@ -116,6 +127,8 @@
 type Analyzer struct {
 	last map[string]Counts
 	sums map[string]float64
+	// doubt is the sum of the test that holds back the release of the old version.
+	doubt float64
 	// window holds the recent response times of a route.
 	window  map[string]Counts
 	verdict Verdict
@@ -135,12 +148,17 @@
 // reason. VerdictFaulty is final.
 func (a *Analyzer) Observe(now time.Duration, current, old VersionStats) (Verdict, string) {
 	oldTotal := old.Evidence.Total()
+	sum, doubt := a.sums[allRoutes], a.doubt
 	for route, counts := range current.Evidence {
 		delta := counts.Sub(a.last[route])
 		a.last[route] = counts
-		a.observeFailures(route, delta, max(failureRate(old.Evidence[route]), failureRate(oldTotal), old.Recent.FailureRate()))
+		oldRate := max(failureRate(old.Evidence[route]), failureRate(oldTotal), old.Recent.FailureRate())
+		a.sums[route] = max(0, a.sums[route]+logRatio(delta, oldRate, minToleratedFailureRate, faultyFailureRate))
+		sum += logRatio(delta, oldRate, minToleratedFailureRate, underLoadFailureRate)
+		doubt += logRatio(delta, oldRate, doubtToleratedRate, doubtFailureRate)
 		a.observeLatency(route, delta, old.Evidence[route])
 	}
+	a.sums[allRoutes], a.doubt = max(0, sum), max(0, doubt)
 	if a.verdict == VerdictFaulty {
 		return a.verdict, a.reason
 	}
@@ -160,6 +178,9 @@
 		}
 	case a.verdict == VerdictHealthy && over:
 		a.verdict, a.reason = VerdictSuspected, "failures on route "+route
+		if route == allRoutes {
+			a.reason = "failures on all routes"
+		}
 		a.suspectedAt, a.oldResponsesThen = now, oldResponses
 	case a.verdict == VerdictSuspected:
 		waited := now - a.suspectedAt
@@ -169,24 +190,29 @@
 	}
 }
 
-// faultyRoute returns the route with too many failures, the first by name.
+// faultyRoute returns the route with too many failures, the first by name, or allRoutes.
 func (a *Analyzer) faultyRoute() (route string, over bool) {
 	for r, sum := range a.sums {
-		if sum >= faultyLogRatio && (!over || r < route) {
+		if sum >= faultyLogRatio && (!over || route == allRoutes || r != allRoutes && r < route) {
 			route, over = r, true
 		}
 	}
 	return route, over
 }
 
-// observeFailures compares new responses with the failure rate of the old version.
-func (a *Analyzer) observeFailures(route string, delta Counts, oldRate float64) {
-	tolerated := min(max(minToleratedFailureRate, 1.5*oldRate), 0.6)
-	faulty := max(faultyFailureRate, min(2.5*tolerated, 0.9))
+// Doubtful reports whether there is evidence against the new version, though not enough to suspect
+// it. It looks at all routes together: a route with little traffic may take long to refute a few lost
+// responses.
+func (a *Analyzer) Doubtful() bool { return a.doubt >= doubtLogRatio }
+
+// logRatio returns the logarithm of the likelihood ratio of new responses: of a version that fails
+// at faultyRate against one that fails as the old version, or at toleratedRate if that is more.
+func logRatio(delta Counts, oldRate, toleratedRate, faultyRate float64) float64 {
+	tolerated := min(max(toleratedRate, 1.5*oldRate), 0.6)
+	faulty := max(faultyRate, min(2.5*tolerated, 0.9))
 	onFailure := math.Log(faulty / tolerated)
 	onSuccess := math.Log((1 - faulty) / (1 - tolerated))
-	sum := a.sums[route] + float64(delta.Failed)*onFailure + float64(delta.Responses-delta.Failed)*onSuccess
-	a.sums[route] = max(0, sum)
+	return float64(delta.Failed)*onFailure + float64(delta.Responses-delta.Failed)*onSuccess
 }
 
 // RecentCounts holds the recent responses of targets on all routes. Each update that
--- a/pkg/canary/move.go
+++ b/pkg/canary/move.go
@@ -160,20 +160,23 @@
 	// baseCanaryShare is the share of the new version while it is observed. A faulty
 	// version may get at most a tenth of all requests until the deadline; the rest of the
 	// tenth is reserved for a fault that shows only after all traffic has moved.
-	baseCanaryShare = 0.02
+	baseCanaryShare = 0.012
 	// extraRequests are sent to the new version in addition to the share, spread over
 	// the move, so that a service with little traffic provides evidence too. A faulty
 	// version may get at most 50 requests beyond the tenth.
-	extraRequests = 25
+	extraRequests = 15
 	// maxCanaryShare bounds the share for services with very little traffic.
 	maxCanaryShare = 0.12
-	// shiftLead is how long before the deadline all traffic moves. It covers the
-	// propagation of the phase and the longest requests at the old version.
-	shiftLead = 2800 * time.Millisecond
-	// completeLead is how long before the deadline the old version is released. It
-	// covers two conditional writes to a slow store, and leaves over a second in which
-	// a fault that shows only under load is detected.
-	completeLead = 1400 * time.Millisecond
+	// shiftLead is how long before the deadline traffic moves. It covers the steps of the shift, the
+	// longest requests at the old version and two conditional writes to a slow store.
+	shiftLead = 3200 * time.Millisecond
+	// rampTime is how long a shift sends only rampShare of the requests to the new version, so that
+	// the limits of a trial last until the old version has ended its requests.
+	rampTime  = 600 * time.Millisecond
+	rampShare = 0.25
+	// minShiftTime is the time from the shift until the old version is released, at least. A fault
+	// that shows only under load has time to show and to become known.
+	minShiftTime = 1400 * time.Millisecond
 	// revertLead is how long before the deadline a suspicion that is neither confirmed nor
 	// refuted reverts the move: time to write the decision and its status. Completing it
 	// would stop the old version, and with it the only way back.
@@ -184,10 +187,16 @@
 )
 
 // Share returns the share of the service's requests that goes to the new version.
-// perSecond is the rate of the service's requests.
-func (m Move) Share(perSecond float64) float64 {
+// perSecond is the rate of the service's requests, inPhase how long the node has known the present
+// phase.
+func (m Move) Share(perSecond float64, inPhase time.Duration) float64 {
 	switch m.Phase {
-	case Shifted, Completed:
+	case Shifted:
+		if inPhase < rampTime {
+			return rampShare
+		}
+		return 1
+	case Completed:
 		return 1
 	case Observing:
 		expected := max(perSecond, 1) * m.Duration.Seconds()
@@ -213,6 +222,31 @@
 	OldRequests int
 	// AcknowledgedByAll is set once all live nodes know the present phase.
 	AcknowledgedByAll bool
+	// Doubtful is set while there is evidence against the new version that is not enough to
+	// suspect it.
+	Doubtful bool
+	// InPhase is how long this node has known the present phase.
+	InPhase time.Duration
+}
+
+// HeldBy returns why a shifted move is not completed, "" if nothing holds it.
+func (m Move) HeldBy(s Snapshot) string {
+	switch {
+	case m.Phase != Shifted:
+		return ""
+	case s.Suspected:
+		return "suspected"
+	case s.InPhase < minShiftTime:
+		return "shift-time"
+	case s.Doubtful:
+		return "doubtful"
+	case !s.AcknowledgedByAll:
+		return "not-acknowledged"
+	case s.OldRequests > 0:
+		return "old-requests"
+	default:
+		return ""
+	}
 }
 
 // Decide returns the phase that the move should be in.
@@ -227,7 +261,7 @@
 		return m.Phase
 	case m.Phase == Observing && left <= shiftLead && s.NewTargets > 0 && s.NewResponses >= minNewResponses:
 		return Shifted
-	case m.Phase == Shifted && left <= completeLead && s.OldRequests == 0 && s.AcknowledgedByAll:
+	case m.Phase == Shifted && m.HeldBy(s) == "":
 		return Completed
 	default:
 		return m.Phase
