--- a/internal/build/build.go
+++ b/internal/build/build.go
@@ -39,16 +39,12 @@
 	Error string `json:"error,omitempty"`
 }
 
+// programFile is the file that the process runs, also after another one has taken its place or it
+// was deleted.
+const programFile = "/proc/self/exe"
+
 // Current returns the build of this program. The file is read once, when it is called first.
-var Current = sync.OnceValue(func() Info {
-	path, err := os.Executable()
-	if err != nil {
-		info := settingsInfo()
-		info.Error = errors.Wrap(err, "find the program file").Error()
-		return info
-	}
-	return read(path)
-})
+var Current = sync.OnceValue(func() Info { return read(programFile) })
 
 // read returns the build of this program, whose file is at path.
 func read(path string) Info {
--- a/internal/build/build_test.go
+++ b/internal/build/build_test.go
@@ -37,6 +37,29 @@
 	}
 }
 
+// Guards against a process that reports the build of the file that has taken the place of its own.
+func TestReplacedProgramTellsItsOwnBuild(t *testing.T) {
+	if os.Getenv("BUILD_TEST_REPLACED") != "" {
+		path, err := os.Executable()
+		require.NoError(t, err)
+		require.NoError(t, os.Remove(path))
+		require.NoError(t, os.WriteFile(path, []byte("another program"), 0o700))
+		require.Empty(t, Current().Error)
+		require.NotEmpty(t, Current().ID)
+		return
+	}
+	self, err := os.Executable()
+	require.NoError(t, err)
+	program, err := os.ReadFile(self)
+	require.NoError(t, err)
+	replaced := filepath.Join(t.TempDir(), "program")
+	require.NoError(t, os.WriteFile(replaced, program, 0o700))
+	command := exec.CommandContext(t.Context(), replaced, "-test.run", "^"+t.Name()+"$")
+	command.Env = append(os.Environ(), "BUILD_TEST_REPLACED=1")
+	out, err := command.CombinedOutput()
+	require.NoError(t, err, string(out))
+}
+
 // Guards against a program that does not start because its file cannot be read, or is no ELF file.
 func TestUnreadableProgramFileIsReported(t *testing.T) {
 	text := filepath.Join(t.TempDir(), "text")
