--- a/review/stand-2/crashing.go
+++ b/review/stand-2/crashing.go
@@ -42,6 +42,13 @@
 	p.crashes, p.lost = append(p.crashes, at), p.lost+others
 }
 
+// count returns the number of crashes.
+func (p *poison) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.crashes)
+}
+
 // lateRuns returns how many runs began later than contactTime after the third crash.
 func (p *poison) lateRuns() (late int) {
 	p.mu.Lock()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -28,8 +28,9 @@
 		services []string
 		play     scenario
 	}{
-		"crashing":  {[]string{"desk", "desk", "desk", "desk", "catalog", "catalog", "catalog", "catalog"}, playCrashing},
-		"departing": {[]string{"desk", "desk", "desk"}, playDeparting},
+		"crashing":   {[]string{"desk", "desk", "desk", "desk", "catalog", "catalog", "catalog", "catalog"}, playCrashing},
+		"forgetting": {[]string{"desk", "desk", "desk", "desk", "desk", "desk"}, playForgetting},
+		"departing":  {[]string{"desk", "desk", "desk"}, playDeparting},
 	}
 	chosen, ok := cases[os.Args[1]]
 	if !ok {
