--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -30,6 +30,7 @@
 	}{
 		"crashing":   {[]string{"desk", "desk", "desk", "desk", "catalog", "catalog", "catalog", "catalog"}, playCrashing},
 		"forgetting": {[]string{"desk", "desk", "desk", "desk", "desk", "desk"}, playForgetting},
+		"one-route":  {[]string{"desk", "desk", "desk", "desk", "desk", "desk", "desk", "desk"}, playOneRoute},
 		"departing":  {[]string{"desk", "desk", "desk"}, playDeparting},
 	}
 	chosen, ok := cases[os.Args[1]]
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -56,6 +57,10 @@
 	cluster *cluster
 	machine *machine
 	work    time.Duration
+	// version is that of its software, "" for v1.
+	version string
+	// fails, if set, reports whether the boot answers a request that it ran with a failure.
+	fails func(run) bool
 	// onRun is called when a boot begins to work on a request. It reports whether to go on.
 	onRun func(run) bool
 	// holdPing, if set, returns how long a ping is on its way.
@@ -152,7 +157,7 @@
 	sequence := b.sequence.Add(1)
 	text, err := json.Marshal(map[string]any{
 		"born": b.born, "address": b.worker.machine.address(portApp),
-		"info":   map[string]any{"service": b.worker.machine.service, "version": "v1", "zone": b.worker.machine.zone, "slots": slots},
+		"info":   map[string]any{"service": b.worker.machine.service, "version": cmp.Or(b.worker.version, "v1"), "zone": b.worker.machine.zone, "slots": slots},
 		"status": map[string]any{"state": "ready", "sequence": sequence, "cold_left_ms": 0},
 	})
 	if err != nil {
@@ -251,7 +256,11 @@
 	}
 	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d", b.running.Load(), b.waiting.Load(), slots))
 	h.Set(headerMAC, "mac-"+id)
-	text := "done " + id + "\n"
+	text, status := "done "+id+"\n", http.StatusOK
+	if b.worker.fails != nil && b.worker.fails(begun) {
+		text, status = "failed "+id+"\n", http.StatusInternalServerError
+	}
 	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
 	_, _ = io.WriteString(w, text)
 }
