--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"heathercroft.example/heathercroft/platform/standin"
@@ -92,6 +94,15 @@
 	settings, log           string
 	process                 *exec.Cmd
 	ended                   chan struct{}
+	// startedAt is when its node was started last, in nanoseconds of Unix time, 0 while it is down.
+	startedAt atomic.Int64
+}
+
+// inTouch reports whether nothing was done to the machine for contactTime. Its links and the store
+// are never disturbed here.
+func (m *machine) inTouch(at time.Time) bool {
+	started := m.startedAt.Load()
+	return started > 0 && at.UnixNano()-started >= int64(contactTime)
 }
 
 func (m *machine) address(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
@@ -106,6 +117,10 @@
 	machines []*machine
 	version  int
 	record   *record
+
+	// mu guards the start and the end of processes. closed is set when no further one may start.
+	mu     sync.Mutex
+	closed bool
 }
 
 // record collects what was sent, answered and run.
@@ -185,6 +200,11 @@
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errors.New("the case has ended")
+	}
 	log, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -202,6 +222,7 @@
 		close(ended)
 	}()
 	m.process, m.ended = p, ended
+	m.startedAt.Store(time.Now().UnixNano())
 	c.record.add("node %s started, pid %d", m.name, p.Process.Pid)
 	return nil
 }
@@ -235,14 +256,34 @@
 	return fmt.Errorf("%s is not ready", m.name)
 }
 
-// close ends all processes that the cluster started.
-func (c *cluster) close() {
+// kill kills the nodes of all machines.
+func (c *cluster) kill() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.killNodes()
+}
+
+// killNodes kills all nodes. mu must be held.
+func (c *cluster) killNodes() {
 	for _, m := range c.machines {
+		m.startedAt.Store(0)
 		if m.process != nil {
 			_ = m.process.Process.Kill()
+		}
+	}
+	for _, m := range c.machines {
+		if m.process != nil {
 			<-m.ended
 		}
 	}
+}
+
+// close ends all processes that the cluster started.
+func (c *cluster) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.killNodes()
 	_ = c.server.Close()
 }
 
--- a/review/stand-2/crashing.go
+++ b/review/stand-2/crashing.go
@@ -24,22 +24,29 @@
 type poison struct {
 	name string
 	mu   sync.Mutex
-	// runs holds when it reached a worker, crashes when it crashed one.
-	runs, crashes []time.Time
+	runs []poisonRun
+	// crashes holds when it crashed a worker, in the order of the crashes.
+	crashes []time.Time
 	// lost counts the other requests that ran on the workers at the crashes.
 	lost int
 }
 
-func (p *poison) reached(at time.Time) {
+// poisonRun is a run of the request. inTouch is set if the worker's machine was in touch.
+type poisonRun struct {
+	id      string
+	inTouch bool
+}
+
+func (p *poison) reached(r run) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.runs = append(p.runs, at)
+	p.runs = append(p.runs, poisonRun{r.id, r.boot.worker.machine.inTouch(r.at)})
 }
 
-func (p *poison) crashed(at time.Time, others int) {
+func (p *poison) crashed(others int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.crashes, p.lost = append(p.crashes, at), p.lost+others
+	p.crashes, p.lost = append(p.crashes, time.Now()), p.lost+others
 }
 
 // count returns the number of crashes.
@@ -49,19 +56,21 @@
 	return len(p.crashes)
 }
 
-// lateRuns returns how many runs began later than contactTime after the third crash.
-func (p *poison) lateRuns() (late int) {
+// lateRetries returns how many retries reached a worker that were sent later than contactTime after
+// the third crash, by machines in touch. A retry that reached two workers counts once.
+func (p *poison) lateRetries(q *requesters) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.crashes) < 3 {
 		return 0
 	}
-	for _, at := range p.runs {
-		if at.Sub(p.crashes[2]) > contactTime {
-			late++
+	late := map[string]bool{}
+	for _, r := range p.runs {
+		if sent := q.request(r.id); sent.inTouch && r.inTouch && sent.at.Sub(p.crashes[2]) > contactTime {
+			late[r.id] = true
 		}
 	}
-	return late
+	return len(late)
 }
 
 // form returns the body of a filled form: the same template of 6 KiB and a different entry.
@@ -87,12 +96,12 @@
 		default:
 			return true
 		}
-		p.reached(r.at)
+		p.reached(r)
 		if !trouble {
 			return true
 		}
 		others := int(r.boot.running.Load()) - 1
-		p.crashed(r.at, others)
+		p.crashed(others)
 		c.record.add("%s (%s) crashes worker %s, with it %d other requests", r.id, p.name, r.worker, others)
 		r.boot.crash(crashDown, "")
 		return false
@@ -141,8 +150,8 @@
 	c.record.report("answers: %v", answers)
 	broken := false
 	for _, p := range []*poison{byBody, byCaller} {
-		late := p.lateRuns()
-		c.record.report("request that crashes workers, told from others %s: reached workers %d times, crashed %d, with them %d other requests; %d times later than %s after the third crash, %d allowed",
+		late := p.lateRetries(q)
+		c.record.report("request that crashes workers, told from others %s: reached workers %d times, crashed %d, with them %d other requests; %d retries reached one later than %s after the third crash, %d allowed",
 			p.name, len(p.runs), len(p.crashes), p.lost, late, contactTime, maxLateRetries)
 		broken = broken || late > maxLateRetries
 	}
--- a/review/stand-2/forgetting.go
+++ b/review/stand-2/forgetting.go
@@ -26,8 +26,8 @@
 		if r.path != "/desk/broken" {
 			return true
 		}
-		crashing.reached(r.at)
-		crashing.crashed(r.at, int(r.boot.running.Load())-1)
+		crashing.reached(r)
+		crashing.crashed(int(r.boot.running.Load()) - 1)
 		c.record.add("%s crashes worker %s", r.id, r.worker)
 		r.boot.crash(crashDown, "")
 		return false
@@ -55,7 +55,9 @@
 			case <-stop:
 				return
 			case <-time.After(40 * time.Millisecond):
-				q.send(c.machines[i%len(c.machines)], http.MethodPost, "desk.example", "/desk/order", "order", []byte("an order"))
+				if m := c.machines[i%len(c.machines)]; m.startedAt.Load() > 0 {
+					q.send(m, http.MethodPost, "desk.example", "/desk/order", "order", []byte("an order"))
+				}
 			}
 		}
 	}()
@@ -72,14 +74,11 @@
 		again()
 	}
 	again()
-	before := crashing.lateRuns()
+	before := crashing.lateRetries(q)
 	for range restarts {
 		if trouble {
 			c.record.add("all nodes are killed")
-			for _, m := range c.machines {
-				_ = m.process.Process.Kill()
-				<-m.ended
-			}
+			c.kill()
 			time.Sleep(nodeDown)
 			if err := c.startNodes(); err != nil {
 				return err
@@ -99,9 +98,9 @@
 		w.current.end()
 		w.mu.Unlock()
 	}
-	late := crashing.lateRuns()
+	late := crashing.lateRetries(q)
 	c.record.report("answers: %v", answers)
-	c.record.report("request that crashes workers: reached workers %d times, crashed %d, with them %d other requests; later than %s after the third crash %d times before the restarts and %d times in all, %d allowed",
+	c.record.report("request that crashes workers: reached workers %d times, crashed %d, with them %d other requests; retries that reached one later than %s after the third crash: %d before the restarts, %d in all, %d allowed",
 		len(crashing.runs), len(crashing.crashes), crashing.lost, contactTime, before, late, maxLateRetries)
 	if late > maxLateRetries {
 		return errBroken
--- a/review/stand-2/oneroute.go
+++ b/review/stand-2/oneroute.go
@@ -18,6 +18,8 @@
 	exposeShare  = 0.1
 	exposeSlack  = 50
 	rollbackTime = 5 * time.Second
+	// drainAfter is when the workers of a version leave that was taken back.
+	drainAfter = 3 * time.Second
 	// badAnswers is the number of bad answers after which rollbackTime begins.
 	badAnswers = 50
 	// uploadEvery is the number of requests of which one goes to the route that the bad version
@@ -119,6 +121,11 @@
 				w.current.end()
 			}
 		}
+		if state == "reverted" {
+			for _, w := range fresh {
+				time.AfterFunc(drainAfter, func() { w.current.leave() })
+			}
+		}
 	}
 	close(stop)
 	<-stopped
@@ -126,7 +133,7 @@
 	for _, w := range workers {
 		w.current.end()
 	}
-	return seen.judge(c, ordered, trouble)
+	return seen.judge(c, ordered)
 }
 
 // reached records that a request reached a worker.
@@ -153,7 +160,7 @@
 }
 
 // judge applies both parts of the rule.
-func (s *versionCounts) judge(c *cluster, ordered time.Time, trouble bool) error {
+func (s *versionCounts) judge(c *cluster, ordered time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all, exposed, late := 0, 0, 0
@@ -172,7 +179,8 @@
 	allowed := exposeShare*float64(all) + exposeSlack
 	c.record.report("new version: %d of %d requests between the order and its deadline, %.1f allowed if it is bad; %d bad answers; %d requests sent later than %s after the %dth",
 		exposed, all, allowed, len(s.bad), late, rollbackTime, badAnswers)
-	if trouble && (float64(exposed) > allowed || late > 0) {
+	// The rule is about bad versions.
+	if len(s.bad) > 0 && (float64(exposed) > allowed || late > 0) {
 		return errBroken
 	}
 	return nil
--- a/review/stand-2/requester.go
+++ b/review/stand-2/requester.go
@@ -19,28 +19,46 @@
 	numbers atomic.Int64
 	sent    sync.WaitGroup
 
-	mu      sync.Mutex
-	answers map[string]int
+	mu       sync.Mutex
+	answers  map[string]int
+	requests map[string]request
+}
+
+// request is what was known of a request when it was sent.
+type request struct {
+	at time.Time
+	// inTouch is set if its machine was in touch.
+	inTouch bool
+}
+
+// request returns what was known of a request when it was sent.
+func (q *requesters) request(id string) request {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.requests[id]
 }
 
 // waitTime is how long requesters wait.
 const waitTime = 2 * time.Second
 
 func newRequesters(c *cluster) *requesters {
-	return &requesters{cluster: c, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}}, answers: map[string]int{}}
+	return &requesters{cluster: c, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}}, answers: map[string]int{}, requests: map[string]request{}}
 }
 
 // send sends a request at a machine without waiting for the answer, and returns its id.
 func (q *requesters) send(m *machine, method, host, path, label string, body []byte) string {
 	id := fmt.Sprintf("%s-%06d", label, q.numbers.Add(1))
+	at := time.Now()
+	q.mu.Lock()
+	q.requests[id] = request{at: at, inTouch: m.inTouch(at)}
+	q.mu.Unlock()
 	q.cluster.record.add("sent %s at %s: %s %s, body of %d bytes", id, m.name, method, path, len(body))
 	q.sent.Go(func() {
-		began := time.Now()
 		status, note := q.do(m, method, host, path, id, body)
 		q.mu.Lock()
 		q.answers[label+" "+note]++
 		q.mu.Unlock()
-		q.cluster.record.add("answer %s at %s: %s, status %d, after %d ms", id, m.name, note, status, time.Since(began).Milliseconds())
+		q.cluster.record.add("answer %s at %s: %s, status %d, after %d ms", id, m.name, note, status, time.Since(at).Milliseconds())
 	})
 	return id
 }
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -26,12 +26,20 @@
 	headerLoad     = "Heathercroft-Server-Load"
 )
 
+const (
+	// idleTime is how long a worker keeps an idle connection.
+	idleTime = 10 * time.Second
+	// maxWaiting is how many requests a worker queues.
+	maxWaiting = 24
+)
+
 // run is a request that a worker began to work on.
 type run struct {
 	id, path, caller, worker string
 	body                     []byte
 	boot                     *boot
-	at                       time.Time
+	// at is when it reached the worker.
+	at time.Time
 }
 
 // boot is one process of a worker.
@@ -88,7 +96,7 @@
 		ended: make(chan struct{}), conns: map[net.Conn]bool{},
 	}
 	w.current = b
-	server := &http.Server{Handler: b, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, ConnState: b.track}
+	server := &http.Server{Handler: b, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTime, ConnState: b.track}
 	go func() { _ = server.Serve(l) }()
 	go b.pingAll()
 	w.cluster.record.add("worker %s born %d started at %s", b.id, b.born, w.machine.name)
@@ -207,8 +215,10 @@
 
 // ServeHTTP implements http.Handler.
 func (b *boot) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	reached := time.Now()
 	h := w.Header()
 	h.Set(headerInstance, b.id)
+	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(idleTime.Seconds())))
 	if r.URL.Path == "/health" {
 		if b.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -230,7 +240,12 @@
 	if err != nil {
 		return
 	}
-	b.waiting.Add(1)
+	if b.waiting.Add(1) > maxWaiting {
+		b.waiting.Add(-1)
+		h.Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case b.slots <- struct{}{}:
 		b.waiting.Add(-1)
@@ -244,20 +259,26 @@
 	if b.isEnded() {
 		return
 	}
-	begun := run{id: id, path: r.URL.Path, caller: r.Header.Get(headerCaller), worker: b.id, body: body, boot: b, at: time.Now()}
+	begun := run{id: id, path: r.URL.Path, caller: r.Header.Get(headerCaller), worker: b.id, body: body, boot: b, at: reached}
 	b.worker.cluster.record.add("run %s at %s born %d", id, b.id, b.born)
 	if !b.worker.onRun(begun) {
 		panic(http.ErrAbortHandler)
 	}
+	work, status := b.worker.work, http.StatusOK
+	if left, err := strconv.ParseFloat(r.Header.Get(headerTimeLeft), 64); err == nil {
+		if deadline := reached.Add(time.Duration(left * float64(time.Millisecond))); time.Until(deadline) < work {
+			work, status = time.Until(deadline), http.StatusGatewayTimeout
+		}
+	}
 	select {
-	case <-time.After(b.worker.work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
 	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d", b.running.Load(), b.waiting.Load(), slots))
 	h.Set(headerMAC, "mac-"+id)
-	text, status := "done "+id+"\n", http.StatusOK
-	if b.worker.fails != nil && b.worker.fails(begun) {
+	text := "done " + id + "\n"
+	if status == http.StatusOK && b.worker.fails != nil && b.worker.fails(begun) {
 		text, status = "failed "+id+"\n", http.StatusInternalServerError
 	}
 	h.Set("Content-Length", strconv.Itoa(len(text)))
