directory: a report that a target left ends processes that were not heard of yet

Cause: the report names no process, and was taken for one of the process that the node knew. The late heartbeat was then that of a new process. The same held for leaving signals in responses, and in heathercroft-node for signals and late announcements.

Change: EndedProcesses decides in both programs which processes have ended. A report without a process covers all that started up to the latest reading of the clock. The mirror, a late report that took a later process out of use for good, ends when heartbeats go on after 8 s and the health path answers 200.

--- a/internal/control/cold.go
+++ b/internal/control/cold.go
@@ -181,6 +181,12 @@
 
 // handleHealth processes a health response of the local target.
 func (c *Control) handleHealth(t Time, e TargetHealth) {
+	if e.Healthy {
+		c.handleReturn(t, e.Target)
+	}
+	if !e.ColdKnown {
+		return
+	}
 	if c.local.HandleHealth(e.Target, e.ColdRemaining, t.Now) {
 		c.log("target_health", "target", e.Target.ID, "cold_left_ms", e.ColdRemaining.Milliseconds())
 		c.refreshAnnouncement(t)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -168,7 +168,7 @@
 	case HeartbeatReceived:
 		c.handleHeartbeat(t, e.Heartbeat)
 	case TargetLeaving:
-		if c.local.MarkLeaving(e.ID, t.UnixMS) {
+		if c.local.MarkLeaving(e.ID, t.Now, t.UnixMS) {
 			c.log("target_left", "target", e.ID)
 		}
 		c.keepDeparture(t, c.local.LeftProcess(e.ID), "delete")
@@ -272,7 +272,7 @@
 	accepted := c.local.HandleHeartbeat(h, t.Now, t.UnixMS)
 	if p, ok := c.local.ProcessOf(h, t.UnixMS); ok && h.Draining {
 		if !accepted {
-			c.local.MarkProcessLeaving(p, t.UnixMS)
+			c.local.MarkDeparted(p, t.Now)
 		}
 		c.keepDeparture(t, p, "draining")
 	}
@@ -280,15 +280,22 @@
 		if c.departures.changed {
 			c.refreshAnnouncement(t)
 		}
-		c.log("heartbeat_ignored", "target", h.ID, "sequence", h.Sequence, "draining", h.Draining)
+		c.log("heartbeat_ignored", "target", h.ID, "target_start", h.StartUnixMS, "sequence", h.Sequence, "draining", h.Draining)
+		c.probeReturning()
 		return
 	}
+	c.targetAccepted(t, before, h)
+}
+
+// targetAccepted handles the state of the local target after a heartbeat was accepted. before is the
+// announced state until then.
+func (c *Control) targetAccepted(t Time, before *directory.Target, h directory.Heartbeat) {
 	c.logWait(h.ID)
 	c.checkSuspected(t)
 	c.refreshAnnouncement(t)
 	after := c.self.Target
 	if before == nil || after == nil || before.ID != after.ID || before.Serving != after.Serving {
-		c.log("target_state", "target", h.ID, "service", h.Service, "version", h.Version, "draining", h.Draining)
+		c.log("target_state", "target", h.ID, "target_start", h.StartUnixMS, "service", h.Service, "version", h.Version, "draining", h.Draining)
 		if before == nil || after == nil || before.ID != after.ID {
 			// The counts belong to the previous target.
 			c.evidence, c.recent, c.sinceTick = canary.Evidence{}, canary.RecentCounts{}, canary.Counts{}
@@ -321,9 +328,9 @@
 	if !c.signals.Update(e.Target, e.Signals) {
 		return
 	}
-	if e.Signals.Leaving && c.local.MarkProcessLeaving(e.Target, t.UnixMS) {
+	if e.Signals.Leaving && c.local.MarkSignaled(e.Target, t.Now, t.UnixMS) {
 		c.log("target_left", "target", e.Target.ID)
-		c.keepDeparture(t, e.Target, "signal")
+		c.keepDeparture(t, c.local.LeftProcess(e.Target.ID), "signal")
 		c.refreshAnnouncement(t)
 	}
 	c.publishView(t)
--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -131,6 +131,28 @@
 	c.addDepartures(departed, c.self.Sequence+1, t)
 }
 
+// probeReturning asks a target that is reported to have left, and whose heartbeats go on, whether it is
+// healthy: the report may have been of a former process and late.
+func (c *Control) probeReturning() {
+	p, ok := c.local.Returning()
+	if path := c.service(c.local.Service).HealthPath; ok && path != "" {
+		c.emit(ProbeHealth{Target: p, Path: path})
+	}
+}
+
+// handleReturn uses a target again that was reported to have left and says that it is healthy. The
+// departure stays in the announcement, since other nodes hold it as well: after a restart of this node
+// the target has to show again that it runs.
+func (c *Control) handleReturn(t Time, p directory.Process) {
+	before := c.self.Target
+	h, ok := c.local.ConfirmReturn(p, t.Now)
+	if !ok {
+		return
+	}
+	c.log("target_returned", "target", p.ID, "target_start", p.StartUnixMS)
+	c.targetAccepted(t, before, h)
+}
+
 // expireDepartures drops departures that are no longer kept. That is no change of the announcement:
 // other nodes drop them as well.
 func (c *Control) expireDepartures(t Time) {
@@ -191,7 +213,7 @@
 			continue
 		}
 		c.log("departure_adopted", "target", d.ID, "target_start", d.StartUnixMS, "from", source, "process", c.self.StartUnixMS)
-		if c.local.MarkProcessLeaving(d.Process, t.UnixMS) {
+		if c.local.MarkDeparted(d.Process, t.Now) {
 			c.log("target_left", "target", d.ID)
 		}
 		c.addDepartures([]directory.Departure{d}, 0, t)
--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -446,3 +446,76 @@
 		require.False(t, restarted.view.Target.Serving)
 	}
 }
+
+// Guards against a process of a target that has left and that its first heartbeat, which is late, puts
+// into use: it started again under its id, and the report that it leaves does not name a process. The
+// same holds after its node was killed, whatever the store and the other nodes know.
+func TestTargetThatLeftBeforeItsFirstHeartbeatStaysOut(t *testing.T) {
+	for name, leave := range map[string]Event{
+		"report":               TargetLeaving{ID: "t-0"},
+		"signal in a response": TargetSignaled{Target: directory.Process{ID: "t-0", StartUnixMS: 1}, Signals: directory.Signals{Leaving: true}},
+	} {
+		for _, killed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, node killed: %v", name, killed), func(t *testing.T) {
+				m := newTestMesh(t, "v1", "v1", "v1")
+				n := m.nodes[0]
+				m.now += 10 * time.Second
+				started := m.now.Milliseconds()
+				m.now += 500 * time.Millisecond
+				m.step(n, leave)
+				m.run(time.Second)
+				require.True(t, n.DepartureKept(TargetLeaving{ID: "t-0"}))
+				if killed {
+					m.kill(n)
+					n = m.startUnread(0)
+					m.step(n, heartbeatOf(0, "t-0", started, 1, false))
+					m.readFirst(n)
+				}
+				m.step(n, heartbeatOf(0, "t-0", started, 2, false))
+				m.run(2 * time.Second)
+				m.requireOut(n)
+				// A process that starts after the report is used.
+				m.step(n, heartbeatOf(0, "t-0", m.now.Milliseconds(), 1, false))
+				require.True(t, n.view.Target.Serving)
+			})
+		}
+	}
+}
+
+// Guards against a target that is out of use for good since the report that a former process of it left
+// came late: it is used again once its heartbeats go on and it says that it is healthy.
+func TestTargetIsUsedAgainAfterALateReportOfItsFormerProcess(t *testing.T) {
+	m := newEmptyMesh(t)
+	m.heartbeat = time.Second
+	m.start(0, "v1")
+	m.start(1, "v1")
+	n := m.nodes[0]
+	m.step(n, ConfigPublished{Config: &published.Config{
+		Version: 1, Services: map[string]published.Service{"s": {HealthPath: "/health"}},
+	}})
+	m.run(2 * time.Second)
+	started := m.now.Milliseconds()
+	m.step(n, heartbeatOf(0, "t-0", started, 1, false))
+	m.step(n, TargetLeaving{ID: "t-0"})
+	m.run(time.Second)
+	m.requireOut(n)
+	var probes []time.Duration
+	left := m.now
+	for sequence := uint64(2); sequence < 20; sequence++ {
+		m.run(time.Second)
+		for _, e := range n.Step(m.time(), heartbeatOf(0, "t-0", started, sequence, false)) {
+			if p, ok := e.(ProbeHealth); ok {
+				probes = append(probes, m.now-left)
+				// Its slots are taken, or it is shutting down, until later.
+				m.step(n, TargetHealth{Target: p.Target, Healthy: len(probes) > 2})
+			}
+		}
+	}
+	require.Len(t, probes, 3, "%s", probes)
+	require.GreaterOrEqual(t, probes[0], 7*time.Second)
+	m.run(time.Second)
+	require.True(t, n.view.Target.Serving)
+	old := m.nodes[1].view.Endpoints["s"].Old
+	require.Len(t, old, 1, "the other target sends no heartbeats")
+	require.Equal(t, n.id, old[0].Node)
+}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -37,8 +37,12 @@
 	TargetConnectionsClosed struct{}
 	// TargetHealth carries the response of the local target to ProbeHealth.
 	TargetHealth struct {
-		Target        directory.Process
+		Target directory.Process
+		// Healthy is set if the target confirms its id and that it neither fails nor shuts down.
+		Healthy bool
+		// ColdRemaining is valid if ColdKnown is set.
 		ColdRemaining time.Duration
+		ColdKnown     bool
 	}
 	// TargetResponded reports a response of the local target.
 	TargetResponded struct {
@@ -336,7 +340,8 @@
 	FetchConfig struct{ From directory.Announcement }
 	// CheckConfig asks a reader for the version of its configuration and how recent that is.
 	CheckConfig struct{ To directory.Announcement }
-	// ProbeHealth asks the local target at its health path how long it is cold.
+	// ProbeHealth asks the local target at its health path whether it is healthy and how long it is
+	// cold.
 	ProbeHealth struct {
 		Target directory.Process
 		Path   string
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/distribution"
 	"heathercroft.example/heathercroft/pkg/idempotency"
 	"heathercroft.example/heathercroft/pkg/membership"
@@ -58,9 +59,8 @@
 	leaving bool
 	// target is the local target, nil if none is announced.
 	target *mesh.Target
-	// leftTarget is the process of the target that said in a response that it is shutting
-	// down, nil if none did.
-	leftTarget *mesh.Target
+	// ended holds the processes of the target that have ended or are shutting down.
+	ended directory.EndedProcesses
 	// generation is the membership view last published to the other components, at
 	// membersPublishedAt; membersDirty is set while there may be a newer one.
 	generation         uint64
@@ -170,6 +170,7 @@
 
 func (c *Core) tick() {
 	now := c.time.Now
+	c.ended.Observe(now, c.time.UnixMS)
 	c.stepMembership(membership.Tick{Now: now})
 	c.stepDistribution(distribution.Tick{Now: now})
 	c.stepQueue(pricing.Tick{Now: now})
@@ -194,7 +195,12 @@
 	if c.target == nil || !sameProcess(*c.target, t) || c.target.State == mesh.TargetLeaving {
 		return
 	}
-	c.leftTarget = &t
+	p := targetProcess(t)
+	if t.StartedUnixMS != 0 {
+		// A later process that has not announced itself yet may have answered.
+		c.ended.Report(p.ID, &p, c.time.Now, c.time.UnixMS)
+	}
+	c.ended.End(p)
 	c.targetAnnounced(*c.target)
 }
 
@@ -203,11 +209,47 @@
 	return a.Address == b.Address && a.Service == b.Service && a.Version == b.Version && a.StartedUnixMS == b.StartedUnixMS
 }
 
+// targetProcess returns the process of a target. A target has no id besides its address and version.
+func targetProcess(t mesh.Target) directory.Process {
+	return directory.Process{ID: t.Address.String() + "/" + t.Service + "/" + t.Version, StartUnixMS: t.StartedUnixMS}
+}
+
+// mayServe reports whether the process that an announcement is from has not ended. An announcement may
+// be late.
+func (c *Core) mayServe(t mesh.Target) bool {
+	p := targetProcess(t)
+	if t.State == mesh.TargetLeaving {
+		c.ended.End(p)
+		return false
+	}
+	if !c.ended.Has(p) {
+		return true
+	}
+	from, _, possible := c.ended.ShownFrom(p)
+	if !possible || c.time.Now < from {
+		return false
+	}
+	c.ended.Outlived(p)
+	return true
+}
+
 func (c *Core) targetAnnounced(t mesh.Target) {
-	if c.leaving || c.leftTarget != nil && sameProcess(*c.leftTarget, t) {
+	before := c.target
+	serves := c.mayServe(t)
+	if before != nil && !sameProcess(*before, t) {
+		if !serves && t.State == mesh.TargetServing {
+			c.recordEvent(KindTargetLate, map[string]string{"service": t.Service, "version": t.Version})
+			return
+		}
+		if before.StartedUnixMS == 0 {
+			c.ended.Forget(targetProcess(*before))
+		} else {
+			c.ended.End(targetProcess(*before))
+		}
+	}
+	if c.leaving || !serves {
 		t.State = mesh.TargetLeaving
 	}
-	before := c.target
 	c.target = &t
 	c.stepMembership(membership.TargetAnnounced{Now: c.time.Now, Target: t})
 	if before != nil && before.State == t.State && before.Version == t.Version {
@@ -242,7 +284,11 @@
 			if c.target != nil && c.target.State != mesh.TargetLeaving {
 				c.emit(TargetLost{})
 			}
-			c.target, c.leftTarget = nil, nil
+			if c.target != nil && c.target.StartedUnixMS == 0 {
+				// The next process cannot be told from it. One with a start may return.
+				c.ended.Forget(targetProcess(*c.target))
+			}
+			c.target = nil
 			c.tableDirty = true
 			c.recordEvent(KindTargetExpired, map[string]string{"service": effect.Target.Service, "version": effect.Target.Version})
 		case membership.TargetRejected:
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -113,6 +113,7 @@
 	KindTargetAnnounced  timeline.Kind = "target-announced"
 	KindTargetLeaving    timeline.Kind = "target-leaving"
 	KindTargetExpired    timeline.Kind = "target-gone"
+	KindTargetLate       timeline.Kind = "target-late"
 	KindTargetRejected   timeline.Kind = "target-rejected"
 	KindVersionCut       timeline.Kind = "version-cut"
 	KindCutLifted        timeline.Kind = "cut-lifted"
--- a/internal/sidecar/cold.go
+++ b/internal/sidecar/cold.go
@@ -16,8 +16,7 @@
 // healthTimeout limits a probe of the health path. The next heartbeat tells the same 1.5 s later.
 const healthTimeout = time.Second
 
-// probeHealth asks the local target how long it is cold. A response that does not say so changes
-// nothing.
+// probeHealth asks the local target whether it is healthy and how long it is cold.
 func (n *Node) probeHealth(e control.ProbeHealth) {
 	ctx, cancel := context.WithTimeout(n.ctx, healthTimeout)
 	defer cancel()
@@ -32,13 +31,16 @@
 		return
 	}
 	_ = resp.Body.Close()
+	result := control.TargetHealth{Target: e.Target}
+	result.Healthy = resp.StatusCode == http.StatusOK && resp.Header.Get(n.headers.TargetID) == e.Target.ID
 	text := strings.TrimSpace(resp.Header.Get(n.headers.ColdRemaining))
 	left, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(left) || left < 0 || left > milliseconds(directory.MaxColdTime) {
-		n.logger.Info("health_without_cold_time", "target", e.Target.ID, "status", resp.StatusCode, "value", text)
-		return
+		n.logger.Info("health_without_cold_time", "target", e.Target.ID, "status", resp.StatusCode, "value", text, "healthy", result.Healthy)
+	} else {
+		result.ColdRemaining, result.ColdKnown = fromMilliseconds(left), true
 	}
-	n.step(control.TargetHealth{Target: e.Target, ColdRemaining: fromMilliseconds(left)})
+	n.step(result)
 }
 
 // handleClosedConnections handles that the local target closed connections that it had used just
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -74,6 +74,8 @@
 	TimeLeft string
 	// Target names the only target that may run the request.
 	Target string
+	// TargetID is the id of the target in responses of its health path.
+	TargetID string
 	// CallerService is the service of the node at which the request entered.
 	CallerService string
 	// Signature is the target's proof that it produced the response.
--- a/pkg/directory/local.go
+++ b/pkg/directory/local.go
@@ -1,9 +1,6 @@
 package directory
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Heartbeat is a message of a target to the node beside it.
 type Heartbeat struct {
@@ -35,14 +32,13 @@
 	last          Heartbeat
 	known         bool
 	lastHeard     time.Duration
-	leaving       bool
 	unreachableAt time.Duration
 	unreachable   bool
-	// departed maps the IDs of targets that shut down to a Unix time in milliseconds.
-	// Processes of the target that started at or before that time have ended.
-	departed map[string]int64
-	// superseded holds the processes that a later one has replaced. They never return.
-	superseded map[Process]int64
+	// ended holds the processes of the target that have ended or are shutting down.
+	ended EndedProcesses
+	// returning is the last heartbeat of a process that may have outlived the report that its target
+	// has left.
+	returning returningProcess
 	// candidate is a process with an earlier start than the current one, whose clock may
 	// have been set back before it started.
 	candidate   Process
@@ -72,6 +68,15 @@
 	StartUnixMS int64 `json:"start,omitempty"`
 }
 
+// returningProcess is a process whose heartbeats go on after a report that its target has left.
+type returningProcess struct {
+	heartbeat Heartbeat
+	// firstAt is the time of the first of these heartbeats.
+	firstAt time.Duration
+	// shown is set once they cannot have been sent before the report.
+	shown bool
+}
+
 // maxMissedHeartbeats is the number of intervals without a heartbeat after which
 // the target counts as gone. Heartbeats may be late by seconds, so a crashed target
 // is detected earlier by failed requests.
@@ -82,33 +87,42 @@
 // Once a target process has reported that it drains, no later or delayed heartbeat
 // of that process changes that.
 func (l *LocalTarget) HandleHeartbeat(h Heartbeat, now time.Duration, unixMS int64) (accepted bool) {
-	if h.ID == "" || h.Address != l.Address || h.Service != l.Service {
+	l.ended.Observe(now, unixMS)
+	p, ok := l.ProcessOf(h, unixMS)
+	if !ok {
 		return false
 	}
-	if h.StartUnixMS == 0 {
-		h.StartUnixMS = unixMS
-		if l.known && l.last.ID == h.ID {
-			h.StartUnixMS = l.last.StartUnixMS
-		}
-	}
-	if at, ok := l.departed[h.ID]; ok && h.StartUnixMS <= at {
+	h.StartUnixMS = p.StartUnixMS
+	same := l.known && p == l.last.process()
+	if l.ended.reported(p) {
+		l.noteReturning(h, now)
 		return false
 	}
-	if _, ok := l.superseded[Process{h.ID, h.StartUnixMS}]; ok {
+	if !same && l.ended.Has(p) {
 		return false
 	}
-	same := l.known && h.ID == l.last.ID && h.StartUnixMS == l.last.StartUnixMS
 	switch {
 	case same && h.Sequence <= l.last.Sequence:
-		l.leaving = l.leaving || h.Draining
-		if h.Draining || !l.confirmCandidate(h, now) {
-			return h.Draining
+		if h.Draining {
+			l.ended.End(p)
+			return true
+		}
+		if !l.confirmCandidate(h, now) {
+			return false
 		}
 	case l.known && !same && h.StartUnixMS < l.last.StartUnixMS && !l.confirmCandidate(h, now):
 		return false
-	case !same:
-		l.supersede()
-		l.leaving = false
+	}
+	l.accept(h, now)
+	return true
+}
+
+// accept makes the sender of a heartbeat the current process.
+func (l *LocalTarget) accept(h Heartbeat, now time.Duration) {
+	p := h.process()
+	same := l.known && p == l.last.process()
+	if l.known && !same {
+		l.ended.End(l.last.process())
 	}
 	l.confirmCold(same, now)
 	l.coldUntil = 0
@@ -116,10 +130,13 @@
 		l.coldUntil = now + h.ColdRemaining
 	}
 	l.known, l.last, l.lastHeard, l.unreachable = true, h, now, false
-	l.leaving = l.leaving || h.Draining
-	return true
+	if h.Draining {
+		l.ended.End(p)
+	}
 }
 
+func (h Heartbeat) process() Process { return Process{h.ID, h.StartUnixMS} }
+
 // presumptionStep is the least time by which a further sign extends a presumption.
 const presumptionStep = 2 * time.Second
 
@@ -155,7 +172,7 @@
 // HandleHealth processes a health response of a process of the target, which says how long it is
 // cold. It reports whether that ends a presumption.
 func (l *LocalTarget) HandleHealth(p Process, coldRemaining, now time.Duration) bool {
-	if !l.known || p != (Process{l.last.ID, l.last.StartUnixMS}) || !l.presumed.active || l.presumed.restarted {
+	if !l.known || p != l.last.process() || !l.presumed.active || l.presumed.restarted {
 		return false
 	}
 	l.presumed, l.coldUntil = presumedCold{}, now+coldRemaining
@@ -186,91 +203,113 @@
 	return h.Sequence > l.candidateNo && now-l.candidateAt >= l.Interval/2 && now-l.lastHeard >= l.Interval
 }
 
-// supersede records that the current process was replaced.
-func (l *LocalTarget) supersede() {
-	if !l.known {
-		return
+// MarkLeaving records a report that a target has left, which does not name its process: one that is
+// known, or one that started before the report and was not heard of yet. It returns whether it is the
+// current target.
+func (l *LocalTarget) MarkLeaving(id string, now time.Duration, unixMS int64) bool {
+	var known *Process
+	if l.known && l.last.ID == id {
+		p := l.last.process()
+		known = &p
 	}
-	if l.superseded == nil {
-		l.superseded = map[Process]int64{}
-	}
-	p := Process{l.last.ID, l.last.StartUnixMS}
-	rememberStart(l.superseded, p, p.StartUnixMS)
+	l.ended.Report(id, known, now, unixMS)
+	l.returning = returningProcess{}
+	return known != nil
 }
 
-// MarkLeaving records that a target is shutting down, also if no heartbeat of it
-// was received yet. It reports whether it is the current target.
-func (l *LocalTarget) MarkLeaving(id string, unixMS int64) bool {
-	if !l.known || l.last.ID != id {
-		l.remember(id, max(unixMS, l.departed[id]))
+// LeftProcess returns the last process of a target that may have been running when the target was
+// reported to have left.
+func (l *LocalTarget) LeftProcess(id string) Process { return Process{id, l.ended.Through(id)} }
+
+// MarkSignaled records that a response said that the target is shutting down. p is the process to which
+// the request was sent; a later one that was not heard of yet may have answered. It returns whether
+// that is new and concerns the current target.
+func (l *LocalTarget) MarkSignaled(p Process, now time.Duration, unixMS int64) bool {
+	if !l.known || l.last.ID != p.ID {
+		l.ended.End(p)
 		return false
 	}
-	l.remember(id, max(l.last.StartUnixMS, l.departed[id]))
-	l.leaving = true
-	return true
+	wasLeaving := l.ended.Has(l.last.process())
+	if p.StartUnixMS < l.last.StartUnixMS {
+		// The response of a former process that its successor has overtaken.
+		l.ended.End(p)
+		return false
+	}
+	l.MarkLeaving(p.ID, now, unixMS)
+	l.ended.End(p)
+	return !wasLeaving
 }
 
-// LeftProcess returns the last process of a target that is known to have left.
-func (l *LocalTarget) LeftProcess(id string) Process { return Process{id, l.departed[id]} }
+// MarkDeparted records a departure that another process of this node, or a late heartbeat, reported:
+// the processes of the target that started at or before the start of p have ended. It returns whether
+// that is new and ends the current process.
+func (l *LocalTarget) MarkDeparted(p Process, now time.Duration) bool {
+	current := l.known && l.last.ID == p.ID && l.last.StartUnixMS <= p.StartUnixMS
+	wasLeaving := current && l.ended.Has(l.last.process())
+	return l.ended.ReportThrough(p, now) && current && !wasLeaving
+}
 
-// ProcessOf returns the process that sent a heartbeat which was handled, and false if it is not one
-// of the target beside this node.
+// ProcessOf returns the process that sent a heartbeat, and false if it is not one of the target beside
+// this node.
 func (l *LocalTarget) ProcessOf(h Heartbeat, unixMS int64) (Process, bool) {
 	if h.ID == "" || h.Address != l.Address || h.Service != l.Service {
 		return Process{}, false
 	}
-	switch {
+	switch through := l.ended.Through(h.ID); {
 	case h.StartUnixMS != 0:
 	case l.known && l.last.ID == h.ID:
 		h.StartUnixMS = l.last.StartUnixMS
+	case through > 0:
+		// It may have been sent before the target left.
+		h.StartUnixMS = through
 	default:
 		h.StartUnixMS = unixMS
 	}
-	return Process{h.ID, h.StartUnixMS}, true
+	return h.process(), true
 }
 
-// remember records that the processes of a target that started at or before a time have
-// ended.
-func (l *LocalTarget) remember(id string, startUnixMS int64) {
-	if l.departed == nil {
-		l.departed = map[string]int64{}
+// noteReturning processes a heartbeat of a process that a report covers. The report may have been of
+// an earlier process and late, or the clock was set back before the process started.
+func (l *LocalTarget) noteReturning(h Heartbeat, now time.Duration) {
+	p := h.process()
+	if h.Draining {
+		l.ended.End(p)
+		l.returning = returningProcess{}
+		return
+	}
+	from, several, possible := l.ended.ShownFrom(p)
+	if !possible || now < from {
+		return
+	}
+	r := &l.returning
+	switch {
+	case r.heartbeat.process() != p:
+		*r = returningProcess{heartbeat: h, firstAt: now, shown: !several}
+	case h.Sequence > r.heartbeat.Sequence:
+		r.heartbeat = h
+		r.shown = r.shown || now-r.firstAt >= l.Interval/2
 	}
-	rememberStart(l.departed, id, startUnixMS)
 }
 
-// rememberStart adds a former process to a memory of at most maxDeparted, from which it drops
-// the one that started first.
-func rememberStart[K comparable](starts map[K]int64, key K, startUnixMS int64) {
-	if _, known := starts[key]; !known && len(starts) >= maxDeparted {
-		var oldest K
-		first := int64(math.MaxInt64)
-		for k, at := range starts {
-			if at < first {
-				oldest, first = k, at
-			}
-		}
-		delete(starts, oldest)
-	}
-	starts[key] = startUnixMS
+// Returning returns the process whose heartbeats show that it outlived the report that its target has
+// left, and false if there is none. It is used once its health response confirms that.
+func (l *LocalTarget) Returning() (Process, bool) {
+	return l.returning.heartbeat.process(), l.returning.shown
 }
 
-// MarkProcessLeaving records that a process of the target is shutting down. It reports
-// whether that is new and it is the current process. A later process under the same id is not
-// affected. A process whose start is not known counts as the current one.
-func (l *LocalTarget) MarkProcessLeaving(p Process, unixMS int64) bool {
-	wasLeaving := l.leaving
-	if p.StartUnixMS == 0 || l.known && p.ID == l.last.ID && l.last.StartUnixMS <= p.StartUnixMS {
-		l.remember(p.ID, max(p.StartUnixMS, l.departed[p.ID]))
-		return l.MarkLeaving(p.ID, unixMS) && !wasLeaving
+// ConfirmReturn processes that a returning process says that it is healthy. It returns the
+// last heartbeat of the process if it is used again.
+func (l *LocalTarget) ConfirmReturn(p Process, now time.Duration) (Heartbeat, bool) {
+	r := l.returning
+	if !r.shown || r.heartbeat.process() != p {
+		return Heartbeat{}, false
 	}
-	l.remember(p.ID, max(p.StartUnixMS, l.departed[p.ID]))
-	return false
+	l.returning = returningProcess{}
+	l.ended.Outlived(p)
+	l.accept(r.heartbeat, now)
+	return r.heartbeat, true
 }
 
-// maxDeparted bounds the number of remembered former targets. An address has few
-// of them in a day.
-const maxDeparted = 64
-
 // unreachablePeriod is how long a target that refused a connection is avoided,
 // unless it sends a heartbeat.
 const unreachablePeriod = time.Second
@@ -280,13 +319,15 @@
 
 // Target returns the current target, or nil if no heartbeat was received yet.
 func (l *LocalTarget) Target(now time.Duration, unixMS int64) *Target {
+	l.ended.Observe(now, unixMS)
 	if !l.known {
 		return nil
 	}
-	t := &Target{ID: l.last.ID, StartUnixMS: l.last.StartUnixMS, Service: l.last.Service, Version: l.last.Version, Slots: l.last.Slots, Leaving: l.leaving}
+	leaving := l.ended.Has(l.last.process())
+	t := &Target{ID: l.last.ID, StartUnixMS: l.last.StartUnixMS, Service: l.last.Service, Version: l.last.Version, Slots: l.last.Slots, Leaving: leaving}
 	timedOut := now-l.lastHeard > maxMissedHeartbeats*l.Interval
 	refused := l.unreachable && now-l.unreachableAt < unreachablePeriod
-	t.Serving = !l.leaving && !timedOut && !refused
+	t.Serving = !leaving && !timedOut && !refused
 	if until := l.ColdUntil(now); until > 0 {
 		t.ColdUntilUnixMS = unixMS + (until - now).Milliseconds()
 	}
