crashes: a request is identified by its caller and whole buffered body

Cause: requests were told by method, host, path and 4 KiB of the body. Harmless ones with the same fingerprint completed and refuted the crashes. The same rule stood in internal/callpath.

Evidence of and for nodes of the version before is translated.

The new tests fail with the former identity; the one of callpath failed on the code before.

Changed tests: two that expected a refused request to be forgotten after 60 s now expect that after 10 min, and check 60 s for the others.

--- a/internal/callpath/crash.go
+++ b/internal/callpath/crash.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"heathercroft.example/heathercroft/pkg/crashes"
 )
 
 // Limits of the protection against requests that crash targets.
@@ -15,9 +15,9 @@
 	// CrashBlockDuration is how long a fingerprint is refused, and how long its
 	// crashes are remembered.
 	CrashBlockDuration = 10 * time.Minute
-	// fingerprintBytes is the length of the body prefix that is part of a
-	// fingerprint.
-	fingerprintBytes = 4 << 10
+	// fingerprintBytes is the length of the part of a body that is part of a fingerprint: as much as is kept
+	// of a body that may be sent again.
+	fingerprintBytes = maxReplayBytes
 	// crashWindow is the longest time between a lost connection and the end of the
 	// target's announcement for the two to count as one crash.
 	crashWindow = 5 * time.Second
@@ -30,16 +30,15 @@
 )
 
 // Fingerprint identifies equal requests by a hash of the method, the path with
-// query, and the key or, without a key, the start of the body.
+// query, and the key or, without a key, the first 16 KiB of the body.
 type Fingerprint uint64
 
 func fingerprintOf(method, uri, key string, head []byte) Fingerprint {
-	h := xxhash.New()
-	_, _ = h.WriteString(method + "\x00" + uri + "\x00" + key + "\x00")
+	r := crashes.Request{Method: method, URI: uri, Key: key}
 	if key == "" {
-		_, _ = h.Write(head)
+		r.Body = head
 	}
-	return Fingerprint(h.Sum64())
+	return Fingerprint(r.Identity())
 }
 
 // crashGuard refuses requests whose fingerprint has crashed targets. It is safe
--- a/internal/callpath/failure_test.go
+++ b/internal/callpath/failure_test.go
@@ -445,6 +445,27 @@
 	require.Equal(t, "crashing-request", m.do(a, "POST", "/courier", "poison").header.Get(callpath.HeaderReason))
 }
 
+// Guards against a request that crashes targets and is never refused, since harmless ones with the same
+// first 4 KiB pass for it.
+func TestRequestsThatDifferBehindTheirStartAreToldApart(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("node-a", "", fastSettings())
+	start := strings.Repeat("x", 6<<10)
+	b := m.add("node-b", target(t, func(w http.ResponseWriter, r *http.Request) {
+		if body, err := io.ReadAll(r.Body); err != nil || strings.HasSuffix(string(body), "poison") {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "ok")
+	}), fastSettings())
+	for range callpath.CrashThreshold {
+		require.Equal(t, http.StatusOK, m.do(a, "POST", "/courier", start+"common").status)
+		require.Equal(t, "connection-lost", m.do(a, "POST", "/courier", start+"poison").header.Get(callpath.HeaderReason))
+		b.TargetExpired()
+	}
+	require.Equal(t, "crashing-request", m.do(a, "POST", "/courier", start+"poison").header.Get(callpath.HeaderReason))
+	require.Equal(t, http.StatusOK, m.do(a, "POST", "/courier", start+"common").status)
+}
+
 // Guards against calls that are still sent to a target that refuses connections,
 // until its announcement ends 3 s later.
 func TestTargetThatRefusesConnectionsIsEjected(t *testing.T) {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,6 +7,7 @@
 
 	"heathercroft.example/heathercroft/pkg/balance"
 	"heathercroft.example/heathercroft/pkg/canary"
+	"heathercroft.example/heathercroft/pkg/crashes"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/published"
@@ -71,7 +72,7 @@
 	// last tick.
 	recent    canary.RecentCounts
 	sinceTick canary.Counts
-	crashes   map[uint64]*crashRecord
+	crashes   *crashes.Table
 	// crashNumber is the number of crashes of the local target that this process has seen.
 	crashNumber uint64
 	signals     *directory.SignalTable
@@ -153,7 +154,7 @@
 		local: directory.LocalTarget{Address: o.Address, Service: o.Service, Interval: o.Heartbeat},
 		dir:   directory.New(), moves: map[string]*moveState{}, statuses: map[string]Status{}, storedMoves: map[string]canary.Move{}, summaries: map[string]receivedSummary{},
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
-		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: map[uint64]*crashRecord{}, signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
+		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: crashes.NewTable(), signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
 		zones:  newZoneOrders(),
 		former: formerProcess{answered: map[mesh.NodeID]bool{}, asked: map[mesh.NodeID]bool{}, awaited: map[mesh.NodeID]bool{}}, stopped: map[mesh.NodeID][]directory.Departure{},
 	}
@@ -189,9 +190,9 @@
 	case TargetCrashed:
 		c.recordCrash(t, e.Requests)
 	case RequestCompleted:
-		c.recordCompletion(t, e.Fingerprint)
-	case RequestSeen:
-		c.recordSeen(t, e.Fingerprint)
+		c.recordCompletion(t, e.Identity)
+	case RequestAsked:
+		c.crashes.Asked(t.Now, e.Identity)
 	case ConfigPublished:
 		c.applyConfig(t, e)
 	case AnnouncementRead:
@@ -511,7 +512,7 @@
 	if changed && c.large() && c.isReader() {
 		c.announcementsToRelay = append(c.announcementsToRelay, a)
 	}
-	changed = c.adoptCrashes(t, s.Crashes) || changed
+	changed = c.adoptCrashes(t, s) || changed
 	delete(c.unresponsiveReaders, a.Node)
 	c.adoptPeerEra(t, s)
 	if known, ok := c.dir.Get(a.Node); ok && known.StartUnixMS == a.StartUnixMS {
@@ -559,7 +560,7 @@
 	c.expireDepartures(t)
 	c.expireNodes(t)
 	c.observeMeshSize(t)
-	c.expireCrashes(t)
+	c.crashes.Expire(t.Now)
 	c.chooseReaders(t)
 	c.removeStopped(t)
 	c.checkFreshness(t)
@@ -584,8 +585,9 @@
 	s := PeerState{
 		Number: c.stateNumber, ZoneOrders: c.zones.list(), OrdersUnknown: !c.zones.known,
 		Announcement: c.self, Config: c.configVersion(), Running: c.load.Running, Waiting: c.load.Waiting,
-		Asks: c.asks(), Starting: c.startsWithoutStore(t), Crashes: c.crashRecords(t), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
+		Asks: c.asks(), Starting: c.startsWithoutStore(t), CrashEvidence: c.crashEvidence(t), StoreLost: c.storeLost, StoreEra: c.storeEra, ConfigAgeMS: c.configAgeMS(t), ConfigPosition: c.fresh.position,
 	}
+	s.Crashes = crashRecords(s.CrashEvidence)
 	if c.large() && c.isReader() {
 		for _, a := range c.dir.All() {
 			if c.dir.SinceLastMessage(a.Node, t.Now) > aliveTimeout {
--- a/internal/control/crashes_test.go
+++ b/internal/control/crashes_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/crashes"
 )
 
 // crashTwice makes request 1 run at the crashes of two targets.
@@ -24,7 +26,7 @@
 		restarted := m.startFor(i, "s", "v1")
 		m.run(100 * time.Millisecond)
 		require.True(t, restarted.view.CrashingRequests[1], "node-%d after its start", i)
-		m.step(restarted, RequestSeen{1})
+		m.step(restarted, RequestAsked{1})
 		m.run(time.Second)
 	}
 	for _, n := range m.nodes[4:] {
@@ -36,17 +38,22 @@
 func TestCrashesCountWhileTheRequestIsAskedFor(t *testing.T) {
 	m := newTestMesh(t, "v1", "v1", "v1")
 	crashTwice(m)
-	for end := m.now + 3*crashRetention; m.now < end; {
-		m.step(m.nodes[2], RequestSeen{1})
+	for end := m.now + 3*crashes.SuspicionRetention; m.now < end; {
+		m.step(m.nodes[2], RequestAsked{1})
 		m.run(time.Second)
 	}
 	for _, n := range m.nodes {
 		require.True(t, n.view.CrashingRequests[1], "%s", n.id)
 	}
-	m.run(crashRetention + 10*time.Second)
+	m.run(crashes.SuspicionRetention + 10*time.Second)
+	for _, n := range m.nodes {
+		require.Equal(t, map[uint64]bool{1: true}, n.view.CrashingRequests, "%s", n.id)
+		require.Equal(t, 1, n.crashes.Len(), "%s: those that crashed one target are forgotten", n.id)
+	}
+	m.run(crashes.RefusalRetention - crashes.SuspicionRetention)
 	for _, n := range m.nodes {
 		require.Empty(t, n.view.CrashingRequests, "%s", n.id)
-		require.Empty(t, n.crashes, "%s", n.id)
+		require.Zero(t, n.crashes.Len(), "%s", n.id)
 	}
 }
 
@@ -73,11 +80,11 @@
 func TestTheRequestWithMostCrashesIsKept(t *testing.T) {
 	m := newTestMesh(t, "v1", "v1")
 	crashTwice(m)
-	for i := range uint64(4 * maxCrashRecords) {
+	for i := range uint64(4 * crashes.MaxRequests) {
 		m.step(m.nodes[0], TargetCrashed{[]uint64{100 + i}})
 	}
 	for _, n := range m.nodes {
 		require.True(t, n.view.CrashingRequests[1], "%s", n.id)
-		require.LessOrEqual(t, len(n.crashes), maxCrashRecords, "%s", n.id)
+		require.LessOrEqual(t, n.crashes.Len(), crashes.MaxRequests, "%s", n.id)
 	}
 }
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/pkg/canary"
+	"heathercroft.example/heathercroft/pkg/crashes"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/mesh"
@@ -60,13 +61,13 @@
 		Target  directory.Process
 		Signals directory.Signals
 	}
-	// TargetCrashed carries the fingerprints of the requests that ran when the local
+	// TargetCrashed carries the identities of the requests that ran when the local
 	// target crashed.
 	TargetCrashed struct{ Requests []uint64 }
 	// RequestCompleted reports that the local target has run a request that was running when
-	// targets crashed, and RequestSeen that a caller asks for one.
-	RequestCompleted struct{ Fingerprint uint64 }
-	RequestSeen      struct{ Fingerprint uint64 }
+	// targets crashed, and RequestAsked that a caller asks for one.
+	RequestCompleted struct{ Identity uint64 }
+	RequestAsked     struct{ Identity uint64 }
 	// ConfigPublished carries a configuration from the store or another node. It is
 	// prepared and valid.
 	ConfigPublished struct {
@@ -164,7 +165,7 @@
 func (TargetSignaled) event()          {}
 func (TargetCrashed) event()           {}
 func (RequestCompleted) event()        {}
-func (RequestSeen) event()             {}
+func (RequestAsked) event()            {}
 func (ConfigPublished) event()         {}
 func (AnnouncementRead) event()        {}
 func (ZoneEvacuated) event()           {}
@@ -261,8 +262,10 @@
 	PerSecond map[string]float64 `json:"per_second,omitempty"`
 	// Suspects holds the number of each move whose new version this node suspects, by service.
 	Suspects map[string]uint64 `json:"suspects,omitempty"`
-	// Crashes holds what the node knows of the requests that were running when targets crashed.
-	Crashes []CrashRecord `json:"crash_records,omitempty"`
+	// CrashEvidence is what the node knows of the requests that were running when targets crashed.
+	// Crashes holds that of the refused ones for nodes of earlier versions.
+	CrashEvidence crashes.Evidence `json:"crash_evidence,omitzero"`
+	Crashes       []CrashRecord    `json:"crash_records,omitempty"`
 	// StoreLost is set while the store does not respond to the node.
 	StoreLost bool `json:"store_lost,omitempty"`
 	// StoreEra is the era of the store, as far as the node knows.
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heathercroft.example/heathercroft/pkg/canary"
+	"heathercroft.example/heathercroft/pkg/crashes"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/logpos"
 	"heathercroft.example/heathercroft/pkg/mesh"
@@ -555,7 +556,7 @@
 	for _, n := range m.nodes {
 		require.Equal(t, map[uint64]bool{1: true}, n.view.CrashingRequests, "%s", n.id)
 	}
-	m.run(crashRetention + 10*time.Second)
+	m.run(crashes.RefusalRetention + 10*time.Second)
 	for _, n := range m.nodes {
 		require.Empty(t, n.view.CrashingRequests, "%s", n.id)
 	}
--- a/internal/control/untrusted.go
+++ b/internal/control/untrusted.go
@@ -16,7 +16,6 @@
 const (
 	maxReportedRequests = 1 << 20
 	maxReportedRate     = 1e7
-	maxReportedSeenMS   = 24 * 60 * 60 * 1000
 	maxReportedCount    = 1 << 40
 	maxReportedMS       = 1e15
 )
@@ -33,6 +32,9 @@
 	if !inRange(s.MeshSize, maxMeshSize) || s.MeshSizeAgeMS < 0 || s.MeshSizeAgeMS > quota.SizeRetention.Milliseconds() {
 		return errors.Newf("%d nodes, observed %d ms ago", s.MeshSize, s.MeshSizeAgeMS)
 	}
+	if err := s.CrashEvidence.Validate(); err != nil {
+		return err
+	}
 	if len(s.Crashes) > maxCrashRecords {
 		return errors.Newf("%d crashing requests", len(s.Crashes))
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -34,7 +34,7 @@
 	// Signals holds what targets said about themselves in responses that passed through this
 	// node.
 	Signals map[directory.Process]directory.Signals
-	// CrashingRequests holds the fingerprints of requests that crashed targets and are refused,
+	// CrashingRequests holds the identities of requests that crashed targets and are refused,
 	// CrashSuspects those of all that were running at a crash.
 	CrashingRequests map[uint64]bool
 	CrashSuspects    map[uint64]CrashSuspect
--- a/internal/sidecar/apikey.go
+++ b/internal/sidecar/apikey.go
@@ -187,9 +187,9 @@
 // as the refused request.
 func (c *call) refusalKey() uint64 {
 	if c.organisation == nil {
-		return c.fingerprint
+		return c.requestIdentity
 	}
-	return c.fingerprint ^ xxhash.Sum64String(c.organisation.Name)
+	return c.requestIdentity ^ xxhash.Sum64String(c.organisation.Name)
 }
 
 // routeByName returns the route of a name, or nil.
--- a/internal/sidecar/apikey_test.go
+++ b/internal/sidecar/apikey_test.go
@@ -381,7 +381,7 @@
 	go func() { _, _, _ = g.acquire(t.Context(), request("other", 200*time.Millisecond)) }()
 	require.Eventually(t, func() bool { return g.load().Waiting == 13 }, time.Second, time.Millisecond)
 
-	c := &call{route: &published.Route{Priority: 5}, fingerprint: 1}
+	c := &call{route: &published.Route{Priority: 5}, requestIdentity: 1}
 	require.Equal(t, 5, c.priority())
 	key := c.refusalKey()
 	c.organisation = &published.Organisation{Name: "north", Priority: 2}
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -56,8 +56,8 @@
 	}
 	h := hopRequest{
 		ID: c.id, URI: c.r.RequestURI, Target: e.Target, TargetStart: e.StartUnixMS, Service: e.Service, Route: c.route.Name, Caller: n.settings.Service,
-		Rank:        int(admission.RankOf(c.nested && !isCopy, c.priority(), kind)),
-		Fingerprint: c.fingerprint, CrashTrial: c.crashTrial,
+		Rank:     int(admission.RankOf(c.nested && !isCopy, c.priority(), kind)),
+		Identity: c.requestIdentity, IdentityVersion: identityVersion, CrashTrial: c.crashTrial,
 		Retryable:  c.route.Kind.Repeatable(),
 		IsRetry:    c.isRetry || c.targetsReached > 0 || isCopy,
 		Nested:     c.nested,
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -85,10 +85,10 @@
 	expectedBytes int64
 	tried         []mesh.NodeID
 	// evacuated holds the zones whose nodes refused the call because the zone is evacuated.
-	evacuated   []mesh.AvailabilityZone
-	attempts    []attemptRecord
-	config      published.Version
-	fingerprint uint64
+	evacuated       []mesh.AvailabilityZone
+	attempts        []attemptRecord
+	config          published.Version
+	requestIdentity uint64
 	// crashTrial is set if this run is to show whether the request crashes targets.
 	crashTrial bool
 	// targetsReached counts the attempts that reached a target.
@@ -172,7 +172,7 @@
 	}
 	c := &call{
 		id: id, w: w, r: r, route: route, header: endToEndHeaders(r.Header), body: body, lease: lease,
-		key: key, organisation: organisation, judgedBy: view.Config.Version, fingerprint: fingerprint(r, body),
+		key: key, organisation: organisation, judgedBy: view.Config.Version, requestIdentity: n.identityOf(r, body),
 		arrived: arrived, deadline: arrived + left, config: view.Config.Version, service: route.PickService(n.splits.next(route.Name)),
 	}
 	defer c.releaseAttempts()
@@ -180,10 +180,10 @@
 		c.nested, c.isRetry = true, parent.IsRetry
 		n.nestedCalls.countCall(parent.Route, c.service)
 	}
-	if suspect, ok := view.CrashSuspects[c.fingerprint]; ok {
-		n.recordSeen(c.fingerprint)
-		if view.CrashingRequests[c.fingerprint] {
-			c.crashTrial = n.crashTrials.allow(c.fingerprint, suspect, arrived)
+	if suspect, ok := view.CrashSuspects[c.requestIdentity]; ok {
+		n.recordSeen(c.requestIdentity)
+		if view.CrashingRequests[c.requestIdentity] {
+			c.crashTrial = n.crashTrials.allow(c.requestIdentity, suspect, arrived)
 			if !c.crashTrial {
 				n.endBody(w, r, body)
 				n.logRejected(r, id, http.StatusServiceUnavailable, reasonCrashing)
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -38,13 +38,13 @@
 func newCrashDetector() *crashDetector { return &crashDetector{lost: map[uint64]time.Duration{}} }
 
 // recordLost records a request whose response was lost.
-func (d *crashDetector) recordLost(fingerprint uint64, now time.Duration) {
+func (d *crashDetector) recordLost(identity uint64, now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.lost) >= maxLostRequests {
 		clear(d.lost)
 	}
-	d.lost[fingerprint] = now
+	d.lost[identity] = now
 }
 
 // probeDue reports whether to check the target now, at most once per crashProbeInterval.
@@ -74,9 +74,9 @@
 
 // handleLostResponse records a request whose response was lost and checks whether the
 // target crashed, because there may be no later request that finds out.
-func (n *Node) handleLostResponse(fingerprint uint64) {
+func (n *Node) handleLostResponse(identity uint64) {
 	now := n.clock.now()
-	n.crashDetector.recordLost(fingerprint, now)
+	n.crashDetector.recordLost(identity, now)
 	if !n.crashDetector.probeDue(now) {
 		return
 	}
@@ -132,10 +132,10 @@
 }
 
 // allow reports whether a refused request runs once more. The nodes that callers ask take turns.
-func (c *crashTrials) allow(fingerprint uint64, suspect control.CrashSuspect, now time.Duration) bool {
+func (c *crashTrials) allow(identity uint64, suspect control.CrashSuspect, now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r, ok := c.refuse[fingerprint]
+	r, ok := c.refuse[identity]
 	if !ok {
 		if len(c.refuse) >= maxTrials {
 			clear(c.refuse)
@@ -147,7 +147,7 @@
 	if due {
 		r.tried, r.lastTrial = true, now
 	}
-	c.refuse[fingerprint] = r
+	c.refuse[identity] = r
 	return due
 }
 
@@ -156,22 +156,22 @@
 const maxTrialTurns = 4
 
 // seenDue reports whether to report that callers ask for a request.
-func (c *crashTrials) seenDue(fingerprint uint64, now time.Duration) bool {
+func (c *crashTrials) seenDue(identity uint64, now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if last, ok := c.seen[fingerprint]; ok && now-last < seenInterval {
+	if last, ok := c.seen[identity]; ok && now-last < seenInterval {
 		return false
 	}
 	if len(c.seen) >= maxTrials {
 		clear(c.seen)
 	}
-	c.seen[fingerprint] = now
+	c.seen[identity] = now
 	return true
 }
 
 // recordSeen reports that a caller asks for a request that was running at a crash.
-func (n *Node) recordSeen(fingerprint uint64) {
-	if n.crashTrials.seenDue(fingerprint, n.clock.now()) {
-		n.step(control.RequestSeen{Fingerprint: fingerprint})
+func (n *Node) recordSeen(identity uint64) {
+	if n.crashTrials.seenDue(identity, n.clock.now()) {
+		n.step(control.RequestAsked{Identity: identity})
 	}
 }
--- a/internal/sidecar/explain.go
+++ b/internal/sidecar/explain.go
@@ -116,7 +116,7 @@
 // explainedCall returns the call that a request of a caller would become.
 func (n *Node) explainedCall(q routequery.Question, r *http.Request, config *published.Config, route *published.Route, o *published.Organisation, now time.Duration) *call {
 	c := &call{
-		r: r, route: route, organisation: o, judgedBy: config.Version, config: config.Version, fingerprint: fingerprint(r, nil),
+		r: r, route: route, organisation: o, judgedBy: config.Version, config: config.Version, requestIdentity: n.identityOf(r, nil),
 		arrived: now, deadline: now + route.Timeout, service: route.PickService(n.splits.peek(route.Name)),
 	}
 	if q.Bytes > maxBufferedBodyBytes {
@@ -367,7 +367,7 @@
 	if overLimit(config.Limits, q.Bytes) {
 		return &routequery.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body-too-large"}
 	}
-	if x.view.CrashingRequests[c.fingerprint] {
+	if x.view.CrashingRequests[c.requestIdentity] {
 		after := time.Duration(maxRetryAfterRatio * float64(left))
 		return refused(reasonCrashing, after)
 	}
--- a/internal/sidecar/explain_test.go
+++ b/internal/sidecar/explain_test.go
@@ -259,7 +259,7 @@
 	defer n.caps.mu.Unlock()
 	for name, v := range map[string]any{
 		"balancer": n.balancer, "metrics": n.metrics, "splits": n.splits.positions, "times": n.serviceTimes.routes, "bytes": n.responseBytes.routes,
-		"refusals": n.refusalCache.byFingerprint, "budgets": budgets, "hedger": h.hedger, "held": h.held.Load(), "quota": n.caps.quota, "waiting": len(n.caps.waiting),
+		"refusals": n.refusalCache.byIdentity, "budgets": budgets, "hedger": h.hedger, "held": h.held.Load(), "quota": n.caps.quota, "waiting": len(n.caps.waiting),
 		"stats": n.caps.stats.counts, "running": n.gate.queue, "sent": n.sent.counts, "nested": n.inFlight.Load(), "trials": n.crashTrials,
 	} {
 		var part bytes.Buffer
--- a/internal/sidecar/hedge.go
+++ b/internal/sidecar/hedge.go
@@ -269,7 +269,7 @@
 func (a *hedgedAttempt) request(c *call, elapsed time.Duration, second *hedge.Target) hedge.Request {
 	n := a.node
 	view := n.view.Load()
-	_, suspect := view.CrashSuspects[c.fingerprint]
+	_, suspect := view.CrashSuspects[c.requestIdentity]
 	left := maxNodesTried - len(c.tried)
 	if len(a.running) == 0 {
 		// The first attempt is about to begin.
@@ -282,7 +282,7 @@
 	return hedge.Request{
 		Route: c.route.Name, Service: c.service,
 		Repeatable: n.mayRunTwice(c.r), BodyKept: c.body == nil || c.body.rest == nil,
-		CrashSuspect: suspect || c.crashTrial || view.CrashingRequests[c.fingerprint],
+		CrashSuspect: suspect || c.crashTrial || view.CrashingRequests[c.requestIdentity],
 		MoveOpen:     service != nil && service.MoveOpen,
 		Stopping:     n.stopping.Load(),
 		AttemptsLeft: left, Elapsed: elapsed, TimeLeft: c.deadline - n.clock.now(),
--- a/internal/sidecar/hedge_test.go
+++ b/internal/sidecar/hedge_test.go
@@ -241,7 +241,7 @@
 			n.SetHedging(hedge.Policy{Limit: hedge.Limit{Share: 1, Burst: 10}, Routes: map[string]hedge.Limit{"read": {}}})
 		},
 		"crash suspect": func(n *testNode) {
-			n.Step(control.TargetCrashed{Requests: []uint64{fingerprint(&http.Request{Method: http.MethodGet, Host: "shop.test", RequestURI: "/read/x"}, nil)}})
+			n.Step(control.TargetCrashed{Requests: []uint64{n.identityOf(&http.Request{Method: http.MethodGet, Host: "shop.test", RequestURI: "/read/x"}, nil)}})
 		},
 		"one attempt": func(n *testNode) {
 			config := testConfig()
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -26,6 +26,9 @@
 	hopPath      = "/heathercroft/v1/forward"
 )
 
+// identityVersion is the version of the identity of requests.
+const identityVersion = 1
+
 // hopRequest is the metadata of a request for the node of the target.
 type hopRequest struct {
 	ID     string `json:"id"`
@@ -37,8 +40,10 @@
 	Route       string `json:"route"`
 	Caller      string `json:"caller"`
 	Rank        int    `json:"rank"`
-	// Fingerprint identifies equal requests.
-	Fingerprint uint64 `json:"fingerprint"`
+	// Identity identifies equal requests. IdentityVersion is identityVersion, 0 if a node of an earlier
+	// version sent it, which identifies some requests differently.
+	Identity        uint64 `json:"fingerprint"`
+	IdentityVersion int    `json:"fingerprint_version,omitempty"`
 	// CrashTrial is set if the request is refused and this run shows whether it crashes targets.
 	CrashTrial bool `json:"crash_trial,omitempty"`
 	// Retryable is set if the request may be sent again after a failure.
--- a/internal/sidecar/hopsize_test.go
+++ b/internal/sidecar/hopsize_test.go
@@ -17,7 +17,7 @@
 func usualHop() (hopRequest, result) {
 	h := hopRequest{
 		ID: "454a1197bb9d1055", URI: "/search/stays?city=casa&page=2", Target: "finder-rabat-a-1-7", TargetStart: 1796548793123, Service: "finder", Route: "stay-search", Caller: "finder",
-		Rank: 4, Fingerprint: 12297829382473034410, Retryable: true, TimeLeftMS: 984.123457, SoftTimeLeftMS: 391.876543, ExpectedServiceTimeMS: 131.456789,
+		Rank: 4, Identity: 12297829382473034410, Retryable: true, TimeLeftMS: 984.123457, SoftTimeLeftMS: 391.876543, ExpectedServiceTimeMS: 131.456789,
 	}
 	return h, result{
 		outcome: retry.ResponseReceived, targetTime: 132456789, loadKnown: true, signals: &directory.Signals{}, process: h.process(),
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -57,6 +57,9 @@
 	if !ok {
 		panic("a body that was not read can be opened")
 	}
+	if h.IdentityVersion != identityVersion {
+		h.Identity = requestIdentity(r.Method, r.Host, h.URI, h.Caller, body)
+	}
 	request := &targetRequest{method: r.Method, host: r.Host, uri: h.URI, header: endToEndHeaders(r.Header), body: attemptBody, retryable: h.Retryable, lease: lease}
 	res := n.runLocal(ctx, h, request)
 	senderLeft := r.Context().Err() != nil
@@ -101,7 +104,7 @@
 	if !n.judgeAtTarget(&h) {
 		return result{outcome: retry.RefusedByNode, reason: reasonKeyWithdrawn}
 	}
-	if n.view.Load().CrashingRequests[h.Fingerprint] && !h.CrashTrial {
+	if n.view.Load().CrashingRequests[h.Identity] && !h.CrashTrial {
 		// The node of the caller may have started since the crashes.
 		return result{outcome: retry.RefusedByNode, reason: reasonCrashing}
 	}
@@ -228,8 +231,8 @@
 	cold := t != nil && t.ColdUntilUnixMS > time.Now().UnixMilli()
 	switch res.outcome {
 	case retry.ResponseReceived:
-		if _, ok := n.view.Load().CrashSuspects[h.Fingerprint]; ok {
-			n.step(control.RequestCompleted{Fingerprint: h.Fingerprint})
+		if _, ok := n.view.Load().CrashSuspects[h.Identity]; ok {
+			n.step(control.RequestCompleted{Identity: h.Identity})
 		}
 		failed := !res.succeeded()
 		n.step(control.TargetResponded{Route: h.Route, Failed: failed, CallFailed: res.callFailed, Cold: cold, Latency: res.targetTime})
@@ -259,7 +262,7 @@
 	default:
 		res.reason = "answer-lost"
 		n.recordTargetHealth(true)
-		n.handleLostResponse(h.Fingerprint)
+		n.handleLostResponse(h.Identity)
 		res.response = nil
 		n.step(control.TargetResponded{Route: h.Route, Failed: true, Cold: cold, Latency: res.targetTime})
 	}
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -5,30 +5,29 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"heathercroft.example/heathercroft/pkg/crashes"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
-// fingerprintBytes is the length of the prefix of a body that is part of a fingerprint.
-const fingerprintBytes = 4 << 10
-
-// fingerprint identifies a request across client retries, which have the same method,
-// host, path and body.
-func fingerprint(r *http.Request, body *requestBody) uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(r.Method + "\x00" + r.Host + "\x00" + r.RequestURI + "\x00")
+// requestIdentity identifies a request across client retries, which have the same method, host, path,
+// caller and body.
+func requestIdentity(method, host, uri, caller string, body *requestBody) uint64 {
+	r := crashes.Request{Method: method, Host: host, URI: uri, Caller: caller}
 	if body != nil {
-		_, _ = h.Write(body.head[:min(len(body.head), fingerprintBytes)])
+		r.Body, r.More = body.head, body.rest != nil
 	}
-	return h.Sum64()
+	return r.Identity()
+}
+
+func (n *Node) identityOf(r *http.Request, body *requestBody) uint64 {
+	return requestIdentity(r.Method, r.Host, r.RequestURI, n.settings.Service, body)
 }
 
 // refusalCache holds the requests that were refused recently, so that their client
 // retries get precedence over new requests.
 type refusalCache struct {
-	mu            sync.Mutex
-	byFingerprint map[uint64]refusedRequest
+	mu         sync.Mutex
+	byIdentity map[uint64]refusedRequest
 }
 
 type refusedRequest struct {
@@ -41,14 +40,14 @@
 // under heavy load.
 const maxRefusedRequests = 4096
 
-func newRefusals() *refusalCache { return &refusalCache{byFingerprint: map[uint64]refusedRequest{}} }
+func newRefusals() *refusalCache { return &refusalCache{byIdentity: map[uint64]refusedRequest{}} }
 
 // lookup returns when the request first arrived, and whether it is a client retry of a
 // refused request.
-func (c *refusalCache) lookup(fingerprint uint64, now time.Duration) (first time.Duration, isRetry bool) {
+func (c *refusalCache) lookup(identity uint64, now time.Duration) (first time.Duration, isRetry bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	entry, ok := c.byFingerprint[fingerprint]
+	entry, ok := c.byIdentity[identity]
 	if !ok || now > entry.expires {
 		return now, false
 	}
@@ -57,23 +56,23 @@
 
 // record adds a refused request. A request that was refused before keeps its first arrival
 // time.
-func (c *refusalCache) record(fingerprint uint64, first, until time.Duration) {
+func (c *refusalCache) record(identity uint64, first, until time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old, ok := c.byFingerprint[fingerprint]; ok && old.firstArrival < first {
+	if old, ok := c.byIdentity[identity]; ok && old.firstArrival < first {
 		first = old.firstArrival
 	}
-	if len(c.byFingerprint) >= maxRefusedRequests {
-		for f, entry := range c.byFingerprint {
+	if len(c.byIdentity) >= maxRefusedRequests {
+		for f, entry := range c.byIdentity {
 			if entry.expires < first {
-				delete(c.byFingerprint, f)
+				delete(c.byIdentity, f)
 			}
 		}
-		if len(c.byFingerprint) >= maxRefusedRequests {
-			clear(c.byFingerprint)
+		if len(c.byIdentity) >= maxRefusedRequests {
+			clear(c.byIdentity)
 		}
 	}
-	c.byFingerprint[fingerprint] = refusedRequest{first, until}
+	c.byIdentity[identity] = refusedRequest{first, until}
 }
 
 // splitSequences generates an evenly distributed sequence of positions for each route, so
