control: the evidence of requests that crash targets is kept in the store

Cause: what the nodes know of such requests lived in their memory and messages.

Change: the record of a node's announcement holds the evidence of the crashes of its target. It is written at each crash, read before a starting node uses its target, carried over, kept by planned stops for ten minutes, and written again after a restoration. Refutations are written 5 s later at the earliest.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -54,8 +54,8 @@
 	writing    directory.Announcement
 	former     formerProcess
 	departures departures
-	// stopped holds the departures in the records of other nodes that stopped.
-	stopped     map[mesh.NodeID][]directory.Departure
+	// stopped holds what the records of other nodes that stopped are kept for.
+	stopped     map[mesh.NodeID]stoppedRecord
 	nextRemoval time.Duration
 	local       directory.LocalTarget
 	dir         *directory.Directory
@@ -73,6 +73,10 @@
 	recent    canary.RecentCounts
 	sinceTick canary.Counts
 	crashes   *crashes.Table
+	// crashesWrittenAt is the time of the last write of the announcement, ownCrashesRead the evidence in
+	// this node's record that was read last.
+	crashesWrittenAt time.Duration
+	ownCrashesRead   crashes.Evidence
 	// crashNumber is the number of crashes of the local target that this process has seen.
 	crashNumber uint64
 	signals     *directory.SignalTable
@@ -156,7 +160,7 @@
 		peers: map[mesh.NodeID]PeerState{}, evidence: canary.Evidence{}, gossipCursor: o.Seed,
 		fresh: freshness{readAsOf: never, toldAsOf: never}, fetch: configFetch{holders: map[mesh.NodeID]published.Version{}}, unreadableMoves: map[string]bool{}, pendingWrites: map[string]bool{}, crashes: crashes.NewTable(), signals: directory.NewSignalTable(), unresponsiveReaders: map[mesh.NodeID]bool{},
 		zones:  newZoneOrders(),
-		former: formerProcess{answered: map[mesh.NodeID]bool{}, asked: map[mesh.NodeID]bool{}, awaited: map[mesh.NodeID]bool{}}, stopped: map[mesh.NodeID][]directory.Departure{},
+		former: formerProcess{answered: map[mesh.NodeID]bool{}, asked: map[mesh.NodeID]bool{}, awaited: map[mesh.NodeID]bool{}}, stopped: map[mesh.NodeID]stoppedRecord{},
 	}
 }
 
@@ -196,14 +200,15 @@
 	case ConfigPublished:
 		c.applyConfig(t, e)
 	case AnnouncementRead:
+		e.Announcement = c.takeCrashes(t, e.Announcement)
 		if a := e.Announcement; a.Node == c.self.Node && a.StartUnixMS == c.self.StartUnixMS {
 			c.announced, c.announcedRead = a, true
+			c.announced.Crashes = c.ownCrashesRead
 			c.setKept(a.Sequence, "store")
 		} else if a.Node == c.self.Node {
 			// A write of a former process took effect late.
 			c.announced = directory.Announcement{}
 		}
-		c.trackStopped(e.Announcement)
 		if c.updateDirectory(e.Announcement, t) {
 			if c.caughtUp[MeshFeed] && c.isReader() {
 				c.announcementsToRelay = append(c.announcementsToRelay, e.Announcement)
@@ -437,18 +442,19 @@
 	if !c.caughtUp[MeshFeed] || c.pendingWrites[announceKey] || t.Now < c.nextAnnounce {
 		return
 	}
-	withdraws := c.closing && len(directory.MergeDepartures(c.self.Departed, nil, t.UnixMS)) == 0
+	record := c.withCrashes(t, c.self)
+	withdraws := c.closing && len(directory.MergeDepartures(c.self.Departed, nil, t.UnixMS)) == 0 && !record.Crashes.Unrefuted()
 	switch {
-	case withdraws && c.withdrawn, !withdraws && sameRecord(c.announced, c.self):
+	case withdraws && c.withdrawn, !withdraws && sameRecord(c.announced, c.self) && !c.crashWriteDue(t, record.Crashes):
 		return
 	case withdraws:
 		c.writing = directory.Announcement{}
 		c.emit(WithdrawAnnouncement{})
-	case c.self.Target == nil && t.Now < announceDelay && len(c.self.Departed) == 0:
+	case c.self.Target == nil && t.Now < announceDelay && len(c.self.Departed) == 0 && len(record.Crashes.Requests) == 0:
 		return
 	default:
-		c.writing = c.self
-		c.emit(WriteAnnouncement{Announcement: c.self})
+		c.writing = record
+		c.emit(WriteAnnouncement{Announcement: record})
 	}
 	c.pendingWrites[announceKey] = true
 	c.nextAnnounce = t.Now + announceRetry
@@ -474,6 +480,7 @@
 	if e.Key == announceKey {
 		if e.OK {
 			c.announced, c.withdrawn = c.writing, c.writing.Node == ""
+			c.crashesWrittenAt = t.Now
 			c.setKept(c.writing.Sequence, "store")
 			if c.withdrawn {
 				c.log("announcement_withdrawn", "process", c.self.StartUnixMS)
--- a/internal/control/crashes.go
+++ b/internal/control/crashes.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/pkg/crashes"
+	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -42,6 +43,49 @@
 	c.log("target_crashed", "requests", len(requests), "suspects", c.crashes.Len())
 	c.publishView(t)
 	c.broadcast(t)
+	c.nextAnnounce = 0
+	c.writeAnnouncement(t)
+}
+
+// refutationDelay is the time after a write of the evidence until the store learns that crashes were
+// refuted, or that callers still ask for a request. Most requests that ran beside the one that crashed a
+// target complete soon after.
+const refutationDelay = 5 * time.Second
+
+// crashWriteDue reports whether the store has to learn of the evidence of the crashes at the local
+// target. What only the processes know ends with them.
+func (c *Control) crashWriteDue(t Time, own crashes.Evidence) bool {
+	crash, other := own.Since(c.announced.Crashes)
+	return crash || other && t.Now-c.crashesWrittenAt >= refutationDelay
+}
+
+// withCrashes returns the record of a node in the store: its announcement and the evidence of the
+// crashes of its target, also those that its former processes saw.
+func (c *Control) withCrashes(t Time, a directory.Announcement) directory.Announcement {
+	a.Crashes = c.crashes.Evidence(t.Now, func(crash crashes.Crash) bool { return crash.Node == a.Node })
+	if len(a.Crashes.Requests) > 0 {
+		a.Crashes.AtUnixMS = t.UnixMS
+	}
+	return a
+}
+
+// takeCrashes merges the evidence in the record of a node, and returns the announcement without it.
+func (c *Control) takeCrashes(t Time, a directory.Announcement) directory.Announcement {
+	evidence := a.Crashes
+	a.Crashes = crashes.Evidence{}
+	if err := evidence.Validate(); err != nil {
+		c.log("crash_evidence_refused", "peer", string(a.Node), "error", err.Error())
+		evidence = crashes.Evidence{}
+	}
+	if a.Node == c.self.Node {
+		c.ownCrashesRead = evidence
+	}
+	if c.crashes.Merge(t.Now, t.UnixMS, evidence) {
+		c.log("crash_evidence_adopted", "peer", string(a.Node), "requests", len(evidence.Requests), "suspects", c.crashes.Len())
+		c.publishView(t)
+	}
+	c.trackStopped(a, evidence)
+	return a
 }
 
 // recordCompletion refutes the crashes of a request that has completed.
--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/crashes"
 	"heathercroft.example/heathercroft/pkg/directory"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
@@ -337,17 +338,24 @@
 	return slices.DeleteFunc(slices.Clone(all), stopped)
 }
 
+// stoppedRecord is what the record of a stopped node is kept for.
+type stoppedRecord struct {
+	departed []directory.Departure
+	// crashesUntilMS is the Unix time in milliseconds until which its evidence of crashes counts.
+	crashesUntilMS int64
+}
+
 // trackStopped records the announcement of another node in the store if it is that of a stopped
-// one, which the nodes have to remove when its departures have expired.
-func (c *Control) trackStopped(a directory.Announcement) {
+// one, which the nodes have to remove when its departures and its evidence have expired.
+func (c *Control) trackStopped(a directory.Announcement, evidence crashes.Evidence) {
 	if a.Stopped && a.Node != c.self.Node {
-		c.stopped[a.Node] = a.Departed
+		c.stopped[a.Node] = stoppedRecord{a.Departed, evidence.AtUnixMS + crashes.RefusalRetention.Milliseconds()}
 	} else {
 		delete(c.stopped, a.Node)
 	}
 }
 
-// removeStopped removes the record of a stopped node whose departures have expired.
+// removeStopped removes the record of a stopped node that is kept for nothing any more.
 func (c *Control) removeStopped(t Time) {
 	if len(c.stopped) == 0 || t.Now < c.nextRemoval || !c.caughtUp[MeshFeed] || !c.isReader() {
 		return
@@ -356,8 +364,8 @@
 	if !c.large() {
 		candidates = c.alive(t)
 	}
-	for id, departed := range c.stopped {
-		if len(directory.MergeDepartures(departed, nil, t.UnixMS)) > 0 || mesh.RankNodes("stopped/"+string(id), candidates)[0] != c.self.Node {
+	for id, record := range c.stopped {
+		if len(directory.MergeDepartures(record.departed, nil, t.UnixMS)) > 0 || t.UnixMS < record.crashesUntilMS || mesh.RankNodes("stopped/"+string(id), candidates)[0] != c.self.Node {
 			continue
 		}
 		c.nextRemoval = t.Now + removalInterval
--- a/internal/control/untrusted.go
+++ b/internal/control/untrusted.go
@@ -110,7 +110,7 @@
 	switch e.Feed {
 	case MeshFeed:
 		delete(c.stopped, mesh.NodeID(e.Name))
-		c.rewriteAnnouncement(e.Name)
+		c.rewriteAnnouncement(t, e.Name)
 	case MoveFeed:
 		delete(c.storedMoves, e.Name)
 		c.movesUnverified, c.verifySince = true, t.Now
@@ -125,7 +125,7 @@
 
 // rewriteAnnouncement writes the announcement of a node again. In a small mesh each node reads and
 // writes its own. In a large one the first reader does it for those that do not read.
-func (c *Control) rewriteAnnouncement(name string) {
+func (c *Control) rewriteAnnouncement(t Time, name string) {
 	if name == string(c.self.Node) {
 		if !c.withdrawn {
 			c.announced = directory.Announcement{}
@@ -134,7 +134,7 @@
 	}
 	for _, a := range c.dir.All() {
 		if string(a.Node) == name && !a.Leaving && c.large() && c.readerRank() == 0 {
-			c.emit(RewriteAnnouncement{Announcement: a})
+			c.emit(RewriteAnnouncement{Announcement: c.withCrashes(t, a)})
 		}
 	}
 }
--- a/pkg/crashes/crashes_test.go
+++ b/pkg/crashes/crashes_test.go
@@ -162,7 +162,7 @@
 				require.NoError(t, err)
 				var decoded crashes.Evidence
 				require.NoError(t, json.Unmarshal(data, &decoded))
-				require.True(t, e.SameAs(decoded))
+				require.Equal(t, e, decoded)
 				for _, other := range tables {
 					other.Merge(0, 0, decoded)
 				}
--- a/pkg/crashes/table.go
+++ b/pkg/crashes/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,9 @@
 	// RefusalRetention is how long a request stays refused after a caller last asked for it.
 	RefusalRetention = 10 * time.Minute
 
+	// refreshTime is the time after which the store learns that callers still ask for a request.
+	refreshTime = SuspicionRetention / 2
+
 	// MaxRequests and maxCrashes bound the requests and the crashes of each, and with them memory
 	// and message size. Each crash adds the requests that ran beside the one that caused it, and
 	// several requests may crash targets at the same time.
@@ -235,22 +239,17 @@
 // Len returns the number of requests.
 func (t *Table) Len() int { return len(t.requests) }
 
-// Evidence returns the evidence of the requests that were running at one of the crashes that include
-// accepts, with all their crashes.
+// Evidence returns the evidence of the crashes that include accepts.
 func (t *Table) Evidence(now time.Duration, include func(Crash) bool) Evidence {
 	var out Evidence
-	identities := make([]uint64, 0, len(t.requests))
-	for identity, r := range t.requests {
-		if slices.ContainsFunc(r.crashes, func(c requestCrash) bool { return include(c.Crash) }) {
-			identities = append(identities, identity)
-		}
-	}
-	slices.Sort(identities)
 	index := map[Crash]int{}
-	for _, identity := range identities {
+	for _, identity := range slices.Sorted(maps.Keys(t.requests)) {
 		r := t.requests[identity]
 		e := EvidenceOfRequest{Identity: identity, Completions: r.completions, AskedMS: (now - r.askedAt).Milliseconds()}
 		for _, c := range r.crashes {
+			if !include(c.Crash) {
+				continue
+			}
 			i, ok := index[c.Crash]
 			if !ok {
 				i = len(out.Crashes)
@@ -262,17 +261,44 @@
 				e.Refuted = append(e.Refuted, i)
 			}
 		}
-		out.Requests = append(out.Requests, e)
+		if len(e.In) > 0 {
+			out.Requests = append(out.Requests, e)
+		}
 	}
 	return out
 }
 
-// SameAs reports whether evidence says the same but for the ages.
-func (e Evidence) SameAs(o Evidence) bool {
-	sameRequest := func(a, b EvidenceOfRequest) bool {
-		return a.Identity == b.Identity && a.Completions == b.Completions && slices.Equal(a.In, b.In) && slices.Equal(a.Refuted, b.Refuted)
+// Unrefuted reports whether there is a crash that a request may have caused.
+func (e Evidence) Unrefuted() bool {
+	return slices.ContainsFunc(e.Requests, func(r EvidenceOfRequest) bool { return len(r.In) > len(r.Refuted) })
+}
+
+// Since reports what the evidence says that an earlier one, in the store, does not: a crash, or only that
+// a crash is refuted or that callers still ask for a request.
+func (e Evidence) Since(stored Evidence) (crash, other bool) {
+	known := make(map[uint64]EvidenceOfRequest, len(stored.Requests))
+	for _, r := range stored.Requests {
+		known[r.Identity] = r
+	}
+	for _, r := range e.Requests {
+		before, ok := known[r.Identity]
+		contains := func(all []int, i int) bool {
+			return slices.ContainsFunc(all, func(j int) bool { return stored.Crashes[j] == e.Crashes[i] })
+		}
+		for _, i := range r.In {
+			refuted := slices.Contains(r.Refuted, i)
+			switch {
+			case !ok || !contains(before.In, i):
+				// A refuted one is of use only where another record says otherwise.
+				crash, other = crash || !refuted, other || refuted
+			case refuted && !contains(before.Refuted, i):
+				other = true
+			}
+		}
+		askedLater := (e.AtUnixMS - r.AskedMS) - (stored.AtUnixMS - before.AskedMS)
+		other = other || ok && len(r.In) > len(r.Refuted) && askedLater > refreshTime.Milliseconds()
 	}
-	return slices.Equal(e.Crashes, o.Crashes) && slices.EqualFunc(e.Requests, o.Requests, sameRequest)
+	return crash, other
 }
 
 // Suspect is a request that may have crashed targets.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"heathercroft.example/heathercroft/pkg/crashes"
 	"heathercroft.example/heathercroft/pkg/mesh"
 )
 
@@ -33,6 +34,10 @@
 	// Departed holds the targets beside the node that left, as confirmed by any of its processes:
 	// at most MaxDepartures, for DepartureRetention.
 	Departed []Departure `json:"departed,omitempty"`
+	// Crashes is what the nodes know of requests that were running at crashes of the target beside
+	// this node, as seen by any of its processes. It is in the store only: nodes tell each other all
+	// that they know of requests beside the announcement.
+	Crashes crashes.Evidence `json:"crashes,omitzero"`
 }
 
 // Target is the state of the target beside a node.
