control: a node that starts during a move knows its deadline

Cause: the order was read before the recorded move, and the deadline in the record counted only if the operator feed had not been read to its end by then.

--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -19,6 +19,8 @@
 	// deadline is the end of the move on this node's steady clock, so that a step of the
 	// clock does not change it.
 	deadline time.Duration
+	// ageUnknown is set if the order was among the first that the node has read: it may be old.
+	ageUnknown bool
 	// known is the summary of all nodes as of the last tick.
 	known MoveSummary
 	// cut is set while this node suspects the new version. It then sends no requests
@@ -52,7 +54,7 @@
 		next = m.move.Replace(o, t.UnixMS)
 	}
 	m := &moveState{move: next, analyzer: canary.NewAnalyzer(), nextPhaseSince: t.Now}
-	m.deadline = t.Now + o.Duration
+	m.deadline, m.ageUnknown = t.Now+o.Duration, !c.caughtUp[OperatorFeed]
 	m.learnedAt = t.Now
 	c.moves[o.Service] = m
 	c.log("move_ordered", "service", o.Service, "version", o.Version, "number", next.Number,
@@ -135,7 +137,7 @@
 	case s.move.Position.Era > m.Position.Era:
 		m.Position = s.move.Position
 	}
-	if first := !s.recorded; first && (s.deadline == 0 || !c.caughtUp[OperatorFeed]) {
+	if first := !s.recorded; first && (s.deadline == 0 || s.ageUnknown || !c.caughtUp[OperatorFeed]) {
 		// The order may be old, as far as this node knows.
 		s.deadline = t.Now + time.Duration(m.DeadlineUnixMS-t.UnixMS)*time.Millisecond
 	}
--- a/internal/control/trials_test.go
+++ b/internal/control/trials_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/pkg/canary"
 )
 
 // Guards against a faulty version that stays in use because the old version fails, too, when a
@@ -101,3 +103,26 @@
 		})
 	}
 }
+
+// Guards against a node that starts during a move and takes its deadline for a later one, since it reads
+// the order before the recorded move: it may be the first to write the next phase.
+func TestNodeThatStartsDuringAMoveKnowsItsDeadline(t *testing.T) {
+	m := newTestMesh(t, "v1", "v1", "v2")
+	o := canary.Order{Service: "s", Version: "v2", Number: 1, Duration: 20 * time.Second}
+	for _, n := range m.nodes {
+		m.step(n, MoveOrdered{o})
+	}
+	m.run(time.Second)
+	require.Contains(t, m.moves, "s")
+	want := m.nodes[0].moves["s"].deadline
+	m.run(3 * time.Second)
+	n := m.startUnread(9)
+	m.step(n, MoveOrdered{o})
+	m.step(n, FeedCaughtUp{OperatorFeed})
+	m.read(n)
+	require.InDelta(t, want, n.moves["s"].deadline, float64(time.Second))
+	// An order that is given later counts from then on.
+	o.Number, o.Version, o.Position.Offset = 2, "v3", 7
+	m.step(n, MoveOrdered{o})
+	require.Equal(t, m.now+o.Duration, n.moves["s"].deadline)
+}
