canary: a move is released once each route and the response times have been compared

Cause: a move was released on the absence of bad news: eight responses of all routes together, and means of response times within 2.6 times. The old targets stop then, and there is no way back.

Change: senders try each route with 1.2 requests a second or more before the shift, within the limits; an untried route holds the release. The variance of the response times at single targets is compared, over groups of targets that have to agree. Rates of routes are those during the move. Routes on which the old version fails half of its requests are left out: they made good versions suspected.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -321,7 +321,7 @@
 	if e.Failed {
 		counts.Failed = 1
 	} else if !e.Cold {
-		counts.LatencySumMS, counts.LatencyCount = float64(e.Latency)/float64(time.Millisecond), 1
+		counts = canary.Latency(e.Latency)
 	}
 	c.evidence[e.Route] = c.evidence[e.Route].Add(counts)
 	c.sinceTick = c.sinceTick.Add(counts)
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -16,6 +16,7 @@
 	// recorded is set once the store contains this state of the move.
 	recorded bool
 	analyzer *canary.Analyzer
+	rates    routeRates
 	// deadline is the end of the move on this node's steady clock, so that a step of the
 	// clock does not change it.
 	deadline time.Duration
@@ -209,9 +210,34 @@
 			m.known = c.summaryOf(t, m.move)
 		}
 		s.NewShare = m.move.Share(m.known.PerSecond, t.Now-m.phaseSince)
+		s.RouteShares = m.move.RouteShares(m.routes(), m.known.PerSecond, m.deadline-t.Now, c.exposeLimits)
 	}
 }
 
+// routes returns the traffic of each route of the service on which the versions can be compared, as far
+// as its targets have counted it.
+func (m *moveState) routes() map[string]canary.RouteTraffic {
+	old, current := m.known.Old.Evidence, m.known.Current.Evidence
+	all := float64(old.Total().Responses + current.Total().Responses)
+	out := make(map[string]canary.RouteTraffic, len(old))
+	for _, evidence := range []canary.Evidence{old, current} {
+		for route, counts := range evidence {
+			if !old[route].Comparable() {
+				continue
+			}
+			traffic := out[route]
+			traffic.Tried = current[route].Responses
+			if perSecond, ok := m.rates.perSecond(route); ok {
+				traffic.PerSecond = perSecond
+			} else {
+				traffic.PerSecond += m.known.PerSecond * float64(counts.Responses) / all
+			}
+			out[route] = traffic
+		}
+	}
+	return out
+}
+
 // advanceMoves analyzes the evidence of each open move and emits the writes that are due.
 func (c *Control) advanceMoves(t Time) {
 	for service, m := range c.moves {
@@ -253,6 +279,7 @@
 	c.updateSummary(t, m)
 	known := m.known
 	current, old := known.Current, known.Old
+	m.rates.observe(t.Now, old.Evidence, current.Evidence)
 	verdict, reason := m.analyzer.Observe(t.Now, current, old)
 	total := current.Evidence.Total()
 	if cut := verdict != canary.VerdictHealthy; cut != m.cut {
@@ -273,11 +300,11 @@
 		Suspected: verdict == canary.VerdictSuspected || known.Suspected, NewResponses: total.Responses,
 		NewTargets: known.NewTargets, OldRequests: known.OldRequests,
 		AcknowledgedByAll: known.AcknowledgedRevision >= m.move.Revision,
-		Doubtful:          m.analyzer.Doubtful(), InPhase: t.Now - m.phaseSince,
+		Doubtful:          m.analyzer.Doubtful(), Untried: m.analyzer.Untried(m.routes()), Uneven: m.analyzer.Uneven(), InPhase: t.Now - m.phaseSince,
 	}
 	if held := m.move.HeldBy(s); held != m.heldBy {
 		m.heldBy = held
-		c.log("move_held", "service", m.move.Service, "version", m.move.Version, "reason", held, "left_ms", (m.deadline - t.Now).Milliseconds(),
+		c.log("move_held", "service", m.move.Service, "version", m.move.Version, "reason", held, "route", s.Untried, "left_ms", (m.deadline - t.Now).Milliseconds(),
 			"answers", total.Responses, "failed", total.Failed, "old_requests", known.OldRequests, "acknowledged_revision", known.AcknowledgedRevision)
 	}
 	phase := m.move.Decide(s)
--- a/internal/control/summary.go
+++ b/internal/control/summary.go
@@ -90,9 +90,9 @@
 	switch {
 	case target == nil || target.Service != m.Service:
 	case target.Version == m.Version:
-		s.Current.Add(e, r)
+		s.Current.Add(target.ID, e, r)
 	default:
-		s.Old.Add(e, r)
+		s.Old.Add(target.ID, e, r)
 	}
 }
 
--- a/internal/control/untrusted.go
+++ b/internal/control/untrusted.go
@@ -18,6 +18,7 @@
 	maxReportedRate     = 1e7
 	maxReportedCount    = 1 << 40
 	maxReportedMS       = 1e15
+	maxReportedLogs     = 1 << 60
 )
 
 // validate reports what makes a message one that no node sends. It drops parts that are invalid on
@@ -77,13 +78,27 @@
 
 func validCounts(c canary.Counts) bool {
 	return inRange(c.Responses, maxReportedCount) && inRange(c.Failed, c.Responses) && inRange(c.LatencyCount, c.Responses) &&
-		c.LatencySumMS >= 0 && c.LatencySumMS <= maxReportedMS
+		c.LatencySumMS >= 0 && c.LatencySumMS <= maxReportedMS && inRange(c.LogCount, c.LatencyCount) &&
+		c.LogSum >= 0 && c.LogSum <= maxReportedLogs && c.LogSquares >= 0 && c.LogSquares <= maxReportedLogs
 }
 
 func (s MoveSummary) valid() bool {
 	return s.Service != "" && s.PerSecond >= 0 && s.PerSecond <= maxReportedRate && inRange(s.NewTargets, maxReportedRequests) &&
 		inRange(s.OldRequests, maxReportedRequests) && inRange(s.Reached, maxReportedCount) && s.AcknowledgedRevision >= 0 &&
-		validEvidence(s.Current.Evidence, s.Current.Recent) && validEvidence(s.Old.Evidence, s.Old.Recent)
+		validEvidence(s.Current.Evidence, s.Current.Recent) && validEvidence(s.Old.Evidence, s.Old.Recent) &&
+		validSpreads(s.Current.Spreads) && validSpreads(s.Old.Spreads)
+}
+
+func validSpreads(spreads map[string]canary.Spreads) bool {
+	if len(spreads) > maxEvidenceRoutes+1 {
+		return false
+	}
+	for _, s := range spreads {
+		if !s.Valid() {
+			return false
+		}
+	}
+	return true
 }
 
 // contradictInterval is the minimum time between two messages that tell a node what others say of
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -79,6 +79,17 @@
 	New []balance.Endpoint
 	// NewShare is the share of requests that is sent to New.
 	NewShare float64
+	// RouteShares holds the shares of single routes, which differ from NewShare while the new version is
+	// observed.
+	RouteShares map[string]float64
 	// MoveOpen is set while a move to another version is open.
 	MoveOpen bool
 }
+
+// ShareOf returns the share of the requests on a route that is sent to New.
+func (s *ServiceEndpoints) ShareOf(route string) float64 {
+	if share, ok := s.RouteShares[route]; ok && s.NewShare > 0 {
+		return share
+	}
+	return s.NewShare
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -414,8 +414,9 @@
 
 // picksNew reports whether the call goes to the new version of its service.
 func (n *Node) picksNew(c *call, service *control.ServiceEndpoints) bool {
+	share := service.ShareOf(c.route.Name)
 	switch {
-	case service.NewShare <= 0, service.NewShare < 1 && n.random() >= service.NewShare:
+	case share <= 0, share < 1 && n.random() >= share:
 		return false
 	case c.trialRefusals == 0:
 		return len(service.New) > 0
--- a/internal/sidecar/explain.go
+++ b/internal/sidecar/explain.go
@@ -151,7 +151,7 @@
 		Measured: n.serviceTimes.get(c.route.Name, -1) >= 0, AnswerWithinMS: roundMS(c.softDeadline - x.now), Bytes: c.expectedBytes,
 	}
 	if service != nil {
-		request.NewShare, request.MoveOpen = service.NewShare, service.MoveOpen
+		request.NewShare, request.MoveOpen = service.ShareOf(c.route.Name), service.MoveOpen
 	}
 	if o := c.organisation; o != nil {
 		request.Organisation, request.AllowedRegions = o.Name, o.AllowedRegions
--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -14,18 +14,39 @@
 	// excluded, and LatencyCount is the number of responses in it.
 	LatencySumMS float64 `json:"ms"`
 	LatencyCount int     `json:"t"`
+	// LogSum and LogSquares are the sums of the logarithms of these times in steps of 1/1000 and of
+	// their squares, and LogCount is the number of times of at least 5 ms, which alone are in them.
+	LogSum     int64 `json:"l,omitempty"`
+	LogSquares int64 `json:"q,omitempty"`
+	LogCount   int   `json:"k,omitempty"`
 }
 
+// minIncomparable is the number of failures from which the old version's responses on a route can tell
+// that nothing can be compared there.
+const minIncomparable = 3
+
+// Comparable reports whether a new version can be compared with the old one, whose responses these are:
+// a route on which the old version fails half of the requests or more, such as one whose requests are
+// longer than their deadline, says nothing.
+func (c Counts) Comparable() bool { return c.Failed < minIncomparable || 2*c.Failed < c.Responses }
+
+// Add returns the sum of two counts.
 func (c Counts) Add(o Counts) Counts {
-	return Counts{c.Responses + o.Responses, c.Failed + o.Failed, c.LatencySumMS + o.LatencySumMS, c.LatencyCount + o.LatencyCount}
+	return Counts{
+		c.Responses + o.Responses, c.Failed + o.Failed, c.LatencySumMS + o.LatencySumMS, c.LatencyCount + o.LatencyCount,
+		c.LogSum + o.LogSum, c.LogSquares + o.LogSquares, c.LogCount + o.LogCount,
+	}
 }
 
 // Sub returns the counts added since o, or zero counts if a counting process restarted.
 func (c Counts) Sub(o Counts) Counts {
-	if c.Responses < o.Responses || c.Failed < o.Failed || c.LatencyCount < o.LatencyCount {
+	if c.Responses < o.Responses || c.Failed < o.Failed || c.LatencyCount < o.LatencyCount || c.LogCount < o.LogCount {
 		return Counts{}
 	}
-	return Counts{c.Responses - o.Responses, c.Failed - o.Failed, c.LatencySumMS - o.LatencySumMS, c.LatencyCount - o.LatencyCount}
+	return Counts{
+		c.Responses - o.Responses, c.Failed - o.Failed, c.LatencySumMS - o.LatencySumMS, c.LatencyCount - o.LatencyCount,
+		c.LogSum - o.LogSum, c.LogSquares - o.LogSquares, c.LogCount - o.LogCount,
+	}
 }
 
 // Evidence holds the counts by route.
@@ -108,15 +129,26 @@
 type VersionStats struct {
 	Evidence Evidence     `json:"evidence,omitempty"`
 	Recent   RecentCounts `json:"recent,omitzero"`
+	// Spreads holds how the response times at single targets vary, by route and group of targets.
+	Spreads map[string]Spreads `json:"spreads,omitempty"`
 }
 
 // Add adds the responses of another target.
-func (v *VersionStats) Add(e Evidence, r RecentCounts) {
+func (v *VersionStats) Add(target string, e Evidence, r RecentCounts) {
 	if v.Evidence == nil {
 		v.Evidence = Evidence{}
 	}
 	for route, counts := range e {
 		v.Evidence[route] = v.Evidence[route].Add(counts)
+		if s := counts.spread(); s.Freedom > 0 {
+			if v.Spreads == nil {
+				v.Spreads = map[string]Spreads{}
+			}
+			groups := v.Spreads[route]
+			group := &groups[groupOf(target)]
+			*group = group.add(s)
+			v.Spreads[route] = groups
+		}
 	}
 	v.Recent = RecentCounts{v.Recent.Responses + r.Responses, v.Recent.Failed + r.Failed}
 }
@@ -129,6 +161,12 @@
 	sums map[string]float64
 	// doubt is the sum of the test that holds back the release of the old version.
 	doubt float64
+	// trusted is the evidence that a route works, and spreadDoubt is set while response times vary more
+	// than those of the old version.
+	trusted map[string]float64
+	uneven  bool
+	// firstOldSpread holds the spreads of the old version at the first observation.
+	firstOldSpread map[string]Spread
 	// window holds the recent response times of a route.
 	window  map[string]Counts
 	verdict Verdict
@@ -141,7 +179,7 @@
 
 // NewAnalyzer returns an Analyzer without evidence.
 func NewAnalyzer() *Analyzer {
-	return &Analyzer{last: map[string]Counts{}, sums: map[string]float64{}, window: map[string]Counts{}}
+	return &Analyzer{last: map[string]Counts{}, sums: map[string]float64{}, trusted: map[string]float64{}, firstOldSpread: map[string]Spread{}, window: map[string]Counts{}}
 }
 
 // Observe takes the current counts of both versions and returns the verdict with its
@@ -152,12 +190,17 @@
 	for route, counts := range current.Evidence {
 		delta := counts.Sub(a.last[route])
 		a.last[route] = counts
+		if !old.Evidence[route].Comparable() {
+			continue
+		}
 		oldRate := max(failureRate(old.Evidence[route]), failureRate(oldTotal), old.Recent.FailureRate())
 		a.sums[route] = max(0, a.sums[route]+logRatio(delta, oldRate, minToleratedFailureRate, faultyFailureRate))
 		sum += logRatio(delta, oldRate, minToleratedFailureRate, underLoadFailureRate)
 		doubt += logRatio(delta, oldRate, doubtToleratedRate, doubtFailureRate)
+		a.observeRoute(route, delta, oldRate)
 		a.observeLatency(route, delta, old.Evidence[route])
 	}
+	a.observeSpread(current, old)
 	a.sums[allRoutes], a.doubt = max(0, sum), max(0, doubt)
 	if a.verdict == VerdictFaulty {
 		return a.verdict, a.reason
--- a/pkg/canary/move.go
+++ b/pkg/canary/move.go
@@ -225,6 +225,10 @@
 	// Doubtful is set while there is evidence against the new version that is not enough to
 	// suspect it.
 	Doubtful bool
+	// Untried is a route on which the new version has not shown yet that it works, "" if there is none.
+	Untried string
+	// Uneven is set while the response times of the new version vary more than those of the old one.
+	Uneven bool
 	// InPhase is how long this node has known the present phase.
 	InPhase time.Duration
 }
@@ -240,6 +244,10 @@
 		return "shift-time"
 	case s.Doubtful:
 		return "doubtful"
+	case s.Untried != "" && s.UnixMS < m.DeadlineUnixMS+maxEvidenceTime.Milliseconds():
+		return "untried-route"
+	case s.Uneven && s.UnixMS < m.DeadlineUnixMS+maxEvidenceTime.Milliseconds():
+		return "uneven"
 	case !s.AcknowledgedByAll:
 		return "not-acknowledged"
 	case s.OldRequests > 0:
