control: nodes exchange their states every 100 ms for 3 s after a shift, not until the release

Suspected cause: since an untried route or uneven response times can hold the release for up to 20 s after the deadline, all nodes exchange states ten times a second for as long.

Change: the short interval ends 3 s after the shift; the interval of open moves follows.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -576,7 +576,7 @@
 	if t.Now >= c.nextGossip {
 		c.nextGossip = t.Now + gossipInterval
 		switch {
-		case c.moveShifted():
+		case c.moveShifted(t):
 			c.nextGossip = t.Now + shiftedGossipInterval
 		case c.moveOpen():
 			c.nextGossip = t.Now + moveGossipInterval
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -27,9 +27,11 @@
 	// moveGossipInterval is the interval while a move is open. A faulty version must
 	// get no more traffic 5 s after its fiftieth bad response.
 	moveGossipInterval = 500 * time.Millisecond
-	// shiftedGossipInterval is the interval while all traffic of an open move goes to the new
-	// version.
+	// shiftedGossipInterval is the interval when all traffic of an open move has begun to go to the
+	// new version, for shiftedGossipTime: a move is released soon after that, or something holds it for
+	// longer.
 	shiftedGossipInterval = TickInterval
+	shiftedGossipTime     = 3 * time.Second
 	// aliveTimeout is the time since its last message after which a node counts as
 	// unresponsive. It exceeds one gossip cycle through the mesh.
 	aliveTimeout = 6 * time.Second
@@ -84,7 +86,7 @@
 		c.gossipCursor++
 		to = append(to, partners[c.gossipCursor%uint64(len(partners))].Node)
 	}
-	if c.moveShifted() {
+	if c.moveShifted(t) {
 		to = append(to, c.readers...)
 	} else if len(c.readers) > 0 {
 		c.nextReader++
@@ -122,11 +124,11 @@
 	return c.dir.SinceLastMessage(id, t.Now) < readerCount*gossipInterval+readerTimeout
 }
 
-// moveShifted reports whether all traffic of an open move goes to the new version. A fault
+// moveShifted reports whether all traffic of an open move has begun to go to the new version. A fault
 // that shows only then must be known within a second.
-func (c *Control) moveShifted() bool {
+func (c *Control) moveShifted(t Time) bool {
 	for _, m := range c.moves {
-		if m.move.Phase == canary.Shifted {
+		if m.move.Phase == canary.Shifted && t.Now-m.phaseSince < shiftedGossipTime {
 			return true
 		}
 	}
