canary: summaries of a move carry spreads in a compact form, and shares of routes are computed once a tick

Cause, as read: readers of a large mesh send summaries of each open move several times a second; 16 spreads of a route added some 300 bytes of JSON each, most of them empty, and each message made the nodes compute the shares of all routes.

Change: only groups with responses are encoded, as integers; the old version has one group; sums over targets leave out the logarithms; shares are those of the tick.

--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -35,6 +35,8 @@
 	// reached holds the responses of the targets of the service that were counted since this
 	// process learned of the move.
 	reached map[reachedKey]reachedCounts
+	// routeShares are the shares of single routes as of the last tick.
+	routeShares map[string]float64
 	// heldBy is why the move was not completed at the last tick.
 	heldBy string
 	// phaseSince is when this node learned the present phase.
@@ -210,7 +212,9 @@
 			m.known = c.summaryOf(t, m.move)
 		}
 		s.NewShare = m.move.Share(m.known.PerSecond, t.Now-m.phaseSince)
-		s.RouteShares = m.move.RouteShares(m.routes(), m.known.PerSecond, m.deadline-t.Now, c.exposeLimits)
+		if m.move.Phase == canary.Observing {
+			s.RouteShares = m.routeShares
+		}
 	}
 }
 
@@ -295,12 +299,14 @@
 		// The node beside a faulty target suspects it first.
 		c.propagateChange(t)
 	}
+	routes := m.routes()
+	m.routeShares = m.move.RouteShares(routes, m.known.PerSecond, m.deadline-t.Now, c.exposeLimits)
 	s := canary.Snapshot{
 		UnixMS: m.move.DeadlineUnixMS - (m.deadline - t.Now).Milliseconds(), Faulty: verdict == canary.VerdictFaulty,
 		Suspected: verdict == canary.VerdictSuspected || known.Suspected, NewResponses: total.Responses,
 		NewTargets: known.NewTargets, OldRequests: known.OldRequests,
 		AcknowledgedByAll: known.AcknowledgedRevision >= m.move.Revision,
-		Doubtful:          m.analyzer.Doubtful(), Untried: m.analyzer.Untried(m.routes()), Uneven: m.analyzer.Uneven(), InPhase: t.Now - m.phaseSince,
+		Doubtful:          m.analyzer.Doubtful(), Untried: m.analyzer.Untried(routes), Uneven: m.analyzer.Uneven(), InPhase: t.Now - m.phaseSince,
 	}
 	if held := m.move.HeldBy(s); held != m.heldBy {
 		m.heldBy = held
--- a/internal/control/summary.go
+++ b/internal/control/summary.go
@@ -92,7 +92,8 @@
 	case target.Version == m.Version:
 		s.Current.Add(target.ID, e, r)
 	default:
-		s.Old.Add(target.ID, e, r)
+		// Only the sum over all targets of the old version counts.
+		s.Old.Add("", e, r)
 	}
 }
 
--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -139,7 +139,10 @@
 		v.Evidence = Evidence{}
 	}
 	for route, counts := range e {
-		v.Evidence[route] = v.Evidence[route].Add(counts)
+		sum := v.Evidence[route].Add(counts)
+		// The logarithms of several targets together say nothing.
+		sum.LogSum, sum.LogSquares, sum.LogCount = 0, 0, 0
+		v.Evidence[route] = sum
 		if s := counts.spread(); s.Freedom > 0 {
 			if v.Spreads == nil {
 				v.Spreads = map[string]Spreads{}
--- a/pkg/canary/routes_test.go
+++ b/pkg/canary/routes_test.go
@@ -1,6 +1,7 @@
 package canary_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -200,3 +201,18 @@
 		}
 	}
 }
+
+// Guards against spreads that change on their way between nodes, and against summaries that grow with
+// groups without responses.
+func TestSpreadsSurviveTheirEncoding(t *testing.T) {
+	spreads := canary.Spreads{2: {Squares: 1.25, Freedom: 7}, 7: {Squares: 0.5, Freedom: 1}}
+	data, err := json.Marshal(spreads)
+	require.NoError(t, err)
+	require.JSONEq(t, "[2,7,1250,7,1,500]", string(data))
+	var decoded canary.Spreads
+	require.NoError(t, json.Unmarshal(data, &decoded))
+	require.Equal(t, spreads, decoded)
+	require.NoError(t, json.Unmarshal([]byte("[9,1,1,-1,2,3,0]"), &decoded))
+	require.Equal(t, canary.Spreads{}, decoded, "there are no such groups")
+	require.Error(t, json.Unmarshal([]byte(`"x"`), &decoded))
+}
--- a/pkg/canary/spread.go
+++ b/pkg/canary/spread.go
@@ -1,10 +1,12 @@
 package canary
 
 import (
+	"encoding/json"
 	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -62,6 +64,39 @@
 // Spreads holds the spread of each group of targets.
 type Spreads [spreadGroups]Spread
 
+// MarshalJSON encodes the groups with responses, each as its number, its degrees of freedom and a thousandth
+// of its squares: summaries of a move are sent often.
+func (s Spreads) MarshalJSON() ([]byte, error) {
+	flat := []int64{}
+	for i, group := range s {
+		if group.Freedom > 0 {
+			flat = append(flat, int64(i), int64(group.Freedom), int64(math.Round(group.Squares*squaresScale)))
+		}
+	}
+	return json.Marshal(flat)
+}
+
+// UnmarshalJSON decodes what MarshalJSON has encoded.
+func (s *Spreads) UnmarshalJSON(data []byte) error {
+	var flat []int64
+	if err := json.Unmarshal(data, &flat); err != nil {
+		return errors.Wrap(err, "spreads")
+	}
+	*s = Spreads{}
+	for ; len(flat) >= spreadFields; flat = flat[spreadFields:] {
+		if i := flat[0]; i >= 0 && i < spreadGroups {
+			s[i] = Spread{float64(flat[2]) / squaresScale, int(flat[1])}
+		}
+	}
+	return nil
+}
+
+// spreadFields is the number of values of an encoded group, and squaresScale the factor of its squares.
+const (
+	spreadFields = 3
+	squaresScale = 1000
+)
+
 // groupOf returns the group of a target.
 func groupOf(target string) int { return int(xxhash.Sum64String(target) % spreadGroups) }
 
