sidecar: a reset that a write finds is not the end of a response

Callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still written. The caller got that part, or no body at all, as a complete 200.

Cause: the kernel reports a lost connection once, to a read or to a write. The upload is written by a goroutine of its own. If its write got ECONNRESET first, the read of the response then returned io.EOF, which is also what an orderly end returns, and a response without a length is complete at its end. The error of the write was known but only decided whether the connection is kept.

Change: at the end of a response without a length, writes are ended and waited for, and an error that one of them had found makes the response an error: 502, or a second target for a request that may be repeated. EPIPE is no such error: after the target has ended its direction in order, a reset is reported as EPIPE, and the response is complete. The write that consumed the error had begun before the read that returned io.EOF, so none is missed.

--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -97,28 +97,6 @@
 	lastLost time.Duration
 }
 
-type targetConn struct {
-	net.Conn
-	// limit bounds what reader takes from the connection for one head or body.
-	limit  *bounded.Reader
-	reader *bufio.Reader
-	// expires is when the connection must no longer be used.
-	expires time.Duration
-	// lastUsed is when the last request on the connection ended.
-	lastUsed time.Duration
-	// wrote is set before the first byte of a request is written, which may happen while the
-	// response is read.
-	wrote atomic.Bool
-	// reused is set if the connection carried an earlier request.
-	reused bool
-}
-
-// Write implements io.Writer and records that the target may have received the request.
-func (c *targetConn) Write(p []byte) (int, error) {
-	c.wrote.Store(true)
-	return c.Conn.Write(p)
-}
-
 // do sends one request and reads the complete response. The outcome tells whether the
 // target may have run the request.
 func (c *targetClient) do(ctx context.Context, request *targetRequest) (*response, retry.Outcome, error) {
@@ -454,6 +432,12 @@
 			return nil, false, errors.Wrap(err, "read answer")
 		}
 		_ = resp.Body.Close()
+		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		if unframed && resp.Body != http.NoBody {
+			if err := conn.endedInOrder(); err != nil {
+				return nil, false, errors.Wrap(err, "read answer without a length")
+			}
+		}
 		refusal := resp.Header.Get(c.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 		switch echoed := resp.Header.Get(c.headers.RequestID); {
 		case echoed == id:
@@ -465,7 +449,6 @@
 			late = true
 			continue
 		}
-		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		c.keepAlive(conn, resp.Header)
 		return &response{status: resp.StatusCode, header: resp.Header, body: body}, resp.Close || unframed || refusal || late, nil
 	}
