sidecar, callpath: a response without a valid status is malformed

Callers would see: a target in trouble answers with status 000. With heathercroft-sidecar the caller waited until its deadline, or got a proper response that followed on the connection; 600 and 999 were passed on. With heathercroft-node the connection ended without a response for a status under 100 (the server panics on it; net/http recovers, the process goes on), and 600 and 999 were passed on as well.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads as a number that is not negative, so also 000, 099, +99 and -00. The sidecar took each status under 200 for an interim response, also 101, although a request never asks for another protocol: "Upgrade" is removed from it.

Evidence: TestMalformedStatusIsNotDelivered. Two and four digits, letters and -20 were refused already, and 101 in internal/callpath.

Change: one package checks the head of a response for both programs: a status from 100 to 599 (RFC 9110, 15), and no switch of protocols. A malformed response is a 502 at once, or a second target for a request that may be repeated, and its connection is closed. Health probes and the clients of the two stores compare the status with those that they know, and need no change.

TestUnusualResponsesAreDelivered (interim responses, trailers, HTTP/1.0, line feeds, names in odd case, folded and empty values, 201, 299, 418, 599) passes with and without it.

--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -1,13 +1,15 @@
 package callpath
 
 import (
-	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"os"
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
+	"heathercroft.example/heathercroft/internal/httpresponse"
 	"heathercroft.example/heathercroft/pkg/mesh"
 	"heathercroft.example/heathercroft/pkg/record"
 	"heathercroft.example/heathercroft/pkg/retry"
@@ -179,9 +181,9 @@
 			n.recordLostRequest(c)
 		}
 	})
-	if reason := unsupportedResponse(c.req.Method, resp); reason != "" {
+	if err := checkResponse(c.req.Method, resp); err != nil {
 		a.discard()
-		return refused(retry.MayHaveRun, MayHaveRun(CodeBadResponse, reason)), false
+		return refused(retry.MayHaveRun, MayHaveRun(CodeBadResponse, err.Error())), false
 	}
 	sanitizeResponse(a)
 	n.readSignals(c, a, target, started)
@@ -202,20 +204,19 @@
 	}
 }
 
-// unsupportedResponse returns why a response cannot be passed on: its end cannot
-// be told from a lost connection, or it switches protocols. It returns "" for
-// other responses.
-func unsupportedResponse(method string, resp *http.Response) string {
-	switch {
-	case resp.StatusCode == http.StatusSwitchingProtocols:
-		return "the target switched protocols"
-	case method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
-		return ""
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		return "the answer has neither a length nor chunks, so its end cannot be told from a broken connection"
-	default:
-		return ""
+// errUnframed reports a response whose end cannot be told from a lost connection.
+var errUnframed = errors.New("the answer has neither a length nor chunks, so its end cannot be told from a broken connection")
+
+// checkResponse returns why a response cannot be passed on, or nil.
+func checkResponse(method string, resp *http.Response) error {
+	if err := httpresponse.Check(resp); err != nil {
+		return err
+	}
+	bodyless := method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	if !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errUnframed
 	}
+	return nil
 }
 
 // refusesAsNotRun reports whether a target states that it did not run the request.
--- /dev/null
+++ b/internal/sidecar/malformed_test.go
@@ -0,0 +1,90 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heathercroft.example/heathercroft/internal/testbed"
+)
+
+const responseFields = "X-Id: r1\r\nX-Signature: s\r\n"
+
+// refusesMalformed checks that a response reaches no caller: a request that must not run twice gets
+// a 502 at once, another one the response of a second target, and the connection is used no more.
+func refusesMalformed(t *testing.T, response string) {
+	t.Parallel()
+	for _, remote := range []bool{false, true} {
+		nodes := newUploadMesh(t, remote)
+		faulty := nodes[len(nodes)-1]
+		var reused atomic.Int64
+		faulty.serveRaw(t, func(_ *http.Request, number int, conn net.Conn) bool {
+			reused.Add(int64(number))
+			_, err := io.WriteString(conn, response)
+			return err == nil
+		})
+		for range 3 {
+			began := time.Now()
+			status, header, body := nodes[0].call(t, http.MethodPost, "/write/x", "r1")
+			require.Equal(t, http.StatusBadGateway, status, body)
+			require.NotContains(t, body, testbed.ResponseBody)
+			require.Empty(t, header.Get("X-Signature"))
+			require.Empty(t, header.Get("Retry-After"), "the request may have run")
+			require.Less(t, time.Since(began), time.Second, "the deadline is 2 s")
+		}
+		require.Zero(t, reused.Load(), "the connection must not be used again")
+	}
+
+	nodes := newMesh(t, 2)
+	nodes[0].serveRaw(t, func(_ *http.Request, _ int, conn net.Conn) bool {
+		_, err := io.WriteString(conn, response)
+		return err == nil
+	})
+	for range 4 {
+		status, _, body := nodes[0].call(t, http.MethodGet, "/read/x", "r1")
+		require.Equal(t, http.StatusOK, status, body)
+		require.Equal(t, "answer of target-1", body)
+	}
+}
+
+// Guards against a response without a valid status that is passed on, or taken for an interim
+// response, so that the caller gets what follows it or waits until its deadline.
+func TestMalformedStatusIsNotDelivered(t *testing.T) {
+	for name, response := range testbed.MalformedStatuses(responseFields) {
+		t.Run(name, func(t *testing.T) { refusesMalformed(t, response) })
+	}
+}
+
+// Guards against refusing responses that are unusual but proper.
+func TestUnusualResponsesAreDelivered(t *testing.T) {
+	for name, response := range testbed.WellFormedResponses(responseFields) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, remote := range []bool{false, true} {
+				nodes := newUploadMesh(t, remote)
+				nodes[len(nodes)-1].serveRaw(t, func(_ *http.Request, _ int, conn net.Conn) bool {
+					_, err := io.WriteString(conn, response)
+					return err == nil
+				})
+				for range 2 {
+					status, header, body := nodes[0].call(t, http.MethodPost, "/write/x", "r1")
+					want := http.StatusOK
+					if text, ok := strings.CutPrefix(name, "status "); ok {
+						_, err := fmt.Sscan(text, &want)
+						require.NoError(t, err)
+					}
+					require.Equal(t, want, status, body)
+					require.Equal(t, testbed.ResponseBody, body)
+					require.Equal(t, "s", header.Get("X-Signature"))
+				}
+			}
+		})
+	}
+}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathercroft.example/heathercroft/internal/bounded"
+	"heathercroft.example/heathercroft/internal/httpresponse"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
 
@@ -421,7 +422,10 @@
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer")
 		}
-		if resp.StatusCode < 200 {
+		if err := httpresponse.Check(resp); err != nil {
+			return nil, false, err
+		}
+		if resp.StatusCode < http.StatusOK {
 			_ = resp.Body.Close()
 			continue
 		}
