sidecar, callpath: a response with a malformed field name is malformed

Callers would see: a target in trouble sends a field whose name holds a blank. If it is the transfer coding with a blank before the colon, beside a length, the caller got the chunk sizes as the body of a 200; if it is the length, bytes behind the body. With heathercroft-sidecar this also holds without a length beside it, where the body was read to the end of the connection.

Cause: net/textproto refuses a tab, control bytes and bytes beyond ASCII in a name, but accepts blanks and keeps them in the name (go.dev/issue/34540). Such a field is then not the one that tells where the body ends. Neither program looked at the names.

Evidence: TestMalformedFieldIsNotDelivered. Without the change it fails in internal/sidecar for a blank before the colon and inside a name, in the head, in an interim response and in a trailer (200), for a length and a coding with a blank beside a length (200, body "whole!" and "6...") and without one (200 at the end, or 504 after 2 s while the connection stays open); in internal/callpath for the same, except that a response without any length was refused already. Tabs, control bytes, carriage returns, bytes beyond ASCII and brackets in names, lines without a name or a colon, and control bytes in values were refused already; these cases stay in the test.

--- a/internal/callpath/deliver.go
+++ b/internal/callpath/deliver.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"sync"
+
+	"heathercroft.example/heathercroft/internal/httpresponse"
 )
 
 // copyBytes is the size of the buffer for copying a body.
@@ -122,7 +124,8 @@
 }
 
 // copyBody streams the body and flushes each part as it arrives. complete is set
-// if the body was read to its end, delivered if the client got all of it. count
+// if the body was read to its end with well-formed trailers, delivered if the client
+// got all of it. count
 // and err are the result of the first read.
 func (n *Node) copyBody(c *call, resp *http.Response, capture *capturedBody, buffer []byte, count int, err error) (complete, delivered bool) {
 	control := http.NewResponseController(c.w)
@@ -141,7 +144,7 @@
 			}
 		}
 		if err == io.EOF {
-			return true, delivered
+			return httpresponse.CheckFields(resp.Trailer) == nil, delivered
 		}
 		if err != nil {
 			return false, delivered
--- a/internal/callpath/malformed_test.go
+++ b/internal/callpath/malformed_test.go
@@ -73,6 +73,37 @@
 	}
 }
 
+// Guards against a field that is not read as the one that it looks like, so that the caller gets
+// other bytes than the body, and against one that is passed on.
+func TestMalformedFieldIsNotDelivered(t *testing.T) {
+	for name, response := range testbed.MalformedFields("") {
+		t.Run(name, func(t *testing.T) {
+			if strings.HasSuffix(name, "trailer") {
+				abortsMalformed(t, response)
+				return
+			}
+			refusesMalformed(t, response)
+		})
+	}
+}
+
+// abortsMalformed checks that a response whose body was delivered before its malformed end does not
+// look complete.
+func abortsMalformed(t *testing.T, response string) {
+	t.Parallel()
+	var reused atomic.Int64
+	m := newMesh(t)
+	a := m.add("node-a", "", fastSettings())
+	b := m.add("node-b", rawTarget(t, respondTo(response, &reused)), fastSettings())
+	for _, entry := range []*testNode{a, b} {
+		for range 3 {
+			got := m.do(entry, "POST", "/courier", "")
+			require.Error(t, got.err, "the body looks complete: %q", got.body)
+		}
+	}
+	require.Zero(t, reused.Load(), "the connection must not be used again")
+}
+
 // Guards against refusing responses that are unusual but proper.
 func TestUnusualResponsesAreDelivered(t *testing.T) {
 	for name, response := range testbed.WellFormedResponses("X-Own: v\r\n") {
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"heathercroft.example/heathercroft/internal/httpresponse"
 	"heathercroft.example/heathercroft/pkg/retry"
 	"heathercroft.example/heathercroft/pkg/routing"
 )
@@ -282,8 +283,8 @@
 
 // informationalForwarder returns a function that forwards informational (1xx)
 // responses until stop is called. It does not forward 100 Continue, which the
-// server sends itself when the body is read. It returns errTooManyInformational after
-// maxInformational responses.
+// server sends itself when the body is read. It returns an error for a malformed
+// response, and errTooManyInformational after maxInformational responses.
 func (c *call) informationalForwarder() (forward func(int, textproto.MIMEHeader) error, stop func()) {
 	ended, count := false, 0
 	forward = func(code int, header textproto.MIMEHeader) error {
@@ -292,6 +293,9 @@
 		if count++; count > maxInformational {
 			return errTooManyInformational
 		}
+		if err := httpresponse.CheckFields(header); err != nil {
+			return err
+		}
 		if !ended && code != http.StatusContinue && code != http.StatusSwitchingProtocols {
 			c.writeInformational(code, header)
 		}
--- a/internal/sidecar/malformed_test.go
+++ b/internal/sidecar/malformed_test.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// Guards against a field that is not read as the one that it looks like, so that the caller gets
+// other bytes than the body, and against one that is passed on.
+func TestMalformedFieldIsNotDelivered(t *testing.T) {
+	for name, response := range testbed.MalformedFields(responseFields) {
+		t.Run(name, func(t *testing.T) { refusesMalformed(t, response) })
+	}
+}
+
 // Guards against refusing responses that are unusual but proper.
 func TestUnusualResponsesAreDelivered(t *testing.T) {
 	for name, response := range testbed.WellFormedResponses(responseFields) {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -436,6 +436,9 @@
 			return nil, false, errors.Wrap(err, "read answer")
 		}
 		_ = resp.Body.Close()
+		if err := httpresponse.CheckFields(resp.Trailer); err != nil {
+			return nil, false, err
+		}
 		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		if unframed && resp.Body != http.NoBody {
 			if err := conn.endedInOrder(); err != nil {
--- a/internal/testbed/responses.go
+++ b/internal/testbed/responses.go
@@ -19,6 +19,28 @@
 	return out
 }
 
+// MalformedFields returns raw responses with a malformed header or trailer field, by name. Those with
+// trailers send the whole body before.
+func MalformedFields(fields string) map[string]string {
+	out := map[string]string{}
+	chunked := "6\r\n" + ResponseBody + "\r\n0\r\n"
+	for name, field := range map[string]string{
+		"blank before the colon": "X-Own : v", "blank inside": "X Own: v", "tab before the colon": "X-Own\t: v", "tab inside": "X\tOwn: v",
+		"zero byte": "X\x00Own: v", "control byte": "X\x01Own: v", "delete byte": "X\x7fOwn: v", "carriage return": "X\rOwn: v", "no name": ": v",
+		"no colon": "X-Own", "letter beyond ASCII": "X-\xe4: v", "bracket": "X(Own): v",
+		"zero byte in the value": "X-Own: a\x00b", "control byte in the value": "X-Own: a\x01b", "carriage return in the value": "X-Own: a\rb",
+	} {
+		out[name] = "HTTP/1.1 200 OK\r\n" + fields + field + "\r\nContent-Length: 6\r\n\r\n" + ResponseBody
+		out[name+", interim"] = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + field + "\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 6\r\n\r\n" + ResponseBody
+		out[name+", trailer"] = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked + "X-Sum: 1\r\n" + field + "\r\n\r\n"
+	}
+	out["length with a blank, longer"] = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 3\r\nConnection: close\r\n\r\n" + ResponseBody
+	out["length with a blank, beside one"] = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 3\r\nContent-Length: 6\r\n\r\n" + ResponseBody
+	out["coding with a blank"] = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\nConnection: close\r\n\r\n" + chunked + "\r\n"
+	out["coding with a blank, beside a length"] = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\nContent-Length: 16\r\n\r\n" + chunked + "\r\n"
+	return out
+}
+
 // WellFormedResponses returns raw responses that are unusual but proper, with ResponseBody, by name.
 func WellFormedResponses(fields string) map[string]string {
 	framed := fields + "Content-Length: 6\r\n\r\n" + ResponseBody
