sidecar, callpath: the reason of a malformed response is not that it was lost

Operators would see: a target that sends malformed responses was logged as "answer-lost" with outcome reset-after-write, also at the node of the caller, which does not see the text of the error. heathercroft-node named a malformed interim response connection-lost, and other malformed ones bad-answer.

Cause: all errors of an exchange with a target that was written to had one reason.

Change: errors of the check of a response are answer-malformed with outcome may-have-run in the sidecar, and bad-answer in heathercroft-node. What net/http refuses itself keeps its reason, with its text. A malformed response goes on counting against its target and its version, as a lost one does, and names a request that may have crashed the target only if the target refuses connections afterwards.

Evidence: TestMalformedResponseIsAFailureOfItsTarget (reason, log line, failure rate, no suspect of a crash while the target goes on) and the rows "response status 0", "response field" and "interim field" of TestRefusalOutcomeCodeAndStatus pass with the change.

--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -198,6 +198,9 @@
 		return refused(retry.ResetBeforeWrite, NotRun(CodeUnreachable, "connection to the target lost before the request was sent"))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refused(retry.TimedOut, MayHaveRun(CodeUnresponsive, "the target made no progress"))
+	case errors.Is(err, httpresponse.ErrMalformed):
+		n.recordLostRequest(c)
+		return refused(retry.MayHaveRun, MayHaveRun(CodeBadResponse, err.Error()))
 	default:
 		n.recordLostRequest(c)
 		return refused(retry.ResetAfterWrite, MayHaveRun(CodeConnectionLost, "connection to the target lost: "+err.Error()))
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -8,7 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heathercroft.example/heathercroft/internal/control"
+	"heathercroft.example/heathercroft/internal/httpresponse"
 	"heathercroft.example/heathercroft/pkg/admission"
 	"heathercroft.example/heathercroft/pkg/retry"
 )
@@ -261,6 +264,9 @@
 		res.reason = reasonNoResponse
 	default:
 		res.reason = "answer-lost"
+		if errors.Is(err, httpresponse.ErrMalformed) {
+			res.reason = "answer-malformed"
+		}
 		n.recordTargetHealth(true)
 		n.handleLostResponse(h.Identity)
 		res.response = nil
--- a/internal/sidecar/malformed_test.go
+++ b/internal/sidecar/malformed_test.go
@@ -1,11 +1,14 @@
 package sidecar
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -70,6 +73,35 @@
 	}
 }
 
+// Guards against a malformed response that an operator cannot tell from a lost one, that does not
+// count against its target, or that counts as a crash of a target that goes on.
+func TestMalformedResponseIsAFailureOfItsTarget(t *testing.T) {
+	var mu sync.Mutex
+	var logs bytes.Buffer
+	nodes := newLoggingMesh(t, 2, slog.New(slog.NewJSONHandler(lockedWriter{&mu, &logs}, nil)))
+	for _, n := range nodes {
+		n.serveRaw(t, func(_ *http.Request, _ int, conn net.Conn) bool {
+			_, err := io.WriteString(conn, "HTTP/1.1 000 Zero\r\n"+responseFields+"Content-Length: 0\r\n\r\n")
+			return err == nil
+		})
+	}
+	for range 6 {
+		status, _, body := nodes[0].call(t, http.MethodGet, "/read/x", "r1")
+		require.Equal(t, http.StatusBadGateway, status)
+		require.Contains(t, body, "answer-malformed")
+	}
+	for _, n := range nodes {
+		require.Positive(t, n.targetFailureRate())
+	}
+	time.Sleep(3 * crashProbeDelay)
+	for _, n := range nodes {
+		require.Empty(t, n.view.Load().CrashSuspects)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	require.Regexp(t, `"msg":"target_failed".*"outcome":"may-have-run","reason":"answer-malformed","error":"status 0: malformed response"`, logs.String())
+}
+
 // Guards against refusing responses that are unusual but proper.
 func TestUnusualResponsesAreDelivered(t *testing.T) {
 	for name, response := range testbed.WellFormedResponses(responseFields) {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -126,6 +126,8 @@
 			c.closeIdleBefore(began)
 		}
 		return nil, retry.TimedOut, errors.CombineErrors(ctx.Err(), err)
+	case errors.Is(err, httpresponse.ErrMalformed):
+		return nil, retry.MayHaveRun, err
 	default:
 		if connectionLost(err) {
 			c.handleLostConnection()
