callpath: an upload whose target resets the connection is a lost one, not one of a caller that left

Callers saw: at the node beside the target, over HTTP/1, an upload whose target reset the connection in the middle (without a response, in its head, or short of its length) got status 499, "the caller left", although the caller waited. The request was also not kept as one that was running when the target crashed, and the attempt did not count against the target.

Cause: when the connection to the target closes, requestBody.abort interrupts a pending read of the request body, since net/http would wait for it. The HTTP/1 server of net/http cancels the context of a request whose body read fails, and the call path took each canceled context for a caller that left.

Evidence: TestResetDuringAnUploadIsNotASuccess fails without the change in 3 of its 8 cases on each run (499), TestCrashDuringAnUploadIsRecorded on each run (no request is suspected). A response without a length was refused already, with and without a reset (bad-answer): these cases stay in the test.

Change: an interrupted body is marked before its read is interrupted; after that a canceled context means neither that the caller left nor that the call ended, unless the deadline passed or the node stops.

--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -38,7 +38,9 @@
 	offset int
 	// beyondHead is set before bytes beyond head are read, with mu held.
 	beyondHead atomic.Bool
-	current    atomic.Pointer[attemptBody]
+	// interrupted is set before abort makes a pending read return.
+	interrupted atomic.Bool
+	current     atomic.Pointer[attemptBody]
 }
 
 func newRequestBody(src io.Reader, total *expvar.Int, unblock func()) *requestBody {
@@ -138,6 +140,7 @@
 	b.mu.Lock()
 	b.beyondHead.Store(true)
 	b.mu.Unlock()
+	b.interrupted.Store(true)
 	b.unblock()
 }
 
--- a/internal/callpath/call.go
+++ b/internal/callpath/call.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heathercroft.example/heathercroft/pkg/retry"
 	"heathercroft.example/heathercroft/pkg/routing"
 )
@@ -167,6 +169,24 @@
 	return v, err == nil && v >= 0 && v <= 999
 }
 
+// callerLeft reports whether the caller has left. net/http also cancels the context of a request
+// if the read of its body is interrupted, which requestBody.abort does while the caller waits.
+func (c *call) callerLeft() bool {
+	return c.req.Context().Err() != nil && !c.body.interrupted.Load()
+}
+
+// ended reports whether the caller has left, the deadline has passed or the node stops.
+func (c *call) ended() bool {
+	switch err := c.ctx.Err(); {
+	case err == nil:
+		return false
+	case c.body.interrupted.Load():
+		return c.nodeEnds.Err() != nil || errors.Is(err, context.DeadlineExceeded)
+	default:
+		return true
+	}
+}
+
 func (n *Node) timeLeft(c *call) time.Duration {
 	if c.deadline == 0 {
 		return retry.MaxTimeout
--- a/internal/callpath/deliver.go
+++ b/internal/callpath/deliver.go
@@ -83,7 +83,7 @@
 }
 
 func bodyReadRefusal(c *call, err error) *Refusal {
-	if c.ctx.Err() != nil {
+	if c.ended() {
 		return canceledResult(c, true).refusal
 	}
 	return MayHaveRun(CodeConnectionLost, "the answer broke off before its body: "+err.Error())
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -177,7 +177,7 @@
 		n.pool.put(conn, complete && reusable)
 		if complete {
 			n.recordCompletedRequest(c)
-		} else if c.ctx.Err() == nil {
+		} else if !c.ended() {
 			n.recordLostRequest(c)
 		}
 	})
@@ -192,7 +192,7 @@
 
 func (n *Node) targetFailed(c *call, err error, wrote bool) *attemptResult {
 	switch {
-	case c.ctx.Err() != nil:
+	case c.ended():
 		return canceledResult(c, wrote)
 	case !wrote:
 		return refused(retry.ResetBeforeWrite, NotRun(CodeUnreachable, "connection to the target lost before the request was sent"))
--- a/internal/callpath/malformed_test.go
+++ b/internal/callpath/malformed_test.go
@@ -130,3 +130,79 @@
 		})
 	}
 }
+
+// slowBody is a request body that arrives in pieces.
+type slowBody struct{ left int }
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(50 * time.Microsecond)
+	n := min(len(p), b.left, 4<<10)
+	b.left -= n
+	return n, nil
+}
+
+// Guards against a success that is made of a part of a response: a target responds to an upload
+// before it has read it and resets the connection while the upload is still written.
+func TestResetDuringAnUploadIsNotASuccess(t *testing.T) {
+	const tries = 16
+	for name, response := range map[string]string{
+		"no response":       "",
+		"part of the head":  "HTTP/1.1 200 OK\r\nContent-",
+		"after the head":    "HTTP/1.1 200 OK\r\n\r\n",
+		"in the body":       "HTTP/1.1 200 OK\r\n\r\npart",
+		"closing":           "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+		"HTTP/1.0":          "HTTP/1.0 200 OK\r\n\r\npart",
+		"short of a length": "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
+		"short of a chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newMesh(t)
+			a := m.add("node-a", "", fastSettings())
+			b := m.add("node-b", rawTarget(t, func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, response)
+				time.Sleep(5 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}), fastSettings())
+			for name, entry := range map[string]*testNode{"caller's node": a, "target's node": b} {
+				for range tries {
+					req, err := http.NewRequestWithContext(t.Context(), "POST", entry.caller.URL+"/courier", &slowBody{4 << 20})
+					require.NoError(t, err)
+					got := roundTrip(req)
+					if got.err == nil {
+						require.Equal(t, http.StatusBadGateway, got.status, "%s: %q", name, got.body)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a target that crashes while it reads an upload, whose caller is then said to have
+// left: the request must count as one that was running at the crash.
+func TestCrashDuringAnUploadIsRecorded(t *testing.T) {
+	for range 4 {
+		m := newMesh(t)
+		b := m.add("node-b", rawTarget(t, func(conn net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}), fastSettings())
+		req, err := http.NewRequestWithContext(t.Context(), "POST", b.caller.URL+"/courier", &slowBody{4 << 20})
+		require.NoError(t, err)
+		roundTrip(req)
+		b.TargetExpired()
+		select {
+		case found := <-b.events.crashed:
+			require.Len(t, found, 1)
+		case <-time.After(time.Second):
+			t.Fatal("no request is suspected")
+		}
+	}
+}
--- a/internal/callpath/prefetch.go
+++ b/internal/callpath/prefetch.go
@@ -35,7 +35,7 @@
 		return a
 	}
 	a.end(false)
-	if c.ctx.Err() != nil {
+	if c.ended() {
 		return canceledResult(c, true)
 	}
 	return refused(retry.ResetAfterWrite, MayHaveRun(CodeConnectionLost, "the answer broke off: "+err.Error()))
--- a/internal/callpath/send.go
+++ b/internal/callpath/send.go
@@ -55,7 +55,7 @@
 	n.record(c, sample)
 	a.afterBody(func(complete bool) {
 		e.End()
-		if a.outcome == retry.ResponseReceived && !complete && c.ctx.Err() == nil && c.req.Context().Err() == nil {
+		if a.outcome == retry.ResponseReceived && !complete && !c.ended() && !c.callerLeft() {
 			e.RecordFailure(n.deps.Now())
 			if !sample.Failed() {
 				sample.Outcome, sample.Correction = retry.ShortBody, true
@@ -68,7 +68,7 @@
 
 func (n *Node) record(c *call, s Sample) {
 	n.metrics.attempts.Add(s.Outcome.String(), 1)
-	if n.deps.Recorder != nil && c.req.Context().Err() == nil {
+	if n.deps.Recorder != nil && !c.callerLeft() {
 		n.deps.Recorder.Record(s)
 	}
 }
@@ -210,7 +210,7 @@
 	switch {
 	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
 		code, message = CodeDeadline, "the deadline passed"
-	case c.nodeEnds.Err() != nil && c.req.Context().Err() == nil:
+	case c.nodeEnds.Err() != nil && !c.callerLeft():
 		code, message = CodeNodeStopped, "the node stops"
 	}
 	if wrote {
