--- a/internal/sidecar/reset_test.go
+++ b/internal/sidecar/reset_test.go
@@ -39,7 +39,8 @@
 }
 
 // earlyTarget is a target that responds to each request once it has read its head, and then ends
-// the connection. The response depends on the number of the connection, from 0 on.
+// the connection, or reads on if end is nil. The response depends on the number of the connection,
+// from 0 on.
 func earlyTarget(t *testing.T, address string, response func(number int) string, end func(net.Conn)) string {
 	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
@@ -52,12 +53,20 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
+				reader := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, response(number))
+					time.Sleep(5 * time.Millisecond)
+					if end != nil {
+						end(conn)
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
 				}
-				_, _ = io.WriteString(conn, response(number))
-				time.Sleep(5 * time.Millisecond)
-				end(conn)
 			}()
 		}
 	}()
@@ -193,19 +202,28 @@
 	}
 }
 
-// Guards against refusing a response without a length that ends in order before the target has
-// read the request.
-func TestEarlyResponseThatEndsInOrderIsDelivered(t *testing.T) {
-	for name, end := range map[string]func(net.Conn){
-		"and the target reads on": func(conn net.Conn) {
+// Guards against refusing a response that is complete before the target has read the request: by its
+// length, or by an orderly end if it has none.
+func TestEarlyResponseThatIsCompleteIsDelivered(t *testing.T) {
+	framedHead := strings.TrimSuffix(unframedHead, "\r\n") + "Content-Length: 5\r\n\r\n"
+	for name, test := range map[string]struct {
+		response string
+		end      func(net.Conn)
+	}{
+		"end, and the target reads on": {unframedHead + "whole", func(conn net.Conn) {
 			_ = conn.(*net.TCPConn).CloseWrite()
 			_, _ = io.Copy(io.Discard, conn)
-		},
-		"and the target reads no more": func(conn net.Conn) {
+		}},
+		"end, and the target reads no more": {unframedHead + "whole", func(conn net.Conn) {
 			_ = conn.(*net.TCPConn).CloseWrite()
 			time.Sleep(100 * time.Millisecond)
-		},
-		"and a reset follows": finishThenReset,
+		}},
+		"end and then reset":        {unframedHead + "whole", finishThenReset},
+		"length, kept connection":   {framedHead + "whole", nil},
+		"length and then reset":     {strings.Replace(framedHead, "\r\n", "\r\nConnection: close\r\n", 1) + "whole", reset},
+		"chunks, kept connection":   {strings.TrimSuffix(unframedHead, "\r\n") + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", nil},
+		"interim, then no length":   {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + unframedHead + "whole", finishThenReset},
+		"HTTP/1.0 without a length": {strings.Replace(unframedHead, "HTTP/1.1", "HTTP/1.0", 1) + "whole", finishThenReset},
 	} {
 		for _, remote := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, remote %v", name, remote), func(t *testing.T) {
@@ -214,7 +232,7 @@
 				target := nodes[len(nodes)-1]
 				address := target.target.Listener.Addr().String()
 				target.target.Close()
-				earlyTarget(t, address, func(int) string { return unframedHead + "whole" }, end)
+				earlyTarget(t, address, func(int) string { return test.response }, test.end)
 				for kind, u := range uploads {
 					status, body := u.send(t, nodes[0])
 					require.Equal(t, http.StatusOK, status, "%s: %s", kind, body)
