canary: the draws of a seed of TestRouteWithLittleTraffic... have a fixed order

Cause: it drew from the source of a seed while it ranged over a map of routes, so that a seed gave other draws in each run.

Change: the draws go through the routes in the order of their names. The check and the bound are as they were.

--- a/pkg/canary/routes_test.go
+++ b/pkg/canary/routes_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -104,6 +106,8 @@
 func TestRouteWithLittleTrafficIsTriedBeforeTheRelease(t *testing.T) {
 	const perSecond, duration, lead = 80.0, 15 * time.Second, 3200 * time.Millisecond
 	rates := map[string]float64{"read": 77, "upload": 2, "report": 1.3, "rare": 0.1}
+	// The draws of a seed belong to the routes in this order.
+	order := slices.Sorted(maps.Keys(rates))
 	limits := canary.Limits{Share: 0.1, Slack: 50}
 	for _, failing := range []float64{0, 0.5} {
 		released := 0
@@ -124,7 +128,8 @@
 				return out
 			}
 			advance := func(now time.Duration, share func(route string) float64) {
-				for route, rate := range rates {
+				for _, route := range order {
+					rate := rates[route]
 					for at := now - canary.EvidenceInterval; at < now; at += 5 * time.Millisecond {
 						if random.Float64() >= rate*0.005 {
 							continue
