--- a/internal/callpath/malformed_test.go
+++ b/internal/callpath/malformed_test.go
@@ -87,6 +87,28 @@
 	}
 }
 
+// Guards against a malformed response that the caller and the operator cannot tell from a lost one.
+func TestMalformedResponseIsNamed(t *testing.T) {
+	for name, response := range map[string]string{
+		"status":        "HTTP/1.1 000 Zero\r\nContent-Length: 0\r\n\r\n",
+		"field":         "HTTP/1.1 200 OK\r\nX Own: v\r\nContent-Length: 0\r\n\r\n",
+		"interim field": "HTTP/1.1 103 Early Hints\r\nX Own: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"protocol":      "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(t)
+			a := m.add("node-a", "", fastSettings())
+			b := m.add("node-b", rawTarget(t, respondWith(response)), fastSettings())
+			for _, entry := range []*testNode{a, b} {
+				got := m.do(entry, "POST", "/courier", "")
+				require.NoError(t, got.err)
+				require.Equal(t, "bad-answer", got.header.Get(callpath.HeaderReason), got.body)
+				require.Contains(t, got.body, "malformed response")
+			}
+		})
+	}
+}
+
 // abortsMalformed checks that a response whose body was delivered before its malformed end does not
 // look complete.
 func abortsMalformed(t *testing.T, response string) {
