callpath: a connection that a canceled call closes does not mark its body as interrupted

Cause, found by reading the change before: a call that is canceled, by a caller that left for instance, closes its connection to the target as well. If a read of the body was pending at that moment, the body was marked as interrupted, and the request of a caller that left could have been suspected of a crash of its target.

Change: the mark is set only if the context of the call was alive when the connection was closed.

Measured: TestCallerThatLeavesAnUploadIsNotALostTarget (64 callers that leave after 2 to 9 ms) did not fail in 10 runs without this change, so the race was not shown; with it, it and the tests of lost uploads pass 10 times and 3 times with -race, and all tests of the package pass.

--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -38,7 +38,7 @@
 	offset int
 	// beyondHead is set before bytes beyond head are read, with mu held.
 	beyondHead atomic.Bool
-	// interrupted is set before abort makes a pending read return.
+	// interrupted is set before abort makes a pending read of a call return that has not ended.
 	interrupted atomic.Bool
 	current     atomic.Pointer[attemptBody]
 }
@@ -130,8 +130,9 @@
 
 // abort ends the reads of the current attempt. When the connection to the target
 // is lost, net/http waits for a pending read, and the caller may send nothing for
-// a long time. A body whose read had to be interrupted cannot be sent again.
-func (b *requestBody) abort() {
+// a long time. A body whose read had to be interrupted cannot be sent again. ended is set
+// if the call had ended before, which also closes the connection.
+func (b *requestBody) abort(ended bool) {
 	b.current.Store(nil)
 	if b.readMu.TryLock() {
 		b.readMu.Unlock()
@@ -140,7 +141,7 @@
 	b.mu.Lock()
 	b.beyondHead.Store(true)
 	b.mu.Unlock()
-	b.interrupted.Store(true)
+	b.interrupted.Store(!ended)
 	b.unblock()
 }
 
--- a/internal/callpath/deliver.go
+++ b/internal/callpath/deliver.go
@@ -125,8 +125,7 @@
 
 // copyBody streams the body and flushes each part as it arrives. complete is set
 // if the body was read to its end with well-formed trailers, delivered if the client
-// got all of it. count
-// and err are the result of the first read.
+// got all of it. count and err are the result of the first read.
 func (n *Node) copyBody(c *call, resp *http.Response, capture *capturedBody, buffer []byte, count int, err error) (complete, delivered bool) {
 	control := http.NewResponseController(c.w)
 	delivered = true
--- a/internal/callpath/exchange.go
+++ b/internal/callpath/exchange.go
@@ -156,7 +156,7 @@
 		req.Body = http.NoBody
 	}
 	started := n.deps.Now()
-	lost := c.body.abort
+	lost := func() { c.body.abort(c.ctx.Err() != nil) }
 	conn.raw.onLost.Store(&lost)
 	resp, err := conn.client.RoundTrip(req)
 	if err != nil {
--- a/internal/callpath/malformed_test.go
+++ b/internal/callpath/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -228,3 +229,24 @@
 		}
 	}
 }
+
+// Guards against a caller that leaves in the middle of its upload and is taken for one whose target
+// lost the connection: its request would be suspected of a crash.
+func TestCallerThatLeavesAnUploadIsNotALostTarget(t *testing.T) {
+	m := newMesh(t)
+	b := m.add("node-b", target(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }), fastSettings())
+	for i := range 64 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(2+i%8)*time.Millisecond)
+		req, err := http.NewRequestWithContext(ctx, "POST", b.caller.URL+"/courier", &slowBody{4 << 20})
+		require.NoError(t, err)
+		require.Error(t, roundTrip(req).err)
+		cancel()
+	}
+	time.Sleep(50 * time.Millisecond)
+	b.TargetExpired()
+	select {
+	case found := <-b.events.crashed:
+		t.Fatalf("%d requests are suspected", len(found))
+	case <-time.After(50 * time.Millisecond):
+	}
+}
