sidecar: raw targets of tests keep the address of their listener

Seen once: TestUnusualResponsesAreDelivered failed with "bind: address already in use" in 10 runs of the tests of malformed responses. Cause: a raw target closed the listener of its node and opened one at the same address; since the tests run beside each other, another one had taken the port meanwhile.

Change: the listener of a fake target gives its connections to the raw target.

--- a/internal/sidecar/faulty_test.go
+++ b/internal/sidecar/faulty_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,43 +16,55 @@
 	"heathercroft.example/heathercroft/internal/control"
 )
 
-// rawTarget is a target that answers with raw bytes. exchange is called with each request,
-// its number on the connection from 0 on, and the connection.
-func rawTarget(t *testing.T, address string, exchange func(r *http.Request, number int, conn net.Conn) (keep bool)) {
-	listener, err := net.Listen("tcp", address)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
+// divertingListener gives connections to serve, if it is set, instead of to the server. The address
+// of a target stays in use, so that no other test can take it.
+type divertingListener struct {
+	net.Listener
+	serve atomic.Pointer[func(net.Conn)]
+}
+
+// Accept implements net.Listener.
+func (l *divertingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		serve := l.serve.Load()
+		if serve == nil {
+			return conn, nil
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			(*serve)(conn)
+		}()
+	}
+}
+
+// serveConns replaces the target of a node by one that handles connections.
+func (n *testNode) serveConns(serve func(net.Conn)) {
+	n.target.listener.serve.Store(&serve)
+	n.target.CloseClientConnections()
+}
+
+// serveRaw replaces the target of a node by one that answers with raw bytes. exchange is called with
+// each request, its number on the connection from 0 on, and the connection.
+func (n *testNode) serveRaw(exchange func(r *http.Request, number int, conn net.Conn) (keep bool)) {
+	n.serveConns(func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for number := 0; ; number++ {
+			r, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for number := 0; ; number++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if _, err := io.ReadAll(r.Body); err != nil {
-						return
-					}
-					if !exchange(r, number, conn) {
-						return
-					}
-				}
-			}()
+			if _, err := io.ReadAll(r.Body); err != nil {
+				return
+			}
+			if !exchange(r, number, conn) {
+				return
+			}
 		}
-	}()
-}
-
-// serveRaw replaces the target of a node.
-func (n *testNode) serveRaw(t *testing.T, exchange func(r *http.Request, number int, conn net.Conn) (keep bool)) {
-	address := n.target.Listener.Addr().String()
-	n.target.Close()
-	rawTarget(t, address, exchange)
+	})
 }
 
 // Guards against telling a caller that its request did not run, or running it at a second
@@ -65,7 +78,7 @@
 			if refusedID != "" {
 				refusal += "X-Id: " + refusedID + "\r\n"
 			}
-			nodes[0].serveRaw(t, func(r *http.Request, number int, conn net.Conn) bool {
+			nodes[0].serveRaw(func(r *http.Request, number int, conn net.Conn) bool {
 				id := r.Header.Get("X-Id")
 				if number == 0 && strings.HasSuffix(r.URL.Path, "/refuse") {
 					_, err := io.WriteString(conn, refusal+"\r\n")
@@ -98,7 +111,7 @@
 // it may belong to any earlier request.
 func TestRefusalWithoutAnIDOnAKeptConnectionProvesNothing(t *testing.T) {
 	n := newMesh(t, 1)[0]
-	n.serveRaw(t, func(r *http.Request, number int, conn net.Conn) bool {
+	n.serveRaw(func(r *http.Request, number int, conn net.Conn) bool {
 		if number > 0 {
 			_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 			require.NoError(t, err)
@@ -124,7 +137,7 @@
 			head := "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n" + framing + "\r\n"
 			cuts := make(chan int, 1)
 			n := newMesh(t, 1)[0]
-			n.serveRaw(t, func(_ *http.Request, _ int, conn net.Conn) bool {
+			n.serveRaw(func(_ *http.Request, _ int, conn net.Conn) bool {
 				_, _ = io.WriteString(conn, head[:<-cuts])
 				return false
 			})
--- a/internal/sidecar/malformed_test.go
+++ b/internal/sidecar/malformed_test.go
@@ -28,7 +28,7 @@
 		nodes := newUploadMesh(t, remote)
 		faulty := nodes[len(nodes)-1]
 		var reused atomic.Int64
-		faulty.serveRaw(t, func(_ *http.Request, number int, conn net.Conn) bool {
+		faulty.serveRaw(func(_ *http.Request, number int, conn net.Conn) bool {
 			reused.Add(int64(number))
 			_, err := io.WriteString(conn, response)
 			return err == nil
@@ -46,7 +46,7 @@
 	}
 
 	nodes := newMesh(t, 2)
-	nodes[0].serveRaw(t, func(_ *http.Request, _ int, conn net.Conn) bool {
+	nodes[0].serveRaw(func(_ *http.Request, _ int, conn net.Conn) bool {
 		_, err := io.WriteString(conn, response)
 		return err == nil
 	})
@@ -80,7 +80,7 @@
 	var logs bytes.Buffer
 	nodes := newLoggingMesh(t, 2, slog.New(slog.NewJSONHandler(lockedWriter{&mu, &logs}, nil)))
 	for _, n := range nodes {
-		n.serveRaw(t, func(_ *http.Request, _ int, conn net.Conn) bool {
+		n.serveRaw(func(_ *http.Request, _ int, conn net.Conn) bool {
 			_, err := io.WriteString(conn, "HTTP/1.1 000 Zero\r\n"+responseFields+"Content-Length: 0\r\n\r\n")
 			return err == nil
 		})
@@ -109,7 +109,7 @@
 			t.Parallel()
 			for _, remote := range []bool{false, true} {
 				nodes := newUploadMesh(t, remote)
-				nodes[len(nodes)-1].serveRaw(t, func(_ *http.Request, _ int, conn net.Conn) bool {
+				nodes[len(nodes)-1].serveRaw(func(_ *http.Request, _ int, conn net.Conn) bool {
 					_, err := io.WriteString(conn, response)
 					return err == nil
 				})
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -136,15 +136,16 @@
 // fakeTarget is a target whose handler a test can replace.
 type fakeTarget struct {
 	*httptest.Server
-	id      string
-	runs    atomic.Int64
-	mu      sync.Mutex
-	handler http.HandlerFunc
+	listener *divertingListener
+	id       string
+	runs     atomic.Int64
+	mu       sync.Mutex
+	handler  http.HandlerFunc
 }
 
 func newFakeTarget(t testingT, id string) *fakeTarget {
 	f := &fakeTarget{id: id}
-	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	f.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.runs.Add(1)
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		f.mu.Lock()
@@ -157,6 +158,9 @@
 		w.Header().Set("X-Signature", "by "+id)
 		_, _ = io.WriteString(w, "answer of "+id)
 	}))
+	f.listener = &divertingListener{Listener: f.Server.Listener}
+	f.Server.Listener = f.listener
+	f.Start()
 	t.Cleanup(f.Close)
 	return f
 }
--- a/internal/sidecar/reset_test.go
+++ b/internal/sidecar/reset_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,39 +39,41 @@
 	reset(conn)
 }
 
-// earlyTarget is a target that responds to each request once it has read its head, and then ends
-// the connection, or reads on if end is nil. The response depends on the number of the connection,
-// from 0 on.
-func earlyTarget(t *testing.T, address string, response func(number int) string, end func(net.Conn)) string {
-	listener, err := net.Listen("tcp", address)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for number := 0; ; number++ {
-			conn, err := listener.Accept()
+// respondEarly returns a handler of connections that responds to each request once it has read its
+// head, and then ends the connection, or reads on if end is nil. The response depends on the number of
+// the connection, from 0 on.
+func respondEarly(response func(number int64) string, end func(net.Conn)) func(net.Conn) {
+	var connections atomic.Int64
+	return func(conn net.Conn) {
+		text := response(connections.Add(1) - 1)
+		reader := bufio.NewReader(conn)
+		for {
+			req, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for {
-					req, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.WriteString(conn, response(number))
-					time.Sleep(5 * time.Millisecond)
-					if end != nil {
-						end(conn)
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-				}
-			}()
+			_, _ = io.WriteString(conn, text)
+			time.Sleep(5 * time.Millisecond)
+			if end != nil {
+				end(conn)
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
 		}
-	}()
-	return listener.Addr().String()
+	}
+}
+
+// earlyTarget starts a target that responds early and returns a client of it.
+func earlyTarget(t *testing.T, response string, end func(net.Conn)) *targetClient {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := respondEarly(func(int64) string { return response }, end)
+	diverting := &divertingListener{Listener: listener}
+	diverting.serve.Store(&serve)
+	go func() { _, _ = diverting.Accept() }()
+	start := time.Now()
+	return &targetClient{address: listener.Addr().String(), headers: testHeaders, now: func() time.Duration { return time.Since(start) }}
 }
 
 // Guards against a truncated response that looks complete: the write of the request finds the
@@ -87,9 +90,7 @@
 		"end and then reset, with a body": {unframedHead + "part", finishThenReset, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			start := time.Now()
-			address := earlyTarget(t, "127.0.0.1:0", func(int) string { return test.response }, test.end)
-			client := &targetClient{address: address, headers: testHeaders, now: func() time.Duration { return time.Since(start) }}
+			client := earlyTarget(t, test.response, test.end)
 			conn, err := client.get(t.Context(), true)
 			require.NoError(t, err)
 			defer func() { _ = conn.Close() }()
@@ -186,10 +187,8 @@
 				t.Parallel()
 				nodes := newUploadMesh(t, remote)
 				target := nodes[len(nodes)-1]
-				address := target.target.Listener.Addr().String()
-				target.target.Close()
-				response := func(number int) string { return [...]string{unframedHead, unframedHead + "part"}[number%2] }
-				earlyTarget(t, address, response, reset)
+				response := func(number int64) string { return [...]string{unframedHead, unframedHead + "part"}[number%2] }
+				target.serveConns(respondEarly(response, reset))
 				for i := range resetTries {
 					began := time.Now()
 					status, body := u.send(t, nodes[0])
@@ -230,9 +229,7 @@
 				t.Parallel()
 				nodes := newUploadMesh(t, remote)
 				target := nodes[len(nodes)-1]
-				address := target.target.Listener.Addr().String()
-				target.target.Close()
-				earlyTarget(t, address, func(int) string { return test.response }, test.end)
+				target.serveConns(respondEarly(func(int64) string { return test.response }, test.end))
 				for kind, u := range uploads {
 					status, body := u.send(t, nodes[0])
 					require.Equal(t, http.StatusOK, status, "%s: %s", kind, body)
@@ -267,9 +264,7 @@
 // Guards against a reset that is told to the wrong one: the outcome of a request that was sent is
 // that it may have run.
 func TestResetOfAnEarlyResponseMayHaveRun(t *testing.T) {
-	start := time.Now()
-	address := earlyTarget(t, "127.0.0.1:0", func(int) string { return unframedHead + "part" }, reset)
-	client := &targetClient{address: address, headers: testHeaders, now: func() time.Duration { return time.Since(start) }}
+	client := earlyTarget(t, unframedHead+"part", reset)
 	body := &requestBody{head: []byte("first"), size: -1, rest: &endlessBody{}, interrupt: func() {}}
 	attempt, ok := body.open()
 	require.True(t, ok)
