--- a/internal/callpath/malformed_test.go
+++ b/internal/callpath/malformed_test.go
@@ -37,14 +37,18 @@
 	}
 }
 
+// newRawMesh starts a node without a target and one whose target handles raw connections.
+func newRawMesh(t *testing.T, handle func(net.Conn)) (m *testMesh, a, b *testNode) {
+	m = newMesh(t)
+	return m, m.add("node-a", "", fastSettings()), m.add("node-b", rawTarget(t, handle), fastSettings())
+}
+
 // refusesMalformed checks that a response reaches no caller, that the caller is told at once that its
 // request may have run unless a second target can respond, and that the connection is used no more.
 func refusesMalformed(t *testing.T, response string) {
 	t.Parallel()
 	var reused atomic.Int64
-	m := newMesh(t)
-	a := m.add("node-a", "", fastSettings())
-	b := m.add("node-b", rawTarget(t, respondTo(response, &reused)), fastSettings())
+	m, a, b := newRawMesh(t, respondTo(response, &reused))
 	for _, entry := range []*testNode{a, b} {
 		for range 3 {
 			began := time.Now()
@@ -97,9 +101,7 @@
 		"protocol":      "HTTP/1.1 101 Switching Protocols\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			m := newMesh(t)
-			a := m.add("node-a", "", fastSettings())
-			b := m.add("node-b", rawTarget(t, respondWith(response)), fastSettings())
+			m, a, b := newRawMesh(t, respondWith(response))
 			for _, entry := range []*testNode{a, b} {
 				got := m.do(entry, "POST", "/courier", "")
 				require.NoError(t, got.err)
@@ -115,9 +117,7 @@
 func abortsMalformed(t *testing.T, response string) {
 	t.Parallel()
 	var reused atomic.Int64
-	m := newMesh(t)
-	a := m.add("node-a", "", fastSettings())
-	b := m.add("node-b", rawTarget(t, respondTo(response, &reused)), fastSettings())
+	m, a, b := newRawMesh(t, respondTo(response, &reused))
 	for _, entry := range []*testNode{a, b} {
 		for range 3 {
 			got := m.do(entry, "POST", "/courier", "")
@@ -133,9 +133,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var reused atomic.Int64
-			m := newMesh(t)
-			a := m.add("node-a", "", fastSettings())
-			b := m.add("node-b", rawTarget(t, respondTo(response, &reused)), fastSettings())
+			m, a, b := newRawMesh(t, respondTo(response, &reused))
 			for _, entry := range []*testNode{a, b} {
 				for range 2 {
 					got := m.do(entry, "POST", "/courier", "")
@@ -184,16 +182,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			m := newMesh(t)
-			a := m.add("node-a", "", fastSettings())
-			b := m.add("node-b", rawTarget(t, func(conn net.Conn) {
+			_, a, b := newRawMesh(t, func(conn net.Conn) {
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 					return
 				}
 				_, _ = io.WriteString(conn, response)
 				time.Sleep(5 * time.Millisecond)
 				_ = conn.(*net.TCPConn).SetLinger(0)
-			}), fastSettings())
+			})
 			for name, entry := range map[string]*testNode{"caller's node": a, "target's node": b} {
 				for range tries {
 					req, err := http.NewRequestWithContext(t.Context(), "POST", entry.caller.URL+"/courier", &slowBody{4 << 20})
