review: a refused connection makes two processes hand out one usage cap

Cause: a refused connection is taken for the end of the process that leases the shares of a cap; the others use them again while it lives and grants from them.

Case: review/12, a script; single machines are cut off from the others, which refuses connections.

--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -31,6 +31,8 @@
 	store                *standin.Store
 	record               *record
 	machines             []*machine
+	// arguments are those of the next process.
+	arguments []string
 }
 
 // machine is a node process and the worker beside it.
@@ -129,12 +131,7 @@
 	if err := w.start(c, m); err != nil {
 		return nil, err
 	}
-	// The deploy file starts the program without arguments, and the environment names its settings.
-	if err := os.Setenv("HEATHERCROFT_CONFIG", path); err != nil {
-		return nil, err
-	}
-	var err error
-	if m.process, err = testbed.Start(c.dir, c.sidecar, m.name); err != nil {
+	if err := c.startNode(m, path); err != nil {
 		return nil, err
 	}
 	c.record.line("%s starts, process %d, with worker %s of %s", m.name, m.process.PID(), w.id, w.service)
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -56,7 +56,7 @@
 	sidecar := flag.String("sidecar", "target/heathercroft-sidecar", "the program of the deploy file")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
-	play, ok := map[string]func(*cluster, bool) (int, error){"http10": oldProtocol}[flag.Arg(0)]
+	play, ok := map[string]func(*cluster, bool) (int, error){"http10": oldProtocol, "quota": quotaCut}[flag.Arg(0)]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", flag.Arg(0))
 		os.Exit(notRun)
