--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -33,6 +34,10 @@
 	machines             []*machine
 	// arguments are those of the next process.
 	arguments []string
+
+	// mu guards the start and the end of processes. closed is set when no further one may start.
+	mu     sync.Mutex
+	closed bool
 }
 
 // machine is a node process and the worker beside it.
@@ -88,7 +93,6 @@
 func (c *cluster) add(w *worker) (*machine, error) {
 	host := 10 + len(c.machines)
 	m := &machine{name: fmt.Sprintf("sidecar-%d", host), ip: fmt.Sprintf("%s.%d", c.subnet, host), worker: w}
-	c.machines = append(c.machines, m)
 	text := fmt.Sprintf(`node_name = %q
 role = "sidecar"
 machine_class = "sidecar"
@@ -132,6 +136,7 @@
 		return nil, err
 	}
 	if err := c.startNode(m, path); err != nil {
+		w.stop()
 		return nil, err
 	}
 	c.record.line("%s starts, process %d, with worker %s of %s", m.name, m.process.PID(), w.id, w.service)
@@ -164,6 +169,9 @@
 
 // close ends all processes and removes the temporary folder.
 func (c *cluster) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
 	for _, m := range c.machines {
 		m.worker.stop()
 		if m.process != nil {
@@ -173,3 +181,21 @@
 	time.Sleep(200 * time.Millisecond)
 	_ = os.RemoveAll(c.dir)
 }
+
+// startNode starts the process of a machine with the arguments of the cluster.
+func (c *cluster) startNode(m *machine, settings string) (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errors.New("the case has ended")
+	}
+	// The deploy file starts the program without arguments, and the environment names its settings.
+	if err := os.Setenv("HEATHERCROFT_CONFIG", settings); err != nil {
+		return err
+	}
+	if m.process, err = testbed.Start(c.dir, c.sidecar, m.name, c.arguments...); err != nil {
+		return err
+	}
+	c.machines = append(c.machines, m)
+	return nil
+}
--- a/review/stand-3/http10.go
+++ b/review/stand-3/http10.go
@@ -22,10 +22,12 @@
 		}),
 		limits(),
 	}})
-	var runs atomic.Int64
+	// Two of three workers spoil one in ten of their answers for 5.5 s.
+	const spoilTime = 5500 * time.Millisecond
+	var runs, spoilUntil atomic.Int64
 	answer := func(w *worker, r *http.Request, _ []byte) (string, bool) {
 		body := "the lesson for " + r.Header.Get("Heathercroft-Attempt-Id") + "\n"
-		if trouble && runs.Add(1)%10 == 0 {
+		if trouble && w.id != "i-2" && time.Now().UnixNano() < spoilUntil.Load() && runs.Add(1)%10 == 0 {
 			w.cluster.record.line("%s answers with bytes that are no response of HTTP/1.1", w.id)
 			return fmt.Sprintf("HTTP/1.0 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", w.signed(r), len(body), body), true
 		}
@@ -41,6 +43,7 @@
 	}
 	client := &http.Client{Timeout: 5 * time.Second}
 	wrong, whole, other := 0, 0, 0
+	spoilUntil.Store(time.Now().Add(spoilTime).UnixNano())
 	for i := range requests {
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		m := c.machines[i%len(c.machines)]
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -7,7 +7,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -69,6 +71,13 @@
 	code := notRun
 	c, err := newCluster(*sidecar, r)
 	if err == nil {
+		stopped := make(chan os.Signal, 1)
+		signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+		go func() {
+			<-stopped
+			c.close()
+			os.Exit(notRun)
+		}()
 		code, err = play(c, os.Getenv("TROUBLE") != "0")
 		c.close()
 	}
--- a/review/stand-3/quota.go
+++ b/review/stand-3/quota.go
@@ -5,12 +5,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"heathercroft.example/heathercroft/internal/testbed"
 )
 
 const (
@@ -20,10 +18,14 @@
 	quotaSlack  = 20
 	// tenantRate and tenantBurst are the usage cap of the tenant.
 	tenantRate, tenantBurst = 200, 20
-	// perMachine is what its requesters send at each machine, so that each of them could use the cap alone.
-	perMachine = 260
-	// cutTime is how long a machine is cut off, cutPause the time until the next one is.
-	cutTime, cutPause = 5 * time.Second, 4 * time.Second
+	// quotaRatio is the cap of a tenant by its usual rate (quota_x), usual the rate of all its requesters, and hot that while
+	// the tenant sends 7.5 times as much (hot_tenant) for hotTime.
+	quotaRatio = 1.6
+	usual      = tenantRate / quotaRatio
+	hot        = 7.5 * usual
+	hotTime    = 6500 * time.Millisecond
+	// hotLead is how long the tenant is hot before a machine is cut off, for cutTime, and pause the time until it is hot again.
+	hotLead, cutTime, pause = 3200 * time.Millisecond, 5 * time.Second, 2 * time.Second
 )
 
 // cut holds which machine is cut off.
@@ -78,7 +80,7 @@
 // quotaCut plays machines that are cut off from the others one after the other, while a tenant asks for more
 // than its cap at all machines.
 func quotaCut(c *cluster, trouble bool) (int, error) {
-	const service, host, key, count = "viewer", "viewer.example", "key-of-ward", 6
+	const service, host, key, count = "viewer", "viewer.example", "key-of-ward", 4
 	c.put("config", map[string]any{"version": "00000001", "resources": []any{
 		resource("services", service, map[string]any{"health_path": "/health", "max_connections": 560}),
 		resource("routes", "r-plan", map[string]any{
@@ -119,23 +121,31 @@
 	}
 	stop := make(chan struct{})
 	var senders sync.WaitGroup
+	var isHot atomic.Bool
 	for _, m := range c.machines {
 		client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 		senders.Go(func() {
-			tick := time.NewTicker(time.Second / perMachine)
-			defer tick.Stop()
-			for {
+			for next := time.Now(); ; time.Sleep(time.Until(next)) {
 				select {
 				case <-stop:
 					return
-				case <-tick.C:
-					senders.Go(func() { a.send(c, client, m, host, key) })
+				default:
+				}
+				rate := usual / count
+				if isHot.Load() {
+					rate = hot / count
 				}
+				next = next.Add(time.Duration(float64(time.Second) / rate))
+				senders.Go(func() { a.send(c, client, m, host, key) })
 			}
 		})
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(6 * time.Second)
 	for i, m := range c.machines {
+		began := time.Now()
+		c.record.line("the tenant sends 7.5 times its usual")
+		isHot.Store(true)
+		time.Sleep(hotLead)
 		if trouble {
 			c.record.line("%s is cut off from the other machines, which refuses connections", m.name)
 			off.set(m.ip)
@@ -149,7 +159,10 @@
 				}
 			}
 		}
-		time.Sleep(cutTime)
+		time.Sleep(time.Until(began.Add(hotTime)))
+		isHot.Store(false)
+		c.record.line("the tenant sends its usual")
+		time.Sleep(time.Until(began.Add(hotLead + cutTime)))
 		if trouble {
 			off.set("")
 			for _, p := range proxies[i] {
@@ -159,7 +172,7 @@
 			}
 			c.record.line("%s is back", m.name)
 		}
-		time.Sleep(cutPause)
+		time.Sleep(pause)
 	}
 	close(stop)
 	senders.Wait()
@@ -202,13 +215,3 @@
 		c.record.line("%s sent to %s answered 200", id, m.name)
 	}
 }
-
-// startNode starts the process of a machine with the arguments of the cluster.
-func (c *cluster) startNode(m *machine, settings string) (err error) {
-	// The deploy file starts the program without arguments, and the environment names its settings.
-	if err := os.Setenv("HEATHERCROFT_CONFIG", settings); err != nil {
-		return err
-	}
-	m.process, err = testbed.Start(c.dir, c.sidecar, m.name, c.arguments...)
-	return err
-}
